--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,96 @@
+// Package cli is the command line of auburnmoor.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/result"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+// Exit codes.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// commands is the grammar of the command line.
+type commands struct {
+	Serve    serveCmd    `cmd:"" help:"Run one entry instance."`
+	Dev      devCmd      `cmd:"" help:"Run a whole small site in this process, with stand-ins."`
+	Config   configCmd   `cmd:"" help:"Work with settings files."`
+	Manifest manifestCmd `cmd:"" help:"Work with manifests."`
+	Apply    applyCmd    `cmd:"" help:"Have a manifest accepted as the configuration in force."`
+	Status   statusCmd   `cmd:"" help:"Show what entry instances hold."`
+	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
+}
+
+// env is what a command may use.
+type env struct {
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+// errUsage marks bad usage or bad input.
+var errUsage = errors.New("bad input")
+
+func usage(err error) error { return errors.Mark(err, errUsage) }
+
+// exit unwinds kong's own exits, such as that of --help.
+type exit struct{ code int }
+
+// Main parses args, runs the command and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) (code int) {
+	defer func() {
+		if r := recover(); r != nil {
+			e, ok := r.(exit)
+			if !ok {
+				panic(r)
+			}
+			code = e.code
+		}
+	}()
+	var grammar commands
+	parser, err := kong.New(&grammar, kong.Name("auburnmoor"),
+		kong.Description("A serving layer for prompts of very unlike lengths."),
+		kong.UsageOnError(), kong.Writers(stdout, stderr), kong.Exit(func(c int) { panic(exit{c}) }))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	kctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "auburnmoor: %v\nRun \"auburnmoor --help\" for usage.\n", err)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return report(stderr, kctx.Run(&env{ctx: ctx, out: stdout, err: stderr}))
+}
+
+func report(stderr io.Writer, err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintf(stderr, "auburnmoor: %v\n", err)
+	var problems settings.Problems
+	var coded *result.Error
+	switch {
+	case errors.As(err, &problems), errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.As(err, &coded) && coded.Code == result.ConfigInvalid:
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/cli/dev.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/dev"
+	"github.com/auburnmoor/auburnmoor/process"
+)
+
+type devCmd struct {
+	Manifest   string  `default:"examples/te-puna.toml" type:"path" help:"Manifest to accept first."`
+	StepFactor float64 `default:"0.25" help:"Scale of the assumed engine step times."`
+	BasePort   int     `default:"7001" help:"Port of the platform stand-in; the others follow from it."`
+	Log        bool    `help:"Print the instances' logs."`
+}
+
+// readyTimeout bounds the start of a site.
+const readyTimeout = 30 * time.Second
+
+// Run runs a site until a signal.
+func (c *devCmd) Run(e *env) error {
+	o := dev.DefaultOptions()
+	raw, err := os.ReadFile(c.Manifest)
+	if err != nil {
+		return usage(err)
+	}
+	o.Manifest, o.StepFactor, o.BasePort = raw, c.StepFactor, c.BasePort
+	if c.Log {
+		if o.Log, err = process.NewLog("console"); err != nil {
+			return err
+		}
+	}
+	if err := dev.CheckPorts(o); err != nil {
+		return err
+	}
+	site, err := dev.Start(context.Background(), o)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, readyTimeout)
+	defer cancel()
+	if err := site.Ready(ctx); err != nil {
+		site.Close()
+		return errors.Wrap(err, "starting the site")
+	}
+	c.welcome(e, site)
+	<-e.ctx.Done()
+	return site.Stop(context.Background())
+}
+
+func (c *devCmd) welcome(e *env, s *dev.Site) {
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "ROLE\tADDRESS\tFOR")
+	for i := range s.Entries {
+		fmt.Fprintf(w, "entry-%d\t%s\tcallers\n", i+1, s.CallerAddr(i))
+		fmt.Fprintf(w, "\t%s\toperators (/admin/dump, /metrics)\n", s.AdminAddr(i))
+	}
+	for _, en := range s.Engines {
+		fmt.Fprintf(w, "engine\t%s\tstand-in\n", en.Addr())
+	}
+	for _, sv := range s.Services {
+		fmt.Fprintf(w, "service\t%s\tstand-in\n", sv.Addr())
+	}
+	fmt.Fprintf(w, "platform\t%s\tstand-in\n", s.Platform.Addr())
+	_ = w.Flush()
+	fmt.Fprintln(e.out)
+	for _, line := range s.Examples() {
+		fmt.Fprintln(e.out, line)
+	}
+	fmt.Fprintln(e.out, "ready")
+}
--- /dev/null
+++ b/cli/operate.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/auburnmoor/auburnmoor/confver"
+	"github.com/auburnmoor/auburnmoor/manifest"
+	"github.com/auburnmoor/auburnmoor/port/objectapi"
+	"github.com/auburnmoor/auburnmoor/result"
+)
+
+type applyCmd struct {
+	File      string        `arg:"" type:"existingfile" help:"Manifest file."`
+	ObjectAPI string        `default:"127.0.0.1:7001" help:"Address of the platform's object API."`
+	Base      *uint64       `help:"Version that the change was made against; the version in force by default."`
+	WriteID   string        `help:"Identifier of this change; repeat it to learn the fate of an unconfirmed one."`
+	Timeout   time.Duration `default:"30s" help:"How long to try."`
+}
+
+// Run has a manifest accepted.
+func (c *applyCmd) Run(e *env) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := manifest.Parse(raw); err != nil {
+		return usage(errors.Wrap(err, c.File))
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, c.Timeout)
+	defer cancel()
+	store := objectapi.NewClient(c.ObjectAPI)
+	if c.WriteID == "" {
+		c.WriteID = uuid.NewString()
+	}
+	base, err := c.base(ctx, store)
+	if err != nil {
+		return err
+	}
+	version, err := confver.Accept(ctx, store, raw, base, c.WriteID)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "accepted: version %d\n", version)
+	return nil
+}
+
+func (c *applyCmd) base(ctx context.Context, store objectapi.Store) (uint64, error) {
+	if c.Base != nil {
+		return *c.Base, nil
+	}
+	cur, err := confver.ReadPointer(ctx, store)
+	if err != nil {
+		return 0, result.New(result.StoreUnavailable, "reading the version in force: %v", err)
+	}
+	return cur.Pointer.Version, nil
+}
+
+type dumpCmd struct {
+	Addr    string `arg:"" help:"Operators' address of an instance."`
+	Request string `help:"Print only the decisions on this request."`
+}
+
+// Run prints a state dump.
+func (c *dumpCmd) Run(e *env) error {
+	raw, err := fetchDump(e.ctx, c.Addr)
+	if err != nil {
+		return err
+	}
+	if c.Request == "" {
+		_, err = e.out.Write(raw)
+		return err
+	}
+	var d dumpSummary
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return err
+	}
+	for _, r := range d.Dispatch.Node.Records {
+		if r.ID == c.Request {
+			enc := json.NewEncoder(e.out)
+			enc.SetIndent("", "  ")
+			return enc.Encode(r)
+		}
+	}
+	return errors.Newf("instance %s has no record of request %s", c.Addr, c.Request)
+}
+
+// maxDump bounds a state dump in bytes.
+const maxDump = 64 << 20
+
+func fetchDump(ctx context.Context, addr string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/admin/dump", nil)
+	if err != nil {
+		return nil, usage(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s answered %d", addr, resp.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxDump))
+}
+
+type statusCmd struct {
+	Addrs []string `arg:"" optional:"" help:"Operators' addresses of instances; those of \"dev\" by default."`
+}
+
+// Run prints a line per instance.
+func (c *statusCmd) Run(e *env) error {
+	if len(c.Addrs) == 0 {
+		c.Addrs = []string{"127.0.0.1:7301", "127.0.0.1:7302", "127.0.0.1:7303"}
+	}
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
+	var failed []string
+	for _, addr := range c.Addrs {
+		if err := statusLine(e.ctx, w, addr); err != nil {
+			failed = append(failed, fmt.Sprintf("%s: %v", addr, err))
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if len(failed) > 0 {
+		return errors.New(strings.Join(failed, "; "))
+	}
+	return nil
+}
+
+func statusLine(ctx context.Context, w io.Writer, addr string) error {
+	raw, err := fetchDump(ctx, addr)
+	if err != nil {
+		return err
+	}
+	var d dumpSummary
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return err
+	}
+	n := d.Dispatch.Node
+	_, err = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", n.Self, d.Config.Version, len(d.Members.Alive),
+		n.Engines, len(n.Owned), n.Requests, n.Counts.Answered, n.Counts.Refused, n.Counts.Failed)
+	return err
+}
+
+type versionCmd struct{}
+
+// Run prints the version that the build recorded.
+func (*versionCmd) Run(e *env) error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				version += " " + s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintln(e.out, "auburnmoor", version)
+	return err
+}
--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,98 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/manifest"
+	"github.com/auburnmoor/auburnmoor/process"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+type serveCmd struct {
+	Config string `required:"" type:"existingfile" help:"Settings file of the instance."`
+}
+
+// Run serves until a signal, then drains.
+func (c *serveCmd) Run(e *env) error {
+	f, err := settings.Load(c.Config)
+	if err != nil {
+		return usage(err)
+	}
+	if err := f.CheckAll(); err != nil {
+		return usage(err)
+	}
+	log, err := process.NewLog(f.Instance.LogFormat)
+	if err != nil {
+		return err
+	}
+	p, err := process.New(f, log)
+	if err != nil {
+		return usage(err)
+	}
+	if err := p.Start(context.Background()); err != nil {
+		return err
+	}
+	<-e.ctx.Done()
+	log.Info("draining")
+	return drain(p, f, log)
+}
+
+func drain(p *process.Process, f *settings.File, log *zap.Logger) error {
+	ctx := context.Background()
+	if d := f.Instance.DrainTimeout.Std(); d > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d)
+		defer cancel()
+	}
+	err := p.Stop(ctx)
+	log.Info("stopped", zap.Error(err))
+	return errors.Join(err, p.Close())
+}
+
+type configCmd struct {
+	Check configCheckCmd `cmd:"" help:"Check a settings file in full without starting anything."`
+}
+
+type configCheckCmd struct {
+	File string `arg:"" type:"existingfile" help:"Settings file."`
+}
+
+// Run prints every problem of a settings file.
+func (c *configCheckCmd) Run(e *env) error {
+	f, err := settings.Load(c.File)
+	if f != nil && f.Path != "" {
+		err = errors.Join(err, f.CheckAll())
+	}
+	if err != nil {
+		return usage(err)
+	}
+	fmt.Fprintf(e.out, "%s: ok\n", c.File)
+	return nil
+}
+
+type manifestCmd struct {
+	Check manifestCheckCmd `cmd:"" help:"Check a manifest in full."`
+}
+
+type manifestCheckCmd struct {
+	File string `arg:"" type:"existingfile" help:"Manifest file."`
+}
+
+// Run prints every problem of a manifest.
+func (c *manifestCheckCmd) Run(e *env) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	m, err := manifest.Parse(raw)
+	if err != nil {
+		return usage(errors.Wrap(err, c.File))
+	}
+	fmt.Fprintf(e.out, "%s: ok: site %s, %d services, %d kinds, %d customers\n", c.File, m.Site, len(m.Services), len(m.Kinds), len(m.Customer))
+	return nil
+}
--- /dev/null
+++ b/cli/summary.go
@@ -0,0 +1,14 @@
+package cli
+
+import (
+	"github.com/auburnmoor/auburnmoor/control/config"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
+)
+
+// dumpSummary is the part of a state dump that commands read.
+type dumpSummary struct {
+	Config   config.Dump     `json:"control.config"`
+	Members  members.Dump    `json:"control.members"`
+	Dispatch dispatcher.Dump `json:"serve.dispatch"`
+}
--- /dev/null
+++ b/confver/confver.go
@@ -0,0 +1,86 @@
+// Package confver decides how versions of the configuration are accepted and
+// adopted. It does no I/O: a driver carries out the reads and writes.
+package confver
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxRecent bounds the write ids kept in the pointer object. A writer whose
+// reply was lost finds its id there even after that many later changes.
+const maxRecent = 32
+
+// Pointer is the object that names the version in force.
+type Pointer struct {
+	Version uint64 `json:"version"`
+	WriteID string `json:"write_id"`
+	// Digest names the immutable parts of the content.
+	Digest string `json:"digest"`
+	Parts  int    `json:"parts"`
+	// Recent holds the write ids of the last accepted versions.
+	Recent []Accepted `json:"recent"`
+}
+
+// Accepted is a write id with the version it got.
+type Accepted struct {
+	WriteID string `json:"write_id"`
+	Version uint64 `json:"version"`
+}
+
+// Decode reads a pointer object; no content is the pointer before version 1.
+func Decode(raw []byte) (Pointer, error) {
+	var p Pointer
+	if len(raw) == 0 {
+		return p, nil
+	}
+	return p, errors.Wrap(json.Unmarshal(raw, &p), "configuration pointer")
+}
+
+// Encode renders the pointer.
+func (p Pointer) Encode() ([]byte, error) { return json.Marshal(p) }
+
+// Next returns the pointer that follows p.
+func (p Pointer) Next(writeID, digest string, parts int) Pointer {
+	next := Pointer{Version: p.Version + 1, WriteID: writeID, Digest: digest, Parts: parts}
+	next.Recent = append(slices.Clone(p.Recent), Accepted{WriteID: writeID, Version: next.Version})
+	if over := len(next.Recent) - maxRecent; over > 0 {
+		next.Recent = next.Recent[over:]
+	}
+	return next
+}
+
+// Find returns the version that a write id got.
+func (p Pointer) Find(writeID string) (uint64, bool) {
+	for _, a := range p.Recent {
+		if a.WriteID == writeID {
+			return a.Version, true
+		}
+	}
+	return 0, false
+}
+
+// Holder keeps the newest version seen. Versions come from the store, from
+// peers and from stale reads in any order; taking over only a higher one is
+// what keeps an accepted configuration from reverting.
+type Holder struct {
+	version uint64
+	content []byte
+}
+
+// Adopt takes over content if its version is newer and reports whether it did.
+func (h *Holder) Adopt(version uint64, content []byte) bool {
+	if version <= h.version {
+		return false
+	}
+	h.version, h.content = version, content
+	return true
+}
+
+// Version returns the version held; zero means none.
+func (h *Holder) Version() uint64 { return h.version }
+
+// Content returns the content held.
+func (h *Holder) Content() []byte { return h.content }
--- /dev/null
+++ b/control/members/members.go
@@ -0,0 +1,332 @@
+// Package members keeps the list of live instances and of backend servers and
+// tells other modules when it changes.
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/peerlink"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/platform"
+	"github.com/auburnmoor/auburnmoor/port/instances"
+	"github.com/auburnmoor/auburnmoor/ring"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "control.members"
+
+func init() { auburnmoor.Register(new(Members)) }
+
+// Members is the module "control.members".
+type Members struct {
+	// Seeds are name=host:port of instances to try when the instance list
+	// cannot be read.
+	Seeds map[string]string `toml:"seeds" validate:"dive,hostname_port"`
+	// PollList is the period of reading the instance list.
+	PollList settings.Duration `toml:"poll_list"`
+	// Gossip is the period of gossip.
+	Gossip settings.Duration `toml:"gossip"`
+
+	log    *zap.Logger
+	now    func() time.Duration
+	link   *peerlink.Link
+	list   instances.Lister
+	inbox  *ring.Ring[*peerpb.Gossip]
+	spread chan struct{}
+
+	publishing sync.Mutex
+	mu         sync.Mutex
+	states     map[string]*peerpb.EngineState
+	table      *member.Table
+	last       []instances.Instance
+	view       View
+	onView     []func(View)
+	config     func() uint64
+	onVer      func(from string, version uint64)
+	names      string
+	leaving    bool
+}
+
+// View is a consistent picture of the fleet.
+type View struct {
+	Alive    []*peerpb.MemberState
+	Engines  []Engine
+	Services []instances.Instance
+}
+
+// Engine is a model engine as the list and its owner describe it.
+type Engine struct {
+	Name, Addr, DataCentre string
+	Fencing, Leaving       bool
+	State                  *peerpb.EngineState
+}
+
+// ModuleInfo implements auburnmoor.Module.
+func (*Members) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{
+		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, platform.ID},
+		New: func() auburnmoor.Module { return new(Members) },
+	}
+}
+
+// Defaults of the settings and the bound of the inbox.
+const (
+	defaultPollList = time.Second
+	inboxSize       = 1024
+)
+
+// Provision implements auburnmoor.Provisioner.
+func (m *Members) Provision(c *auburnmoor.Context) error {
+	p, err := auburnmoor.Require[*platform.Platform](c, platform.ID)
+	if err != nil {
+		return err
+	}
+	if m.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
+		return err
+	}
+	cfg := member.DefaultConfig()
+	if m.Gossip > 0 {
+		cfg.Period = m.Gossip.Std()
+	}
+	if m.PollList == 0 {
+		m.PollList = settings.Duration(defaultPollList)
+	}
+	self := &peerpb.MemberState{
+		Name: c.Self.Name, Incarnation: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Region: c.Self.Region,
+		PeerAddr: c.Self.PeerAddr, CallerAddr: c.Self.CallerAddr,
+	}
+	m.states = map[string]*peerpb.EngineState{}
+	m.log, m.now, m.list = c.Log, c.Now, p.Lister()
+	m.table = member.NewTable(self, cfg, rand.New(rand.NewPCG(c.Seed, 1)))
+	m.inbox = ring.New[*peerpb.Gossip]("members.inbox", inboxSize)
+	m.spread = make(chan struct{}, 1)
+	m.config, m.onVer = func() uint64 { return 0 }, func(string, uint64) {}
+	m.link.SetResolver(m.resolve)
+	m.link.Handle(m.receive)
+	return nil
+}
+
+// OnView calls f with every new view. It must be called before Start.
+func (m *Members) OnView(f func(View)) { m.onView = append(m.onView, f) }
+
+// CarryConfig lets gossip carry the configuration version: have returns one's
+// own, and heard is told those of others. It must be called before Start.
+func (m *Members) CarryConfig(have func() uint64, heard func(from string, version uint64)) {
+	m.config, m.onVer = have, heard
+}
+
+// Start implements auburnmoor.Starter.
+func (m *Members) Start(ctx context.Context) error {
+	m.contacts(nil)
+	go m.run(ctx)
+	go m.pollList(ctx)
+	return nil
+}
+
+func (m *Members) resolve(name string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Addr(name)
+}
+
+func (m *Members) receive(from string, env *peerpb.Envelope) {
+	if g := env.GetGossip(); g != nil {
+		m.inbox.Offer(g)
+		m.onVer(from, g.ConfigVersion)
+	}
+}
+
+// checkEvery is how often silence is looked for and gossip is considered.
+const checkEvery = 100 * time.Millisecond
+
+func (m *Members) run(ctx context.Context) {
+	t := time.NewTicker(checkEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case g := <-m.inbox.C():
+			if m.merge(g) {
+				m.publish()
+			}
+		case <-t.C:
+			m.gossip(false)
+			m.publish()
+		case <-m.spread:
+			m.gossip(true)
+		}
+	}
+}
+
+func (m *Members) merge(g *peerpb.Gossip) (changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Receive(m.now(), g)
+}
+
+func (m *Members) gossip(atOnce bool) {
+	m.mu.Lock()
+	msgs := m.table.Tick(m.now())
+	if atOnce {
+		msgs = append(msgs, m.table.Spread(m.now())...)
+	}
+	m.mu.Unlock()
+	version := m.config()
+	for _, msg := range msgs {
+		msg.Gossip.ConfigVersion = version
+		m.link.Send(msg.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}})
+	}
+}
+
+// SpreadNow gossips without waiting for the next period.
+func (m *Members) SpreadNow() {
+	select {
+	case m.spread <- struct{}{}:
+	default:
+	}
+}
+
+// SetEngines announces the state of the engines that this instance owns.
+func (m *Members) SetEngines(engines []*peerpb.EngineState) {
+	m.mu.Lock()
+	m.table.SetEngines(engines)
+	m.mu.Unlock()
+	m.publish()
+}
+
+// Leave announces that this instance is shutting down.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.table.SetLeaving()
+	m.mu.Unlock()
+	m.SpreadNow()
+}
+
+func (m *Members) pollList(ctx context.Context) {
+	for {
+		list, err := m.list.List(ctx)
+		if err == nil {
+			m.contacts(list)
+			m.publish()
+		}
+		jittered := m.PollList.Std()/2 + rand.N(m.PollList.Std())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(jittered):
+		}
+	}
+}
+
+// contacts takes over a new list. The last one stays in force while the list
+// cannot be read.
+func (m *Members) contacts(list []instances.Instance) {
+	var cs []member.Contact
+	for name, addr := range m.Seeds {
+		cs = append(cs, member.Contact{Name: name, PeerAddr: addr})
+	}
+	for _, in := range list {
+		if in.Role == instances.RoleEntry {
+			cs = append(cs, member.Contact{Name: in.Name, PeerAddr: in.PeerAddr})
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetContacts(cs)
+	if list != nil {
+		m.last = list
+	}
+}
+
+// publish computes the view and tells the listeners when it changed.
+func (m *Members) publish() {
+	// Listeners must see views in the order in which they were built.
+	m.publishing.Lock()
+	defer m.publishing.Unlock()
+	m.mu.Lock()
+	v := m.build()
+	names := viewKey(v)
+	changed := names != m.names
+	m.view, m.names = v, names
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	m.log.Info("view changed", zap.Int("instances", len(v.Alive)), zap.Int("engines", len(v.Engines)), zap.Int("services", len(v.Services)))
+	for _, f := range m.onView {
+		f(v)
+	}
+}
+
+func (m *Members) build() View {
+	v := View{Alive: m.table.Alive(m.now())}
+	engines := map[string]Engine{}
+	for _, in := range m.last {
+		switch in.Role {
+		case instances.RoleEngine:
+			engines[in.Name] = Engine{Name: in.Name, Addr: in.Addr, DataCentre: in.DataCentre, Fencing: in.Fencing, Leaving: in.Leaving}
+		case instances.RoleService:
+			v.Services = append(v.Services, in)
+		}
+	}
+	// The last word on an engine stays in force while it has no live owner, so
+	// that a change of owner does not make the engine vanish.
+	for _, s := range v.Alive {
+		for _, es := range s.Engines {
+			m.states[es.Name] = es
+		}
+	}
+	for _, es := range m.states {
+		addEngineState(engines, es, m.last == nil)
+	}
+	for _, e := range engines {
+		v.Engines = append(v.Engines, e)
+	}
+	slices.SortFunc(v.Engines, func(a, b Engine) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return v
+}
+
+// addEngineState merges what an owner says. Without an instance list (the
+// platform was down since this process began) the owners' word is all there is.
+func addEngineState(engines map[string]Engine, es *peerpb.EngineState, noList bool) {
+	e, listed := engines[es.Name]
+	if !listed && !noList {
+		return
+	}
+	if !listed {
+		e = Engine{Name: es.Name, Addr: es.Addr, DataCentre: es.DataCentre, Fencing: es.Fencing}
+	}
+	e.Leaving = e.Leaving || es.Leaving
+	e.State = es
+	engines[es.Name] = e
+}
+
+// View returns the present view.
+func (m *Members) View() View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view
+}
+
+// Leaving reports whether this instance has announced its departure.
+func (m *Members) Leaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
--- /dev/null
+++ b/dispatch/directory.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/place"
+)
+
+// pool is the engines that serve one model.
+type pool struct {
+	engines []*EngineInfo
+	ring    place.Ring
+}
+
+// directory is the entry's view of the engines, indexed for placement whose
+// cost does not grow with the fleet.
+type directory struct {
+	byName map[string]*EngineInfo
+	pools  map[string]*pool
+}
+
+func newDirectory(engines []EngineInfo) *directory {
+	d := &directory{byName: map[string]*EngineInfo{}, pools: map[string]*pool{}}
+	engines = slices.Clone(engines)
+	slices.SortFunc(engines, func(a, b EngineInfo) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for i := range engines {
+		e := &engines[i]
+		d.byName[e.Name] = e
+		if e.Leaving || e.Owner == "" {
+			continue
+		}
+		for _, m := range e.Models {
+			if d.pools[m] == nil {
+				d.pools[m] = &pool{}
+			}
+			d.pools[m].engines = append(d.pools[m].engines, e)
+		}
+	}
+	for _, p := range d.pools {
+		var names []string
+		for _, e := range p.engines {
+			names = append(names, e.Name)
+		}
+		p.ring = place.NewRing(names)
+	}
+	return d
+}
+
+// drawsPerCandidate bounds the random draws for one candidate, so that the
+// cost of placement is constant even when most engines are unsuitable.
+const drawsPerCandidate = 8
+
+// candidates appends to buf up to n engines for a job: the one that prompts
+// with this prefix hash to, then random ones.
+func (p *pool) candidates(buf []*EngineInfo, j *peerpb.Job, n int, r *rand.Rand, unsuitable func(*EngineInfo) bool) []*EngineInfo {
+	if len(j.Prefix) > 0 {
+		if e := p.engines[p.ring.Lookup(j.Prefix[0])]; !unsuitable(e) {
+			buf = append(buf, e)
+		}
+	}
+	for draws := n * drawsPerCandidate; draws > 0 && len(buf) < min(n, len(p.engines)); draws-- {
+		e := p.engines[r.IntN(len(p.engines))]
+		if slices.Contains(buf, e) || unsuitable(e) {
+			continue
+		}
+		buf = append(buf, e)
+	}
+	return buf
+}
+
+// largest returns the largest KV memory in the pool; zero means unknown.
+func (p *pool) largest() int64 {
+	best := int64(0)
+	for _, e := range p.engines {
+		best = max(best, e.KVTotal)
+	}
+	return best
+}
--- /dev/null
+++ b/kernel.go
@@ -0,0 +1,226 @@
+package auburnmoor
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+)
+
+// Identity names one running instance.
+type Identity struct {
+	Name        string
+	Incarnation uint64
+	DataCentre  string
+	Region      string
+	PeerAddr    string
+	CallerAddr  string
+	AdminAddr   string
+}
+
+// Context gives a module access to the process it runs in.
+type Context struct {
+	kernel *Kernel
+	Log    *zap.Logger
+	Scope  tally.Scope
+	// Reporter is where the scope reports to.
+	Reporter tally.CachedStatsReporter
+	Self     Identity
+	// Now is the monotonic time since the process began. Decisions use it
+	// instead of the wall clock, which can jump.
+	Now func() time.Duration
+	// Seed differs between instances; random choices derive from it.
+	Seed uint64
+}
+
+// Require returns another module of the process. It fails when the module is
+// not listed in the caller's Requires, because then the order is undefined.
+func Require[T any](c *Context, id ModuleID) (T, error) {
+	var zero T
+	m, ok := c.kernel.modules[id]
+	if !ok {
+		return zero, errors.Newf("module %q is not loaded", id)
+	}
+	t, ok := m.(T)
+	if !ok {
+		return zero, errors.Newf("module %q is a %T", id, m)
+	}
+	return t, nil
+}
+
+// Options configure a kernel.
+type Options struct {
+	Self      Identity
+	Log       *zap.Logger
+	Scope     tally.Scope
+	Reporter  tally.CachedStatsReporter
+	Configure func(id ModuleID, m Module) error
+}
+
+// Kernel owns the modules of one process from load to cleanup.
+type Kernel struct {
+	opts    Options
+	ctx     *Context
+	order   []ModuleInfo
+	modules map[ModuleID]Module
+	started []ModuleID
+	cancel  context.CancelFunc
+}
+
+// New loads every registered module, configures and checks it. All problems
+// are reported together.
+func New(opts Options) (*Kernel, error) {
+	order, err := sortByRequires(Modules())
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	k := &Kernel{opts: opts, order: order, modules: map[ModuleID]Module{}}
+	k.ctx = &Context{
+		kernel: k, Log: opts.Log, Scope: opts.Scope, Reporter: opts.Reporter, Self: opts.Self,
+		Now:  func() time.Duration { return time.Since(start) },
+		Seed: rand.Uint64(),
+	}
+	if err := k.configure(); err != nil {
+		return nil, err
+	}
+	return k, k.provision()
+}
+
+func (k *Kernel) configure() error {
+	var problems error
+	for _, info := range k.order {
+		m := info.New()
+		if err := k.opts.Configure(info.ID, m); err != nil {
+			problems = errors.Join(problems, err)
+		}
+		if v, ok := m.(Validator); ok {
+			problems = errors.Join(problems, errors.Wrapf(v.Validate(), "[%s]", info.ID))
+		}
+		k.modules[info.ID] = m
+	}
+	return problems
+}
+
+func (k *Kernel) provision() error {
+	for _, info := range k.order {
+		p, ok := k.modules[info.ID].(Provisioner)
+		if !ok {
+			continue
+		}
+		scoped := *k.ctx
+		scoped.Log = k.ctx.Log.Named(string(info.ID))
+		if err := p.Provision(&scoped); err != nil {
+			return errors.Wrapf(err, "provision %s", info.ID)
+		}
+	}
+	return nil
+}
+
+// Start starts the modules in dependency order; on a failure those already
+// started are cleaned up.
+func (k *Kernel) Start(ctx context.Context) error {
+	ctx, k.cancel = context.WithCancel(ctx)
+	for _, info := range k.order {
+		k.started = append(k.started, info.ID)
+		s, ok := k.modules[info.ID].(Starter)
+		if !ok {
+			continue
+		}
+		if err := s.Start(ctx); err != nil {
+			return errors.Join(errors.Wrapf(err, "start %s", info.ID), k.Stop(context.Background()))
+		}
+	}
+	return nil
+}
+
+// Stop drains the modules in reverse order of start, then cleans them up.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var problems error
+	k.backwards(func(id ModuleID, m Module) {
+		if d, ok := m.(Drainer); ok {
+			problems = errors.Join(problems, errors.Wrapf(d.Drain(ctx), "drain %s", id))
+		}
+	})
+	if k.cancel != nil {
+		k.cancel()
+	}
+	k.backwards(func(id ModuleID, m Module) {
+		if c, ok := m.(Cleaner); ok {
+			problems = errors.Join(problems, errors.Wrapf(c.Cleanup(), "clean up %s", id))
+		}
+	})
+	k.started = nil
+	return problems
+}
+
+func (k *Kernel) backwards(f func(ModuleID, Module)) {
+	for i := len(k.started) - 1; i >= 0; i-- {
+		id := k.started[i]
+		f(id, k.modules[id])
+	}
+}
+
+// Dump collects the state of every module that offers one.
+func (k *Kernel) Dump() map[ModuleID]any {
+	out := map[ModuleID]any{}
+	for id, m := range k.modules {
+		if d, ok := m.(Dumper); ok {
+			out[id] = d.Dump()
+		}
+	}
+	return out
+}
+
+// Self returns the identity of the instance.
+func (k *Kernel) Self() Identity { return k.opts.Self }
+
+// DumpAll lets a module serve the state dump of the whole process.
+func (c *Context) DumpAll() map[ModuleID]any { return c.kernel.Dump() }
+
+func sortByRequires(infos []ModuleInfo) ([]ModuleInfo, error) {
+	byID := map[ModuleID]ModuleInfo{}
+	for _, info := range infos {
+		byID[info.ID] = info
+	}
+	const (
+		visiting = 1
+		done     = 2
+	)
+	mark := map[ModuleID]int{}
+	var order []ModuleInfo
+	var visit func(ModuleInfo) error
+	visit = func(info ModuleInfo) error {
+		switch mark[info.ID] {
+		case visiting:
+			return errors.Newf("modules require each other: %s", info.ID)
+		case done:
+			return nil
+		}
+		mark[info.ID] = visiting
+		for _, id := range info.Requires {
+			dep, ok := byID[id]
+			if !ok {
+				return errors.Newf("module %s requires %s, which is not registered", info.ID, id)
+			}
+			if err := visit(dep); err != nil {
+				return err
+			}
+		}
+		mark[info.ID] = done
+		order = append(order, info)
+		return nil
+	}
+	for _, info := range infos {
+		if err := visit(info); err != nil {
+			return nil, err
+		}
+	}
+	return order, nil
+}
+
+// Module returns a loaded module, or nil.
+func (k *Kernel) Module(id ModuleID) Module { return k.modules[id] }
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,268 @@
+// Package member decides which instances are alive. Heartbeat counters spread
+// by gossip: every period an instance sends a bounded sample of its table to a
+// few others, so the cost of an instance does not grow with the fleet.
+//
+// The package does no I/O and reads no clock.
+package member
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+// Config tunes gossip and failure detection.
+type Config struct {
+	// Period between rounds of gossip.
+	Period time.Duration
+	// Fanout is the number of instances that one round reaches.
+	Fanout int
+	// Sample bounds the entries in one message.
+	Sample int
+	// FailBase is the silence after which a member of a fleet of two is
+	// suspected; it grows with the logarithm of the fleet's size, as the time
+	// does that a heartbeat needs to reach everyone.
+	FailBase time.Duration
+	// Forget removes a silent member from the table.
+	Forget time.Duration
+}
+
+// DefaultConfig returns the values that docs/CAPACITY.md accounts for.
+func DefaultConfig() Config {
+	return Config{Period: 500 * time.Millisecond, Fanout: 3, Sample: 16, FailBase: 2500 * time.Millisecond, Forget: 5 * time.Minute}
+}
+
+type entry struct {
+	state *peerpb.MemberState
+	heard time.Duration
+	// contact marks a name known only from the instance list or the settings.
+	contact bool
+}
+
+// Table is one instance's view of the members.
+type Table struct {
+	cfg     Config
+	self    *peerpb.MemberState
+	rand    *rand.Rand
+	entries map[string]*entry
+	next    time.Duration
+	version uint64
+}
+
+// NewTable returns a table that knows only self.
+func NewTable(self *peerpb.MemberState, cfg Config, r *rand.Rand) *Table {
+	return &Table{cfg: cfg, self: self, rand: r, entries: map[string]*entry{}}
+}
+
+// Contact is an instance to try that gossip has not confirmed yet.
+type Contact struct {
+	Name     string
+	PeerAddr string
+}
+
+// SetContacts adds names from the instance list. The list lags: a name on it
+// is not a sign of life, and a member missing from it is not dead.
+func (t *Table) SetContacts(cs []Contact) {
+	for _, c := range cs {
+		if c.Name == t.self.Name {
+			continue
+		}
+		if e := t.entries[c.Name]; e == nil {
+			t.entries[c.Name] = &entry{contact: true, state: &peerpb.MemberState{Name: c.Name, PeerAddr: c.PeerAddr}}
+		}
+	}
+}
+
+// SetLeaving announces that self is shutting down.
+func (t *Table) SetLeaving() { t.self.Leaving = true }
+
+// SetEngines replaces the engines that self reports for.
+func (t *Table) SetEngines(engines []*peerpb.EngineState) { t.self.Engines = engines }
+
+// Receive merges gossip and reports whether the set of live members, or what
+// they say of themselves, changed.
+func (t *Table) Receive(now time.Duration, g *peerpb.Gossip) bool {
+	changed := false
+	for _, s := range g.Members {
+		if s.Name == t.self.Name {
+			t.refute(s)
+			continue
+		}
+		changed = t.merge(now, s) || changed
+	}
+	if changed {
+		t.version++
+	}
+	return changed
+}
+
+// refute outbids a state of self that this process did not publish. It is that
+// of an earlier process of the same name, whose wall clock may have run ahead;
+// peers would ignore the present one as stale.
+func (t *Table) refute(s *peerpb.MemberState) {
+	if s.Incarnation > t.self.Incarnation {
+		t.self.Incarnation = s.Incarnation + 1
+	}
+}
+
+func newer(a, b *peerpb.MemberState) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Heartbeat > b.Heartbeat
+}
+
+func (t *Table) merge(now time.Duration, s *peerpb.MemberState) bool {
+	e := t.entries[s.Name]
+	if e == nil {
+		e = &entry{contact: true, state: &peerpb.MemberState{}}
+		t.entries[s.Name] = e
+	}
+	if !e.contact && !newer(s, e.state) {
+		return false
+	}
+	wasAlive := t.alive(now, e)
+	visible := !wasAlive || e.state.Incarnation != s.Incarnation || e.state.Leaving != s.Leaving || !sameEngines(e.state.Engines, s.Engines)
+	e.state, e.heard, e.contact = s, now, false
+	return visible
+}
+
+func sameEngines(a, b []*peerpb.EngineState) bool {
+	return slices.EqualFunc(a, b, func(x, y *peerpb.EngineState) bool {
+		return x.Name == y.Name && x.KvTotal == y.KvTotal && x.Leaving == y.Leaving && x.Addr == y.Addr && slices.Equal(x.Models, y.Models)
+	})
+}
+
+// FailAfter is the silence after which a member is suspected.
+func (t *Table) FailAfter() time.Duration {
+	n := float64(max(2, len(t.entries)+1))
+	return time.Duration(float64(t.cfg.FailBase) * math.Log2(n))
+}
+
+func (t *Table) alive(now time.Duration, e *entry) bool {
+	return !e.contact && now-e.heard < t.FailAfter()
+}
+
+// Message is gossip to one instance.
+type Message struct {
+	To     string
+	Gossip *peerpb.Gossip
+}
+
+// Tick advances self's heartbeat and returns the gossip that is due.
+func (t *Table) Tick(now time.Duration) []Message {
+	if now < t.next {
+		return nil
+	}
+	t.next = now + t.cfg.Period
+	t.self.Heartbeat++
+	t.forget(now)
+	return t.Spread(now)
+}
+
+// Spread returns one round of gossip at once, for news that should not wait
+// for the next period.
+func (t *Table) Spread(now time.Duration) []Message {
+	var out []Message
+	for _, to := range t.targets(now) {
+		out = append(out, Message{To: to, Gossip: &peerpb.Gossip{Members: t.sample(now)}})
+	}
+	return out
+}
+
+// targets draws live members and one contact, so that instances which lost
+// each other for long find back.
+func (t *Table) targets(now time.Duration) []string {
+	var live, rest []string
+	for name, e := range t.entries {
+		if t.alive(now, e) {
+			live = append(live, name)
+		} else {
+			rest = append(rest, name)
+		}
+	}
+	slices.Sort(live)
+	slices.Sort(rest)
+	t.rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	out := live[:min(t.cfg.Fanout, len(live))]
+	if len(rest) > 0 {
+		out = append(out, rest[t.rand.IntN(len(rest))])
+	}
+	return out
+}
+
+// sample returns self and a bounded choice of the freshest live members; a
+// fresh heartbeat is news, an old one is known already.
+func (t *Table) sample(now time.Duration) []*peerpb.MemberState {
+	out := []*peerpb.MemberState{cloneState(t.self)}
+	var names []string
+	for name, e := range t.entries {
+		if t.alive(now, e) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	t.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names[:min(t.cfg.Sample, len(names))] {
+		out = append(out, t.entries[name].state)
+	}
+	return out
+}
+
+// cloneState copies what changes, because a message outlives the call.
+func cloneState(s *peerpb.MemberState) *peerpb.MemberState {
+	return &peerpb.MemberState{
+		Name: s.Name, Incarnation: s.Incarnation, Heartbeat: s.Heartbeat, Leaving: s.Leaving,
+		DataCentre: s.DataCentre, Region: s.Region, PeerAddr: s.PeerAddr, CallerAddr: s.CallerAddr,
+		Engines: s.Engines,
+	}
+}
+
+func (t *Table) forget(now time.Duration) {
+	for name, e := range t.entries {
+		if !e.contact && now-e.heard > t.cfg.Forget {
+			delete(t.entries, name)
+		}
+	}
+}
+
+// Alive returns the live members with self, sorted by name.
+func (t *Table) Alive(now time.Duration) []*peerpb.MemberState {
+	out := []*peerpb.MemberState{cloneState(t.self)}
+	for _, e := range t.entries {
+		if t.alive(now, e) {
+			out = append(out, e.state)
+		}
+	}
+	slices.SortFunc(out, func(a, b *peerpb.MemberState) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Addr returns the peer address of a known instance.
+func (t *Table) Addr(name string) (string, bool) {
+	e := t.entries[name]
+	if e == nil {
+		return "", false
+	}
+	return e.state.PeerAddr, true
+}
+
+// Owners returns the names among which duties are divided: live members that
+// are not leaving.
+func Owners(alive []*peerpb.MemberState) []string {
+	var out []string
+	for _, s := range alive {
+		if !s.Leaving {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/module.go
@@ -0,0 +1,101 @@
+// Package auburnmoor is the kernel of the serving layer: the registry of
+// modules and the lifecycle of one process. It knows no feature. A feature is
+// a package that registers itself in init under a dotted name and is set up
+// from the settings table of that name.
+package auburnmoor
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+)
+
+// ModuleID is a dotted name such as "http.api"; it names both the module and
+// its table in the settings file.
+type ModuleID string
+
+// ModuleInfo describes a registered module.
+type ModuleInfo struct {
+	ID ModuleID
+	// Requires lists modules that are provisioned and started before this one.
+	Requires []ModuleID
+	// New returns an empty instance; its exported fields are its settings.
+	New func() Module
+}
+
+// Module is a feature that the kernel can load. A module may also implement
+// Provisioner, Validator, Starter, Drainer, Cleaner and Dumper.
+type Module interface {
+	ModuleInfo() ModuleInfo
+}
+
+// Provisioner sets a module up after its settings were read; it must not start
+// goroutines.
+type Provisioner interface {
+	Provision(*Context) error
+}
+
+// Validator checks settings that tags cannot express.
+type Validator interface {
+	Validate() error
+}
+
+// Starter begins a module's duties. The context ends when the process stops.
+type Starter interface {
+	Start(ctx context.Context) error
+}
+
+// Drainer finishes work that callers wait for; it returns when nothing is left
+// or ctx ends. Modules drain in reverse order of start.
+type Drainer interface {
+	Drain(ctx context.Context) error
+}
+
+// Cleaner releases what Provision and Start acquired.
+type Cleaner interface {
+	Cleanup() error
+}
+
+// Dumper contributes to the state dump. The value must be bounded in size and
+// hold neither prompts nor keys.
+type Dumper interface {
+	Dump() any
+}
+
+var (
+	registryMu sync.RWMutex
+	registry   = map[ModuleID]ModuleInfo{}
+)
+
+// Register adds a module to the registry; it panics on a duplicate or
+// malformed entry, which is a defect in the program.
+func Register(m Module) {
+	info := m.ModuleInfo()
+	if info.ID == "" || info.New == nil {
+		panic("auburnmoor: module without ID or New")
+	}
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	if _, ok := registry[info.ID]; ok {
+		panic(fmt.Sprintf("auburnmoor: module %q registered twice", info.ID))
+	}
+	registry[info.ID] = info
+}
+
+// Modules returns the registered modules sorted by ID.
+func Modules() []ModuleInfo {
+	registryMu.RLock()
+	defer registryMu.RUnlock()
+	out := make([]ModuleInfo, 0, len(registry))
+	for _, info := range registry {
+		out = append(out, info)
+	}
+	slices.SortFunc(out, func(a, b ModuleInfo) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/modules/modules.go
@@ -0,0 +1,15 @@
+// Package modules imports every standard module, so that a program which
+// imports it has them registered.
+package modules
+
+import (
+	// The modules of an entry instance.
+	_ "github.com/auburnmoor/auburnmoor/control/config"
+	_ "github.com/auburnmoor/auburnmoor/control/members"
+	_ "github.com/auburnmoor/auburnmoor/peerlink"
+	_ "github.com/auburnmoor/auburnmoor/platform"
+	_ "github.com/auburnmoor/auburnmoor/serve/admin"
+	_ "github.com/auburnmoor/auburnmoor/serve/api"
+	_ "github.com/auburnmoor/auburnmoor/serve/dispatcher"
+	_ "github.com/auburnmoor/auburnmoor/serve/enginepoll"
+)
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,85 @@
+// Package place derives owners and affinities from names alone, so that every
+// instance with the same member list reaches the same answer without a store.
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner returns the member responsible for key by rendezvous hashing: when a
+// member leaves, only its own keys move. It returns "" without members.
+func Owner(key string, members []string) string {
+	best, owner := uint64(0), ""
+	for _, m := range members {
+		if s := score(key, m); owner == "" || s > best || (s == best && m < owner) {
+			best, owner = s, m
+		}
+	}
+	return owner
+}
+
+// Rank returns the first n members in order of their score for key.
+func Rank(key string, members []string, n int) []string {
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b string) int {
+		if c := cmp.Compare(score(key, b), score(key, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return out[:min(n, len(out))]
+}
+
+func score(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// pointsPerTarget is the number of positions of each target on a Ring.
+const pointsPerTarget = 16
+
+type point struct {
+	at     uint64
+	target int32
+}
+
+// Ring maps hashes to targets consistently with a look-up in O(log n).
+type Ring struct{ points []point }
+
+// NewRing places the named targets on a ring.
+func NewRing(names []string) Ring {
+	points := make([]point, 0, len(names)*pointsPerTarget)
+	for i, n := range names {
+		h := xxhash.Sum64String(n)
+		for range pointsPerTarget {
+			points = append(points, point{at: h, target: int32(i)})
+			h = mix(h)
+		}
+	}
+	slices.SortFunc(points, func(a, b point) int { return cmp.Compare(a.at, b.at) })
+	return Ring{points: points}
+}
+
+// Lookup returns the index of the target for h, or -1 on an empty ring.
+func (r Ring) Lookup(h uint64) int {
+	if len(r.points) == 0 {
+		return -1
+	}
+	i, _ := slices.BinarySearchFunc(r.points, h, func(p point, h uint64) int { return cmp.Compare(p.at, h) })
+	return int(r.points[i%len(r.points)].target)
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/port/instances/instances.go
@@ -0,0 +1,65 @@
+// Package instances is the port to the platform's instance list, which names
+// live and leaving instances with a lag.
+package instances
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Role tells what an instance runs.
+type Role string
+
+// The roles in the list.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// Instance is one line of the list.
+type Instance struct {
+	Name       string `json:"name"`
+	Role       Role   `json:"role"`
+	Addr       string `json:"addr"`
+	PeerAddr   string `json:"peer_addr,omitempty"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Service is the plain service that a RoleService instance runs.
+	Service string `json:"service,omitempty"`
+	// Fencing tells whether an engine refuses old fencing numbers.
+	Fencing bool `json:"fencing,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Lister reads the list.
+type Lister interface {
+	List(ctx context.Context) ([]Instance, error)
+}
+
+// Client reads the list over HTTP.
+type Client struct{ url string }
+
+// NewClient returns a client of the list at addr (host:port).
+func NewClient(addr string) *Client { return &Client{url: "http://" + addr + "/instances"} }
+
+// List implements Lister.
+func (c *Client) List(ctx context.Context) ([]Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("instance list answered %d", resp.StatusCode)
+	}
+	var out []Instance
+	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "instance list")
+}
--- /dev/null
+++ b/port/objectapi/objectapi.go
@@ -0,0 +1,178 @@
+// Package objectapi is the port to the platform's object API: versioned
+// objects, conditional updates and watches over HTTP.
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxValue is the largest value in bytes that the platform stores.
+const MaxValue = 1 << 20
+
+// Object is one stored value. Version rises with every write of the key and is
+// zero for a key that does not exist.
+type Object struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// Errors of the port. ErrUnknown means that a write may or may not have taken
+// effect; only reading back can tell.
+var (
+	ErrNotFound    = errors.New("object not found")
+	ErrConflict    = errors.New("object version conflict")
+	ErrUnavailable = errors.New("object API unavailable")
+	ErrUnknown     = errors.New("outcome of the write is unknown")
+	ErrTooLarge    = errors.New("value exceeds the platform's limit")
+)
+
+// Store is what the system asks of the platform.
+type Store interface {
+	Get(ctx context.Context, key string) (Object, error)
+	List(ctx context.Context, prefix string) ([]Object, error)
+	// Put writes value if the key's version is expect; zero means absent.
+	Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error)
+	Delete(ctx context.Context, key string, expect uint64) error
+	// Watch waits until key's version differs from have or wait passes.
+	Watch(ctx context.Context, key string, have uint64, wait time.Duration) (Object, error)
+}
+
+// Headers of the HTTP protocol.
+const (
+	HeaderVersion = "X-Object-Version"
+	HeaderExpect  = "X-Expect-Version"
+)
+
+// Client speaks the platform's HTTP protocol.
+type Client struct {
+	base string
+	http *http.Client
+	// Calls counts requests by method, as the platform does.
+	Count func(method string)
+}
+
+// NewClient returns a client of the object API at addr (host:port).
+func NewClient(addr string) *Client {
+	return &Client{base: "http://" + addr + "/objects", http: &http.Client{}, Count: func(string) {}}
+}
+
+var _ Store = (*Client)(nil)
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	return c.read(ctx, "get", c.base+"/"+url.PathEscape(key), key)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, key string, have uint64, wait time.Duration) (Object, error) {
+	u := fmt.Sprintf("%s/%s?watch=%d&wait_ms=%d", c.base, url.PathEscape(key), have, wait.Milliseconds())
+	return c.read(ctx, "watch", u, key)
+}
+
+func (c *Client) read(ctx context.Context, method, u, key string) (Object, error) {
+	resp, err := c.do(ctx, method, http.MethodGet, u, nil, nil)
+	if err != nil {
+		return Object{}, errors.Mark(err, ErrUnavailable)
+	}
+	defer drain(resp.Body)
+	if err := statusError(resp.StatusCode); err != nil {
+		return Object{}, err
+	}
+	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
+	if err != nil {
+		return Object{}, errors.Mark(err, ErrUnavailable)
+	}
+	return Object{Key: key, Version: version(resp), Value: value}, nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	resp, err := c.do(ctx, "list", http.MethodGet, c.base+"?prefix="+url.QueryEscape(prefix), nil, nil)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnavailable)
+	}
+	defer drain(resp.Body)
+	if err := statusError(resp.StatusCode); err != nil {
+		return nil, err
+	}
+	var out []Object
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, errors.Mark(err, ErrUnavailable)
+	}
+	return out, nil
+}
+
+// Put implements Store. A transport error after sending is ErrUnknown: the
+// platform may have applied the write and lost only the reply.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if len(value) > MaxValue {
+		return 0, ErrTooLarge
+	}
+	resp, err := c.do(ctx, "put", http.MethodPut, c.base+"/"+url.PathEscape(key), value, &expect)
+	if err != nil {
+		return 0, errors.Mark(err, ErrUnknown)
+	}
+	defer drain(resp.Body)
+	if err := statusError(resp.StatusCode); err != nil {
+		return version(resp), err
+	}
+	return version(resp), nil
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	resp, err := c.do(ctx, "delete", http.MethodDelete, c.base+"/"+url.PathEscape(key), nil, &expect)
+	if err != nil {
+		return errors.Mark(err, ErrUnknown)
+	}
+	defer drain(resp.Body)
+	return statusError(resp.StatusCode)
+}
+
+func (c *Client) do(ctx context.Context, count, method, u string, body []byte, expect *uint64) (*http.Response, error) {
+	c.Count(count)
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if expect != nil {
+		req.Header.Set(HeaderExpect, strconv.FormatUint(*expect, 10))
+	}
+	return c.http.Do(req)
+}
+
+func statusError(status int) error {
+	switch {
+	case status < 300:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict:
+		return ErrConflict
+	case status == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	default:
+		return errors.Mark(errors.Newf("object API answered %d", status), ErrUnavailable)
+	}
+}
+
+func version(resp *http.Response) uint64 {
+	v, _ := strconv.ParseUint(resp.Header.Get(HeaderVersion), 10, 64)
+	return v
+}
+
+func drain(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, MaxValue))
+	_ = body.Close()
+}
--- /dev/null
+++ b/prefix/prefix.go
@@ -0,0 +1,65 @@
+// Package prefix turns a prompt into the block hashes by which engines and
+// schedulers speak about shared prompt prefixes.
+//
+// Hash i covers everything up to the end of block i, so one equal hash proves
+// that the whole prefix up to it is equal. A scheduler therefore needs only a
+// geometric sample of the hashes: about 20 for a million tokens.
+package prefix
+
+import "github.com/cespare/xxhash/v2"
+
+// Sizes of the tokenizer model and of a cache block.
+const (
+	BytesPerToken  = 4
+	TokensPerBlock = 1024
+	blockBytes     = BytesPerToken * TokensPerBlock
+)
+
+// Tokens estimates the number of tokens of a prompt of n bytes.
+func Tokens(n int) int {
+	return (n + BytesPerToken - 1) / BytesPerToken
+}
+
+// Chain returns the cumulative hash at the end of every full block.
+func Chain(prompt string) []uint64 {
+	out := make([]uint64, 0, len(prompt)/blockBytes)
+	d := xxhash.New()
+	for len(prompt) >= blockBytes {
+		_, _ = d.WriteString(prompt[:blockBytes])
+		prompt = prompt[blockBytes:]
+		out = append(out, d.Sum64())
+	}
+	return out
+}
+
+// Sample keeps the hashes at the positions of Position.
+func Sample(chain []uint64) []uint64 {
+	var out []uint64
+	for i := 0; Position(i) <= len(chain); i++ {
+		out = append(out, chain[Position(i)-1])
+	}
+	return out
+}
+
+// Position returns the number of blocks that sample i covers: 1, 2, 3, 4, 6,
+// 8, 12, 16, ...
+func Position(i int) int {
+	if i == 0 {
+		return 1
+	}
+	base := 1 << ((i + 1) / 2)
+	if i%2 == 0 {
+		return base + base/2
+	}
+	return base
+}
+
+// CachedTokens returns how many leading tokens of a sampled prefix are known.
+func CachedTokens(sample []uint64, known func(uint64) bool) int64 {
+	for i := len(sample) - 1; i >= 0; i-- {
+		if known(sample[i]) {
+			return int64(Position(i) * TokensPerBlock)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,61 @@
+// Package process builds the kernel of one entry instance from its settings.
+package process
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+// Process is a kernel with its metrics and its log.
+type Process struct {
+	*auburnmoor.Kernel
+	metrics io.Closer
+}
+
+// metricsInterval is how often counters reach the Prometheus page.
+const metricsInterval = time.Second
+
+// New loads the modules that f configures.
+func New(f *settings.File, log *zap.Logger) (*Process, error) {
+	in := f.Instance
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "auburnmoor", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+		Tags: map[string]string{"instance": in.Name},
+	}, metricsInterval)
+	k, err := auburnmoor.New(auburnmoor.Options{
+		Self: auburnmoor.Identity{
+			Name: in.Name, Incarnation: uint64(time.Now().UnixMicro()), DataCentre: in.DataCentre, Region: in.Region,
+			PeerAddr: in.PeerAddr, CallerAddr: in.CallerAddr, AdminAddr: in.AdminAddr,
+		},
+		Log: log.With(zap.String("instance", in.Name)), Scope: scope, Reporter: reporter, Configure: f.Configure,
+	})
+	if err != nil {
+		return nil, errors.Join(err, closer.Close())
+	}
+	return &Process{Kernel: k, metrics: closer}, nil
+}
+
+// Close flushes the metrics.
+func (p *Process) Close() error { return p.metrics.Close() }
+
+// NewLog returns a log of state changes in JSON or for a console.
+func NewLog(format string) (*zap.Logger, error) {
+	if format == "console" {
+		c := zap.NewDevelopmentConfig()
+		c.Level = zap.NewAtomicLevelAt(zap.InfoLevel)
+		c.DisableStacktrace = true
+		return c.Build()
+	}
+	return zap.NewProduction()
+}
--- /dev/null
+++ b/serve/api/api.go
@@ -0,0 +1,257 @@
+// Package api is the callers' interface: OpenAI-shaped completions, calls to
+// plain services and the list of entry instances.
+package api
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/balance"
+	"github.com/auburnmoor/auburnmoor/control/config"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/manifest"
+	"github.com/auburnmoor/auburnmoor/port/service"
+	"github.com/auburnmoor/auburnmoor/result"
+	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "http.api"
+
+func init() { auburnmoor.Register(new(API)) }
+
+// API is the module "http.api".
+type API struct {
+	// MaxBody bounds a request body in bytes.
+	MaxBody int64 `toml:"max_body" validate:"min=0,max=268435456"`
+	// BodyTimeout bounds the time in which a body must arrive.
+	BodyTimeout settings.Duration `toml:"body_timeout"`
+	// KeepEntries is how long callers may keep the answer of /v1/entries. A
+	// leaving instance goes on serving new calls for that long.
+	KeepEntries settings.Duration `toml:"keep_entries"`
+
+	self   auburnmoor.Identity
+	log    *zap.Logger
+	scope  tally.Scope
+	now    func() time.Duration
+	conf   *config.Config
+	mem    *members.Members
+	disp   *dispatcher.Dispatcher
+	plain  *service.Client
+	server *http.Server
+	seq    atomic.Uint64
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	pools   map[string]*balance.Pool
+	results map[result.Code]uint64
+}
+
+// ModuleInfo implements auburnmoor.Module.
+func (*API) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{
+		ID: ID, Requires: []auburnmoor.ModuleID{config.ID, members.ID, dispatcher.ID},
+		New: func() auburnmoor.Module { return new(API) },
+	}
+}
+
+// Defaults and bounds.
+const (
+	// defaultMaxBody admits a prompt of a million tokens with escapes.
+	defaultMaxBody     = 16 << 20
+	defaultBodyTimeout = 30 * time.Second
+	defaultKeepEntries = 5 * time.Second
+	headerTimeout      = 5 * time.Second
+	idleTimeout        = 2 * time.Minute
+	maxHeaderBytes     = 64 << 10
+	dialTimeout        = time.Second
+)
+
+// Headers of the callers' interface.
+const (
+	headerRequestID = "X-Request-Id"
+	headerInstance  = "X-Entry-Instance"
+	headerKind      = "X-Request-Kind"
+	headerLimit     = "X-Request-Timeout-Ms"
+	headerKey       = "Idempotency-Key"
+)
+
+// Provision implements auburnmoor.Provisioner.
+func (a *API) Provision(c *auburnmoor.Context) error {
+	var err error
+	if a.conf, err = auburnmoor.Require[*config.Config](c, config.ID); err != nil {
+		return err
+	}
+	if a.mem, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
+		return err
+	}
+	if a.disp, err = auburnmoor.Require[*dispatcher.Dispatcher](c, dispatcher.ID); err != nil {
+		return err
+	}
+	a.defaults()
+	a.self, a.log, a.scope, a.now = c.Self, c.Log, c.Scope, c.Now
+	a.rand = rand.New(rand.NewPCG(c.Seed, 2))
+	a.pools, a.results = map[string]*balance.Pool{}, map[result.Code]uint64{}
+	a.plain = service.NewClient(dialTimeout)
+	a.mem.OnView(a.replaceView)
+	a.server = &http.Server{
+		Handler: a.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return nil
+}
+
+func (a *API) defaults() {
+	if a.MaxBody == 0 {
+		a.MaxBody = defaultMaxBody
+	}
+	if a.BodyTimeout == 0 {
+		a.BodyTimeout = settings.Duration(defaultBodyTimeout)
+	}
+	if a.KeepEntries == 0 {
+		a.KeepEntries = settings.Duration(defaultKeepEntries)
+	}
+}
+
+func (a *API) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = a.handleError
+	e.Use(a.identify)
+	e.GET("/v1/entries", a.entries)
+	e.GET("/v1/models", a.models)
+	e.POST("/v1/completions", func(c echo.Context) error { return a.completion(c, false) })
+	e.POST("/v1/chat/completions", func(c echo.Context) error { return a.completion(c, true) })
+	e.Any("/v1/services/:name", a.callService)
+	e.Any("/v1/services/:name/*", a.callService)
+	return e
+}
+
+// identify gives each request its id. The id names the instance and its
+// incarnation, so that streams whose instance died can be told by their ids.
+func (a *API) identify(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id := fmt.Sprintf("%s~%x~%d", a.self.Name, a.self.Incarnation, a.seq.Add(1))
+		c.Set(headerRequestID, id)
+		c.Response().Header().Set(headerRequestID, id)
+		c.Response().Header().Set(headerInstance, a.self.Name)
+		return next(c)
+	}
+}
+
+func requestID(c echo.Context) string { return c.Get(headerRequestID).(string) }
+
+// Start implements auburnmoor.Starter.
+func (a *API) Start(context.Context) error {
+	lis, err := net.Listen("tcp", a.self.CallerAddr)
+	if err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	go func() { _ = a.server.Serve(lis) }()
+	return nil
+}
+
+// Drain implements auburnmoor.Drainer. The instance first disappears from
+// /v1/entries everywhere, goes on serving callers that kept an old answer, and
+// then waits for every request in progress.
+func (a *API) Drain(ctx context.Context) error {
+	a.mem.Leave()
+	select {
+	case <-time.After(a.KeepEntries.Std()):
+	case <-ctx.Done():
+	}
+	return a.server.Shutdown(ctx)
+}
+
+// Cleanup implements auburnmoor.Cleaner.
+func (a *API) Cleanup() error { return a.server.Close() }
+
+func (a *API) countResult(code result.Code) {
+	a.scope.Tagged(map[string]string{"result": code.String()}).Counter("requests").Inc(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.results[code]++
+}
+
+// readBody reads the whole body within the limits of size and time. A caller
+// that sends slowly would otherwise hold memory for as long as it likes.
+func (a *API) readBody(c echo.Context) ([]byte, error) {
+	r := c.Request()
+	if r.ContentLength > a.MaxBody {
+		return nil, result.New(result.BodyTooLarge, "body exceeds %d bytes", a.MaxBody)
+	}
+	rc := http.NewResponseController(c.Response().Writer)
+	_ = rc.SetReadDeadline(time.Now().Add(a.BodyTimeout.Std()))
+	raw, err := io.ReadAll(http.MaxBytesReader(c.Response().Writer, r.Body, a.MaxBody))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.BodyTooLarge, "body exceeds %d bytes", a.MaxBody)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, result.New(result.BodyTooSlow, "body did not arrive within %s", a.BodyTimeout.Std())
+	case err != nil:
+		return nil, result.New(result.BadRequest, "body could not be read")
+	}
+	return raw, nil
+}
+
+// Dump implements auburnmoor.Dumper.
+func (a *API) Dump() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := Dump{Results: map[string]uint64{}, Pools: map[string]balance.Dump{}, Pending: a.disp.Pending()}
+	for code, n := range a.results {
+		d.Results[code.String()] = n
+	}
+	for name, p := range a.pools {
+		d.Pools[name] = p.Dump()
+	}
+	return d
+}
+
+// Dump is the state of the module.
+type Dump struct {
+	Results map[string]uint64       `json:"results"`
+	Pools   map[string]balance.Dump `json:"plain_services"`
+	Pending int                     `json:"pending"`
+}
+
+// replaceView takes over the backend servers of the plain services. Leaving
+// ones get no new call from here on.
+func (a *API) replaceView(v members.View) {
+	byService := map[string][]balance.Server{}
+	for _, s := range v.Services {
+		if !s.Leaving {
+			byService[s.Service] = append(byService[s.Service], balance.Server{Name: s.Name, Addr: s.Addr})
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name := range byService {
+		if a.pools[name] == nil {
+			limits := manifest.Limits{RetryShare: 0.1, EjectShare: 0.3}
+			if ix := a.conf.Index(); ix != nil {
+				limits = ix.Manifest.Limits
+			}
+			a.pools[name] = balance.NewPool(limits.RetryShare, limits.EjectShare, a.rand)
+		}
+	}
+	for name, p := range a.pools {
+		p.SetServers(byService[name])
+	}
+}
--- /dev/null
+++ b/serve/dispatcher/dispatcher.go
@@ -0,0 +1,325 @@
+// Package dispatcher drives the decision machine of package dispatch: one
+// goroutine feeds it events from a bounded ring and carries out its actions.
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/control/config"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/dispatch"
+	"github.com/auburnmoor/auburnmoor/manifest"
+	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/peerlink"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/place"
+	"github.com/auburnmoor/auburnmoor/port/engine"
+	"github.com/auburnmoor/auburnmoor/result"
+	"github.com/auburnmoor/auburnmoor/ring"
+	"github.com/auburnmoor/auburnmoor/sched"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "serve.dispatch"
+
+func init() { auburnmoor.Register(new(Dispatcher)) }
+
+// Dispatcher is the module "serve.dispatch".
+type Dispatcher struct {
+	// Order names the order of requests on an engine.
+	Order string `toml:"order"`
+	// Candidates is how many engines are asked for a prediction.
+	Candidates int `toml:"candidates" validate:"min=0,max=4"`
+	// QuoteTimeout bounds the wait for predictions.
+	QuoteTimeout settings.Duration `toml:"quote_timeout"`
+	// RingSize bounds the events waiting for the decision goroutine.
+	RingSize int `toml:"ring_size" validate:"min=0,max=1048576"`
+
+	self   string
+	log    *zap.Logger
+	now    func() time.Duration
+	link   *peerlink.Link
+	mem    *members.Members
+	events *ring.Ring[dispatch.Event]
+	cancel *ring.Ring[dispatch.Cancel]
+	calls  chan func(*dispatch.Node)
+	engine *engine.Client
+	node   *dispatch.Node
+
+	mu      sync.Mutex
+	tickets map[string]*Ticket
+	addrs   map[string]string
+	owned   []string
+}
+
+// Ticket receives the decisions on one request.
+type Ticket struct {
+	ID string
+	// C carries dispatch.Start and dispatch.Finish.
+	C chan dispatch.Action
+}
+
+// ModuleInfo implements auburnmoor.Module.
+func (*Dispatcher) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{
+		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, members.ID, config.ID},
+		New: func() auburnmoor.Module { return new(Dispatcher) },
+	}
+}
+
+// Bounds of the module.
+const (
+	defaultRing   = 16384
+	cancelRing    = 16384
+	cancelWorkers = 4
+	ticketBuffer  = 16
+	dialTimeout   = time.Second
+	cancelTimeout = 5 * time.Second
+)
+
+// Validate implements auburnmoor.Validator.
+func (d *Dispatcher) Validate() error {
+	if _, ok := sched.LookupOrder(d.Order); d.Order != "" && !ok {
+		return errors.Newf("order %q is not one of %v", d.Order, sched.OrderNames())
+	}
+	return nil
+}
+
+// Provision implements auburnmoor.Provisioner.
+func (d *Dispatcher) Provision(c *auburnmoor.Context) error {
+	var err error
+	if d.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
+		return err
+	}
+	if d.mem, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
+		return err
+	}
+	conf, err := auburnmoor.Require[*config.Config](c, config.ID)
+	if err != nil {
+		return err
+	}
+	if d.RingSize == 0 {
+		d.RingSize = defaultRing
+	}
+	d.self, d.log, d.now = c.Self.Name, c.Log, c.Now
+	d.tickets, d.addrs = map[string]*Ticket{}, map[string]string{}
+	d.events = ring.New[dispatch.Event]("dispatch.events", d.RingSize)
+	d.cancel = ring.New[dispatch.Cancel]("dispatch.cancel", cancelRing)
+	d.calls = make(chan func(*dispatch.Node))
+	d.engine = engine.NewClient(dialTimeout)
+	d.node = dispatch.NewNode(d.self, d.nodeConfig(), c.Seed)
+	d.link.Handle(d.receive)
+	d.mem.OnView(d.replaceView)
+	conf.OnChange(d.limits)
+	return nil
+}
+
+func (d *Dispatcher) nodeConfig() dispatch.Config {
+	cfg := dispatch.DefaultConfig()
+	if d.Order != "" {
+		cfg.Sched.Order = d.Order
+	}
+	if d.Candidates > 0 {
+		cfg.Candidates = d.Candidates
+	}
+	if d.QuoteTimeout > 0 {
+		cfg.QuoteTimeout = d.QuoteTimeout.Std()
+	}
+	return cfg
+}
+
+// Start implements auburnmoor.Starter.
+func (d *Dispatcher) Start(ctx context.Context) error {
+	go d.run(ctx)
+	for range cancelWorkers {
+		go d.cancelStreams(ctx)
+	}
+	return nil
+}
+
+// Submit hands a request to the decision machine. The ticket must be closed
+// with Close.
+func (d *Dispatcher) Submit(job *peerpb.Job, once bool) (*Ticket, error) {
+	t := &Ticket{ID: job.Id, C: make(chan dispatch.Action, ticketBuffer)}
+	d.mu.Lock()
+	d.tickets[t.ID] = t
+	d.mu.Unlock()
+	if !d.events.Offer(dispatch.Arrive{Job: job, Once: once}) {
+		d.Close(t)
+		return nil, result.New(result.RingFull, "the dispatch ring is full").After(time.Second)
+	}
+	return t, nil
+}
+
+// Close forgets a ticket.
+func (d *Dispatcher) Close(t *Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.tickets, t.ID)
+}
+
+// Report passes on what happened to a stream. It waits for room: such an event
+// settles memory and must not be lost.
+func (d *Dispatcher) Report(ev dispatch.Event) {
+	for !d.events.Offer(ev) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Offer passes on an event that may be lost.
+func (d *Dispatcher) Offer(ev dispatch.Event) bool { return d.events.Offer(ev) }
+
+// Engine returns the client for engines.
+func (d *Dispatcher) Engine() *engine.Client { return d.engine }
+
+// Addr returns the address of an engine.
+func (d *Dispatcher) Addr(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addrs[name]
+}
+
+// Owned returns the names of the engines that this instance owns.
+func (d *Dispatcher) Owned() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.owned)
+}
+
+func (d *Dispatcher) receive(from string, env *peerpb.Envelope) {
+	switch env.Body.(type) {
+	case *peerpb.Envelope_QuoteRequest, *peerpb.Envelope_QuoteReply, *peerpb.Envelope_Reserve,
+		*peerpb.Envelope_ReserveReply, *peerpb.Envelope_Grant, *peerpb.Envelope_Progress, *peerpb.Envelope_Renew:
+		d.events.Offer(dispatch.Received{From: from, Env: env})
+	}
+}
+
+func (d *Dispatcher) limits(ix *manifest.Index) {
+	l := ix.Manifest.Limits
+	go d.call(func(n *dispatch.Node) { n.SetLimits(l.RetryShare, l.EjectShare) })
+}
+
+// replaceView turns a view of the fleet into a directory with owners.
+func (d *Dispatcher) replaceView(v members.View) {
+	owners := member.Owners(v.Alive)
+	dir := dispatch.Directory{}
+	addrs := map[string]string{}
+	var owned []string
+	for _, e := range v.Engines {
+		info := dispatch.EngineInfo{Name: e.Name, Owner: place.Owner(e.Name, owners), Leaving: e.Leaving}
+		if e.State != nil {
+			info.Models, info.KVTotal = e.State.Models, e.State.KvTotal
+		}
+		dir.Engines = append(dir.Engines, info)
+		addrs[e.Name] = e.Addr
+		if info.Owner == d.self {
+			owned = append(owned, e.Name)
+		}
+	}
+	d.mu.Lock()
+	d.addrs, d.owned = addrs, owned
+	d.mu.Unlock()
+	d.Report(dir)
+}
+
+func (d *Dispatcher) run(ctx context.Context) {
+	t := time.NewTicker(dispatch.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-d.events.C():
+			d.carryOut(d.node.Step(d.now(), ev))
+		case <-t.C:
+			d.carryOut(d.node.Step(d.now(), dispatch.Tick{}))
+		case f := <-d.calls:
+			f(d.node)
+		}
+	}
+}
+
+func (d *Dispatcher) carryOut(actions []dispatch.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.Send:
+			d.link.Send(a.To, a.Env)
+		case dispatch.Start:
+			d.deliver(a.Request, a)
+		case dispatch.Finish:
+			d.deliver(a.ID, a)
+		case dispatch.Cancel:
+			d.cancel.Offer(a)
+		}
+	}
+}
+
+// deliver hands an action to the goroutine that serves the caller.
+func (d *Dispatcher) deliver(id string, a dispatch.Action) {
+	d.mu.Lock()
+	t := d.tickets[id]
+	d.mu.Unlock()
+	if t == nil {
+		// The caller has its answer or is gone; the machine must not go on.
+		d.events.Offer(dispatch.CallerGone{ID: id})
+		return
+	}
+	select {
+	case t.C <- a:
+	default:
+		d.log.Error("ticket is full", zap.String("request", id))
+	}
+}
+
+func (d *Dispatcher) cancelStreams(ctx context.Context) {
+	for {
+		c, ok := d.cancel.Take(ctx)
+		if !ok {
+			return
+		}
+		cctx, done := context.WithTimeout(ctx, cancelTimeout)
+		// A failed cancel is left to the orphan sweep of the engine's owner.
+		_ = d.engine.Cancel(cctx, d.Addr(c.Engine), c.Stream)
+		done()
+	}
+}
+
+// call runs f on the decision goroutine.
+func (d *Dispatcher) call(f func(*dispatch.Node)) bool {
+	done := make(chan struct{})
+	select {
+	case d.calls <- func(n *dispatch.Node) { f(n); close(done) }:
+		<-done
+		return true
+	case <-time.After(time.Second):
+		return false
+	}
+}
+
+// Dump implements auburnmoor.Dumper.
+func (d *Dispatcher) Dump() any {
+	out := Dump{Rings: []ring.Stats{d.events.Stats(), d.cancel.Stats()}}
+	d.call(func(n *dispatch.Node) { out.Node = n.Dump() })
+	return out
+}
+
+// Dump is the state of the module.
+type Dump struct {
+	Node  dispatch.Dump `json:"node"`
+	Rings []ring.Stats  `json:"rings"`
+}
+
+// Pending returns the number of unfinished requests.
+func (d *Dispatcher) Pending() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.tickets)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,261 @@
+// Package settings reads an instance's TOML file: the [instance] table and one
+// table per module. Everything is checked before anything starts, and all
+// problems are reported at once.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/auburnmoor/auburnmoor"
+)
+
+// Instance is the [instance] table: what a process is told about itself.
+type Instance struct {
+	Name       string `toml:"name" validate:"required"`
+	DataCentre string `toml:"data_centre" validate:"required"`
+	Region     string `toml:"region" validate:"required"`
+	// CallerAddr, PeerAddr and AdminAddr are host:port by IP number.
+	CallerAddr string `toml:"caller_addr" validate:"required,hostname_port"`
+	PeerAddr   string `toml:"peer_addr" validate:"required,hostname_port"`
+	AdminAddr  string `toml:"admin_addr" validate:"required,hostname_port"`
+	// LogFormat is json or console.
+	LogFormat string `toml:"log_format" validate:"omitempty,oneof=json console"`
+	// DrainTimeout bounds a graceful shutdown; zero waits for every stream.
+	DrainTimeout Duration `toml:"drain_timeout"`
+}
+
+// Duration reads "1.5s" and similar.
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return errors.Newf("%q is not a duration such as \"250ms\" or \"10s\"", b)
+	}
+	if v < 0 {
+		return errors.Newf("duration %q is negative", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std converts to time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// File is a parsed settings file.
+type File struct {
+	Path     string
+	Instance Instance
+	tables   map[string]any
+}
+
+// Load reads path and checks the [instance] table and that every other table
+// belongs to a registered module.
+func Load(path string) (*File, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Parse(path, raw)
+}
+
+// Parse is Load for content already read.
+func Parse(path string, raw []byte) (*File, error) {
+	f := &File{Path: path, tables: map[string]any{}}
+	if err := toml.Unmarshal(raw, &f.tables); err != nil {
+		return nil, errors.Newf("%s: %s", path, tomlProblem(err))
+	}
+	var problems []string
+	if t, ok := f.tables["instance"]; ok {
+		problems = append(problems, f.decode("instance", t, &f.Instance)...)
+	} else {
+		problems = append(problems, fmt.Sprintf("%s: table [instance] is missing", path))
+	}
+	problems = append(problems, f.unknownTables()...)
+	if len(problems) > 0 {
+		return f, problemList(problems)
+	}
+	return f, nil
+}
+
+// Configure fills a module from its table and checks it.
+func (f *File) Configure(id auburnmoor.ModuleID, m auburnmoor.Module) error {
+	t, ok := lookup(f.tables, strings.Split(string(id), "."))
+	if !ok {
+		t = map[string]any{}
+	}
+	return problemList(f.decode(string(id), t, m))
+}
+
+// CheckAll checks every module's table without starting anything.
+func (f *File) CheckAll() error {
+	var all []error
+	for _, info := range auburnmoor.Modules() {
+		m := info.New()
+		if err := f.Configure(info.ID, m); err != nil {
+			all = append(all, err)
+			continue
+		}
+		if v, ok := m.(auburnmoor.Validator); ok {
+			all = append(all, errors.Wrapf(v.Validate(), "%s: [%s]", f.Path, info.ID))
+		}
+	}
+	return errors.Join(all...)
+}
+
+func (f *File) unknownTables() []string {
+	known := map[string]bool{"instance": true}
+	prefixes := map[string]bool{}
+	for _, info := range auburnmoor.Modules() {
+		known[string(info.ID)] = true
+		head, _, _ := strings.Cut(string(info.ID), ".")
+		prefixes[head] = true
+	}
+	var out []string
+	for name, v := range f.tables {
+		if known[name] {
+			continue
+		}
+		sub, isTable := v.(map[string]any)
+		if !isTable || !prefixes[name] {
+			out = append(out, fmt.Sprintf("%s: unknown table or key %q; allowed: %s", f.Path, name, allowed(known)))
+			continue
+		}
+		for k := range sub {
+			if !known[name+"."+k] {
+				out = append(out, fmt.Sprintf("%s: unknown table [%s.%s]; allowed: %s", f.Path, name, k, allowed(known)))
+			}
+		}
+	}
+	return out
+}
+
+// decode reads one table strictly into v and returns every problem found.
+func (f *File) decode(name string, table any, v any) []string {
+	raw, err := toml.Marshal(table)
+	if err != nil {
+		return []string{fmt.Sprintf("%s: [%s]: %s", f.Path, name, err)}
+	}
+	var out []string
+	for _, p := range Strict(raw, v) {
+		out = append(out, fmt.Sprintf("%s: [%s] %s", f.Path, name, p))
+	}
+	return out
+}
+
+// Strict decodes TOML into v, refusing unknown keys, then runs the validate
+// tags. It returns one line per problem.
+func Strict(raw []byte, v any) []string {
+	var out []string
+	dec := toml.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	var strict *toml.StrictMissingError
+	switch {
+	case errors.As(err, &strict):
+		for _, e := range strict.Errors {
+			out = append(out, fmt.Sprintf("unknown key %q", strings.Join(e.Key(), ".")))
+		}
+		// A strict error stops at unknown keys, so types are checked again.
+		if err := toml.Unmarshal(raw, v); err != nil {
+			out = append(out, tomlProblem(err))
+		}
+	case err != nil:
+		out = append(out, tomlProblem(err))
+	}
+	return append(out, validateProblems(v)...)
+}
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		return name
+	})
+	return v
+}
+
+func validateProblems(v any) []string {
+	err := validate.Struct(v)
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) {
+		return nil
+	}
+	var out []string
+	for _, e := range list {
+		_, path, _ := strings.Cut(e.Namespace(), ".")
+		out = append(out, fmt.Sprintf("key %q: value %v breaks the rule %s", path, e.Value(), ruleText(e)))
+	}
+	return out
+}
+
+func ruleText(e validator.FieldError) string {
+	if e.Param() == "" {
+		return e.Tag()
+	}
+	return e.Tag() + "=" + e.Param()
+}
+
+func tomlProblem(err error) string {
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, col := de.Position()
+		return fmt.Sprintf("line %d column %d, key %q: %s", row, col, strings.Join(de.Key(), "."), de.Error())
+	}
+	return err.Error()
+}
+
+func lookup(t map[string]any, path []string) (any, bool) {
+	var cur any = t
+	for _, p := range path {
+		m, ok := cur.(map[string]any)
+		if !ok {
+			return nil, false
+		}
+		if cur, ok = m[p]; !ok {
+			return nil, false
+		}
+	}
+	return cur, true
+}
+
+func allowed(known map[string]bool) string {
+	var names []string
+	for n := range known {
+		names = append(names, "["+n+"]")
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+// Problems is a list of settings errors that prints one per line.
+type Problems []string
+
+// Error implements error.
+func (p Problems) Error() string { return strings.Join(p, "\n") }
+
+func problemList(p []string) error {
+	if len(p) == 0 {
+		return nil
+	}
+	slices.Sort(p)
+	return Problems(p)
+}
--- /dev/null
+++ b/standin/platformserver/key.go
@@ -0,0 +1,16 @@
+package platformserver
+
+import (
+	"net/url"
+
+	"github.com/labstack/echo/v4"
+)
+
+// keyOf returns the object key of a path; keys contain slashes and arrive
+// escaped.
+func keyOf(c echo.Context) string {
+	if out, err := url.PathUnescape(c.Param("key")); err == nil {
+		return out
+	}
+	return c.Param("key")
+}
--- /dev/null
+++ b/standin/platformserver/server.go
@@ -0,0 +1,324 @@
+// Package platformserver stands in for the platform: the object API with
+// versions, conditional updates and watches, and the instance list. It can be
+// down, slow, lose replies after a write, answer stale reads and lag.
+package platformserver
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/auburnmoor/auburnmoor/port/instances"
+	"github.com/auburnmoor/auburnmoor/port/objectapi"
+)
+
+// Faults are what the platform can suffer.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseReplies drops the replies of the next writes after they took effect.
+	LoseReplies int `json:"lose_replies"`
+	// DelayMS slows every call.
+	DelayMS int64 `json:"delay_ms"`
+}
+
+// Server is the platform on one address.
+type Server struct {
+	addr string
+	lag  time.Duration
+	http *http.Server
+
+	mu       sync.Mutex
+	objects  map[string]objectapi.Object
+	version  uint64
+	changed  chan struct{}
+	list     map[string]instances.Instance
+	visible  []listed
+	faults   Faults
+	counts   map[string]uint64
+	watching int
+}
+
+type listed struct {
+	at   time.Time
+	list []instances.Instance
+}
+
+// New returns a stopped platform whose instance list lags.
+func New(addr string, lag time.Duration) *Server {
+	return &Server{
+		addr: addr, lag: lag, objects: map[string]objectapi.Object{}, changed: make(chan struct{}),
+		list: map[string]instances.Instance{}, counts: map[string]uint64{},
+	}
+}
+
+// Start listens.
+func (s *Server) Start() error {
+	lis, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	s.addr = lis.Addr().String()
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.Use(s.suffer)
+	e.GET("/objects", s.listObjects)
+	e.GET("/objects/:key", s.get)
+	e.PUT("/objects/:key", s.put)
+	e.DELETE("/objects/:key", s.remove)
+	e.GET("/instances", s.listInstances)
+	e.PUT("/instances/:name", s.putInstance)
+	e.DELETE("/instances/:name", s.removeInstance)
+	e.POST("/faults", s.setFaults)
+	e.GET("/counts", s.getCounts)
+	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.http.Serve(lis) }()
+	return nil
+}
+
+// Addr returns the address it listens on.
+func (s *Server) Addr() string { return s.addr }
+
+// Close stops the platform at once.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// suffer applies the faults and counts calls.
+func (s *Server) suffer(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !strings.HasPrefix(c.Path(), "/objects") {
+			return next(c)
+		}
+		s.mu.Lock()
+		f := s.faults
+		s.counts[c.Request().Method]++
+		s.mu.Unlock()
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		if f.Down {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) listObjects(c echo.Context) error {
+	prefix := c.QueryParam("prefix")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []objectapi.Object{}
+	for k, o := range s.objects {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b objectapi.Object) int { return strings.Compare(a.Key, b.Key) })
+	return c.JSON(http.StatusOK, out)
+}
+
+func (s *Server) get(c echo.Context) error {
+	key := keyOf(c)
+	if have, err := strconv.ParseUint(c.QueryParam("watch"), 10, 64); err == nil {
+		wait, _ := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+		s.wait(c.Request().Context(), key, have, time.Duration(wait)*time.Millisecond)
+	}
+	s.mu.Lock()
+	o, ok := s.objects[key]
+	s.mu.Unlock()
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	c.Response().Header().Set(objectapi.HeaderVersion, strconv.FormatUint(o.Version, 10))
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, o.Value)
+}
+
+// wait holds a watch until the key's version differs from have.
+func (s *Server) wait(ctx context.Context, key string, have uint64, d time.Duration) {
+	timeout := time.NewTimer(d)
+	defer timeout.Stop()
+	s.mu.Lock()
+	s.watching++
+	defer func() { s.watching--; s.mu.Unlock() }()
+	for s.objects[key].Version == have {
+		changed := s.changed
+		s.mu.Unlock()
+		expired := false
+		select {
+		case <-changed:
+		case <-timeout.C:
+			expired = true
+		case <-ctx.Done():
+			expired = true
+		}
+		s.mu.Lock()
+		if expired {
+			return
+		}
+	}
+}
+
+func (s *Server) put(c echo.Context) error {
+	expect, err := strconv.ParseUint(c.Request().Header.Get(objectapi.HeaderExpect), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	value, err := io.ReadAll(io.LimitReader(c.Request().Body, objectapi.MaxValue+1))
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	if len(value) > objectapi.MaxValue {
+		return c.NoContent(http.StatusRequestEntityTooLarge)
+	}
+	key := keyOf(c)
+	s.mu.Lock()
+	old := s.objects[key].Version
+	if old != expect {
+		s.mu.Unlock()
+		c.Response().Header().Set(objectapi.HeaderVersion, strconv.FormatUint(old, 10))
+		return c.NoContent(http.StatusConflict)
+	}
+	s.version++
+	s.objects[key] = objectapi.Object{Key: key, Version: s.version, Value: value}
+	version := s.version
+	lose := s.announce()
+	s.mu.Unlock()
+	if lose {
+		return s.loseReply(c)
+	}
+	c.Response().Header().Set(objectapi.HeaderVersion, strconv.FormatUint(version, 10))
+	return c.NoContent(http.StatusOK)
+}
+
+// announce wakes the watches and tells whether this write's reply is lost.
+func (s *Server) announce() bool {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.faults.LoseReplies > 0 {
+		s.faults.LoseReplies--
+		return true
+	}
+	return false
+}
+
+func (s *Server) loseReply(c echo.Context) error {
+	conn, _, err := c.Response().Hijack()
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func (s *Server) remove(c echo.Context) error {
+	expect, _ := strconv.ParseUint(c.Request().Header.Get(objectapi.HeaderExpect), 10, 64)
+	key := keyOf(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	if o.Version != expect {
+		return c.NoContent(http.StatusConflict)
+	}
+	delete(s.objects, key)
+	s.announce()
+	return c.NoContent(http.StatusOK)
+}
+
+// SetInstance adds or replaces a line of the instance list.
+func (s *Server) SetInstance(in instances.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list[in.Name] = in
+	s.snapshot()
+}
+
+// RemoveInstance takes a line off the list.
+func (s *Server) RemoveInstance(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.list, name)
+	s.snapshot()
+}
+
+func (s *Server) snapshot() {
+	l := listed{at: time.Now(), list: []instances.Instance{}}
+	for _, in := range s.list {
+		l.list = append(l.list, in)
+	}
+	slices.SortFunc(l.list, func(a, b instances.Instance) int { return strings.Compare(a.Name, b.Name) })
+	s.visible = append(s.visible, l)
+}
+
+func (s *Server) listInstances(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	for len(s.visible) > 1 && time.Since(s.visible[1].at) >= s.lag {
+		s.visible = s.visible[1:]
+	}
+	if len(s.visible) == 0 {
+		return c.JSON(http.StatusOK, []instances.Instance{})
+	}
+	return c.JSON(http.StatusOK, s.visible[0].list)
+}
+
+func (s *Server) putInstance(c echo.Context) error {
+	var in instances.Instance
+	if err := json.NewDecoder(c.Request().Body).Decode(&in); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	in.Name = c.Param("name")
+	s.SetInstance(in)
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) removeInstance(c echo.Context) error {
+	s.RemoveInstance(c.Param("name"))
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) setFaults(c echo.Context) error {
+	var f Faults
+	if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	s.Inject(f)
+	return c.NoContent(http.StatusOK)
+}
+
+// Inject replaces the faults.
+func (s *Server) Inject(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Counts is how the platform was used.
+type Counts struct {
+	Calls    map[string]uint64 `json:"calls"`
+	Watching int               `json:"watching"`
+}
+
+// Counts returns the calls so far and the watches that wait now.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Counts{Calls: map[string]uint64{}, Watching: s.watching}
+	for k, v := range s.counts {
+		out.Calls[k] = v
+	}
+	return out
+}
+
+func (s *Server) getCounts(c echo.Context) error { return c.JSON(http.StatusOK, s.Counts()) }
