Run requests that may not be repeated at most once

Cause: such requests were refused, because nothing kept two instances from running the same key. A request runs detached from its caller, its answer is kept for its key, and a model request whose instance died is resumed at its engine.

--- a/modules/modules.go
+++ b/modules/modules.go
@@ -4,6 +4,7 @@
 
 import (
 	// The modules of an entry instance.
+	_ "github.com/auburnmoor/auburnmoor/control/claims"
 	_ "github.com/auburnmoor/auburnmoor/control/config"
 	_ "github.com/auburnmoor/auburnmoor/control/members"
 	_ "github.com/auburnmoor/auburnmoor/peerlink"
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -20,6 +20,7 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/balance"
+	"github.com/auburnmoor/auburnmoor/control/claims"
 	"github.com/auburnmoor/auburnmoor/control/config"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/manifest"
@@ -51,6 +52,7 @@
 	conf   *config.Config
 	mem    *members.Members
 	disp   *dispatcher.Dispatcher
+	claims *claims.Claims
 	plain  *service.Client
 	server *http.Server
 	seq    atomic.Uint64
@@ -64,7 +66,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*API) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{config.ID, members.ID, dispatcher.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{config.ID, members.ID, dispatcher.ID, claims.ID},
 		New: func() auburnmoor.Module { return new(API) },
 	}
 }
@@ -102,6 +104,9 @@
 	if a.disp, err = auburnmoor.Require[*dispatcher.Dispatcher](c, dispatcher.ID); err != nil {
 		return err
 	}
+	if a.claims, err = auburnmoor.Require[*claims.Claims](c, claims.ID); err != nil {
+		return err
+	}
 	a.defaults()
 	a.self, a.log, a.scope, a.now = c.Self, c.Log, c.Scope, c.Now
 	a.rand = rand.New(rand.NewPCG(c.Seed, 2))
--- a/serve/api/completion.go
+++ b/serve/api/completion.go
@@ -36,16 +36,45 @@
 	if err != nil {
 		return err
 	}
-	run := func(keep keepFunc) error { return a.complete(c, who, svc, req, prompt, max, chat, keep) }
-	if who.kind.NeverTwice {
-		return a.once(c, who, raw, run)
+	w := work{caller: who, svc: svc, req: req, prompt: prompt, max: max, chat: chat}
+	if !who.kind.NeverTwice {
+		return a.complete(c, w, nil)
 	}
-	return run(nil)
+	return a.once(c, who, raw, onceFuncs{
+		run:    func(r *claimed) error { return a.complete(c, w, r) },
+		resume: func(r *claimed, engine, stream string) error { return a.resume(c, w, r, engine, stream) },
+	})
+}
+
+// work is a checked model request.
+type work struct {
+	caller
+	svc    manifest.Service
+	req    completionRequest
+	prompt string
+	max    int64
+	chat   bool
 }
 
 // keepFunc receives a whole answer for the record of a claimed key.
 type keepFunc func(status int, contentType string, body []byte)
 
+func (w work) sink(c echo.Context, r *claimed) sink {
+	env := newEnvelope(requestID(c), w.svc.Name, w.chat)
+	var keep keepFunc
+	if r != nil {
+		keep = r.keep
+	}
+	var out sink = &wholeSink{c: c, env: env, keep: keep}
+	if w.req.Stream {
+		out = &sseSink{c: c, env: env, usage: w.req.StreamOptions.IncludeUsage, keep: keep}
+	}
+	if r != nil {
+		out = detachedSink{out}
+	}
+	return out
+}
+
 func maxTokens(req completionRequest, svc manifest.Service) (int64, error) {
 	limit := int64(svc.MaxOutput)
 	if limit == 0 {
@@ -60,27 +89,24 @@
 	return *req.MaxTokens, nil
 }
 
-func (a *API) complete(c echo.Context, who caller, svc manifest.Service, req completionRequest, prompt string, max int64, chat bool, keep keepFunc) error {
-	id := requestID(c)
+func (a *API) complete(c echo.Context, w work, r *claimed) error {
 	job := &peerpb.Job{
-		Id: id, Customer: who.customer.Name, Model: svc.Loaded(),
-		PromptTokens: int64(prefix.Tokens(len(prompt))), MaxTokens: max,
-		Prefix:      prefix.Sample(prefix.Chain(prompt)),
-		RemainingUs: who.limit.Microseconds(), TargetUs: who.kind.Target().Microseconds(),
-		Weight: int64(who.customer.Share),
+		Id: requestID(c), Customer: w.customer.Name, Model: w.svc.Loaded(),
+		PromptTokens: int64(prefix.Tokens(len(w.prompt))), MaxTokens: w.max,
+		Prefix:      prefix.Sample(prefix.Chain(w.prompt)),
+		RemainingUs: w.limit.Microseconds(), TargetUs: w.kind.Target().Microseconds(),
+		Weight: int64(w.customer.Share),
 	}
-	ticket, err := a.disp.Submit(job, who.kind.NeverTwice)
+	ticket, err := a.disp.Submit(job, w.kind.NeverTwice)
 	if err != nil {
 		return err
 	}
 	defer a.disp.Close(ticket)
-	env := newEnvelope(id, svc.Name, chat)
-	var out sink = &wholeSink{c: c, env: env, keep: keep}
-	if req.Stream {
-		out = &sseSink{c: c, env: env, usage: req.StreamOptions.IncludeUsage, keep: keep}
+	s := &session{disp: a.disp, ticket: ticket, model: w.svc.Loaded(), prompt: w.prompt, max: w.max, sink: w.sink(c, r)}
+	if r != nil {
+		s.started = r.started
 	}
-	s := &session{disp: a.disp, ticket: ticket, model: svc.Loaded(), prompt: prompt, max: max, sink: out}
-	if err := s.serve(c.Request().Context(), who.limit); err != nil {
+	if err := s.serve(c.Request().Context(), w.limit); err != nil {
 		return err
 	}
 	a.countResult(result.OK)
--- a/serve/api/plain.go
+++ b/serve/api/plain.go
@@ -32,11 +32,13 @@
 		return err
 	}
 	call := callOf(c, svc, who, raw)
-	run := func(keep keepFunc) error { return a.callPlain(c, who, svc.Name, call, keep) }
-	if who.kind.NeverTwice {
-		return a.once(c, who, append([]byte(call.Method+" "+call.Path+"?"+call.Query+"\n"), raw...), run)
+	if !who.kind.NeverTwice {
+		return a.callPlain(c, who, svc.Name, call, nil)
 	}
-	return run(nil)
+	fingerprint := append([]byte(call.Method+" "+svc.Name+call.Path+"?"+call.Query+"\n"), raw...)
+	return a.once(c, who, fingerprint, onceFuncs{
+		run: func(r *claimed) error { return a.callPlain(c, who, svc.Name, call, r.keep) },
+	})
 }
 
 // hopHeaders concern one connection or the caller's own credentials.
--- a/serve/api/session.go
+++ b/serve/api/session.go
@@ -31,6 +31,8 @@
 	prompt string
 	max    int64
 	sink   sink
+	// started is told where the answer is generated.
+	started func(engine, stream string)
 
 	next   int64
 	prior  int64
@@ -103,6 +105,9 @@
 	if st.Segment != nil && st.Segment.FromToken == 0 {
 		s.prior = 0
 	}
+	if s.started != nil && (st.Segment == nil || st.Segment.Last) {
+		s.started(st.Engine, dispatch.StreamID(st.ID, st.Attempt))
+	}
 	actx, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
 	go func() { s.done <- s.run(actx, cancel, st) }()
@@ -159,35 +164,47 @@
 	return s.prompt[from:to]
 }
 
-// chunk accepts the next piece of this attempt's answer. A chunk of another
-// stream, a doubled or a missing one would otherwise reach the caller as part
-// of a wrong answer; the number of chunks is checked at the end.
+// chunk accepts the next piece of this attempt's answer.
 func (s *session) chunk(st dispatch.Start, ch engine.Chunk) error {
-	if ch.ID != dispatch.StreamID(st.ID, st.Attempt) || ch.Attempt != st.Attempt {
-		return errCrossed
-	}
-	if ch.End {
-		if ch.Count != s.next {
-			return errGap
-		}
-		s.usage = usage{PromptTokens: s.prior + ch.Prompt, CompletionTokens: ch.Count, TotalTokens: s.prior + ch.Prompt + ch.Count}
-		s.usage.Details.CachedTokens = ch.Cached
-		return nil
-	}
+	next := s.next
+	text, err := accept(dispatch.StreamID(st.ID, st.Attempt), &s.next, ch)
 	switch {
-	case ch.Seq < s.next:
+	case err != nil:
+		return err
+	case ch.End:
+		s.usage = usageOf(s.prior, ch)
 		return nil
-	case ch.Seq > s.next:
-		return errGap
-	}
-	if s.next == 0 {
+	case s.next == next:
+		return nil
+	case next == 0:
 		s.disp.Report(dispatch.StreamFirst{ID: st.ID, Attempt: st.Attempt, Cached: ch.Cached})
 	}
-	s.next++
-	if err := s.sink.token(ch.Text); err != nil {
-		return errors.Mark(err, errCaller)
-	}
-	return nil
+	return errors.Mark(s.sink.token(text), errCaller)
+}
+
+// accept checks that a chunk is the next of its stream and advances next. A
+// chunk of another stream, a doubled or a missing one would otherwise reach
+// the caller as part of a wrong answer; the number of chunks is checked at the
+// end.
+func accept(stream string, next *int64, ch engine.Chunk) (string, error) {
+	switch {
+	case ch.ID != stream:
+		return "", errCrossed
+	case ch.End && ch.Count != *next:
+		return "", errGap
+	case ch.End, ch.Seq < *next:
+		return "", nil
+	case ch.Seq > *next:
+		return "", errGap
+	}
+	*next++
+	return ch.Text, nil
+}
+
+func usageOf(prior int64, ch engine.Chunk) usage {
+	u := usage{PromptTokens: prior + ch.Prompt, CompletionTokens: ch.Count, TotalTokens: prior + ch.Prompt + ch.Count}
+	u.Details.CachedTokens = ch.Cached
+	return u
 }
 
 // settle reports an attempt's end and returns true when the answer is shown.
--- a/serve/api/sink.go
+++ b/serve/api/sink.go
@@ -68,7 +68,7 @@
 	env envelope
 	buf strings.Builder
 	// keep receives the answer for the record of a claimed key.
-	keep func(status int, contentType string, body []byte)
+	keep keepFunc
 }
 
 func (s *wholeSink) token(text string) error { s.buf.WriteString(text); return nil }
@@ -86,6 +86,20 @@
 	return s.c.Blob(http.StatusOK, echo.MIMEApplicationJSON, raw)
 }
 
+// detachedSink goes on when the caller is gone: the answer of a claimed key is
+// kept for the caller's next try.
+type detachedSink struct{ sink }
+
+func (s detachedSink) token(text string) error {
+	_ = s.sink.token(text)
+	return nil
+}
+
+func (s detachedSink) finish(u usage) error {
+	_ = s.sink.finish(u)
+	return nil
+}
+
 func (s *wholeSink) fail(e *result.Error) error { return e }
 
 // sseSink streams the answer as server-sent events.
@@ -95,7 +109,7 @@
 	usage   bool
 	started bool
 	buf     strings.Builder
-	keep    func(status int, contentType string, body []byte)
+	keep    keepFunc
 }
 
 // maxKept bounds the part of a streamed answer kept for a claimed key.
