Measure the decisions in virtual time; queue a gang's parts when their turn comes

Cause: at 0.8 of capacity short requests were slowed 5.2 times by long ones (p99 2205 ms against 425 ms). The decision records showed short requests placed on engines predicted idle: a gang's part was granted with the rank of its reservation and credited with progress while it still waited for the parts before it, so it later ran ahead of everything, unpredicted. Ruled out: the order of short requests among themselves (the p50 was unchanged). Change: a part gets its memory first and its turn in a second grant, ranked from then; hung engines are found by their step counter instead of a timeout per attempt, which had failed 14 waiting requests; gangs ask for predictions and form until their time is up.

--- /dev/null
+++ b/bench/policy.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/auburnmoor/auburnmoor/dispatch"
+)
+
+// Policy is a way to run a site: the product's, a variant of it or a baseline.
+type Policy struct {
+	Name  string
+	About string
+	// New returns the machine of one entry.
+	New func(name string, seed uint64) dispatch.Machine
+	// ReportAll sends every load report to every entry.
+	ReportAll bool
+}
+
+var policies = map[string]Policy{}
+
+// RegisterPolicy adds a policy; a duplicate is a defect.
+func RegisterPolicy(p Policy) {
+	if _, ok := policies[p.Name]; ok {
+		panic(fmt.Sprintf("bench: policy %q registered twice", p.Name))
+	}
+	policies[p.Name] = p
+}
+
+// PolicyNames lists the registered policies.
+func PolicyNames() []string {
+	var out []string
+	for n := range policies {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Product is the name of the policy that the daemon runs.
+const Product = "auburnmoor"
+
+func variant(change func(*dispatch.Config)) func(string, uint64) dispatch.Machine {
+	return func(name string, seed uint64) dispatch.Machine {
+		cfg := dispatch.DefaultConfig()
+		change(&cfg)
+		return dispatch.NewNode(name, cfg, seed)
+	}
+}
+
+func init() {
+	RegisterPolicy(Policy{Name: Product, About: "what the daemon runs", New: variant(func(*dispatch.Config) {})})
+	RegisterPolicy(Policy{Name: "round-robin", About: "entries take engines in turn, engines run in order of arrival", New: newBaseline(pickRoundRobin)})
+	RegisterPolicy(Policy{Name: "least-outstanding", About: "entries take the engine with the fewest of their own requests", New: newBaseline(pickLeastOutstanding)})
+	RegisterPolicy(Policy{Name: "two-reports", About: "power of two choices on lagging load reports", New: newBaseline(pickTwoReports), ReportAll: true})
+	for _, order := range []string{"fcfs", "shortest", "slack"} {
+		RegisterPolicy(Policy{Name: "order-" + order, About: "the product with the order " + order,
+			New: variant(func(c *dispatch.Config) { c.Sched.Order = order })})
+	}
+	RegisterPolicy(Policy{Name: "no-affinity", About: "the product without prefix affinity",
+		New: variant(func(c *dispatch.Config) { c.Sched.Affinity = false })})
+	RegisterPolicy(Policy{Name: "one-candidate", About: "the product asking one engine only",
+		New: variant(func(c *dispatch.Config) { c.Candidates = 1 })})
+	RegisterPolicy(Policy{Name: "two-candidates", About: "the product asking two engines",
+		New: variant(func(c *dispatch.Config) { c.Candidates = 2 })})
+	RegisterPolicy(Policy{Name: "no-headroom", About: "the product without memory kept for short requests",
+		New: variant(func(c *dispatch.Config) { c.Sched.Headroom = 0 })})
+}
--- /dev/null
+++ b/bench/summary.go
@@ -0,0 +1,179 @@
+package bench
+
+import (
+	"slices"
+	"time"
+)
+
+// Summary is what one run measured. Durations are in milliseconds.
+type Summary struct {
+	Scenario string       `json:"scenario"`
+	Policy   string       `json:"policy"`
+	Factor   float64      `json:"factor"`
+	Requests int          `json:"requests"`
+	Classes  []ClassStats `json:"classes"`
+	// ShortFirstMS is the p99 time to first token of short requests, AloneMS
+	// the same without the long prompts, and Slowdown their ratio.
+	ShortP99MS float64 `json:"short_p99_ms"`
+	AloneMS    float64 `json:"short_alone_p99_ms"`
+	Slowdown   float64 `json:"short_slowdown"`
+	// ShortWithin is the share of answered shorts with a first token in 1 s.
+	ShortWithin float64 `json:"short_within_1s"`
+	AllP95MS    float64 `json:"all_p95_ms"`
+	// Admitted counts requests not refused as not run; InTime is the share of
+	// them that finished in their time, and Late counts answers after it.
+	Admitted     int            `json:"admitted"`
+	InTime       float64        `json:"in_time"`
+	Late         int            `json:"late"`
+	Unanswered   int            `json:"unanswered"`
+	Refusals     map[string]int `json:"refusals"`
+	Failures     map[string]int `json:"failures"`
+	WorstLongMS  float64        `json:"worst_long_ms"`
+	Goodput      float64        `json:"goodput_tokens_per_s"`
+	WastedTokens int64          `json:"wasted_prefill_tokens"`
+	MemoryLeft   int64          `json:"kv_left"`
+	Reserved     int64          `json:"kv_reserved_left"`
+	RefusedP99MS float64        `json:"refused_p99_ms"`
+	Messages     float64        `json:"messages_per_request"`
+	Bytes        float64        `json:"bytes_per_request"`
+	Twice        int            `json:"non_repeatable_dispatched_twice"`
+}
+
+// ClassStats are the times to first token of one class in milliseconds.
+type ClassStats struct {
+	Class    Class   `json:"class"`
+	Answered int     `json:"answered"`
+	P50MS    float64 `json:"p50_ms"`
+	P95MS    float64 `json:"p95_ms"`
+	P99MS    float64 `json:"p99_ms"`
+}
+
+// Everything keeps every source of a mix; NoLong leaves out the long prompts.
+func Everything(Source) bool { return true }
+
+// NoLong keeps the sources whose prompts stay below 100k tokens.
+func NoLong(s Source) bool { return s.Max <= 100_000 }
+
+// grace is the lateness that a tick and a hop explain.
+const grace = 50 * time.Millisecond
+
+// Measure runs a scenario under a policy, and once more without the long
+// prompts for the slowdown.
+func Measure(s Scenario, p Policy, set Settings) Summary {
+	l := Execute(s, p, set, Everything)
+	sum := summarize(l)
+	sum.Scenario, sum.Policy, sum.Factor = s.Name, p.Name, set.Factor
+	alone := s
+	alone.Prepare = nil
+	sum.AloneMS = quantile(firsts(Execute(alone, p, set, NoLong), Short), 0.99)
+	if sum.AloneMS > 0 {
+		sum.Slowdown = sum.ShortP99MS / sum.AloneMS
+	}
+	return sum
+}
+
+func summarize(l *Loop) Summary {
+	s := Summary{Requests: len(l.outcomes), Refusals: map[string]int{}, Failures: map[string]int{}}
+	for _, c := range Classes {
+		f := firsts(l, c)
+		s.Classes = append(s.Classes, ClassStats{Class: c, Answered: len(f), P50MS: quantile(f, 0.5), P95MS: quantile(f, 0.95), P99MS: quantile(f, 0.99)})
+	}
+	s.ShortP99MS = quantile(firsts(l, Short), 0.99)
+	s.AllP95MS = quantile(firsts(l, Classes...), 0.95)
+	s.ShortWithin = within(firsts(l, Short), 1000)
+	s.count(l)
+	for _, e := range l.engines {
+		s.MemoryLeft += e.core.Held()
+	}
+	for _, m := range l.machines {
+		if n, ok := m.(interface{ Load() (int, int64) }); ok {
+			_, memory := n.Load()
+			s.Reserved += memory
+		}
+	}
+	if s.Requests > 0 {
+		s.Messages = float64(l.Messages) / float64(s.Requests)
+		s.Bytes = float64(l.Bytes) / float64(s.Requests)
+	}
+	return s
+}
+
+func (s *Summary) count(l *Loop) {
+	inTime, good := 0, int64(0)
+	var refused []float64
+	last := time.Duration(0)
+	computed, useful := int64(0), int64(0)
+	for _, e := range l.engines {
+		computed += e.core.Prefilled()
+	}
+	for _, o := range l.outcomes {
+		took := o.End - o.At
+		limit := time.Duration(o.Job.RemainingUs) * time.Microsecond
+		if o.Once && o.Dispatched > 1 && o.Job.Gang == 0 {
+			s.Twice++
+		}
+		switch {
+		case o.End == 0:
+			s.Unanswered++
+		case o.Answered:
+			s.Admitted++
+			last = max(last, o.End)
+			useful += o.Job.PromptTokens
+			if took > limit+grace {
+				s.Late++
+				continue
+			}
+			inTime++
+			good += o.Job.PromptTokens + o.Job.MaxTokens
+			if o.Class.IsLong() {
+				s.WorstLongMS = max(s.WorstLongMS, ms(took))
+			}
+		case o.NotRun:
+			s.Refusals[o.Code.String()]++
+			refused = append(refused, ms(took))
+		default:
+			s.Admitted++
+			s.Failures[o.Code.String()]++
+			if took > limit+grace {
+				s.Late++
+			}
+		}
+	}
+	if s.Admitted > 0 {
+		s.InTime = float64(inTime) / float64(s.Admitted)
+	}
+	if last > 0 {
+		s.Goodput = float64(good) / last.Seconds()
+	}
+	s.WastedTokens = max(0, computed-useful)
+	s.RefusedP99MS = quantile(refused, 0.99)
+}
+
+func firsts(l *Loop, classes ...Class) []float64 {
+	var out []float64
+	for _, o := range l.outcomes {
+		if o.Answered && slices.Contains(classes, o.Class) {
+			out = append(out, ms(o.First-o.At))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func within(sorted []float64, limit float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	n, _ := slices.BinarySearch(sorted, limit)
+	return float64(n) / float64(len(sorted))
+}
+
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[min(len(v)-1, int(q*float64(len(v))))]
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -30,6 +30,7 @@
 	Manifest manifestCmd `cmd:"" help:"Work with manifests."`
 	Apply    applyCmd    `cmd:"" help:"Have a manifest accepted as the configuration in force."`
 	Status   statusCmd   `cmd:"" help:"Show what entry instances hold."`
+	Bench    benchCmd    `cmd:"" help:"Run the experiments in virtual time."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -22,58 +22,66 @@
 // leaves room for the small requests that share the engine.
 const gangFill = 0.85
 
-// maxGangTries bounds how often a gang is formed anew.
-const maxGangTries = 6
+// gangChoice is how many engines are asked for each one that is needed, so
+// that a gang can avoid those with little memory free.
+const gangChoice = 2
 
-func (n *Node) startGang(now time.Duration, r *request) {
-	members := n.pickGang(r)
-	if members == nil {
+// askGang asks the larger engines when they could hold a segment.
+func (n *Node) askGang(now time.Duration, r *request, p *pool) {
+	drawn := slices.Clone(p.engines)
+	n.rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	slices.SortStableFunc(drawn, func(a, b *EngineInfo) int { return cmp.Compare(b.KVTotal, a.KVTotal) })
+	enough := gangSize(r, drawn)
+	if enough == 0 {
 		n.fail(now, r, refusal(result.TooLongForFleet, 0, "no set of engines can hold %d tokens", r.job.PromptTokens+r.job.MaxTokens))
 		return
 	}
-	n.counts.Gangs++
+	drawn = drawn[:min(len(drawn), gangChoice*enough)]
 	r.attempt++
-	r.job.Gang = uint32(len(members))
-	r.state = reserving
-	r.parts = n.segments(now, r, members)
-	for _, p := range r.parts {
-		n.parts[p.id] = p
-	}
-	n.acquire(now, r.parts[0])
+	job := r.budget(now)
+	job.Prefix = nil
+	job.HoldTokens = capacity(drawn[len(drawn)-1])
+	job.PromptTokens, job.MaxTokens = job.HoldTokens, 0
+	n.sendQuotes(r, job, drawn)
 }
 
-// pickGang draws engines, the larger ones first, until they can hold the
-// prompt, and returns them in the global order of acquisition.
-func (n *Node) pickGang(r *request) []*EngineInfo {
-	pool := n.dir.pools[r.job.Model]
-	if pool == nil {
-		return nil
-	}
-	drawn := slices.Clone(pool.engines)
-	n.rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
-	slices.SortStableFunc(drawn, func(a, b *EngineInfo) int {
-		if c := cmp.Compare(btoi(r.tried[a.Name]), btoi(r.tried[b.Name])); c != 0 {
-			return c
-		}
-		return cmp.Compare(b.KVTotal, a.KVTotal)
-	})
+// gangSize returns how many of the engines in this order hold the prompt, or
+// zero if all together cannot.
+func gangSize(r *request, engines []*EngineInfo) int {
 	need := r.job.PromptTokens + r.job.MaxTokens
-	for i, e := range drawn {
-		need -= capacity(e)
-		if need <= 0 {
-			members := drawn[:i+1]
-			slices.SortFunc(members, func(a, b *EngineInfo) int { return cmp.Compare(a.Name, b.Name) })
-			return members
+	for i, e := range engines {
+		if need -= capacity(e); need <= 0 {
+			return i + 1
 		}
 	}
-	return nil
+	return 0
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
+// formGang takes the engines that are free first and reserves them in the
+// global order.
+func (n *Node) formGang(now time.Duration, r *request) {
+	slices.SortStableFunc(r.quotes, func(a, b quote) int { return cmp.Compare(a.first, b.first) })
+	var free []*EngineInfo
+	for _, q := range r.quotes {
+		if e := n.dir.byName[q.engine]; e != nil && q.code == result.OK {
+			free = append(free, e)
+		}
 	}
-	return 0
+	size := gangSize(r, free)
+	if size == 0 {
+		n.gangLater(now, r, "too few engines are free")
+		return
+	}
+	members := free[:size]
+	slices.SortFunc(members, func(a, b *EngineInfo) int { return cmp.Compare(a.Name, b.Name) })
+	n.counts.Gangs++
+	r.job.Gang = uint32(size)
+	r.state = reserving
+	r.parts = n.segments(now, r, members)
+	for _, p := range r.parts {
+		n.parts[p.id] = p
+	}
+	n.acquire(now, r.parts[0])
 }
 
 func capacity(e *EngineInfo) int64 { return int64(gangFill * float64(e.KVTotal)) }
@@ -116,14 +124,25 @@
 }
 
 // gangGranted takes the next engine, or starts the first segment when every
-// engine is reserved.
+// engine is reserved. The second grant of a part lets it run.
 func (n *Node) gangGranted(now time.Duration, p *part) {
+	if p.ready {
+		n.startSegment(now, p)
+		return
+	}
 	p.giveUpAt = 0
 	if p.index+1 < len(p.req.parts) {
 		n.acquire(now, p.req.parts[p.index+1])
 		return
 	}
-	n.startSegment(now, p.req.parts[0])
+	n.readySegment(p.req.parts[0])
+}
+
+// readySegment asks the owner for the turn of a part whose predecessors are
+// complete.
+func (n *Node) readySegment(p *part) {
+	p.ready, p.state = true, partWaiting
+	n.progress(p, peerpb.Stage_STAGE_READY)
 }
 
 func (n *Node) startSegment(now time.Duration, p *part) {
@@ -132,9 +151,6 @@
 		seg.Import = append(seg.Import, engine.Handle{Engine: o.engine, ID: o.stream(), Tokens: o.to - o.from})
 	}
 	n.start(now, p, seg)
-	// A segment waits behind short requests that arrive later, so only the
-	// request's deadline bounds it.
-	p.giveUpAt = 0
 }
 
 func (n *Node) streamHeld(now time.Duration, ev StreamHeld) {
@@ -146,7 +162,7 @@
 	p.giveUpAt = 0
 	n.progress(p, peerpb.Stage_STAGE_FIRST_TOKEN)
 	if p.index+1 < len(p.req.parts) {
-		n.startSegment(now, p.req.parts[p.index+1])
+		n.readySegment(p.req.parts[p.index+1])
 	}
 }
 
@@ -154,11 +170,20 @@
 func (n *Node) retryGang(now time.Duration, r *request, why string) {
 	r.record.verdict(why)
 	n.release(r, peerpb.Stage_STAGE_CANCELLED)
-	r.round++
-	if r.round >= maxGangTries {
-		n.giveUp(now, r)
-		return
-	}
 	n.counts.Retries++
-	n.pause(now, r, retry.Backoff(n.rand, 10*retryBase, retryLimit, r.round))
+	n.gangLater(now, r, why)
+}
+
+// Delays between two tries to form a gang.
+const (
+	gangRetryBase  = 200 * time.Millisecond
+	gangRetryLimit = 5 * time.Second
+)
+
+// gangLater tries again until the request's time is up: such a request may
+// wait, and no other engine could take it.
+func (n *Node) gangLater(now time.Duration, r *request, why string) {
+	r.record.candidate("", 0, why)
+	r.round++
+	n.pause(now, r, retry.Backoff(n.rand, gangRetryBase, gangRetryLimit, r.round))
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -26,9 +26,6 @@
 	// RenewEvery is the period of reservation renewals; it must be well below
 	// Sched.Expiry.
 	RenewEvery time.Duration
-	// FirstTokenFloor is the least time an engine gets for a first token
-	// before the attempt counts as hung.
-	FirstTokenFloor time.Duration
 	// GangPatience bounds how long the engines reserved first wait for the rest.
 	GangPatience time.Duration
 }
@@ -38,7 +35,7 @@
 	return Config{
 		Sched: sched.DefaultConfig(), Candidates: 3, QuoteTimeout: 50 * time.Millisecond, Rounds: 2,
 		RetryShare: 0.1, EjectShare: 0.3, RenewEvery: 2 * time.Second,
-		FirstTokenFloor: 2 * time.Second, GangPatience: 10 * time.Second,
+		GangPatience: 10 * time.Second,
 	}
 }
 
@@ -53,12 +50,16 @@
 	health   *health.Tracker
 	requests map[string]*request
 	parts    map[string]*part
-	budget   *retry.Budget
-	records  records
-	renewAt  time.Duration
-	counts   Counts
-	out      []Action
-	inbox    []*peerpb.Envelope
+	// active and engines fix the order of iteration, so that a run with the
+	// same seed decides the same.
+	active  []*request
+	engines []*sched.Engine
+	budget  *retry.Budget
+	records records
+	renewAt time.Duration
+	counts  Counts
+	out     []Action
+	inbox   []*peerpb.Envelope
 }
 
 // Counts are totals since the start.
@@ -157,19 +158,31 @@
 func (n *Node) act(a Action) { n.out = append(n.out, a) }
 
 func (n *Node) tick(now time.Duration) {
-	for _, r := range n.requests {
-		n.checkRequest(now, r)
-	}
+	n.checkRequests(now)
 	if now >= n.renewAt {
 		n.renewAt = now + n.cfg.RenewEvery
 		n.renewAll(func(*part) bool { return true })
 	}
-	for _, e := range n.owned {
+	for _, e := range n.engines {
 		e.Tick(now)
 		n.flushGrants(now, e)
 	}
 }
 
+func (n *Node) checkRequests(now time.Duration) {
+	kept := n.active[:0]
+	for _, r := range n.active {
+		if n.requests[r.job.Id] == r {
+			n.checkRequest(now, r)
+		}
+		if n.requests[r.job.Id] == r {
+			kept = append(kept, r)
+		}
+	}
+	clear(n.active[len(kept):])
+	n.active = kept
+}
+
 // SetLimits takes over the limits of a new configuration.
 func (n *Node) SetLimits(retryShare, ejectShare float64) {
 	if retryShare != n.cfg.RetryShare {
@@ -192,7 +205,7 @@
 // Dump returns a copy of the node's state that is bounded in size.
 func (n *Node) Dump() Dump {
 	d := Dump{Self: n.self, Counts: n.counts, Engines: len(n.dir.byName), Requests: len(n.requests), Parts: len(n.parts)}
-	for _, e := range n.owned {
+	for _, e := range n.engines {
 		d.Owned = append(d.Owned, e.Dump())
 	}
 	for _, r := range n.records.list() {
@@ -204,7 +217,7 @@
 // Load returns the number of unfinished requests and the KV tokens that this
 // node accounts for, for invariant checks.
 func (n *Node) Load() (requests int, memory int64) {
-	for _, e := range n.owned {
+	for _, e := range n.engines {
 		memory += e.Memory()
 	}
 	return len(n.requests), memory
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -25,6 +25,12 @@
 			n.disown(name)
 		}
 	}
+	n.engines = n.engines[:0]
+	for _, e := range d.Engines {
+		if o := n.owned[e.Name]; o != nil {
+			n.engines = append(n.engines, o)
+		}
+	}
 	// A new owner knows nothing of what runs; it learns it from the entries at
 	// once instead of at the next renewal.
 	n.renewAll(func(p *part) bool {
@@ -61,7 +67,7 @@
 }
 
 func (n *Node) turnAway(now time.Duration, name string) {
-	for _, g := range n.owned[name].DropQueued(now) {
+	for _, g := range n.owned[name].DropPending(now) {
 		n.send(g.Entry, &peerpb.Envelope{Body: &peerpb.Envelope_ReserveReply{ReserveReply: &peerpb.ReserveReply{
 			Engine: name, Id: g.ID, Attempt: g.Attempt, Refusal: uint32(result.NoBackend),
 		}}})
@@ -75,6 +81,10 @@
 	}
 	e.Load(now, ev.Report)
 	e.Events(ev.Events)
+	if e.Hung() {
+		n.turnAway(now, ev.Report.Engine)
+		return
+	}
 	n.flushGrants(now, e)
 }
 
@@ -89,7 +99,7 @@
 
 // unusable returns why an owned engine takes no new work.
 func (n *Node) unusable(now time.Duration, name string) bool {
-	return n.leaving[name] || !n.health.Usable(now, name)
+	return n.leaving[name] || n.owned[name].Hung() || !n.health.Usable(now, name)
 }
 
 func (n *Node) onQuoteRequest(now time.Duration, from string, q *peerpb.QuoteRequest) {
@@ -135,12 +145,16 @@
 		return
 	}
 	for _, g := range e.Grants(now) {
-		n.send(g.Entry, &peerpb.Envelope{Body: &peerpb.Envelope_Grant{Grant: &peerpb.Grant{
-			Engine: e.Name, Id: g.ID, Attempt: g.Attempt, Priority: g.Priority,
-		}}})
+		n.sendGrant(e.Name, g)
 	}
 }
 
+func (n *Node) sendGrant(engine string, g sched.Grant) {
+	n.send(g.Entry, &peerpb.Envelope{Body: &peerpb.Envelope_Grant{Grant: &peerpb.Grant{
+		Engine: engine, Id: g.ID, Attempt: g.Attempt, Priority: g.Priority,
+	}}})
+}
+
 func (n *Node) onProgress(now time.Duration, p *peerpb.Progress) {
 	e := n.owned[p.Engine]
 	if e == nil {
@@ -151,6 +165,7 @@
 		n.health.Failure(now, p.Engine)
 	case peerpb.Stage_STAGE_FIRST_TOKEN, peerpb.Stage_STAGE_DONE:
 		n.health.Success(p.Engine)
+	case peerpb.Stage_STAGE_READY:
 	default:
 		n.health.Abandon(p.Engine)
 	}
@@ -164,7 +179,9 @@
 		return
 	}
 	for _, item := range m.Items {
-		e.Renew(now, from, item)
+		if g, again := e.Renew(now, from, item); again {
+			n.sendGrant(e.Name, g)
+		}
 	}
 	n.flushGrants(now, e)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -19,8 +19,10 @@
 
 // request is one caller's request until its answer or failure.
 type request struct {
-	job      *peerpb.Job
-	once     bool
+	job  *peerpb.Job
+	once bool
+	// wide marks a prompt that needs more than one engine.
+	wide     bool
 	state    requestState
 	deadline time.Duration
 	attempt  uint32
@@ -63,12 +65,14 @@
 // part is the work of a request on one engine. Most requests have one; a
 // prompt larger than an engine's memory has several.
 type part struct {
-	req      *request
-	id       string
-	index    int
-	job      *peerpb.Job
-	engine   string
-	state    partState
+	req    *request
+	id     string
+	index  int
+	job    *peerpb.Job
+	engine string
+	state  partState
+	// ready marks a gang's part that waits for its turn, or runs.
+	ready    bool
 	priority int64
 	giveUpAt time.Duration
 	expected time.Duration
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -10,11 +10,10 @@
 
 // Delays of the router.
 const (
-	retryBase     = 10 * time.Millisecond
-	retryLimit    = 2 * time.Second
-	silentRounds  = 4
-	maxResumes    = 3
-	patienceFloor = time.Second
+	retryBase    = 10 * time.Millisecond
+	retryLimit   = 2 * time.Second
+	silentRounds = 4
+	maxResumes   = 3
 )
 
 func (n *Node) arrive(now time.Duration, ev Arrive) {
@@ -22,14 +21,14 @@
 	r := &request{job: ev.Job, once: ev.Once, deadline: now + usDuration(ev.Job.RemainingUs), tried: map[string]bool{}}
 	r.record = n.records.open(now, r)
 	n.requests[r.job.Id] = r
+	n.active = append(n.active, r)
 	p := n.dir.pools[r.job.Model]
 	if p == nil {
 		n.fail(now, r, refusal(result.NoBackend, time.Second, "no engine serves %s", r.job.Model))
 		return
 	}
 	if largest := p.largest(); largest > 0 && r.job.PromptTokens+r.job.MaxTokens > largest {
-		n.startGang(now, r)
-		return
+		r.wide = true
 	}
 	n.ask(now, r)
 }
@@ -45,6 +44,10 @@
 		n.giveUp(now, r)
 		return
 	}
+	if r.wide {
+		n.askGang(now, r, p)
+		return
+	}
 	need := r.job.PromptTokens + r.job.MaxTokens
 	var buf [4]*EngineInfo
 	picked := p.candidates(buf[:0], r.job, n.cfg.Candidates, n.rand, func(e *EngineInfo) bool {
@@ -55,9 +58,12 @@
 		return
 	}
 	r.attempt++
-	job := r.budget(now)
-	r.asked = len(picked)
-	for _, e := range picked {
+	n.sendQuotes(r, r.budget(now), picked)
+}
+
+func (n *Node) sendQuotes(r *request, job *peerpb.Job, engines []*EngineInfo) {
+	r.asked = len(engines)
+	for _, e := range engines {
 		n.send(e.Owner, &peerpb.Envelope{Body: &peerpb.Envelope_QuoteRequest{QuoteRequest: &peerpb.QuoteRequest{Engine: e.Name, Job: job}}})
 	}
 }
@@ -84,6 +90,10 @@
 
 // choose reserves at the candidate with the earliest predicted first token.
 func (n *Node) choose(now time.Duration, r *request) {
+	if r.wide {
+		n.formGang(now, r)
+		return
+	}
 	best := -1
 	for i, q := range r.quotes {
 		if q.used || q.code != result.OK {
@@ -152,7 +162,6 @@
 	r.state = reserving
 	job := r.budget(now)
 	p := &part{req: r, id: job.Id, job: job, engine: engine, expected: first}
-	p.giveUpAt = now + 2*first + patienceFloor
 	r.parts = append(r.parts[:0], p)
 	n.parts[p.id] = p
 	n.sendReserve(p)
@@ -171,11 +180,15 @@
 
 func (n *Node) onReserveReply(now time.Duration, m *peerpb.ReserveReply) {
 	p := n.parts[m.Id]
-	if p == nil || p.job.Attempt != m.Attempt || p.engine != m.Engine || p.state != partWaiting {
+	if p == nil || p.job.Attempt != m.Attempt || p.engine != m.Engine {
 		n.counts.Stale++
 		return
 	}
-	if m.Queued {
+	if m.Queued || p.state > partStarted {
+		return
+	}
+	if p.state != partWaiting {
+		n.turnedAway(now, p)
 		return
 	}
 	r := p.req
@@ -192,6 +205,14 @@
 	n.choose(now, r)
 }
 
+// turnedAway leaves an engine that its owner found hung. A request that may
+// not be repeated stays: the engine may go on, and its stream with it.
+func (n *Node) turnedAway(now time.Duration, p *part) {
+	if !p.req.once {
+		n.attemptFailed(now, p, Refused, false)
+	}
+}
+
 // onGrant starts a granted part. A grant for anything else is returned, since
 // its owner has accounted memory for it.
 func (n *Node) onGrant(now time.Duration, from string, g *peerpb.Grant) {
@@ -217,7 +238,7 @@
 	r := p.req
 	r.state, r.sent = running, true
 	p.state = partStarted
-	p.giveUpAt = now + max(n.cfg.FirstTokenFloor, 4*p.expected)
+	p.giveUpAt = 0
 	r.record.attempt(now, p.engine, p.job.Attempt)
 	n.act(Start{Request: r.job.Id, ID: p.id, Attempt: p.job.Attempt, Engine: p.engine, Priority: p.priority, Segment: seg})
 }
@@ -228,7 +249,6 @@
 		return
 	}
 	p.state = partFirst
-	p.giveUpAt = p.req.deadline
 	n.progress(p, peerpb.Stage_STAGE_FIRST_TOKEN)
 }
 
@@ -318,53 +338,25 @@
 		}
 	case pausing:
 		if now >= r.wakeAt {
-			n.again(now, r)
+			n.ask(now, r)
 		}
 	default:
 		n.checkParts(now, r)
 	}
 }
 
-func (n *Node) again(now time.Duration, r *request) {
-	if r.job.Gang > 1 {
-		n.startGang(now, r)
-		return
-	}
-	n.ask(now, r)
-}
-
+// checkParts forms a gang anew when one of its engines is not granted in time.
+// A single part waits for its owner: a new owner learns of it by renewal, and
+// an owner that loses its engine turns it away.
 func (n *Node) checkParts(now time.Duration, r *request) {
 	for _, p := range r.parts {
-		if p.giveUpAt == 0 || now < p.giveUpAt {
-			continue
-		}
-		if p.state == partStarted {
-			n.attemptFailed(now, p, Refused, false)
-			return
-		}
-		if p.state == partWaiting {
-			n.impatient(now, p)
+		if p.state == partWaiting && p.giveUpAt > 0 && now >= p.giveUpAt {
+			n.retryGang(now, r, "not granted in time")
 			return
 		}
 	}
 }
 
-// impatient leaves an owner that neither granted nor refused in the predicted
-// time: it died, lost the engine, or predicted badly.
-func (n *Node) impatient(now time.Duration, p *part) {
-	r := p.req
-	if r.gang() {
-		n.retryGang(now, r, "not granted in time")
-		return
-	}
-	r.record.candidate(p.engine, p.expected, "not granted in time")
-	n.release(r, peerpb.Stage_STAGE_CANCELLED)
-	clear(r.tried)
-	r.tried[p.engine] = true
-	r.round = 0
-	n.ask(now, r)
-}
-
 func (n *Node) deadline(now time.Duration, r *request) {
 	n.counts.Deadlines++
 	if r.sent {
@@ -425,15 +417,21 @@
 // engine.
 func (n *Node) renewAll(match func(*part) bool) {
 	byEngine := map[string][]*peerpb.RenewItem{}
-	for _, p := range n.parts {
-		if p.state == partEnded || !match(p) {
-			continue
+	var order []string
+	for _, r := range n.active {
+		for _, p := range r.parts {
+			if p.state == partEnded || !match(p) {
+				continue
+			}
+			if byEngine[p.engine] == nil {
+				order = append(order, p.engine)
+			}
+			byEngine[p.engine] = append(byEngine[p.engine], &peerpb.RenewItem{
+				Job: p.job, Running: p.state >= partGranted, Ready: p.ready, FirstToken: p.state == partFirst,
+			})
 		}
-		byEngine[p.engine] = append(byEngine[p.engine], &peerpb.RenewItem{
-			Job: p.job, Running: p.state >= partGranted, FirstToken: p.state == partFirst,
-		})
 	}
-	for engine, items := range byEngine {
-		n.send(n.ownerOf(engine), &peerpb.Envelope{Body: &peerpb.Envelope_Renew{Renew: &peerpb.Renew{Engine: engine, Items: items}}})
+	for _, engine := range order {
+		n.send(n.ownerOf(engine), &peerpb.Envelope{Body: &peerpb.Envelope_Renew{Renew: &peerpb.Renew{Engine: engine, Items: byEngine[engine]}}})
 	}
 }
--- a/place/place.go
+++ b/place/place.go
@@ -83,3 +83,31 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
+
+// Assign gives every key an owner so that no member gets more than one key
+// above an even share. Keys are taken in order and go to their best member
+// that has room; a change of one member moves few keys beside its own. Plain
+// rendezvous hashing left one of three instances with five of six engines.
+func Assign(keys, members []string) map[string]string {
+	out := make(map[string]string, len(keys))
+	if len(members) == 0 {
+		return out
+	}
+	room := (len(keys) + len(members) - 1) / len(members)
+	load := make(map[string]int, len(members))
+	sorted := slices.Sorted(slices.Values(keys))
+	for _, k := range sorted {
+		best, owner := uint64(0), ""
+		for _, m := range members {
+			if load[m] >= room {
+				continue
+			}
+			if s := score(k, m); owner == "" || s > best || (s == best && m < owner) {
+				best, owner = s, m
+			}
+		}
+		out[k] = owner
+		load[owner]++
+	}
+	return out
+}
--- a/port/engine/engine.go
+++ b/port/engine/engine.go
@@ -67,8 +67,10 @@
 	AtMS    int64  `json:"at_ms"`
 	KVTotal int64  `json:"kv_total"`
 	KVUsed  int64  `json:"kv_used"`
-	Queued  int    `json:"queued"`
-	Running int    `json:"running"`
+	// Steps counts completed steps; it stands still when the engine hangs.
+	Steps   int64 `json:"steps"`
+	Queued  int   `json:"queued"`
+	Running int   `json:"running"`
 	// PrefillPerSecond is the recent rate while busy, StepMS the recent step time.
 	PrefillPerSecond float64       `json:"prefill_per_second"`
 	StepMS           float64       `json:"step_ms"`
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -57,14 +57,17 @@
 )
 
 type reservation struct {
-	job      *peerpb.Job
-	entry    string
-	phase    phase
-	key      time.Duration
-	work     float64
-	left     float64
-	memory   int64
-	arrived  time.Duration
+	job    *peerpb.Job
+	entry  string
+	phase  phase
+	key    time.Duration
+	work   float64
+	left   float64
+	memory int64
+	// inMemory tells that memory is accounted for the reservation.
+	inMemory bool
+	// early marks a gang's part whose turn to run has not come.
+	early    bool
 	deadline time.Duration
 	expires  time.Duration
 	endsAt   time.Duration
@@ -95,6 +98,9 @@
 	cache   cacheIndex
 	shares  shareBook
 	at      time.Duration
+	steps   int64
+	movedAt time.Duration
+	hung    bool
 	counts  Counts
 }
 
@@ -131,11 +137,28 @@
 	if r.PrefillPerSecond > 0 {
 		e.rate = r.PrefillPerSecond
 	}
+	e.watchProgress(now, r)
 	if r.StepMS > 0 {
 		e.step = time.Duration(r.StepMS * float64(time.Millisecond))
 	}
 }
 
+// hungAfter is how long an engine with work may complete no step.
+const hungAfter = 2 * time.Second
+
+// watchProgress notices an engine that answers but does not work. It would
+// otherwise keep its requests until their deadlines; a request that only waits
+// for its turn must not be mistaken for one, so steps count, not answers.
+func (e *Engine) watchProgress(now time.Duration, r engine.Report) {
+	if r.Steps != e.steps || r.Running+r.Queued == 0 || e.movedAt == 0 {
+		e.steps, e.movedAt = r.Steps, now
+	}
+	e.hung = now-e.movedAt >= hungAfter
+}
+
+// Hung reports whether the engine completes no steps.
+func (e *Engine) Hung() bool { return e.hung }
+
 // Events takes over cache events.
 func (e *Engine) Events(events []engine.CacheEvent) { e.cache.apply(events) }
 
@@ -155,7 +178,7 @@
 		if done <= 0 {
 			return
 		}
-		if r.phase != granted {
+		if r.phase != granted || r.early {
 			continue
 		}
 		// A request keeps a little until its first token is reported.
@@ -187,20 +210,29 @@
 func (e *Engine) plan(now time.Duration, j *peerpb.Job) *reservation {
 	work := float64(j.PromptTokens - e.cached(j))
 	r := &reservation{
-		job: j, work: work, left: work, memory: memoryOf(j), arrived: now,
+		job: j, work: work, left: work, memory: memoryOf(j), early: j.Gang > 1,
 		deadline: now + us(j.RemainingUs),
 	}
-	prefill := e.seconds(work)
-	r.key = e.order.Key(Work{
-		Arrived: now, Target: us(j.TargetUs), Deadline: r.deadline,
-		Prefill: prefill, Total: prefill + e.generate(j),
-	})
-	if x := e.shares.excess(now, j.Customer, j.Weight); x > 0 {
-		r.key += time.Duration(x * float64(sharePenalty))
+	if r.early {
+		r.left = 0
 	}
+	r.key = e.key(now, r)
 	return r
 }
 
+// key ranks a reservation that could run from now on.
+func (e *Engine) key(now time.Duration, r *reservation) time.Duration {
+	prefill := e.seconds(r.work)
+	key := e.order.Key(Work{
+		Arrived: now, Target: us(r.job.TargetUs), Deadline: r.deadline,
+		Prefill: prefill, Total: prefill + e.generate(r.job),
+	})
+	if x := e.shares.excess(now, r.job.Customer, r.job.Weight); x > 0 {
+		key += time.Duration(x * float64(sharePenalty))
+	}
+	return key
+}
+
 // sharePenalty is the delay in rank of a customer that takes everything.
 const sharePenalty = 8 * time.Second
 
@@ -294,7 +326,7 @@
 			own += o.left
 		}
 	}
-	if e.seconds(total) < contended || own < total/2 {
+	if e.seconds(total) < contended || own < total/2 || own == total {
 		return false
 	}
 	return e.shares.excess(now, r.job.Customer, r.job.Weight) > 0
@@ -363,6 +395,10 @@
 func (e *Engine) insert(now time.Duration, r *reservation) {
 	r.expires = now + e.cfg.Expiry
 	e.byID[r.job.Id] = r
+	e.enqueue(r)
+}
+
+func (e *Engine) enqueue(r *reservation) {
 	i, _ := slices.BinarySearchFunc(e.pending, r, func(a, b *reservation) int {
 		if a.key <= b.key {
 			return -1
@@ -374,36 +410,54 @@
 
 // Grants returns the requests to start now: those with little granted work
 // ahead of them, as far as memory goes. A request that lacks memory blocks
-// larger keys that need as much, so it is not overtaken for ever.
+// larger keys that need as much, so it is not overtaken for ever. A gang's
+// part is granted twice: its memory first, and later its turn to run.
 func (e *Engine) Grants(now time.Duration) []Grant {
 	e.advance(now)
 	var out []Grant
 	ahead := 0.0
 	blocked := int64(0)
 	for _, r := range e.pending {
-		if e.seconds(ahead) > e.cfg.Window {
-			break
-		}
+		full := e.seconds(ahead) > e.cfg.Window
 		if r.phase == granted {
 			ahead += r.left
 			continue
 		}
-		if blocked > 0 && r.memory >= blocked {
+		if (full && !r.early) || (blocked > 0 && !r.inMemory && r.memory >= blocked) {
 			continue
 		}
-		if e.memory+r.memory > e.limit(r) {
+		if !r.inMemory && e.memory+r.memory > e.limit(r) {
 			blocked = r.memory
 			continue
 		}
-		r.phase = granted
-		e.memory += r.memory
-		e.counts.Granted++
+		out = append(out, e.grant(r))
 		ahead += r.left
-		out = append(out, Grant{Entry: r.entry, ID: r.job.Id, Attempt: r.job.Attempt, Priority: e.priority(r)})
 	}
 	return out
 }
 
+func (e *Engine) grant(r *reservation) Grant {
+	r.phase = granted
+	if !r.inMemory {
+		r.inMemory = true
+		e.memory += r.memory
+	}
+	e.counts.Granted++
+	return Grant{Entry: r.entry, ID: r.job.Id, Attempt: r.job.Attempt, Priority: e.priority(r)}
+}
+
+// ready queues a gang's part to run. Its rank counts from now: with that of
+// its reservation it would overtake everything that came since.
+func (e *Engine) ready(now time.Duration, r *reservation) {
+	if !r.early {
+		return
+	}
+	e.unqueue(r)
+	r.early, r.phase, r.left = false, queued, r.work
+	r.key = e.key(now, r)
+	e.enqueue(r)
+}
+
 // priority expresses the key in the engine's own clock, so that the requests
 // of a former owner and of this one are ranked alike.
 func (e *Engine) priority(r *reservation) int64 { return (r.key + e.offset).Microseconds() }
@@ -416,6 +470,8 @@
 		return
 	}
 	switch stage {
+	case peerpb.Stage_STAGE_READY:
+		e.ready(now, r)
 	case peerpb.Stage_STAGE_FIRST_TOKEN:
 		e.firstToken(now, r)
 	case peerpb.Stage_STAGE_DONE:
@@ -450,33 +506,54 @@
 	}
 	delete(e.byID, id)
 	e.unqueue(r)
-	if r.phase != queued {
+	if r.inMemory {
 		e.memory -= r.memory
 	}
 }
 
 // Renew keeps a reservation alive, or adopts it from a former owner. The entry
 // is the authority on what it runs, so a new owner's account becomes exact
-// within one renewal period.
-func (e *Engine) Renew(now time.Duration, entry string, item *peerpb.RenewItem) {
+// within one renewal period. It also repairs lost messages: a part whose turn
+// was not announced is queued, and a grant that did not arrive is returned to
+// be sent again.
+func (e *Engine) Renew(now time.Duration, entry string, item *peerpb.RenewItem) (lost Grant, again bool) {
 	e.advance(now)
-	if r, ok := e.byID[item.Job.Id]; ok && r.job.Attempt == item.Job.Attempt {
-		r.expires = now + e.cfg.Expiry
-		if item.FirstToken {
-			e.firstToken(now, r)
-		}
-		return
+	r, ok := e.byID[item.Job.Id]
+	if !ok || r.job.Attempt != item.Job.Attempt {
+		e.adopt(now, entry, item)
+		return Grant{}, false
+	}
+	r.expires = now + e.cfg.Expiry
+	if item.Ready {
+		e.ready(now, r)
+	}
+	if item.FirstToken {
+		e.firstToken(now, r)
+	}
+	if r.phase == granted && !item.Running {
+		return Grant{Entry: r.entry, ID: r.job.Id, Attempt: r.job.Attempt, Priority: e.priority(r)}, true
 	}
+	return Grant{}, false
+}
+
+func (e *Engine) adopt(now time.Duration, entry string, item *peerpb.RenewItem) {
 	e.drop(item.Job.Id)
 	r := e.plan(now, item.Job)
 	r.entry = entry
 	e.insert(now, r)
 	e.counts.Adopted++
+	if item.Ready {
+		e.ready(now, r)
+	}
+	if !item.Running && !item.Ready {
+		return
+	}
+	r.inMemory = true
+	e.memory += r.memory
 	if !item.Running {
 		return
 	}
 	r.phase = granted
-	e.memory += r.memory
 	if item.FirstToken {
 		e.firstToken(now, r)
 	}
@@ -535,12 +612,13 @@
 	return ok && r.phase == queued
 }
 
-// DropQueued removes the reservations that were not granted and returns them.
-func (e *Engine) DropQueued(now time.Duration) []Grant {
+// DropPending removes the reservations without a first token and returns them.
+// Granted ones are only included when the engine is hung.
+func (e *Engine) DropPending(now time.Duration) []Grant {
 	e.advance(now)
 	var out []Grant
 	for _, r := range slices.Clone(e.pending) {
-		if r.phase == queued {
+		if r.phase == queued || e.hung {
 			out = append(out, Grant{Entry: r.entry, ID: r.job.Id, Attempt: r.job.Attempt})
 			e.drop(r.job.Id)
 		}
--- a/sched/share.go
+++ b/sched/share.go
@@ -13,9 +13,10 @@
 const shareFloor = 1.0
 
 type use struct {
-	tokens float64
-	weight float64
-	at     time.Duration
+	customer string
+	tokens   float64
+	weight   float64
+	at       time.Duration
 }
 
 // shareBook tracks each active customer's recent use of one engine. Requests
@@ -23,6 +24,8 @@
 // holds it over the fleet, without a central counter.
 type shareBook struct {
 	customers map[string]*use
+	// order makes sums of floating-point numbers independent of map order.
+	order []*use
 }
 
 func newShareBook() shareBook { return shareBook{customers: map[string]*use{}} }
@@ -34,8 +37,9 @@
 func (b *shareBook) charge(now time.Duration, customer string, weight int64, tokens int64) {
 	u := b.customers[customer]
 	if u == nil {
-		u = &use{}
+		u = &use{customer: customer}
 		b.customers[customer] = u
+		b.order = append(b.order, u)
 	}
 	u.tokens = max(u.decayed(now), 0) + float64(tokens)
 	u.at = now
@@ -46,15 +50,18 @@
 // fair part, between 0 and 1; alone on the engine nobody exceeds.
 func (b *shareBook) excess(now time.Duration, customer string, weight int64) float64 {
 	total, weights := 0.0, 0.0
-	for name, u := range b.customers {
+	kept := b.order[:0]
+	for _, u := range b.order {
 		t := u.decayed(now)
-		if t < shareFloor && name != customer {
-			delete(b.customers, name)
+		if t < shareFloor && u.customer != customer {
+			delete(b.customers, u.customer)
 			continue
 		}
+		kept = append(kept, u)
 		total += t
 		weights += u.weight
 	}
+	b.order = kept
 	u := b.customers[customer]
 	if u == nil || total == 0 || len(b.customers) < 2 {
 		return 0
--- a/serve/dispatcher/dispatcher.go
+++ b/serve/dispatcher/dispatcher.go
@@ -209,12 +209,16 @@
 
 // replaceView turns a view of the fleet into a directory with owners.
 func (d *Dispatcher) replaceView(v members.View) {
-	owners := member.Owners(v.Alive)
+	names := make([]string, 0, len(v.Engines))
+	for _, e := range v.Engines {
+		names = append(names, e.Name)
+	}
+	owners := place.Assign(names, member.Owners(v.Alive))
 	dir := dispatch.Directory{}
 	addrs := map[string]string{}
 	var owned []string
 	for _, e := range v.Engines {
-		info := dispatch.EngineInfo{Name: e.Name, Owner: place.Owner(e.Name, owners), Leaving: e.Leaving}
+		info := dispatch.EngineInfo{Name: e.Name, Owner: owners[e.Name], Leaving: e.Leaving}
 		if e.State != nil {
 			info.Models, info.KVTotal = e.State.Models, e.State.KvTotal
 		}
--- a/standin/enginecore/core.go
+++ b/standin/enginecore/core.go
@@ -322,7 +322,7 @@
 func (c *Core) Report(now time.Duration) engine.Report {
 	r := engine.Report{
 		Engine: c.cfg.Name, AtMS: now.Milliseconds(), KVTotal: c.cfg.KVTokens, KVUsed: c.memUsed,
-		Queued: len(c.waiting), Running: len(c.running), Models: c.orders.models(now), Role: c.orders.role,
+		Steps: c.steps, Queued: len(c.waiting), Running: len(c.running), Models: c.orders.models(now), Role: c.orders.role,
 		Fence: c.orders.fence, Fencing: c.cfg.Fencing,
 	}
 	r.PrefillPerSecond, r.StepMS = c.recent.tokensPerSecond(), c.recent.stepMS()
