Give orders under a lease, roll versions out, cancel orphaned streams

Cause: engines kept what they were started with, and a stream whose instance died held its memory for ever. Change: one instance holds a lease with a fencing number and brings engines into line with the manifest; a version serves requests once as many engines have it as its predecessor; request ids carry instance, incarnation and time limit, and the owner of an engine cancels streams whose instance is gone.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -106,16 +106,10 @@
 }
 
 func (s *Site) startEngines(context.Context) error {
-	var models []string
-	for _, svc := range s.index.Manifest.Services {
-		if svc.Type == manifest.Model {
-			models = append(models, svc.Loaded())
-		}
-	}
 	for i := range s.opts.Engines {
 		cfg := enginecore.Config{
 			Name: fmt.Sprintf("engine-%d", i+1), KVTokens: enginecore.LargeKV, Assume: enginecore.Assumed(s.opts.StepFactor),
-			Fencing: i%2 == 0, ReportLag: 500 * time.Millisecond, EventLag: 300 * time.Millisecond, EventGap: 50, Models: models,
+			Fencing: i%2 == 0, ReportLag: 500 * time.Millisecond, EventLag: 300 * time.Millisecond, EventGap: 50,
 		}
 		if i%3 == 2 {
 			cfg.KVTokens = enginecore.SmallKV
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/settings"
@@ -55,6 +56,14 @@
 	return name
 }
 
+// SameModel reports whether loaded weights are some version of a service's
+// model and adapter.
+func SameModel(loaded string, s Service) bool {
+	name, rest, ok := strings.Cut(loaded, "@")
+	_, adapter, _ := strings.Cut(rest, "+")
+	return ok && name == s.ModelName && adapter == s.Adapter
+}
+
 // Kind is a class of request with its promise.
 type Kind struct {
 	Name string `toml:"name" validate:"required,max=64"`
--- a/modules/modules.go
+++ b/modules/modules.go
@@ -7,6 +7,8 @@
 	_ "github.com/auburnmoor/auburnmoor/control/claims"
 	_ "github.com/auburnmoor/auburnmoor/control/config"
 	_ "github.com/auburnmoor/auburnmoor/control/members"
+	_ "github.com/auburnmoor/auburnmoor/control/orders"
+	_ "github.com/auburnmoor/auburnmoor/control/reaper"
 	_ "github.com/auburnmoor/auburnmoor/peerlink"
 	_ "github.com/auburnmoor/auburnmoor/platform"
 	_ "github.com/auburnmoor/auburnmoor/serve/admin"
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -24,6 +23,7 @@
 	"github.com/auburnmoor/auburnmoor/control/config"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/manifest"
+	"github.com/auburnmoor/auburnmoor/orphan"
 	"github.com/auburnmoor/auburnmoor/port/service"
 	"github.com/auburnmoor/auburnmoor/result"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
@@ -145,18 +145,32 @@
 	return e
 }
 
-// identify gives each request its id. The id names the instance and its
-// incarnation, so that streams whose instance died can be told by their ids.
+// identify gives each request its id.
 func (a *API) identify(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		id := fmt.Sprintf("%s~%x~%d", a.self.Name, a.self.Incarnation, a.seq.Add(1))
-		c.Set(headerRequestID, id)
-		c.Response().Header().Set(headerRequestID, id)
 		c.Response().Header().Set(headerInstance, a.self.Name)
+		a.setID(c, caller{})
 		return next(c)
 	}
 }
 
+// setID names a request once its promise is known. The id names the instance,
+// its incarnation and the time limit, so that a stream whose instance died or
+// forgot it can be told by its id.
+func (a *API) setID(c echo.Context, who caller) {
+	seq, ok := c.Get(keySeq).(uint64)
+	if !ok {
+		seq = a.seq.Add(1)
+		c.Set(keySeq, seq)
+	}
+	id := orphan.Format(a.self.Name, a.self.Incarnation, seq, who.limit, who.kind.NeverTwice)
+	c.Set(headerRequestID, id)
+	c.Response().Header().Set(headerRequestID, id)
+}
+
+// keySeq is where a request's sequence number is kept.
+const keySeq = "auburnmoor-seq"
+
 func requestID(c echo.Context) string { return c.Get(headerRequestID).(string) }
 
 // Start implements auburnmoor.Starter.
--- a/serve/api/completion.go
+++ b/serve/api/completion.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	w := work{caller: who, svc: svc, req: req, prompt: prompt, max: max, chat: chat}
+	w := work{caller: who, model: a.readyModel(svc), svc: svc, req: req, prompt: prompt, max: max, chat: chat}
 	if !who.kind.NeverTwice {
 		return a.complete(c, w, nil)
 	}
@@ -49,7 +49,9 @@
 // work is a checked model request.
 type work struct {
 	caller
-	svc    manifest.Service
+	svc manifest.Service
+	// model is the loaded version that serves the request.
+	model  string
 	req    completionRequest
 	prompt string
 	max    int64
@@ -91,7 +93,7 @@
 
 func (a *API) complete(c echo.Context, w work, r *claimed) error {
 	job := &peerpb.Job{
-		Id: requestID(c), Customer: w.customer.Name, Model: w.svc.Loaded(),
+		Id: requestID(c), Customer: w.customer.Name, Model: w.model,
 		PromptTokens: int64(prefix.Tokens(len(w.prompt))), MaxTokens: w.max,
 		Prefix:      prefix.Sample(prefix.Chain(w.prompt)),
 		RemainingUs: w.limit.Microseconds(), TargetUs: w.kind.Target().Microseconds(),
@@ -102,7 +104,7 @@
 		return err
 	}
 	defer a.disp.Close(ticket)
-	s := &session{disp: a.disp, ticket: ticket, model: w.svc.Loaded(), prompt: w.prompt, max: w.max, sink: w.sink(c, r)}
+	s := &session{disp: a.disp, ticket: ticket, model: w.model, prompt: w.prompt, max: w.max, sink: w.sink(c, r)}
 	if r != nil {
 		s.started = r.started
 	}
@@ -112,3 +114,27 @@
 	a.countResult(result.OK)
 	return nil
 }
+
+// readyModel returns the version of a service's model to use. During a rollout
+// that is the former version until as many engines have the new one.
+func (a *API) readyModel(svc manifest.Service) string {
+	wanted := svc.Loaded()
+	ready := map[string]int{}
+	for _, e := range a.mem.View().Engines {
+		if e.State == nil || e.Leaving {
+			continue
+		}
+		for _, m := range e.State.Models {
+			if manifest.SameModel(m, svc) {
+				ready[m]++
+			}
+		}
+	}
+	best := wanted
+	for m, n := range ready {
+		if n > ready[best] || (n == ready[best] && best != wanted && m > best) {
+			best = m
+		}
+	}
+	return best
+}
--- a/serve/api/once.go
+++ b/serve/api/once.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/auburnmoor/auburnmoor/orphan"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/result"
@@ -119,17 +118,13 @@
 
 // instanceLives reports whether the process that issued a request id is a
 // live member.
-func (a *API) instanceLives(id string) bool {
-	parts := strings.Split(id, "~")
-	if len(parts) != 3 {
-		return false
-	}
-	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
-	if err != nil {
+func (a *API) instanceLives(request string) bool {
+	id, ok := orphan.Parse(request)
+	if !ok {
 		return false
 	}
 	for _, s := range a.mem.View().Alive {
-		if s.Name == parts[0] && s.Incarnation == incarnation {
+		if s.Name == id.Instance && s.Incarnation == id.Incarnation {
 			return true
 		}
 	}
--- a/serve/api/request.go
+++ b/serve/api/request.go
@@ -68,5 +68,6 @@
 	if kind.NeverTwice && who.key == "" {
 		return result.New(result.KeyRequired, "kind %s requires an %s", kind.Name, headerKey)
 	}
+	a.setID(c, *who)
 	return nil
 }
--- a/standin/platformserver/server.go
+++ b/standin/platformserver/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/auburnmoor/auburnmoor/port/instances"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
@@ -47,6 +48,7 @@
 	faults   Faults
 	counts   map[string]uint64
 	watching int
+	weights  *rate.Limiter
 }
 
 type listed struct {
@@ -59,6 +61,7 @@
 	return &Server{
 		addr: addr, lag: lag, objects: map[string]objectapi.Object{}, changed: make(chan struct{}),
 		list: map[string]instances.Instance{}, counts: map[string]uint64{},
+		weights: rate.NewLimiter(weightRate, weightBurst),
 	}
 }
 
@@ -79,6 +82,7 @@
 	e.GET("/instances", s.listInstances)
 	e.PUT("/instances/:name", s.putInstance)
 	e.DELETE("/instances/:name", s.removeInstance)
+	e.POST("/weights/:model", s.reserveWeights)
 	e.POST("/faults", s.setFaults)
 	e.GET("/counts", s.getCounts)
 	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
@@ -322,3 +326,17 @@
 }
 
 func (s *Server) getCounts(c echo.Context) error { return c.JSON(http.StatusOK, s.Counts()) }
+
+// Limits of the weight store: loads a second and at once.
+const (
+	weightRate  = 4
+	weightBurst = 4
+)
+
+// reserveWeights lets a load begin unless the rate is exceeded.
+func (s *Server) reserveWeights(c echo.Context) error {
+	if !s.weights.Allow() {
+		return c.NoContent(http.StatusTooManyRequests)
+	}
+	return c.NoContent(http.StatusOK)
+}
