--- a/cli/cli.go
+++ b/cli/cli.go
@@ -31,6 +31,7 @@
 	Apply    applyCmd    `cmd:"" help:"Have a manifest accepted as the configuration in force."`
 	Status   statusCmd   `cmd:"" help:"Show what entry instances hold."`
 	Bench    benchCmd    `cmd:"" help:"Run the experiments in virtual time."`
+	Load     loadCmd     `cmd:"" help:"Send a load to real addresses and check every answer."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- a/cli/dev.go
+++ b/cli/dev.go
@@ -15,6 +15,7 @@
 
 type devCmd struct {
 	Manifest   string  `default:"examples/te-puna.toml" type:"path" help:"Manifest to accept first."`
+	Entries    int     `default:"3" help:"Number of entry instances."`
 	StepFactor float64 `default:"0.25" help:"Scale of the assumed engine step times."`
 	BasePort   int     `default:"7001" help:"Port of the platform stand-in; the others follow from it."`
 	Log        bool    `help:"Print the instances' logs."`
@@ -30,7 +31,7 @@
 	if err != nil {
 		return usage(err)
 	}
-	o.Manifest, o.StepFactor, o.BasePort = raw, c.StepFactor, c.BasePort
+	o.Manifest, o.StepFactor, o.BasePort, o.Entries = raw, c.StepFactor, c.BasePort, c.Entries
 	if c.Log {
 		if o.Log, err = process.NewLog("console"); err != nil {
 			return err
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,261 @@
+// Package load sends a mix of requests to real addresses and checks every
+// answer. It is bounded in count, time and requests in flight.
+package load
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
+)
+
+// Options describe a run.
+type Options struct {
+	// Entries are the callers' addresses of entry instances to ask.
+	Entries []string
+	// Direct is the address of an engine that gets the same requests straight,
+	// side by side; empty for none.
+	Direct string
+	// DirectModel is the loaded version to name there.
+	DirectModel string
+	Key         string
+	Model       string
+	Kind        string
+	// Rate is in requests a second, Count and Duration bound the run.
+	Rate     float64
+	Count    int
+	Duration time.Duration
+	// MinTokens and MaxTokens bound the prompts, drawn log-uniformly; one in
+	// LongEvery is drawn between 100k and LongTokens.
+	MinTokens, MaxTokens int
+	LongEvery            int
+	LongTokens           int
+	Output               int64
+	Stream               bool
+	// Service is a plain service to call instead of a model.
+	Service string
+	// Repeat sends each call with an Idempotency-Key this often.
+	Repeat int
+	// InFlight bounds the requests at once; arrivals beyond it are counted as
+	// not sent.
+	InFlight int
+	Seed     uint64
+}
+
+// Target is where requests go.
+type Target string
+
+// The targets of a side-by-side run.
+const (
+	ThroughEntry Target = "entry"
+	StraightOn   Target = "direct"
+)
+
+// class is a group of prompt lengths.
+type class struct {
+	Name string
+	Max  int
+}
+
+var classes = []class{{"<=8k", 8_000}, {"<=32k", 32_000}, {"<=100k", 100_000}, {"<=480k", 480_000}, {">480k", math.MaxInt}}
+
+func classOf(tokens int) string {
+	for _, c := range classes {
+		if tokens <= c.Max {
+			return c.Name
+		}
+	}
+	return ""
+}
+
+// Bounds of the histograms in microseconds.
+const (
+	histMin    = 1
+	histMax    = int64(time.Hour / time.Microsecond)
+	histDigits = 3
+)
+
+// Result is what one target showed.
+type Result struct {
+	Sent     int
+	Answered int
+	// Wrong counts answers that are not the caller's own or not whole.
+	Wrong int
+	// Doubled counts keys that ran more than once.
+	Doubled int
+	Errors  map[string]int
+	First   map[string]*hdrhistogram.Histogram
+	Total   *hdrhistogram.Histogram
+}
+
+func newResult() *Result {
+	return &Result{Errors: map[string]int{}, First: map[string]*hdrhistogram.Histogram{}, Total: hdrhistogram.New(histMin, histMax, histDigits)}
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Options Options
+	Took    time.Duration
+	// NotSent counts arrivals beyond the bound of requests in flight.
+	NotSent int
+	Results map[Target]*Result
+}
+
+// Failed reports whether an answer was wrong, missing or doubled.
+func (r *Report) Failed() bool {
+	for _, x := range r.Results {
+		if x.Wrong > 0 || x.Doubled > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+type runner struct {
+	o      Options
+	client *client
+	mu     sync.Mutex
+	report *Report
+	runs   map[string]string
+}
+
+// Run sends the load and waits for every answer.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	r := &runner{o: o, client: newClient(o), runs: map[string]string{}, report: &Report{Options: o, Results: map[Target]*Result{ThroughEntry: newResult()}}}
+	if o.Direct != "" {
+		r.report.Results[StraightOn] = newResult()
+	}
+	began := time.Now()
+	err := r.send(ctx)
+	r.report.Took = time.Since(began)
+	return r.report, err
+}
+
+func (r *runner) send(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.o.Duration+5*time.Minute)
+	defer cancel()
+	limiter := rate.NewLimiter(rate.Limit(r.o.Rate), max(1, int(r.o.Rate/100)))
+	rnd := rand.New(rand.NewPCG(r.o.Seed, 1))
+	slots := make(chan struct{}, r.o.InFlight)
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := 0; n < r.o.Count && time.Since(began) < r.o.Duration; n++ {
+		if err := limiter.Wait(ctx); err != nil {
+			return err
+		}
+		job := r.draw(rnd, n)
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.report.NotSent++
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			r.one(ctx, job)
+		})
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+// request is one drawn request.
+type request struct {
+	n      int
+	target Target
+	tokens int
+	prompt string
+	key    string
+}
+
+const wordBytes = 8
+
+func (r *runner) draw(rnd *rand.Rand, n int) request {
+	tokens := logUniform(rnd, r.o.MinTokens, r.o.MaxTokens)
+	if r.o.LongEvery > 0 && n%r.o.LongEvery == r.o.LongEvery-1 {
+		tokens = logUniform(rnd, 100_000, r.o.LongTokens)
+	}
+	req := request{n: n, target: ThroughEntry, tokens: tokens}
+	if r.o.Direct != "" && n%2 == 1 {
+		req.target = StraightOn
+	}
+	if r.o.Service != "" {
+		req.key = randomWord(rnd)
+		return req
+	}
+	word := randomWord(rnd)
+	req.prompt = word + strings.Repeat(word, max(0, tokens*4/wordBytes-1))
+	return req
+}
+
+func logUniform(r *rand.Rand, lo, hi int) int {
+	if hi <= lo {
+		return lo
+	}
+	return int(float64(lo) * math.Pow(float64(hi)/float64(lo), r.Float64()))
+}
+
+func randomWord(r *rand.Rand) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	b := make([]byte, wordBytes)
+	for i := range b {
+		b[i] = letters[r.IntN(len(letters))]
+	}
+	return string(b)
+}
+
+func (r *runner) one(ctx context.Context, req request) {
+	if r.o.Service != "" {
+		r.call(ctx, req)
+		return
+	}
+	var a answered
+	if req.target == StraightOn {
+		a = r.client.direct(ctx, req)
+	} else {
+		a = r.client.complete(ctx, req)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(req, a)
+}
+
+func (r *runner) note(req request, a answered) {
+	res := r.report.Results[req.target]
+	res.Sent++
+	if a.err != "" {
+		res.Errors[a.err]++
+		return
+	}
+	res.Answered++
+	if !a.right {
+		res.Wrong++
+	}
+	c := classOf(req.tokens)
+	if res.First[c] == nil {
+		res.First[c] = hdrhistogram.New(histMin, histMax, histDigits)
+	}
+	_ = res.First[c].RecordValue(a.first.Microseconds())
+	_ = res.Total.RecordValue(a.total.Microseconds())
+}
+
+// call sends one key several times and compares the runs that answered.
+func (r *runner) call(ctx context.Context, req request) {
+	for range max(1, r.o.Repeat) {
+		a := r.client.callService(ctx, req)
+		r.mu.Lock()
+		r.note(req, a)
+		if a.err == "" && req.key != "" {
+			if other, ok := r.runs[req.key]; ok && other != a.run {
+				r.report.Results[ThroughEntry].Doubled++
+			}
+			r.runs[req.key] = a.run
+		}
+		r.mu.Unlock()
+	}
+}
