--- a/cli/dev.go
+++ b/cli/dev.go
@@ -16,6 +16,7 @@
 type devCmd struct {
 	Manifest   string  `default:"examples/te-puna.toml" type:"path" help:"Manifest to accept first."`
 	Entries    int     `default:"3" help:"Number of entry instances."`
+	Engines    int     `default:"6" help:"Number of engine stand-ins."`
 	StepFactor float64 `default:"0.25" help:"Scale of the assumed engine step times."`
 	BasePort   int     `default:"7001" help:"Port of the platform stand-in; the others follow from it."`
 	Log        bool    `help:"Print the instances' logs."`
@@ -32,6 +33,7 @@
 		return usage(err)
 	}
 	o.Manifest, o.StepFactor, o.BasePort, o.Entries = raw, c.StepFactor, c.BasePort, c.Entries
+	o.Engines = c.Engines
 	if c.Log {
 		if o.Log, err = process.NewLog("console"); err != nil {
 			return err
--- a/standin/engineserver/server.go
+++ b/standin/engineserver/server.go
@@ -39,6 +39,7 @@
 	streams map[string]*stream
 	faults  faults
 	runs    uint64
+	swept   time.Time
 }
 
 // stream buffers what an engine generated, for its reader and for resumption.
@@ -314,6 +315,10 @@
 
 // expire forgets ended streams that nobody resumed; held ones stay.
 func (s *Server) expire() {
+	if time.Since(s.swept) < time.Second {
+		return
+	}
+	s.swept = time.Now()
 	for id, st := range s.streams {
 		if st.ended && !st.meta.Hold && time.Since(st.endedAt) > keepEnded {
 			delete(s.streams, id)
