Inject faults into the state machines of several instances around one store

Change: a small loop in virtual time drives membership, claims, lease and configuration of 3, 5 and 9 instances with kills, pauses, cut links and data centres, store outages, lost replies, stale reads and clock jumps, one or two at once, and counts violations. Four mutants take one guard out each.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -32,6 +32,7 @@
 	Status   statusCmd   `cmd:"" help:"Show what entry instances hold."`
 	Bench    benchCmd    `cmd:"" help:"Run the experiments in virtual time."`
 	Load     loadCmd     `cmd:"" help:"Send a load to real addresses and check every answer."`
+	Faults   faultsCmd   `cmd:"" help:"Inject faults into the state machines in virtual time."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/trial/requests.go
@@ -0,0 +1,219 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/claim"
+	"github.com/auburnmoor/auburnmoor/confver"
+	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/place"
+	"github.com/auburnmoor/auburnmoor/result"
+
+	"github.com/cockroachdb/errors"
+)
+
+// keyState is what the trial knows of one idempotency key.
+type keyState struct {
+	key     string
+	runs    int
+	settled bool
+}
+
+// attempt is one call with a key at one instance.
+type attempt struct {
+	key  *keyState
+	req  *peerpb.Claim
+	at   *instance
+	born time.Duration
+	done bool
+}
+
+// repeatsPerKey is how often a caller sends a key, at different instances.
+const repeatsPerKey = 3
+
+// newClaim starts a caller that sends one key several times.
+func (t *Trial) newClaim() {
+	t.Report.Requests++
+	k := &keyState{key: fmt.Sprintf("key-%d", t.Report.Requests)}
+	t.keys[k.key] = k
+	for i := range repeatsPerKey {
+		t.after(time.Duration(i)*t.jitter(time.Second), func() { t.try(k, i) })
+	}
+}
+
+func (t *Trial) try(k *keyState, n int) {
+	in := t.instances[t.rand.IntN(len(t.instances))]
+	if in.dead || in.paused {
+		return
+	}
+	a := &attempt{key: k, at: in, born: t.now, req: &peerpb.Claim{
+		Customer: "c", Key: k.key, BodyHash: 1, RequestId: fmt.Sprintf("%s~%d~%s~%d", in.name, in.incarnation, k.key, n),
+	}}
+	t.Report.attempts[a.req.RequestId] = a
+	t.Report.Claims++
+	in.askOwner(a)
+}
+
+// claimPatience and claimResend mirror the daemon's.
+const (
+	claimPatience = 4 * time.Second
+	claimResend   = 300 * time.Millisecond
+)
+
+func (in *instance) askOwner(a *attempt) {
+	if a.done || in.dead {
+		return
+	}
+	if in.t.now-a.born > claimPatience {
+		a.done = true
+		in.t.Report.Refused++
+		in.toOwner(a.req, &peerpb.ClaimResult{Customer: a.req.Customer, Key: a.req.Key, RequestId: a.req.RequestId, NotRun: true})
+		return
+	}
+	in.toOwner(a.req, nil)
+	in.t.after(claimResend, func() { in.do(func() { in.askOwner(a) }) })
+}
+
+func (in *instance) toOwner(c *peerpb.Claim, res *peerpb.ClaimResult) {
+	owners := member.Owners(in.table.Alive(in.now()))
+	owner := place.Owner(claim.ShardName(claim.KeyOf(c.Customer, c.Key).Shard()), owners)
+	switch {
+	case owner == in.name && res != nil:
+		in.claim(claim.Resulted{Result: res})
+	case owner == in.name:
+		in.claim(claim.Claimed{From: in.name, Claim: c})
+	case res != nil:
+		in.send(owner, &peerpb.Envelope{Body: &peerpb.Envelope_ClaimResult{ClaimResult: res}})
+	default:
+		in.send(owner, &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: c}})
+	}
+}
+
+func (in *instance) claimReply(r *peerpb.ClaimReply) {
+	t := in.t
+	a := t.Report.attempts[r.RequestId]
+	if a == nil || a.at != in || (a.done && t.o.Mutant != BlindRetry) {
+		return
+	}
+	a.done = true
+	switch r.State {
+	case peerpb.ClaimState_CLAIM_GRANTED:
+		t.run(a)
+	case peerpb.ClaimState_CLAIM_DONE, peerpb.ClaimState_CLAIM_RUNNING:
+		t.Report.Repeats++
+	default:
+		t.Report.Refused++
+	}
+}
+
+// run is the execution of a claimed request at a backend server.
+func (t *Trial) run(a *attempt) {
+	a.key.runs++
+	t.Report.Granted++
+	t.Report.latency(t.now - a.born)
+	if a.key.runs > 1 {
+		t.Report.violate("runs at most once", "%s ran %d times", a.key.key, a.key.runs)
+	}
+	in := a.at
+	t.after(t.jitter(time.Second), func() {
+		in.do(func() {
+			in.toOwner(a.req, &peerpb.ClaimResult{Customer: a.req.Customer, Key: a.req.Key, RequestId: a.req.RequestId, Status: 200, Answer: []byte("ok")})
+		})
+	})
+}
+
+// change is one accepted configuration and when each instance had it.
+type change struct {
+	version uint64
+	at      time.Duration
+	done    bool
+}
+
+// changeConfig lets one or two operators change the configuration against the
+// version that they see.
+func (t *Trial) changeConfig() {
+	cur, err := confver.ReadPointer(context.Background(), t.store)
+	if err != nil {
+		return
+	}
+	for i := range 1 + t.rand.IntN(2) {
+		t.Report.Changes++
+		id := fmt.Sprintf("w-%d-%d", t.Report.Changes, i)
+		v, err := confver.Accept(context.Background(), t.store, []byte(id), cur.Pointer.Version, id)
+		var coded *result.Error
+		switch {
+		case err == nil:
+			t.confirm(v)
+		case errors.As(err, &coded) && coded.Code == result.ConfigConflict:
+			t.Report.Conflicts++
+		}
+	}
+}
+
+func (t *Trial) confirm(v uint64) {
+	if v <= t.accepted {
+		t.Report.violate("accepted configuration never reverts", "version %d was accepted after %d", v, t.accepted)
+	}
+	t.accepted = max(t.accepted, v)
+	t.changes = append(t.changes, &change{version: v, at: t.now})
+}
+
+// pollStore is how often a watcher sees the store in the trial; a real watch
+// answers sooner.
+const pollEvery = 500 * time.Millisecond
+
+func (in *instance) readConfig(owners []string) {
+	if in.now()%pollEvery >= tickEvery {
+		return
+	}
+	watcher := false
+	for _, n := range place.Rank("config-watch", owners, 2) {
+		watcher = watcher || n == in.name
+	}
+	if !watcher && in.holder.Version() > 0 {
+		return
+	}
+	in.call(func() func() {
+		cur, err := confver.ReadPointer(context.Background(), in.t.store)
+		if err != nil || cur.Pointer.Version == 0 {
+			return func() {}
+		}
+		content, err := confver.ReadContent(context.Background(), in.t.store, cur.Pointer)
+		return func() {
+			if err == nil {
+				in.adopt(cur.Pointer.Version, content)
+			}
+		}
+	})
+}
+
+func (in *instance) adopt(version uint64, content []byte) {
+	before := in.holder.Version()
+	if in.t.o.Mutant == AdoptAny && version != 0 {
+		in.holder = confver.Holder{}
+	}
+	in.holder.Adopt(version, content)
+	if in.holder.Version() < before {
+		in.t.Report.violate("accepted configuration never reverts", "%s went from %d to %d", in.name, before, in.holder.Version())
+	}
+	in.t.everywhere()
+}
+
+// everywhere notes the changes that every reachable instance has in force.
+func (t *Trial) everywhere() {
+	least := t.accepted
+	for _, in := range t.instances {
+		if !in.dead && !in.paused && in.now() > settle {
+			least = min(least, in.holder.Version())
+		}
+	}
+	for _, c := range t.changes {
+		if !c.done && c.version <= least {
+			c.done = true
+			t.Report.Propagation = append(t.Report.Propagation, t.now-c.at)
+		}
+	}
+}
--- /dev/null
+++ b/trial/store.go
@@ -0,0 +1,108 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/port/objectapi"
+)
+
+// Store is an object API in memory that can be down, lose the reply of a write
+// that took effect, and answer reads with an older version.
+type Store struct {
+	rand    *rand.Rand
+	objects map[string]objectapi.Object
+	older   map[string]objectapi.Object
+	version uint64
+
+	Down      bool
+	LoseReply float64
+	StaleRead float64
+
+	Reads, Writes int
+}
+
+// NewStore returns an empty store.
+func NewStore(r *rand.Rand) *Store {
+	return &Store{rand: r, objects: map[string]objectapi.Object{}, older: map[string]objectapi.Object{}}
+}
+
+var _ objectapi.Store = (*Store)(nil)
+
+// Get implements objectapi.Store.
+func (s *Store) Get(_ context.Context, key string) (objectapi.Object, error) {
+	s.Reads++
+	if s.Down {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	if old, ok := s.older[key]; ok && s.rand.Float64() < s.StaleRead {
+		return old, nil
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return objectapi.Object{}, objectapi.ErrNotFound
+	}
+	return o, nil
+}
+
+// Watch implements objectapi.Store; it does not wait.
+func (s *Store) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (objectapi.Object, error) {
+	return s.Get(ctx, key)
+}
+
+// List implements objectapi.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]objectapi.Object, error) {
+	s.Reads++
+	if s.Down {
+		return nil, objectapi.ErrUnavailable
+	}
+	var out []objectapi.Object
+	for k, o := range s.objects {
+		if !strings.HasPrefix(k, prefix) {
+			continue
+		}
+		if old, ok := s.older[k]; ok && s.rand.Float64() < s.StaleRead {
+			o = old
+		}
+		out = append(out, o)
+	}
+	slices.SortFunc(out, func(a, b objectapi.Object) int { return strings.Compare(a.Key, b.Key) })
+	return out, nil
+}
+
+// Put implements objectapi.Store.
+func (s *Store) Put(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	s.Writes++
+	if s.Down {
+		return 0, objectapi.ErrUnknown
+	}
+	old := s.objects[key]
+	if old.Version != expect {
+		return old.Version, objectapi.ErrConflict
+	}
+	s.version++
+	if old.Version > 0 {
+		s.older[key] = old
+	}
+	s.objects[key] = objectapi.Object{Key: key, Version: s.version, Value: slices.Clone(value)}
+	if s.rand.Float64() < s.LoseReply {
+		return 0, objectapi.ErrUnknown
+	}
+	return s.version, nil
+}
+
+// Delete implements objectapi.Store.
+func (s *Store) Delete(_ context.Context, key string, expect uint64) error {
+	s.Writes++
+	if s.Down {
+		return objectapi.ErrUnknown
+	}
+	if s.objects[key].Version != expect {
+		return objectapi.ErrConflict
+	}
+	delete(s.objects, key)
+	return nil
+}
--- /dev/null
+++ b/trial/trial.go
@@ -0,0 +1,372 @@
+// Package trial runs the state machines of a few instances around one fake
+// store in virtual time, injects faults and counts the violations of what must
+// always hold. It is a small loop over real decision code, not a simulator of
+// networks or processes.
+package trial
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/claim"
+	"github.com/auburnmoor/auburnmoor/confver"
+	"github.com/auburnmoor/auburnmoor/lease"
+	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/place"
+	"github.com/auburnmoor/auburnmoor/port/engine"
+	"github.com/auburnmoor/auburnmoor/standin/enginecore"
+)
+
+// Options size a trial.
+type Options struct {
+	Instances int
+	Seed      uint64
+	Duration  time.Duration
+	// FaultEvery is the mean time between faults; zero injects none.
+	FaultEvery time.Duration
+	// ClaimEvery and ConfigEvery are the mean times between requests that may
+	// not be repeated and between changes of the configuration.
+	ClaimEvery, ConfigEvery time.Duration
+	// Mutant weakens one guard on purpose, to show that the trial notices.
+	Mutant Mutant
+}
+
+// Mutant names a guard to take out.
+type Mutant string
+
+// The mutants.
+const (
+	// NoFence lets a new owner of a ledger skip the fencing write.
+	NoFence Mutant = "no-fence"
+	// NoPauseCheck lets a lease holder trust its last look at the clock.
+	NoPauseCheck Mutant = "no-pause-check"
+	// AdoptAny lets an older configuration replace a newer one.
+	AdoptAny Mutant = "adopt-any"
+	// BlindRetry runs a claimed request again when its claim's reply is lost.
+	BlindRetry Mutant = "blind-retry"
+)
+
+// Periods of the loop.
+const (
+	tickEvery  = 100 * time.Millisecond
+	linkDelay  = 2 * time.Millisecond
+	storeDelay = 5 * time.Millisecond
+	orderEvery = time.Second
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// Trial is one run.
+type Trial struct {
+	o         Options
+	rand      *rand.Rand
+	now       time.Duration
+	events    eventHeap
+	seq       int
+	store     *Store
+	instances []*instance
+	cut       map[[2]string]bool
+	engines   map[string]*enginecore.Core
+	fences    map[string]uint64
+	keys      map[string]*keyState
+	accepted  uint64
+	changes   []*change
+	Report    Report
+}
+
+// New returns a trial at time zero.
+func New(o Options) *Trial {
+	r := rand.New(rand.NewPCG(o.Seed, 3))
+	t := &Trial{
+		o: o, rand: r, store: NewStore(r), cut: map[[2]string]bool{}, engines: map[string]*enginecore.Core{},
+		fences: map[string]uint64{}, keys: map[string]*keyState{}, Report: newReport(),
+	}
+	for _, fencing := range []bool{true, false} {
+		name := fmt.Sprintf("engine-fencing-%t", fencing)
+		t.engines[name] = enginecore.New(enginecore.Config{Name: name, Fencing: fencing, KVTokens: 1000, Assume: enginecore.Assumed(1)})
+	}
+	for i := range o.Instances {
+		t.instances = append(t.instances, t.newInstance(i, 1))
+	}
+	return t
+}
+
+func (t *Trial) after(d time.Duration, run func()) {
+	t.seq++
+	heap.Push(&t.events, event{at: t.now + d, seq: t.seq, run: run})
+}
+
+// jitter draws a time around mean.
+func (t *Trial) jitter(mean time.Duration) time.Duration {
+	return time.Duration(t.rand.ExpFloat64() * float64(mean))
+}
+
+// Run lets the trial pass and returns what it counted.
+func (t *Trial) Run() Report {
+	for _, in := range t.instances {
+		t.startTicks(in)
+	}
+	t.repeat(t.o.ClaimEvery, t.newClaim)
+	t.repeat(t.o.ConfigEvery, t.changeConfig)
+	t.repeat(t.o.FaultEvery, t.injectFault)
+	for len(t.events) > 0 && t.events[0].at <= t.o.Duration {
+		e := heap.Pop(&t.events).(event)
+		t.now = e.at
+		e.run()
+	}
+	t.finish()
+	return t.Report
+}
+
+func (t *Trial) repeat(mean time.Duration, f func()) {
+	if mean <= 0 {
+		return
+	}
+	var again func()
+	again = func() {
+		f()
+		t.after(t.jitter(mean), again)
+	}
+	t.after(t.jitter(mean), again)
+}
+
+// instance is one process: its machines, and what the operating system does to
+// it.
+type instance struct {
+	t           *Trial
+	index       int
+	name        string
+	incarnation uint64
+	began       time.Duration
+	dead        bool
+	paused      bool
+	backlog     []func()
+	clockJump   time.Duration
+
+	table   *member.Table
+	claims  *claim.Machine
+	lease   *lease.Lease
+	holder  confver.Holder
+	orderAt time.Duration
+	looked  bool
+}
+
+func (t *Trial) newInstance(i int, incarnation uint64) *instance {
+	in := &instance{t: t, index: i, name: fmt.Sprintf("entry-%d", i+1), incarnation: incarnation, began: t.now}
+	self := &peerpb.MemberState{Name: in.name, Incarnation: incarnation, PeerAddr: in.name}
+	in.table = member.NewTable(self, member.DefaultConfig(), rand.New(rand.NewPCG(t.o.Seed+uint64(i), incarnation)))
+	in.claims = claim.New(in.name, claim.DefaultConfig())
+	in.lease = lease.New(fmt.Sprintf("%s~%d", in.name, incarnation), lease.DefaultConfig())
+	var contacts []member.Contact
+	for j := range t.o.Instances {
+		contacts = append(contacts, member.Contact{Name: fmt.Sprintf("entry-%d", j+1)})
+	}
+	in.table.SetContacts(contacts)
+	return in
+}
+
+// do runs f on the instance: at once, when it wakes, or never.
+func (in *instance) do(f func()) {
+	switch {
+	case in.dead:
+	case in.paused:
+		in.backlog = append(in.backlog, f)
+	default:
+		f()
+	}
+}
+
+// now is the instance's monotonic clock.
+func (in *instance) now() time.Duration { return in.t.now - in.began }
+
+// unix is the instance's wall clock in seconds.
+func (in *instance) unix() int64 {
+	return int64((time.Hour + in.t.now + in.clockJump) / time.Second)
+}
+
+func (t *Trial) startTicks(in *instance) {
+	var tick func()
+	tick = func() {
+		if in.dead {
+			return
+		}
+		if !in.paused {
+			in.tick()
+		}
+		t.after(tickEvery, tick)
+	}
+	t.after(time.Duration(t.rand.Int64N(int64(tickEvery))), tick)
+}
+
+// settle mirrors the delay before a fresh instance takes ledgers over.
+const settle = 2 * time.Second
+
+func (in *instance) tick() {
+	for _, m := range in.table.Tick(in.now()) {
+		m.Gossip.ConfigVersion = in.holder.Version()
+		in.send(m.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: m.Gossip}})
+	}
+	owners := member.Owners(in.table.Alive(in.now()))
+	if in.now() > settle {
+		var owned claim.Owned
+		for i := range owned.Shards {
+			owned.Shards[i] = place.Owner(claim.ShardName(i), owners) == in.name
+		}
+		in.claim(owned)
+	}
+	in.claim(claim.Tick{})
+	in.lease.Want(true)
+	in.leaseStep(lease.Tick{})
+	in.order()
+	in.readConfig(owners)
+}
+
+func (in *instance) send(to string, env *peerpb.Envelope) {
+	t := in.t
+	if t.cut[[2]string{in.name, to}] {
+		return
+	}
+	env.From = in.name
+	t.after(linkDelay+t.jitter(linkDelay), func() {
+		for _, dst := range t.instances {
+			if dst.name == to {
+				dst.do(func() { dst.receive(env) })
+			}
+		}
+	})
+}
+
+func (in *instance) receive(env *peerpb.Envelope) {
+	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Gossip:
+		in.table.Receive(in.now(), b.Gossip)
+		if b.Gossip.ConfigVersion > in.holder.Version() {
+			in.send(env.From, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: in.holder.Version()}}})
+		}
+	case *peerpb.Envelope_ConfigRequest:
+		in.send(env.From, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: &peerpb.ConfigReply{Version: in.holder.Version(), Content: in.holder.Content()}}})
+	case *peerpb.Envelope_ConfigReply:
+		in.adopt(b.ConfigReply.Version, b.ConfigReply.Content)
+	case *peerpb.Envelope_Claim:
+		in.claim(claim.Claimed{From: env.From, Claim: b.Claim})
+	case *peerpb.Envelope_ClaimResult:
+		in.claim(claim.Resulted{Result: b.ClaimResult})
+	case *peerpb.Envelope_ClaimReply:
+		in.claimReply(b.ClaimReply)
+	}
+}
+
+// call makes a call to the store whose answer arrives later; the write itself
+// takes effect half-way.
+func (in *instance) call(f func() func()) {
+	t := in.t
+	t.after(storeDelay+t.jitter(storeDelay), func() {
+		done := f()
+		t.after(storeDelay, func() { in.do(done) })
+	})
+}
+
+func (in *instance) leaseStep(ev lease.Event) {
+	for _, a := range in.lease.Step(in.now(), ev) {
+		in.call(func() func() {
+			switch a := a.(type) {
+			case lease.Put:
+				v, err := in.t.store.Put(context.Background(), leaseKey, a.Value, a.Expect)
+				return func() { in.leaseStep(lease.Wrote{WriteID: a.WriteID, Version: v, Err: err}) }
+			default:
+				obj, err := in.t.store.Get(context.Background(), leaseKey)
+				return func() { in.leaseStep(lease.Read{Object: obj, Err: err}) }
+			}
+		})
+	}
+}
+
+const leaseKey = "lease/orders"
+
+// order gives an order to each engine if the lease allows it.
+func (in *instance) order() {
+	may := in.lease.MayOrder(in.now())
+	if in.t.o.Mutant == NoPauseCheck {
+		may = may || in.looked
+		in.looked = in.lease.MayOrder(in.now()) || in.looked && in.lease.Fence() > 0
+	}
+	if !may || in.now() < in.orderAt {
+		return
+	}
+	in.orderAt = in.now() + orderEvery
+	fence := in.lease.Fence()
+	for _, name := range []string{"engine-fencing-true", "engine-fencing-false"} {
+		in.t.after(in.t.jitter(100*time.Millisecond), func() { in.t.ordered(name, fence) })
+	}
+}
+
+// ordered is the arrival of an order at an engine.
+func (t *Trial) ordered(name string, fence uint64) {
+	t.Report.Orders++
+	err := t.engines[name].Order(t.now, engine.Order{Kind: engine.OrderLoad, Target: "m", Fence: fence})
+	if err != nil {
+		t.Report.StaleRefused++
+		return
+	}
+	if fence < t.fences[name] {
+		t.Report.violate("orders from one holder at a time", "%s took fence %d after %d", name, fence, t.fences[name])
+	}
+	t.fences[name] = max(t.fences[name], fence)
+}
+
+func (in *instance) claim(ev claim.Event) {
+	for _, a := range in.claims.Step(in.now(), in.unix(), ev) {
+		switch a := a.(type) {
+		case claim.Reply:
+			if a.To == in.name {
+				in.claimReply(a.Reply)
+				continue
+			}
+			in.send(a.To, &peerpb.Envelope{Body: &peerpb.Envelope_ClaimReply{ClaimReply: a.Reply}})
+		case claim.List:
+			in.call(func() func() {
+				objs, err := in.t.store.List(context.Background(), a.Prefix)
+				return func() { in.claim(claim.Listed{Shard: a.Shard, Objects: objs, Err: err}) }
+			})
+		case claim.Write:
+			in.call(func() func() { return in.write(a) })
+		case claim.Remove:
+			in.call(func() func() {
+				_ = in.t.store.Delete(context.Background(), a.Key, a.Expect)
+				return func() {}
+			})
+		}
+	}
+}
+
+func (in *instance) write(a claim.Write) func() {
+	expect := a.Expect
+	if in.t.o.Mutant == NoFence {
+		expect = in.t.store.objects[a.Key].Version
+	}
+	v, err := in.t.store.Put(context.Background(), a.Key, a.Value, expect)
+	return func() { in.claim(claim.Written{Shard: a.Shard, ID: a.ID, Version: v, Err: err}) }
+}
