Never start a request twice after a resumption that did not reach its engine

Cause (found by the property over random faults): an engine died under a request that may not be repeated; the resumption met a refused connection, which was read as "no byte reached an engine", and the request was started at another engine. Change: a resumption marks the request as having reached an engine, and a refused connection clears only the attempt that it belongs to.

--- a/bench/summary.go
+++ b/bench/summary.go
@@ -39,6 +39,8 @@
 	Messages     float64        `json:"messages_per_request"`
 	Bytes        float64        `json:"bytes_per_request"`
 	Twice        int            `json:"non_repeatable_dispatched_twice"`
+	// Duplicates counts requests with more than one outcome.
+	Duplicates int `json:"duplicates"`
 }
 
 // ClassStats are the times to first token of one class in milliseconds.
@@ -63,7 +65,7 @@
 // prompts for the slowdown.
 func Measure(s Scenario, p Policy, set Settings) Summary {
 	l := Execute(s, p, set, Everything)
-	sum := summarize(l)
+	sum := Summarize(l)
 	sum.Scenario, sum.Policy, sum.Factor = s.Name, p.Name, set.Factor
 	alone := s
 	alone.Prepare = nil
@@ -74,7 +76,8 @@
 	return sum
 }
 
-func summarize(l *Loop) Summary {
+// Summarize condenses what a loop saw.
+func Summarize(l *Loop) Summary {
 	s := Summary{Requests: len(l.outcomes), Refusals: map[string]int{}, Failures: map[string]int{}}
 	for _, c := range Classes {
 		f := firsts(l, c)
@@ -111,6 +114,7 @@
 	for _, o := range l.outcomes {
 		took := o.End - o.At
 		limit := time.Duration(o.Job.RemainingUs) * time.Microsecond
+		s.Duplicates += o.Duplicates
 		if o.Once && o.Dispatched > 1 && o.Job.Gang == 0 {
 			s.Twice++
 		}
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,283 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/claim"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/objectapi"
+)
+
+func TestClaim(t *testing.T) {
+	testkit.Suite(t, "claim")
+}
+
+// fakeStore carries out the actions of machines on one map.
+type fakeStore struct {
+	objects map[string]objectapi.Object
+	version uint64
+	// lose drops the replies of writes that took effect; down refuses all.
+	lose, down bool
+	writes     int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]objectapi.Object{}} }
+
+func (s *fakeStore) write(a claim.Write) claim.Written {
+	s.writes++
+	out := claim.Written{Shard: a.Shard, ID: a.ID}
+	switch {
+	case s.down:
+		out.Err = objectapi.ErrUnknown
+	case s.objects[a.Key].Version != a.Expect:
+		out.Err = objectapi.ErrConflict
+	default:
+		s.version++
+		s.objects[a.Key] = objectapi.Object{Key: a.Key, Version: s.version, Value: a.Value}
+		out.Version = s.version
+		if s.lose {
+			out.Err = objectapi.ErrUnknown
+		}
+	}
+	return out
+}
+
+func (s *fakeStore) list(a claim.List) claim.Listed {
+	out := claim.Listed{Shard: a.Shard}
+	if s.down {
+		out.Err = objectapi.ErrUnavailable
+		return out
+	}
+	for k, o := range s.objects {
+		if len(k) > len(a.Prefix) && k[:len(a.Prefix)] == a.Prefix {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	return out
+}
+
+// host runs one machine against a store and collects its replies.
+type host struct {
+	m       *claim.Machine
+	store   *fakeStore
+	now     time.Duration
+	unix    int64
+	replies map[string]*peerpb.ClaimReply
+	// held keeps store calls back until release.
+	hold bool
+	held []claim.Action
+}
+
+func newHost(name string, s *fakeStore) *host {
+	return &host{m: claim.New(name, claim.DefaultConfig()), store: s, unix: 1_000_000, replies: map[string]*peerpb.ClaimReply{}}
+}
+
+func (h *host) step(ev claim.Event) {
+	for _, a := range append([]claim.Action{}, h.m.Step(h.now, h.unix, ev)...) {
+		h.act(a)
+	}
+}
+
+func (h *host) act(a claim.Action) {
+	if r, ok := a.(claim.Reply); ok {
+		h.replies[r.Reply.RequestId] = r.Reply
+		return
+	}
+	if h.hold {
+		h.held = append(h.held, a)
+		return
+	}
+	switch a := a.(type) {
+	case claim.List:
+		h.step(h.store.list(a))
+	case claim.Write:
+		h.step(h.store.write(a))
+	case claim.Remove:
+		delete(h.store.objects, a.Key)
+	}
+}
+
+func (h *host) release() {
+	h.hold = false
+	held := h.held
+	h.held = nil
+	for _, a := range held {
+		h.act(a)
+	}
+}
+
+func (h *host) pass(d time.Duration) {
+	for end := h.now + d; h.now < end; {
+		h.now += 50 * time.Millisecond
+		h.step(claim.Tick{})
+	}
+}
+
+func everyShard() claim.Owned {
+	var o claim.Owned
+	for i := range o.Shards {
+		o.Shards[i] = true
+	}
+	return o
+}
+
+func (h *host) ask(key, request string) { h.askBody(key, request, 7) }
+
+func (h *host) askBody(key, request string, body uint64) {
+	h.step(claim.Claimed{From: "entry", Claim: &peerpb.Claim{Customer: "c", Key: key, RequestId: request, BodyHash: body}})
+}
+
+func (h *host) state(request string) peerpb.ClaimState {
+	if r := h.replies[request]; r != nil {
+		return r.State
+	}
+	return peerpb.ClaimState_CLAIM_UNKNOWN
+}
+
+const (
+	granted     = peerpb.ClaimState_CLAIM_GRANTED
+	runningNow  = peerpb.ClaimState_CLAIM_RUNNING
+	done        = peerpb.ClaimState_CLAIM_DONE
+	unavailable = peerpb.ClaimState_CLAIM_UNAVAILABLE
+	unknown     = peerpb.ClaimState_CLAIM_UNKNOWN
+)
+
+var _ = Describe("a ledger", func() {
+	var store *fakeStore
+	var a *host
+
+	BeforeEach(func() {
+		store = newFakeStore()
+		a = newHost("a", store)
+		a.step(everyShard())
+	})
+
+	It("grants a key to one of two requests and answers the other with its result", func() {
+		a.ask("k", "r1")
+		a.ask("k", "r2")
+		Expect(a.state("r1")).To(Equal(granted))
+		Expect(a.state("r2")).To(Equal(runningNow))
+		a.step(claim.Resulted{Result: &peerpb.ClaimResult{Customer: "c", Key: "k", RequestId: "r1", Status: 201, Answer: []byte("label 1")}})
+		a.ask("k", "r3")
+		Expect(a.state("r3")).To(Equal(done))
+		Expect(string(a.replies["r3"].Answer)).To(Equal("label 1"))
+	})
+
+	It("refuses a key that was used with another body", func() {
+		a.askBody("k", "r1", 7)
+		a.askBody("k", "r2", 8)
+		Expect(a.state("r2")).To(Equal(peerpb.ClaimState_CLAIM_MISMATCH))
+	})
+
+	It("commits many claims in few writes", func() {
+		before := store.writes
+		for i := range 400 {
+			a.ask(string(rune('a'+i%26))+string(rune('a'+i/26)), "r"+string(rune(1000+i)))
+		}
+		a.pass(2 * time.Second)
+		Expect(store.writes-before).To(BeNumerically("<=", 3*claim.Shards), "a write for each of 400 claims")
+	})
+
+	// A caller is charged twice: instance a claims the key, the reply of its
+	// write is lost, and a repeats the write as if it had failed. Meanwhile b
+	// owns the ledger and granted the key. Cause: an unknown outcome taken for
+	// a failure.
+	It("finds its own write after a lost reply instead of guessing", func() {
+		store.lose = true
+		a.ask("k", "r1")
+		Expect(a.state("r1")).To(Equal(unknown))
+		store.lose = false
+		a.pass(time.Second)
+		Expect(a.state("r1")).To(Equal(granted))
+		a.ask("k", "r2")
+		Expect(a.state("r2")).To(Equal(runningNow))
+	})
+
+	// A label prints twice: a owns the ledger, stops answering, b takes it over
+	// and grants the key; a wakes with its claim still in flight and grants it
+	// too. Cause: two owners of one ledger. The fencing write of b makes the
+	// write of a fail.
+	It("lets a deposed owner grant nothing", func() {
+		a.ask("warm", "r0")
+		a.hold = true
+		a.ask("k", "r1")
+		b := newHost("b", store)
+		b.step(everyShard())
+		b.ask("k", "r2")
+		Expect(b.state("r2")).To(Equal(granted))
+		a.release()
+		a.pass(time.Second)
+		Expect(a.state("r1")).NotTo(Equal(granted))
+	})
+
+	It("remembers keys over a change of owner", func() {
+		a.ask("k", "r1")
+		b := newHost("b", store)
+		b.step(everyShard())
+		b.ask("k", "r2")
+		Expect(b.state("r2")).To(Equal(runningNow))
+		Expect(b.replies["r2"].Runner).To(Equal("r1"))
+	})
+
+	// A caller is told "not run" and repeats the key, but is answered "running"
+	// for ever: the store was slow, the claim expired, and its write took effect
+	// later. Cause: a committed claim that nobody was granted.
+	It("frees a key whose claim took effect after it was refused", func() {
+		store.down = true
+		a.ask("k", "r1")
+		a.pass(4 * time.Second)
+		Expect(a.state("r1")).To(Equal(unavailable))
+		store.down = false
+		a.pass(2 * time.Second)
+		a.ask("k", "r2")
+		a.pass(time.Second)
+		Expect(a.state("r2")).To(Equal(granted))
+	})
+
+	It("releases a key whose request did not run", func() {
+		a.ask("k", "r1")
+		a.step(claim.Resulted{Result: &peerpb.ClaimResult{Customer: "c", Key: "k", RequestId: "r1", NotRun: true}})
+		a.ask("k", "r2")
+		a.pass(time.Second)
+		Expect(a.state("r2")).To(Equal(granted))
+	})
+
+	It("tells where a model request runs, also after a change of owner", func() {
+		a.ask("k", "r1")
+		a.step(claim.Resulted{Result: &peerpb.ClaimResult{Customer: "c", Key: "k", RequestId: "r1", Engine: "e1", Stream: "r1.1"}})
+		a.pass(time.Second)
+		b := newHost("b", store)
+		b.step(everyShard())
+		b.ask("k", "r2")
+		Expect(b.replies["r2"].Engine).To(Equal("e1"))
+		Expect(b.replies["r2"].Stream).To(Equal("r1.1"))
+	})
+
+	It("rolls segments and removes them only after both clocks agree", func() {
+		cfg := claim.DefaultConfig()
+		cfg.SegmentBytes = 4 << 10
+		a.m = claim.New("a", cfg)
+		a.step(everyShard())
+		for i := range 2000 {
+			a.ask("key"+time.Duration(i).String(), "r"+time.Duration(i).String())
+			if i%20 == 0 {
+				a.pass(100 * time.Millisecond)
+			}
+		}
+		rolled := len(store.objects)
+		Expect(rolled).To(BeNumerically(">", claim.Shards), "no segment was rolled")
+		// The wall clock jumps ahead by two days; nothing may be forgotten yet.
+		fresh := newHost("b", store)
+		fresh.unix += 2 * 24 * 3600
+		fresh.step(everyShard())
+		fresh.pass(time.Minute)
+		Expect(len(store.objects)).To(BeNumerically(">=", rolled))
+		fresh.pass(15 * time.Minute)
+		Expect(len(store.objects)).To(BeNumerically("<", rolled))
+	})
+})
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -28,15 +28,17 @@
 	attempt  uint32
 	round    int
 	resumes  int
-	// sent tells that a byte may have reached an engine.
-	sent   bool
-	wakeAt time.Duration
-	quotes []quote
-	asked  int
-	tried  map[string]bool
-	best   refused
-	parts  []*part
-	record *Record
+	// reached tells that a byte of a former attempt may have reached an engine,
+	// inFlight that the present one may have.
+	reached  bool
+	inFlight bool
+	wakeAt   time.Duration
+	quotes   []quote
+	asked    int
+	tried    map[string]bool
+	best     refused
+	parts    []*part
+	record   *Record
 }
 
 // refused is the most helpful refusal seen so far.
@@ -87,6 +89,9 @@
 
 func (p *part) stream() string { return StreamID(p.id, p.job.Attempt) }
 
+// sent reports whether a byte of the request may have reached an engine.
+func (r *request) sent() bool { return r.reached || r.inFlight }
+
 func (r *request) gang() bool { return len(r.parts) > 1 }
 
 // note keeps the refusal that tells the caller to come back soonest.
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -151,7 +151,7 @@
 	if code == result.OK {
 		code, after = result.NoBackend, time.Second
 	}
-	if r.sent {
+	if r.sent() {
 		n.fail(now, r, result.New(result.BackendFailed, "no other engine can take the request").After(after))
 		return
 	}
@@ -236,7 +236,7 @@
 
 func (n *Node) start(now time.Duration, p *part, seg *Segment) {
 	r := p.req
-	r.state, r.sent = running, true
+	r.state, r.inFlight = running, true
 	p.state = partStarted
 	p.giveUpAt = 0
 	r.record.attempt(now, p.engine, p.job.Attempt)
@@ -282,14 +282,13 @@
 		return
 	}
 	r.record.verdict("failed")
-	if fault == NotSent && !r.gang() {
-		r.sent = false
-	}
+	r.reached = r.reached || fault != NotSent || r.gang()
+	r.inFlight = false
 	r.tried[p.engine] = true
 	switch {
 	case shown:
 		n.fail(now, r, result.New(result.BackendFailed, "the answer broke off and could not be resumed"))
-	case r.once && r.sent:
+	case r.once && r.sent():
 		n.fail(now, r, result.New(result.OutcomeUnknown, "the engine failed; a request of this kind is not repeated"))
 	case !n.budget.Take():
 		n.fail(now, r, n.failedAttempt(r))
@@ -303,7 +302,7 @@
 }
 
 func (n *Node) failedAttempt(r *request) *result.Error {
-	if !r.sent {
+	if !r.sent() {
 		return refusal(result.NoBackend, time.Second, "the engine is unreachable and the retry budget is spent")
 	}
 	return result.New(result.BackendFailed, "the engine failed and the retry budget is spent").After(time.Second)
@@ -314,6 +313,9 @@
 func (n *Node) resume(now time.Duration, p *part) {
 	n.counts.Resumes++
 	p.req.resumes++
+	// A resumption that does not reach the engine says nothing of the attempt
+	// that it continues, which did.
+	p.req.reached = true
 	p.req.record.verdict("resumed")
 	n.act(Start{Request: p.req.job.Id, ID: p.id, Attempt: p.job.Attempt, Engine: p.engine, Resume: true})
 }
@@ -359,7 +361,7 @@
 
 func (n *Node) deadline(now time.Duration, r *request) {
 	n.counts.Deadlines++
-	if r.sent {
+	if r.sent() {
 		n.fail(now, r, result.New(result.DeadlinePassed, "the time limit passed"))
 		return
 	}
