Report every problem of a settings table, not only the first wrong type

Cause: a decoder stops at the first wrong type, so a range error behind it was reported only after the first was mended (found by its test). Change: tables are decoded key by key.

--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,119 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+func TestMember(t *testing.T) { testkit.Suite(t, "member") }
+
+// fleet gossips n tables with one another.
+type fleet struct {
+	tables map[string]*member.Table
+	silent map[string]bool
+	now    time.Duration
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{tables: map[string]*member.Table{}, silent: map[string]bool{}}
+	var contacts []member.Contact
+	for i := range n {
+		contacts = append(contacts, member.Contact{Name: fmt.Sprintf("i%03d", i)})
+	}
+	for i, c := range contacts {
+		t := member.NewTable(&peerpb.MemberState{Name: c.Name, Incarnation: 10}, member.DefaultConfig(), rand.New(rand.NewPCG(1, uint64(i))))
+		t.SetContacts(contacts)
+		f.tables[c.Name] = t
+	}
+	return f
+}
+
+func (f *fleet) pass(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
+		for name, t := range f.tables {
+			if f.silent[name] {
+				continue
+			}
+			for _, m := range t.Tick(f.now) {
+				if to := f.tables[m.To]; to != nil && !f.silent[m.To] {
+					to.Receive(f.now, m.Gossip)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) alive(name string) int { return len(f.tables[name].Alive(f.now)) }
+
+var _ = Describe("membership", func() {
+	It("finds everyone from the instance list", func() {
+		f := newFleet(9)
+		f.pass(5 * time.Second)
+		Expect(f.alive("i000")).To(Equal(9))
+	})
+
+	It("notices a silent member and takes it back", func() {
+		f := newFleet(9)
+		f.pass(5 * time.Second)
+		f.silent["i003"] = true
+		f.pass(15 * time.Second)
+		Expect(f.alive("i000")).To(Equal(8))
+		f.silent["i003"] = false
+		f.pass(5 * time.Second)
+		Expect(f.alive("i000")).To(Equal(9))
+	})
+
+	It("does not suspect anyone in a large fleet while all are well", func() {
+		f := newFleet(100)
+		f.pass(20 * time.Second)
+		least := 100
+		for i := range 200 {
+			f.pass(100 * time.Millisecond)
+			least = min(least, f.alive(fmt.Sprintf("i%03d", i%100)))
+		}
+		Expect(least).To(Equal(100))
+	})
+
+	It("spreads a departure at once and keeps the leaving member reachable", func() {
+		f := newFleet(5)
+		f.pass(5 * time.Second)
+		f.tables["i001"].SetLeaving()
+		f.pass(2 * time.Second)
+		Expect(member.Owners(f.tables["i000"].Alive(f.now))).NotTo(ContainElement("i001"))
+		Expect(f.alive("i000")).To(Equal(5))
+	})
+
+	// An instance was replaced by one whose wall clock is behind; everybody
+	// ignores the new one as stale, so it gets no requests until its clock
+	// catches up. Cause: incarnations from clocks that jump.
+	It("lets a restarted instance outbid its predecessor's incarnation", func() {
+		f := newFleet(3)
+		f.pass(5 * time.Second)
+		late := member.NewTable(&peerpb.MemberState{Name: "i001", Incarnation: 3}, member.DefaultConfig(), rand.New(rand.NewPCG(9, 9)))
+		late.SetContacts([]member.Contact{{Name: "i000"}, {Name: "i002"}})
+		f.tables["i001"] = late
+		f.pass(10 * time.Second)
+		Expect(f.alive("i000")).To(Equal(3))
+		for _, s := range f.tables["i000"].Alive(f.now) {
+			if s.Name == "i001" {
+				Expect(s.Incarnation).To(BeNumerically(">", 10))
+			}
+		}
+	})
+
+	It("takes a name on the instance list for no sign of life", func() {
+		f := newFleet(2)
+		f.tables["i000"].SetContacts([]member.Contact{{Name: "ghost"}})
+		f.pass(5 * time.Second)
+		Expect(f.alive("i000")).To(Equal(2))
+	})
+})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
 	"slices"
@@ -79,7 +80,8 @@
 func Parse(path string, raw []byte) (*File, error) {
 	f := &File{Path: path, tables: map[string]any{}}
 	if err := toml.Unmarshal(raw, &f.tables); err != nil {
-		return nil, errors.Newf("%s: %s", path, tomlProblem(err))
+		p := decodeProblems(err)[0]
+		return nil, errors.Newf("%s: %s%s", path, p.where, p.text)
 	}
 	var problems []string
 	if t, ok := f.tables["instance"]; ok {
@@ -110,7 +112,6 @@
 		m := info.New()
 		if err := f.Configure(info.ID, m); err != nil {
 			all = append(all, err)
-			continue
 		}
 		if v, ok := m.(auburnmoor.Validator); ok {
 			all = append(all, errors.Wrapf(v.Validate(), "%s: [%s]", f.Path, info.ID))
@@ -146,40 +147,74 @@
 	return out
 }
 
-// decode reads one table strictly into v and returns every problem found.
+// decode reads one table strictly into v and returns every problem found. Keys
+// are decoded one by one, because a decoder stops at the first wrong type.
 func (f *File) decode(name string, table any, v any) []string {
-	raw, err := toml.Marshal(table)
-	if err != nil {
-		return []string{fmt.Sprintf("%s: [%s]: %s", f.Path, name, err)}
+	keys, ok := table.(map[string]any)
+	if !ok {
+		return []string{fmt.Sprintf("%s: [%s] is not a table", f.Path, name)}
 	}
-	var out []string
-	for _, p := range Strict(raw, v) {
-		out = append(out, fmt.Sprintf("%s: [%s] %s", f.Path, name, p))
+	var problems []string
+	for _, k := range slices.Sorted(maps.Keys(keys)) {
+		raw, err := toml.Marshal(map[string]any{k: keys[k]})
+		if err != nil {
+			problems = append(problems, fmt.Sprintf("key %q: %s", k, err))
+			continue
+		}
+		for _, p := range decodeStrict(raw, v) {
+			problems = append(problems, p.text)
+		}
 	}
-	return out
+	problems = append(problems, validateProblems(v)...)
+	for i, p := range problems {
+		problems[i] = fmt.Sprintf("%s: [%s] %s", f.Path, name, p)
+	}
+	return problems
 }
 
-// Strict decodes TOML into v, refusing unknown keys, then runs the validate
-// tags. It returns one line per problem.
+// Strict decodes a whole TOML document into v, refusing unknown keys, then runs
+// the validate tags. It returns one line per problem.
 func Strict(raw []byte, v any) []string {
 	var out []string
+	for _, p := range decodeStrict(raw, v) {
+		out = append(out, p.where+p.text)
+	}
+	return append(out, validateProblems(v)...)
+}
+
+// problem is what a decoder reported, and where in the document.
+type problem struct{ where, text string }
+
+func decodeStrict(raw []byte, v any) []problem {
 	dec := toml.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(v)
 	var strict *toml.StrictMissingError
+	if !errors.As(err, &strict) {
+		return decodeProblems(err)
+	}
+	var out []problem
+	for _, e := range strict.Errors {
+		out = append(out, problem{text: fmt.Sprintf("unknown key %q", strings.Join(e.Key(), "."))})
+	}
+	// A strict error stops at unknown keys, so types are checked again.
+	return append(out, decodeProblems(toml.Unmarshal(raw, v))...)
+}
+
+func decodeProblems(err error) []problem {
+	var de *toml.DecodeError
 	switch {
-	case errors.As(err, &strict):
-		for _, e := range strict.Errors {
-			out = append(out, fmt.Sprintf("unknown key %q", strings.Join(e.Key(), ".")))
-		}
-		// A strict error stops at unknown keys, so types are checked again.
-		if err := toml.Unmarshal(raw, v); err != nil {
-			out = append(out, tomlProblem(err))
-		}
-	case err != nil:
-		out = append(out, tomlProblem(err))
+	case err == nil:
+		return nil
+	case errors.As(err, &de):
+		row, col := de.Position()
+		return []problem{{
+			where: fmt.Sprintf("line %d column %d, ", row, col),
+			text:  fmt.Sprintf("key %q: %s", strings.Join(de.Key(), "."), strings.TrimPrefix(de.Error(), "toml: ")),
+		}}
+	default:
+		return []problem{{text: err.Error()}}
 	}
-	return append(out, validateProblems(v)...)
 }
 
 var validate = newValidator()
@@ -214,15 +249,6 @@
 	return e.Tag() + "=" + e.Param()
 }
 
-func tomlProblem(err error) string {
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		row, col := de.Position()
-		return fmt.Sprintf("line %d column %d, key %q: %s", row, col, strings.Join(de.Key(), "."), de.Error())
-	}
-	return err.Error()
-}
-
 func lookup(t map[string]any, path []string) (any, bool) {
 	var cur any = t
 	for _, p := range path {
