--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: build run test
+# The race detector needs a C compiler; everything else needs only Go.
+RACE := $(if $(shell command -v cc),-race)
+
+.PHONY: build run test lint bench bench-bounds faults model-check generate fuzz
 
 build:
 	go build -o bin/auburnmoor ./cmd/auburnmoor
@@ -6,7 +9,31 @@
 run: build
 	./bin/auburnmoor dev
 
-test:
-	gofmt -l . | tee /dev/stderr | test -z "$$(cat)"
+test: lint
+	go test $(RACE) ./...
+
+lint:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "gofmt would change: $$files"; exit 1; }
 	go vet ./...
-	go test ./...
+	go tool staticcheck ./...
+
+bench: build
+	./bin/auburnmoor bench
+
+bench-bounds: build
+	./bin/auburnmoor bench --bounds bench/bounds.toml
+
+faults: build
+	./bin/auburnmoor faults
+
+model-check:
+	./spec/check.sh
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc; its output is committed.
+generate:
+	protoc --go_out=. --go_opt=module=github.com/auburnmoor/auburnmoor --go-grpc_out=. --go-grpc_opt=module=github.com/auburnmoor/auburnmoor peerpb/peer.proto
+
+fuzz:
+	go test -fuzz=FuzzParse -fuzztime=30s ./settings
+	go test -fuzz=FuzzParse -fuzztime=30s ./manifest
+	go test -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -163,7 +163,10 @@
 	switch p.Stage {
 	case peerpb.Stage_STAGE_FAILED:
 		n.health.Failure(now, p.Engine)
-	case peerpb.Stage_STAGE_FIRST_TOKEN, peerpb.Stage_STAGE_DONE:
+	case peerpb.Stage_STAGE_FIRST_TOKEN:
+		n.health.Success(p.Engine)
+		e.Found(p.Id, p.Attempt, p.CachedTokens)
+	case peerpb.Stage_STAGE_DONE:
 		n.health.Success(p.Engine)
 	case peerpb.Stage_STAGE_READY:
 	default:
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -81,6 +81,7 @@
 	giveUpAt time.Duration
 	expected time.Duration
 	from, to int64
+	segment  *Segment
 }
 
 // StreamID names the stream of an attempt at an engine. It carries the
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -237,7 +237,7 @@
 func (n *Node) start(now time.Duration, p *part, seg *Segment) {
 	r := p.req
 	r.state, r.inFlight = running, true
-	p.state = partStarted
+	p.state, p.segment = partStarted, seg
 	p.giveUpAt = 0
 	r.record.attempt(now, p.engine, p.job.Attempt)
 	n.act(Start{Request: r.job.Id, ID: p.id, Attempt: p.job.Attempt, Engine: p.engine, Priority: p.priority, Segment: seg})
@@ -249,7 +249,9 @@
 		return
 	}
 	p.state = partFirst
-	n.progress(p, peerpb.Stage_STAGE_FIRST_TOKEN)
+	n.send(n.ownerOf(p.engine), &peerpb.Envelope{Body: &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
+		Engine: p.engine, Id: p.id, Attempt: p.job.Attempt, Stage: peerpb.Stage_STAGE_FIRST_TOKEN, CachedTokens: ev.Cached,
+	}}})
 }
 
 func (n *Node) streamEnd(now time.Duration, ev StreamEnd) {
@@ -277,7 +279,7 @@
 // elsewhere or reported.
 func (n *Node) attemptFailed(now time.Duration, p *part, fault Fault, shown bool) {
 	r := p.req
-	if fault == Broken && r.resumes < maxResumes && (shown || r.once) {
+	if fault == Broken && r.resumes < maxResumes {
 		n.resume(now, p)
 		return
 	}
@@ -309,7 +311,7 @@
 }
 
 // resume reattaches to the same attempt: the engine kept the stream, so the
-// answer continues where it broke and nothing runs twice.
+// answer continues where it broke, and nothing runs or is computed twice.
 func (n *Node) resume(now time.Duration, p *part) {
 	n.counts.Resumes++
 	p.req.resumes++
@@ -317,7 +319,7 @@
 	// that it continues, which did.
 	p.req.reached = true
 	p.req.record.verdict("resumed")
-	n.act(Start{Request: p.req.job.Id, ID: p.id, Attempt: p.job.Attempt, Engine: p.engine, Resume: true})
+	n.act(Start{Request: p.req.job.Id, ID: p.id, Attempt: p.job.Attempt, Engine: p.engine, Resume: true, Segment: p.segment})
 }
 
 func (n *Node) callerGone(now time.Duration, id string) {
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -115,6 +115,7 @@
 	Expired   uint64 `json:"expired"`
 	Adopted   uint64 `json:"adopted"`
 	Cancelled uint64 `json:"cancelled"`
+	Disproved uint64 `json:"cache_beliefs_disproved"`
 }
 
 // NewEngine returns the account of an engine nothing is known of yet.
@@ -468,6 +469,20 @@
 // of a former owner and of this one are ranked alike.
 func (e *Engine) priority(r *reservation) int64 { return (r.key + e.offset).Microseconds() }
 
+// Found tells how many tokens of a request the engine really had cached. When
+// that is less than believed, the belief is dropped: it would attract every
+// request with this prefix to an engine that must compute it.
+func (e *Engine) Found(id string, attempt uint32, cached int64) {
+	r, ok := e.byID[id]
+	if !ok || r.job.Attempt != attempt {
+		return
+	}
+	if believed := r.job.PromptTokens - int64(r.work); believed > cached {
+		e.cache.disprove(r.job.Prefix)
+		e.counts.Disproved++
+	}
+}
+
 // Progress takes over what an entry reports of a reservation.
 func (e *Engine) Progress(now time.Duration, id string, attempt uint32, stage peerpb.Stage) {
 	e.advance(now)
--- a/sched/engine_test.go
+++ b/sched/engine_test.go
@@ -154,6 +154,19 @@
 		Expect(e.Quote(0, j).Cached).To(BeZero())
 	})
 
+	// Tutors wait behind a queue on one engine while others idle: the engine
+	// lost a cached prefix, the event was lost too, and its owner goes on
+	// promising the hit. The first answer that shows the miss ends the belief.
+	It("drops a belief in cached blocks that an answer disproves", func() {
+		e := newEngine(sched.DefaultConfig())
+		j := job("r", 3_000, time.Minute)
+		j.Prefix = []uint64{1, 2}
+		e.Events([]engine.CacheEvent{{Seq: 1, Hash: 1}, {Seq: 2, Hash: 2}})
+		e.Reserve(0, "a", j)
+		e.Found("r", 1, 0)
+		Expect(e.Quote(0, j).Cached).To(BeZero())
+	})
+
 	It("holds a flooding customer to its share while others wait, not alone", func() {
 		e := newEngine(sched.DefaultConfig())
 		for i := range 40 {
--- a/serve/api/session.go
+++ b/serve/api/session.go
@@ -233,7 +233,7 @@
 	switch {
 	case errors.Is(err, engine.ErrNotSent):
 		return dispatch.NotSent
-	case errors.Is(err, engine.ErrRefused):
+	case errors.Is(err, engine.ErrRefused), errors.Is(err, errStalled):
 		return dispatch.Refused
 	default:
 		return dispatch.Broken
--- a/standin/enginecore/core.go
+++ b/standin/enginecore/core.go
@@ -90,7 +90,6 @@
 	orders    orderState
 	reports   []engine.Report
 	prefilled int64
-	computed  int64
 	steps     int64
 	busy      time.Duration
 	recent    recentRates
--- a/trial/requests.go
+++ b/trial/requests.go
@@ -17,9 +17,8 @@
 
 // keyState is what the trial knows of one idempotency key.
 type keyState struct {
-	key     string
-	runs    int
-	settled bool
+	key  string
+	runs int
 }
 
 // attempt is one call with a key at one instance.
