--- /dev/null
+++ b/health/tracker_test.go
@@ -0,0 +1,59 @@
+package health_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/health"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+)
+
+func TestHealth(t *testing.T) { testkit.Suite(t, "health") }
+
+var _ = Describe("ejection", func() {
+	var tr *health.Tracker
+
+	BeforeEach(func() {
+		tr = health.NewTracker(0.3, rand.New(rand.NewPCG(1, 1)))
+		for _, n := range []string{"a", "b", "c", "d"} {
+			tr.Add(n)
+		}
+	})
+
+	fail := func(now time.Duration, name string, n int) {
+		for range n {
+			tr.Failure(now, name)
+		}
+	}
+
+	It("takes a failing server out, probes it once and takes it back", func() {
+		fail(0, "a", 3)
+		Expect(tr.Usable(time.Second, "a")).To(BeFalse())
+		Expect(tr.Usable(6*time.Second, "a")).To(BeTrue())
+		tr.Begin(6*time.Second, "a")
+		Expect(tr.Usable(6*time.Second, "a")).To(BeFalse(), "a second probe at once")
+		tr.Success("a")
+		Expect(tr.Usable(6*time.Second, "a")).To(BeTrue())
+	})
+
+	It("waits longer after each failed probe", func() {
+		fail(0, "a", 3)
+		tr.Begin(6*time.Second, "a")
+		tr.Failure(6*time.Second, "a")
+		Expect(tr.Usable(10*time.Second, "a")).To(BeFalse())
+		Expect(tr.Usable(17*time.Second, "a")).To(BeTrue())
+	})
+
+	// All backend servers vanish from rotation for a minute: the entry's own
+	// network failed for a moment, which looks like a failure of each of them.
+	It("never takes out more than its share", func() {
+		for _, n := range []string{"a", "b", "c", "d"} {
+			fail(0, n, 5)
+		}
+		Expect(tr.Out()).To(Equal(1))
+	})
+})
--- a/result/result.go
+++ b/result/result.go
@@ -148,3 +148,12 @@
 	}
 	return &Error{Code: Internal, Message: err.Error()}
 }
+
+// DocLine renders an entry as a line of docs/RESULT-CODES.md.
+func DocLine(e Entry) string {
+	notRun := "no"
+	if e.NotRun {
+		notRun = "yes"
+	}
+	return fmt.Sprintf("| %d | `%s` | %d | %s | %s |", uint32(e.Code), e.Name, e.Status, notRun, e.Meaning)
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,44 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/retry"
+)
+
+func TestRetry(t *testing.T) { testkit.Suite(t, "retry") }
+
+var _ = Describe("retries", func() {
+	// A failing fleet gets twice its load: every request is sent again.
+	It("stay within a share of the successes", func() {
+		b := retry.NewBudget(0.1)
+		retries := 0
+		for i := range 1000 {
+			if i%2 == 0 {
+				b.Success()
+			} else if b.Take() {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically("<=", 10+50))
+		Expect(b.Denied()).To(BeNumerically(">", 400))
+	})
+
+	It("are spread in time and bounded", func() {
+		r := rand.New(rand.NewPCG(1, 1))
+		seen := map[time.Duration]bool{}
+		for range 100 {
+			d := retry.Backoff(r, 10*time.Millisecond, time.Second, 3)
+			Expect(d).To(And(BeNumerically(">=", 40*time.Millisecond), BeNumerically("<=", 80*time.Millisecond)))
+			seen[d] = true
+		}
+		Expect(len(seen)).To(BeNumerically(">", 90))
+		Expect(retry.Backoff(r, 10*time.Millisecond, time.Second, 60)).To(BeNumerically("<=", time.Second))
+	})
+})
