Rank patient requests by their latest start and admit them for a quarter of their time

Change: patient requests have no allowance; they rise only at their latest start, and are admitted when predicted to finish within a quarter of their time (or 1.5 times their own work).

--- a/bench/policy.go
+++ b/bench/policy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/auburnmoor/auburnmoor/dispatch"
 	"github.com/auburnmoor/auburnmoor/sched"
@@ -58,9 +59,11 @@
 		RegisterPolicy(Policy{Name: "order-" + order, About: "the product with the order " + order,
 			New: variant(func(c *dispatch.Config) { c.Sched.Order = order })})
 	}
-	sched.RegisterOrder("one-stretch", sched.Stretch{Quick: 4, Patient: 4, Gang: 4})
+	sched.RegisterOrder("one-stretch", sched.OrderFunc(oneStretch))
 	RegisterPolicy(Policy{Name: "order-one-stretch", About: "the product with one allowance for all requests",
 		New: variant(func(c *dispatch.Config) { c.Sched.Order = "one-stretch" })})
+	RegisterPolicy(Policy{Name: "patient-whole", About: "the product that admits patient requests for their whole time",
+		New: variant(func(c *dispatch.Config) { c.Sched.PatientShare = 1 })})
 	RegisterPolicy(Policy{Name: "no-affinity", About: "the product without prefix affinity",
 		New: variant(func(c *dispatch.Config) { c.Sched.Affinity = false })})
 	RegisterPolicy(Policy{Name: "one-candidate", About: "the product asking one engine only",
@@ -70,3 +73,8 @@
 	RegisterPolicy(Policy{Name: "no-headroom", About: "the product without memory kept for short requests",
 		New: variant(func(c *dispatch.Config) { c.Sched.Headroom = 0 })})
 }
+
+// oneStretch ranks every request by four times its own prefill time.
+func oneStretch(w sched.Work) time.Duration {
+	return min(w.Arrived+4*w.Prefill, w.Deadline-w.Total)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -38,6 +38,8 @@
 type entry struct {
 	state *peerpb.MemberState
 	heard time.Duration
+	// changedAt is when the static part last changed; it is news for a while.
+	changedAt time.Duration
 	// contact marks a name known only from the instance list or the settings.
 	contact bool
 }
@@ -117,6 +119,9 @@
 
 func (t *Table) merge(now time.Duration, s *peerpb.MemberState) bool {
 	e := t.entries[s.Name]
+	if s.Brief {
+		return t.mergeBrief(now, e, s)
+	}
 	if e == nil {
 		e = &entry{contact: true, state: &peerpb.MemberState{}}
 		t.entries[s.Name] = e
@@ -126,10 +131,26 @@
 	}
 	wasAlive := t.alive(now, e)
 	visible := !wasAlive || e.state.Incarnation != s.Incarnation || e.state.Leaving != s.Leaving || !sameEngines(e.state.Engines, s.Engines)
+	if visible {
+		e.changedAt = now
+	}
 	e.state, e.heard, e.contact = s, now, false
 	return visible
 }
 
+// mergeBrief takes over a heartbeat of a member whose static part is known.
+// One that is not known yet is met again in full soon.
+func (t *Table) mergeBrief(now time.Duration, e *entry, s *peerpb.MemberState) bool {
+	if e == nil || e.contact || e.state.Incarnation != s.Incarnation || !newer(s, e.state) {
+		return false
+	}
+	visible := !t.alive(now, e) || e.state.Leaving != s.Leaving
+	full := cloneState(e.state)
+	full.Heartbeat, full.Leaving = s.Heartbeat, s.Leaving
+	e.state, e.heard = full, now
+	return visible
+}
+
 func sameEngines(a, b []*peerpb.EngineState) bool {
 	return slices.EqualFunc(a, b, func(x, y *peerpb.EngineState) bool {
 		return x.Name == y.Name && x.KvTotal == y.KvTotal && x.Leaving == y.Leaving && x.Addr == y.Addr && slices.Equal(x.Models, y.Models)
@@ -207,11 +228,29 @@
 	slices.Sort(names)
 	t.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	for _, name := range names[:min(t.cfg.Sample, len(names))] {
-		out = append(out, t.entries[name].state)
+		out = append(out, t.told(now, t.entries[name]))
 	}
 	return out
 }
 
+// newsFor is how long a change is told in full; after that one in fullEvery.
+const (
+	newsFor   = 10 * time.Second
+	fullEvery = 16
+)
+
+// told renders an entry for others. Names, addresses and engines rarely
+// change, so most entries carry only the heartbeat: in full, 350 instances
+// cost each other 59 KB a second, of which 22 KB are allowed.
+func (t *Table) told(now time.Duration, e *entry) *peerpb.MemberState {
+	if now-e.changedAt < newsFor || t.rand.IntN(fullEvery) == 0 {
+		return e.state
+	}
+	return &peerpb.MemberState{
+		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Brief: true,
+	}
+}
+
 // cloneState copies what changes, because a message outlives the call.
 func cloneState(s *peerpb.MemberState) *peerpb.MemberState {
 	return &peerpb.MemberState{
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -28,6 +28,11 @@
 	// Headroom is the part of the KV memory that only requests smaller than it
 	// may use, so that long requests cannot lock short ones out.
 	Headroom float64
+	// PatientShare is the part of its time limit within which a request that may
+	// wait must be predicted to finish. The rest is kept for what comes later;
+	// without it an overload drives the long requests to their latest start,
+	// where they stop every short one.
+	PatientShare float64
 	// Affinity counts tokens believed cached as already done.
 	Affinity bool
 }
@@ -37,7 +42,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Order: "stretch", MaxQueue: 512, Window: 100 * time.Millisecond,
-		Expiry: 6 * time.Second, Headroom: 0.1, Affinity: true,
+		Expiry: 6 * time.Second, Headroom: 0.1, PatientShare: 0.25, Affinity: true,
 	}
 }
 
@@ -289,7 +294,7 @@
 // miss its. Without the second check a stream of short requests would push an
 // admitted long one past its time, since each of them alone looks harmless.
 func (e *Engine) admit(now time.Duration, r *reservation, p *Prediction) {
-	if late := now + p.Finish - r.deadline; late > 0 {
+	if late := p.Finish - e.timeFor(now, r); late > 0 {
 		p.Refusal = result.CannotFinishInTime
 		p.RetryAfter = max(late, minRetryAfter)
 		return
@@ -312,6 +317,20 @@
 	}
 }
 
+// aloneMargin is how many times its own work a patient request always gets.
+const aloneMargin = 1.5
+
+// timeFor is the time within which a request must be predicted to finish.
+func (e *Engine) timeFor(now time.Duration, r *reservation) time.Duration {
+	limit := r.deadline - now
+	if !patient(us(r.job.TargetUs), limit) {
+		return limit
+	}
+	alone := e.seconds(r.work) + e.generate(r.job)
+	part := max(time.Duration(float64(limit)*e.cfg.PatientShare), time.Duration(aloneMargin*float64(alone)))
+	return min(limit, part)
+}
+
 // minRetryAfter keeps refused callers from coming back at once.
 const minRetryAfter = 100 * time.Millisecond
 
--- a/sched/order.go
+++ b/sched/order.go
@@ -59,13 +59,14 @@
 // work. Each allowance is how many times its own prefill time a request may
 // take before it outranks shorter newcomers.
 type Stretch struct {
-	// Quick applies to requests with a target, Patient to those that may wait,
-	// Gang to parts of a prompt whose other parts hold memory meanwhile.
-	Quick, Patient, Gang float64
+	// Quick applies to requests with a target, Gang to parts of a prompt whose
+	// other parts hold memory meanwhile. Requests that may wait have none: they
+	// are ranked by their latest start alone.
+	Quick, Gang float64
 }
 
 // DefaultStretch holds the values chosen by measurement.
-var DefaultStretch = Stretch{Quick: 4, Patient: 16, Gang: 1}
+var DefaultStretch = Stretch{Quick: 4, Gang: 1}
 
 // slackMargin is the part of a request's own work kept in reserve when its
 // latest start is computed.
@@ -85,23 +86,20 @@
 // Key implements Order. A short request passes a long one; the latest start,
 // when it comes first, keeps a long request from being starved past its time.
 func (s Stretch) Key(w Work) time.Duration {
-	return min(w.Arrived+time.Duration(s.allowance(w)*float64(w.Prefill)), latestStart(w))
-}
-
-// mayWait is the part of the time limit from which a target counts as none.
-const mayWait = 0.9
-
-func (s Stretch) allowance(w Work) float64 {
+	latest := latestStart(w)
 	switch {
 	case w.Gang:
-		return s.Gang
+		return min(w.Arrived+time.Duration(s.Gang*float64(w.Prefill)), latest)
 	case patient(w.Target, w.Deadline-w.Arrived):
-		return s.Patient
+		return latest
 	default:
-		return s.Quick
+		return min(w.Arrived+time.Duration(s.Quick*float64(w.Prefill)), latest)
 	}
 }
 
+// mayWait is the part of the time limit from which a target counts as none.
+const mayWait = 0.9
+
 // patient reports whether a request may wait: it has no target of its own for
 // the first token.
 func patient(target, limit time.Duration) bool {
