Tell a gang when an engine is lost before its part's turn

Change: an owner turns away every reservation without a first token when its engine is lost, and a part that becomes ready there.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -67,6 +67,17 @@
 		Expect(sum.Late + sum.Unanswered).To(BeZero())
 	})
 
+	// A milestone review that was admitted fails after ten minutes, and four
+	// others on engines that look idle wait as long: one engine of a gang died
+	// while its part waited for its turn, nobody told the gang, and its other
+	// parts held their memory until the deadline.
+	It("forms a gang anew when one of its engines dies before its turn", func() {
+		s, _ := bench.Find("engine-dies")
+		sum := bench.Measure(s, product(), bench.DefaultSettings())
+		Expect(sum.Failures).To(BeEmpty())
+		Expect(sum.WorstLongMS).To(BeNumerically("<", 450_000))
+	})
+
 	It("keeps short requests quicker than any baseline beside long ones", func() {
 		s, _ := bench.Find("thistlegate-0.8x")
 		set := bench.DefaultSettings()
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -173,6 +173,10 @@
 		n.health.Abandon(p.Engine)
 	}
 	e.Progress(now, p.Id, p.Attempt, p.Stage)
+	if n.unusable(now, p.Engine) || !e.Known() {
+		n.turnAway(now, p.Engine)
+		return
+	}
 	n.flushGrants(now, e)
 }
 
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -653,12 +653,14 @@
 }
 
 // DropPending removes the reservations without a first token and returns them.
-// Granted ones are only included when the engine is hung.
+// Granted ones are included only when the engine is hung or lost: a gang's part
+// that waits for its turn there would wait for ever, with the memory of the
+// other parts.
 func (e *Engine) DropPending(now time.Duration) []Grant {
 	e.advance(now)
 	var out []Grant
 	for _, r := range slices.Clone(e.pending) {
-		if r.phase == queued || e.hung {
+		if r.phase == queued || e.hung || !e.Known() {
 			out = append(out, Grant{Entry: r.entry, ID: r.job.Id, Attempt: r.job.Attempt})
 			e.drop(r.job.Id)
 		}
