--- /dev/null
+++ b/control/members/cost_test.go
@@ -0,0 +1,40 @@
+package members
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/instances"
+)
+
+// BenchmarkPublish is the rebuilding of the view, done at changes and ten times
+// a second.
+func BenchmarkPublish(b *testing.B) {
+	for _, n := range []int{9, 50, 150, 350} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := &Members{log: zap.NewNop(), now: func() time.Duration { return time.Second }, states: map[string]*peerpb.EngineState{}}
+			m.table = member.NewTable(&peerpb.MemberState{Name: "self"}, member.DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+			var g peerpb.Gossip
+			for i := range n {
+				s := &peerpb.MemberState{Name: fmt.Sprint("entry-", i), Incarnation: 1, Heartbeat: 1, CallerAddr: "10.0.0.1:7101"}
+				for k := range 2 {
+					name := fmt.Sprintf("engine-%d-%d", i, k)
+					s.Engines = append(s.Engines, &peerpb.EngineState{Name: name, KvTotal: 480_000, Models: []string{"m@v1"}})
+					m.last = append(m.last, instances.Instance{Name: name, Role: instances.RoleEngine, Addr: "10.0.0.2:8000"})
+				}
+				g.Members = append(g.Members, s)
+			}
+			m.table.Receive(0, &g)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.publish()
+			}
+		})
+	}
+}
