Take back what was said of an engine that is owned no more

Cause: a site of nine entries did not become ready in 30 s, with every engine loaded: instances that owned an engine for a moment at the start went on announcing it without a model, which replaced the word of its true owner. Ruled out: lost messages (no drops) and loads that did not finish (all engines reported the model). Change: losing an engine announces the rest anew; changes of a member carry a version, so a later brief heartbeat cannot hide them.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -292,6 +292,19 @@
 	return sum
 }
 
+var _ = Describe("a site of nine entries", func() {
+	// Nobody is served although every engine is ready: instances that owned an
+	// engine for a moment at the start went on saying that it has no model, and
+	// their word replaced that of the true owner.
+	It("becomes ready", func() {
+		site := startSite(func(o *dev.Options) { o.Entries, o.Engines = 9, 4 })
+		defer site.Close()
+		for i := range 9 {
+			Expect(completion(site.CallerAddr(i), "here?", 1).status).To(Equal(200))
+		}
+	})
+})
+
 var _ = Describe("a graceful shutdown", func() {
 	// Tutors see answers cut off whenever an instance is replaced. Leaving is
 	// announced first, callers with an old answer are still served, and the
--- a/member/table.go
+++ b/member/table.go
@@ -79,10 +79,16 @@
 }
 
 // SetLeaving announces that self is shutting down.
-func (t *Table) SetLeaving() { t.self.Leaving = true }
+func (t *Table) SetLeaving() {
+	t.self.Leaving = true
+	t.self.Version++
+}
 
 // SetEngines replaces the engines that self reports for.
-func (t *Table) SetEngines(engines []*peerpb.EngineState) { t.self.Engines = engines }
+func (t *Table) SetEngines(engines []*peerpb.EngineState) {
+	t.self.Engines = engines
+	t.self.Version++
+}
 
 // Receive merges gossip and reports whether the set of live members, or what
 // they say of themselves, changed.
@@ -114,6 +120,9 @@
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
 	return a.Heartbeat > b.Heartbeat
 }
 
@@ -134,19 +143,26 @@
 	if visible {
 		e.changedAt = now
 	}
+	if s.Incarnation == e.state.Incarnation && s.Heartbeat < e.state.Heartbeat {
+		// A brief entry brought a later heartbeat before this change arrived.
+		s = cloneState(s)
+		s.Heartbeat = e.state.Heartbeat
+	}
 	e.state, e.heard, e.contact = s, now, false
 	return visible
 }
 
 // mergeBrief takes over a heartbeat of a member whose static part is known.
-// One that is not known yet is met again in full soon.
+// One that is not known yet is met again in full soon. The version of the
+// static part stays that of what is held, so that the full entry is taken when
+// it comes, although its heartbeat is not newer.
 func (t *Table) mergeBrief(now time.Duration, e *entry, s *peerpb.MemberState) bool {
-	if e == nil || e.contact || e.state.Incarnation != s.Incarnation || !newer(s, e.state) {
+	if e == nil || e.contact || e.state.Incarnation != s.Incarnation || s.Heartbeat <= e.state.Heartbeat {
 		return false
 	}
-	visible := !t.alive(now, e) || e.state.Leaving != s.Leaving
+	visible := !t.alive(now, e) || (s.Leaving && !e.state.Leaving)
 	full := cloneState(e.state)
-	full.Heartbeat, full.Leaving = s.Heartbeat, s.Leaving
+	full.Heartbeat, full.Leaving = s.Heartbeat, e.state.Leaving || s.Leaving
 	e.state, e.heard = full, now
 	return visible
 }
@@ -247,7 +263,7 @@
 		return e.state
 	}
 	return &peerpb.MemberState{
-		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Brief: true,
+		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Version: e.state.Version, Brief: true,
 	}
 }
 
@@ -256,7 +272,7 @@
 	return &peerpb.MemberState{
 		Name: s.Name, Incarnation: s.Incarnation, Heartbeat: s.Heartbeat, Leaving: s.Leaving,
 		DataCentre: s.DataCentre, Region: s.Region, PeerAddr: s.PeerAddr, CallerAddr: s.CallerAddr,
-		Engines: s.Engines,
+		Engines: s.Engines, Version: s.Version,
 	}
 }
 
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -110,6 +110,23 @@
 		}
 	})
 
+	// A site of nine never becomes ready: a model is loaded, its engine's owner
+	// says so, but most instances hear a later heartbeat of the owner from
+	// others first and drop the news as old.
+	It("spreads a change although later heartbeats arrive before it", func() {
+		f := newFleet(9)
+		f.pass(30 * time.Second)
+		for i := range 9 {
+			f.tables[fmt.Sprintf("i%03d", i)].SetEngines([]*peerpb.EngineState{{Name: fmt.Sprint("e", i), Models: []string{"m"}}})
+		}
+		f.pass(5 * time.Second)
+		for i := range 9 {
+			for _, s := range f.tables[fmt.Sprintf("i%03d", i)].Alive(f.now) {
+				Expect(s.Engines).To(HaveLen(1), "%s as i%03d sees it", s.Name, i)
+			}
+		}
+	})
+
 	It("takes a name on the instance list for no sign of life", func() {
 		f := newFleet(2)
 		f.tables["i000"].SetContacts([]member.Contact{{Name: "ghost"}})
--- a/serve/enginepoll/enginepoll.go
+++ b/serve/enginepoll/enginepoll.go
@@ -90,7 +90,9 @@
 	t := time.NewTicker(p.Poll.Std())
 	defer t.Stop()
 	for {
-		p.follow(ctx, p.disp.Owned())
+		if p.follow(ctx, p.disp.Owned()) {
+			p.announce()
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -99,8 +101,10 @@
 	}
 }
 
-// follow starts and stops one duty per owned engine.
-func (p *Poller) follow(ctx context.Context, owned []string) {
+// follow starts and stops one duty per owned engine and reports whether an
+// engine is owned no more. What was said of it must be taken back then: it
+// would contradict its new owner for ever.
+func (p *Poller) follow(ctx context.Context, owned []string) (lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	want := map[string]bool{}
@@ -116,8 +120,10 @@
 		if !want[name] {
 			e.stop()
 			delete(p.engines, name)
+			lost = true
 		}
 	}
+	return lost
 }
 
 func (p *Poller) pollEngine(ctx context.Context, name string) {
