--- a/bench/loop.go
+++ b/bench/loop.go
@@ -4,13 +4,13 @@
 package bench
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/dispatch"
 	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/result"
 	"github.com/auburnmoor/auburnmoor/standin/enginecore"
+	"github.com/auburnmoor/auburnmoor/vtime"
 )
 
 // Periods of the loop.
@@ -20,27 +20,6 @@
 	lostAfter   = 3 * reportEvery
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func(now time.Duration)
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // Site is the fleet under measurement.
 type Site struct {
 	Entries   int
@@ -89,9 +68,7 @@
 // Loop runs one site in virtual time.
 type Loop struct {
 	site     Site
-	now      time.Duration
-	events   eventHeap
-	seq      int
+	clock    vtime.Queue
 	names    []string
 	machines map[string]dispatch.Machine
 	engines  map[string]*simEngine
@@ -128,8 +105,7 @@
 func entryName(i int) string { return string(rune('a'+i)) + "-entry" }
 
 func (l *Loop) at(t time.Duration, run func(time.Duration)) {
-	l.seq++
-	heap.Push(&l.events, event{at: t, seq: l.seq, run: run})
+	l.clock.At(t, func() { run(l.clock.Now()) })
 }
 
 func (l *Loop) every(d time.Duration, run func(time.Duration)) {
@@ -138,7 +114,7 @@
 		run(now)
 		l.at(now+d, again)
 	}
-	l.at(l.now, again)
+	l.at(l.clock.Now(), again)
 }
 
 // publish tells every machine the engines and their owners.
@@ -189,25 +165,11 @@
 
 // Run processes events until every request has an outcome or until passes.
 func (l *Loop) Run(until time.Duration) {
-	for len(l.events) > 0 && l.open > 0 {
-		e := heap.Pop(&l.events).(event)
-		if e.at > until {
-			return
-		}
-		l.now = e.at
-		e.run(e.at)
-	}
+	l.clock.RunUntil(until, func() bool { return l.open > 0 })
 }
 
 // Settle lets time pass after the last request.
-func (l *Loop) Settle(d time.Duration) {
-	end := l.now + d
-	for len(l.events) > 0 && l.events[0].at <= end {
-		e := heap.Pop(&l.events).(event)
-		l.now = e.at
-		e.run(e.at)
-	}
-}
+func (l *Loop) Settle(d time.Duration) { l.clock.RunUntil(l.clock.Now()+d, vtime.Always) }
 
 func (l *Loop) step(now time.Duration, name string, ev dispatch.Event) {
 	m := l.machines[name]
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -67,7 +67,7 @@
 
 // watchDetection measures when every live instance has noticed the death.
 func (t *Trial) watchDetection(gone *instance) {
-	died := t.now
+	died := t.now()
 	var look func()
 	look = func() {
 		if t.instances[gone.index] != gone {
@@ -84,7 +84,7 @@
 				}
 			}
 		}
-		t.Report.Detection = append(t.Report.Detection, t.now-died)
+		t.Report.Detection = append(t.Report.Detection, t.now()-died)
 	}
 	t.after(tickEvery, look)
 }
--- a/trial/report.go
+++ b/trial/report.go
@@ -63,13 +63,13 @@
 const propagationLimit = 14 * time.Second
 
 func (t *Trial) finish() {
-	t.Report.Duration = t.now
+	t.Report.Duration = t.now()
 	t.Report.Reads, t.Report.Writes = t.store.Reads, t.store.Writes
 	if t.o.FaultEvery > 0 {
 		return
 	}
 	for _, c := range t.changes {
-		if !c.done && t.now-c.at > propagationLimit {
+		if !c.done && t.now()-c.at > propagationLimit {
 			t.Report.violate("accepted configuration is in force everywhere", "version %d", c.version)
 		}
 	}
--- a/trial/requests.go
+++ b/trial/requests.go
@@ -48,7 +48,7 @@
 	if in.dead || in.paused {
 		return
 	}
-	a := &attempt{key: k, at: in, born: t.now, req: &peerpb.Claim{
+	a := &attempt{key: k, at: in, born: t.now(), req: &peerpb.Claim{
 		Customer: "c", Key: k.key, BodyHash: 1, RequestId: fmt.Sprintf("%s~%d~%s~%d", in.name, in.incarnation, k.key, n),
 	}}
 	t.Report.attempts[a.req.RequestId] = a
@@ -66,7 +66,7 @@
 	if a.done || in.dead {
 		return
 	}
-	if in.t.now-a.born > claimPatience {
+	if in.t.now()-a.born > claimPatience {
 		a.done = true
 		in.t.Report.Refused++
 		in.toOwner(a.req, &peerpb.ClaimResult{Customer: a.req.Customer, Key: a.req.Key, RequestId: a.req.RequestId, NotRun: true})
@@ -112,7 +112,7 @@
 func (t *Trial) run(a *attempt) {
 	a.key.runs++
 	t.Report.Granted++
-	t.Report.latency(t.now - a.born)
+	t.Report.latency(t.now() - a.born)
 	if a.key.runs > 1 {
 		t.Report.violate("runs at most once", "%s ran %d times", a.key.key, a.key.runs)
 	}
@@ -157,7 +157,7 @@
 		t.Report.violate("accepted configuration never reverts", "version %d was accepted after %d", v, t.accepted)
 	}
 	t.accepted = max(t.accepted, v)
-	t.changes = append(t.changes, &change{version: v, at: t.now})
+	t.changes = append(t.changes, &change{version: v, at: t.now()})
 }
 
 // pollStore is how often a watcher sees the store in the trial; a real watch
@@ -212,7 +212,7 @@
 	for _, c := range t.changes {
 		if !c.done && c.version <= least {
 			c.done = true
-			t.Report.Propagation = append(t.Report.Propagation, t.now-c.at)
+			t.Report.Propagation = append(t.Report.Propagation, t.now()-c.at)
 		}
 	}
 }
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -5,7 +5,6 @@
 package trial
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/standin/enginecore"
+	"github.com/auburnmoor/auburnmoor/vtime"
 )
 
 // Options size a trial.
@@ -58,34 +58,11 @@
 	orderEvery = time.Second
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // Trial is one run.
 type Trial struct {
 	o         Options
 	rand      *rand.Rand
-	now       time.Duration
-	events    eventHeap
-	seq       int
+	clock     vtime.Queue
 	store     *Store
 	instances []*instance
 	cut       map[[2]string]bool
@@ -114,10 +91,9 @@
 	return t
 }
 
-func (t *Trial) after(d time.Duration, run func()) {
-	t.seq++
-	heap.Push(&t.events, event{at: t.now + d, seq: t.seq, run: run})
-}
+func (t *Trial) after(d time.Duration, run func()) { t.clock.After(d, run) }
+
+func (t *Trial) now() time.Duration { return t.clock.Now() }
 
 // jitter draws a time around mean.
 func (t *Trial) jitter(mean time.Duration) time.Duration {
@@ -132,11 +108,7 @@
 	t.repeat(t.o.ClaimEvery, t.newClaim)
 	t.repeat(t.o.ConfigEvery, t.changeConfig)
 	t.repeat(t.o.FaultEvery, t.injectFault)
-	for len(t.events) > 0 && t.events[0].at <= t.o.Duration {
-		e := heap.Pop(&t.events).(event)
-		t.now = e.at
-		e.run()
-	}
+	t.clock.RunUntil(t.o.Duration, vtime.Always)
 	t.finish()
 	return t.Report
 }
@@ -175,7 +147,7 @@
 }
 
 func (t *Trial) newInstance(i int, incarnation uint64) *instance {
-	in := &instance{t: t, index: i, name: fmt.Sprintf("entry-%d", i+1), incarnation: incarnation, began: t.now}
+	in := &instance{t: t, index: i, name: fmt.Sprintf("entry-%d", i+1), incarnation: incarnation, began: t.now()}
 	self := &peerpb.MemberState{Name: in.name, Incarnation: incarnation, PeerAddr: in.name}
 	in.table = member.NewTable(self, member.DefaultConfig(), rand.New(rand.NewPCG(t.o.Seed+uint64(i), incarnation)))
 	in.claims = claim.New(in.name, claim.DefaultConfig())
@@ -200,11 +172,11 @@
 }
 
 // now is the instance's monotonic clock.
-func (in *instance) now() time.Duration { return in.t.now - in.began }
+func (in *instance) now() time.Duration { return in.t.now() - in.began }
 
 // unix is the instance's wall clock in seconds.
 func (in *instance) unix() int64 {
-	return int64((time.Hour + in.t.now + in.clockJump) / time.Second)
+	return int64((time.Hour + in.t.now() + in.clockJump) / time.Second)
 }
 
 func (t *Trial) startTicks(in *instance) {
@@ -326,7 +298,7 @@
 // ordered is the arrival of an order at an engine.
 func (t *Trial) ordered(name string, fence uint64) {
 	t.Report.Orders++
-	err := t.engines[name].Order(t.now, engine.Order{Kind: engine.OrderLoad, Target: "m", Fence: fence})
+	err := t.engines[name].Order(t.now(), engine.Order{Kind: engine.OrderLoad, Target: "m", Fence: fence})
 	if err != nil {
 		t.Report.StaleRefused++
 		return
