Do not count a call that its caller gave up against the server

Cause, found on reading: a caller that hung up during a plain call counted as a failure of the backend server, and three of them ejected it. Change: such a call ends without a verdict. The test fails with the former counting.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -70,17 +70,31 @@
 	return a, true
 }
 
+// Verdict is what a finished call says of its server.
+type Verdict int
+
+// The verdicts. A call that its caller gave up says nothing: counting it as a
+// failure would let impatient callers eject a healthy server.
+const (
+	Succeeded Verdict = iota
+	Failed
+	GivenUp
+)
+
 // Done ends a call that Pick counted.
-func (p *Pool) Done(now time.Duration, name string, ok bool) {
+func (p *Pool) Done(now time.Duration, name string, v Verdict) {
 	if p.outstanding[name]--; p.outstanding[name] <= 0 {
 		delete(p.outstanding, name)
 	}
-	if ok {
+	switch v {
+	case Succeeded:
 		p.health.Success(name)
 		p.budget.Success()
-		return
+	case Failed:
+		p.health.Failure(now, name)
+	case GivenUp:
+		p.health.Abandon(name)
 	}
-	p.health.Failure(now, name)
 }
 
 // MayRetry spends one retry of the budget.
--- /dev/null
+++ b/balance/pool_test.go
@@ -0,0 +1,61 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/balance"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+)
+
+func TestBalance(t *testing.T) { testkit.Suite(t, "balance") }
+
+var _ = Describe("a pool of backend servers", func() {
+	var p *balance.Pool
+
+	BeforeEach(func() {
+		p = balance.NewPool(0.1, 0.5, rand.New(rand.NewPCG(1, 1)))
+		p.SetServers([]balance.Server{{Name: "a"}, {Name: "b"}})
+	})
+
+	It("prefers the server with fewer calls outstanding", func() {
+		count := map[string]int{}
+		for range 100 {
+			s, ok := p.Pick(0, nil)
+			Expect(ok).To(BeTrue())
+			count[s.Name]++
+		}
+		Expect(count["a"]).To(BeNumerically("~", 50, 10))
+	})
+
+	It("never picks a server that was tried or that left", func() {
+		s, _ := p.Pick(0, []string{"a"})
+		Expect(s.Name).To(Equal("b"))
+		_, ok := p.Pick(0, []string{"a", "b"})
+		Expect(ok).To(BeFalse())
+		p.SetServers([]balance.Server{{Name: "a"}})
+		for range 20 {
+			s, _ := p.Pick(0, nil)
+			Expect(s.Name).To(Equal("a"))
+		}
+	})
+
+	// A healthy service answers 503: callers with short time limits hung up three
+	// times, which was counted against the server that was still working.
+	It("does not eject a server whose callers gave up", func() {
+		for range 10 {
+			s, _ := p.Pick(0, []string{"b"})
+			p.Done(0, s.Name, balance.GivenUp)
+		}
+		Expect(p.Dump().Ejected).To(BeZero())
+		for range 3 {
+			s, _ := p.Pick(0, []string{"b"})
+			p.Done(time.Second, s.Name, balance.Failed)
+		}
+		Expect(p.Dump().Ejected).To(Equal(1))
+	})
+})
--- a/serve/api/plain.go
+++ b/serve/api/plain.go
@@ -75,7 +75,7 @@
 			return noServer(sent)
 		}
 		ans, err := a.plain.Do(ctx, server.Addr, call)
-		a.settleCall(name, server.Name, err)
+		a.settleCall(name, server.Name, verdictOf(c.Request().Context(), err))
 		if err == nil {
 			return a.showPlain(c, ans, keep)
 		}
@@ -128,10 +128,21 @@
 	return p.Pick(a.now(), tried)
 }
 
-func (a *API) settleCall(name, server string, err error) {
+func verdictOf(caller context.Context, err error) balance.Verdict {
+	switch {
+	case err == nil:
+		return balance.Succeeded
+	case caller.Err() != nil:
+		return balance.GivenUp
+	default:
+		return balance.Failed
+	}
+}
+
+func (a *API) settleCall(name, server string, v balance.Verdict) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pools[name].Done(a.now(), server, err == nil)
+	a.pools[name].Done(a.now(), server, v)
 }
 
 func (a *API) showPlain(c echo.Context, ans service.Answer, keep keepFunc) error {
