Offer idempotency keys whose home is one instance

Cause: requests that may not be repeated stopped while the store was down. Change: /v1/entries gives a key prefix whose home is the answering process. Its keys need no ledger; other instances pass them on once, over gRPC; when the home is gone they are answered as unknown and never run. Measured (end to end, platform down): six calls with one key through three entries, one run; a key of a dead incarnation was not run. Conclusion: kept beside the ledger, which survives its owner.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -272,6 +272,27 @@
 		Expect(r.body).To(ContainSubstring(`"not_run":true`))
 	})
 
+	// Labels cannot be printed while the platform is down, although the instance
+	// that would print them is well. A key with a home needs no ledger.
+	It("runs keys with a home once while the platform is down, through any entry", func() {
+		site.Platform.Inject(platformserver.Faults{Down: true})
+		defer site.Platform.Inject(platformserver.Faults{})
+		var entries struct {
+			KeyPrefix string `json:"key_prefix"`
+		}
+		Expect(json.Unmarshal([]byte(call("GET", "http://"+site.CallerAddr(1)+"/v1/entries", "").body), &entries)).To(Succeed())
+		before := site.Runs["dispatch"].Runs()
+		for i := range 6 {
+			r := call("POST", "http://"+site.CallerAddr(i%3)+"/v1/services/dispatch/x", "{}", "Idempotency-Key", entries.KeyPrefix+"parcel-1")
+			Expect(r.status).To(Equal(200), r.body)
+			Expect(r.body).To(ContainSubstring(fmt.Sprintf(`"run":%d,`, before+1)))
+		}
+		Expect(site.Runs["dispatch"].Runs() - before).To(Equal(uint64(1)))
+		gone := call("POST", "http://"+site.CallerAddr(0)+"/v1/services/dispatch/x", "{}", "Idempotency-Key", "home~entry-2~1~parcel-1")
+		Expect(gone.errorName()).To(Equal("outcome_unknown"))
+		Expect(site.Runs["dispatch"].Runs() - before).To(Equal(uint64(1)))
+	})
+
 	It("explains a request in its state dump, without prompt or key", func() {
 		secret := "a very particular question"
 		r := completion(site.CallerAddr(1), secret, 2)
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/orphan"
+	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/port/service"
 	"github.com/auburnmoor/auburnmoor/result"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
@@ -53,6 +55,8 @@
 	mem    *members.Members
 	disp   *dispatcher.Dispatcher
 	claims *claims.Claims
+	link   *peerlink.Link
+	home   *home
 	plain  *service.Client
 	server *http.Server
 	seq    atomic.Uint64
@@ -66,7 +70,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*API) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{config.ID, members.ID, dispatcher.ID, claims.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{config.ID, members.ID, dispatcher.ID, claims.ID, peerlink.ID},
 		New: func() auburnmoor.Module { return new(API) },
 	}
 }
@@ -107,6 +111,11 @@
 	if a.claims, err = auburnmoor.Require[*claims.Claims](c, claims.ID); err != nil {
 		return err
 	}
+	if a.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
+		return err
+	}
+	a.link.HandleForward(a.forwarded)
+	a.home = newHome()
 	a.defaults()
 	a.self, a.log, a.scope, a.now = c.Self, c.Log, c.Scope, c.Now
 	a.rand = rand.New(rand.NewPCG(c.Seed, 2))
@@ -226,9 +235,20 @@
 	case err != nil:
 		return nil, result.New(result.BadRequest, "body could not be read")
 	}
+	if strings.HasPrefix(r.Header.Get(headerKey), homeMark) {
+		c.Set(keyBody, raw)
+	}
 	return raw, nil
 }
 
+// keyBody is where a request's body is kept for passing it on.
+const keyBody = "auburnmoor-body"
+
+func rawBody(c echo.Context) []byte {
+	raw, _ := c.Get(keyBody).([]byte)
+	return raw
+}
+
 // Dump implements auburnmoor.Dumper.
 func (a *API) Dump() any {
 	a.mu.Lock()
--- a/serve/api/entries.go
+++ b/serve/api/entries.go
@@ -15,6 +15,9 @@
 	Entries []entryLine `json:"entries"`
 	// KeepMS is how long the answer may be used.
 	KeepMS int64 `json:"keep_ms"`
+	// KeyPrefix begins idempotency keys whose home is this instance. Such a key
+	// runs without the store, but its fate is unknown once the instance is gone.
+	KeyPrefix string `json:"key_prefix"`
 }
 
 type entryLine struct {
@@ -38,7 +41,7 @@
 	names := member.Owners(alive)
 	ranked := place.Rank(c.RealIP()+c.Request().Header.Get(echo.HeaderAuthorization), names, len(names))
 	near := c.QueryParam("data_centre")
-	ans := entriesAnswer{KeepMS: a.KeepEntries.Std().Milliseconds(), Entries: []entryLine{}}
+	ans := entriesAnswer{KeepMS: a.KeepEntries.Std().Milliseconds(), Entries: []entryLine{}, KeyPrefix: a.homePrefix()}
 	for _, local := range []bool{true, false} {
 		for _, n := range ranked {
 			if (byName[n].DataCentre == near) == local && len(ans.Entries) < maxEntries {
--- a/serve/api/once.go
+++ b/serve/api/once.go
@@ -27,10 +27,11 @@
 
 // claimed is a key held by this request.
 type claimed struct {
-	a    *API
-	who  caller
-	id   string
-	kept bool
+	a   *API
+	who caller
+	id  string
+	// keepAt takes the answer of a key with a home instead of the ledger.
+	keepAt keepFunc
 }
 
 func (r *claimed) record(res *peerpb.ClaimResult) {
@@ -40,18 +41,27 @@
 
 // keep records the whole answer.
 func (r *claimed) keep(status int, contentType string, body []byte) {
-	r.kept = true
+	if r.keepAt != nil {
+		r.keepAt(status, contentType, body)
+		return
+	}
 	r.record(&peerpb.ClaimResult{Status: uint32(status), ContentType: contentType, Answer: body})
 }
 
 // started records where the answer is generated, so that another instance can
 // finish it.
 func (r *claimed) started(engine, stream string) {
+	if r.keepAt != nil {
+		return
+	}
 	r.record(&peerpb.ClaimResult{Engine: engine, Stream: stream})
 }
 
 // once runs a request that may not be repeated, if its key can be claimed.
 func (a *API) once(c echo.Context, who caller, body []byte, f onceFuncs) error {
+	if name, incarnation, ok := homeOf(who.key); ok {
+		return a.atHome(c, who, body, f, name, incarnation)
+	}
 	r := &claimed{a: a, who: who, id: requestID(c)}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), min(claimWait, who.limit))
 	defer cancel()
@@ -120,11 +130,12 @@
 // live member.
 func (a *API) instanceLives(request string) bool {
 	id, ok := orphan.Parse(request)
-	if !ok {
-		return false
-	}
+	return ok && a.lives(id.Instance, id.Incarnation)
+}
+
+func (a *API) lives(name string, incarnation uint64) bool {
 	for _, s := range a.mem.View().Alive {
-		if s.Name == id.Instance && s.Incarnation == id.Incarnation {
+		if s.Name == name && s.Incarnation == incarnation {
 			return true
 		}
 	}
--- a/serve/api/plain.go
+++ b/serve/api/plain.go
@@ -44,7 +44,7 @@
 // hopHeaders concern one connection or the caller's own credentials.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Authorization", headerKind, headerLimit,
+	"Transfer-Encoding", "Upgrade", "Authorization", headerKind, headerLimit, headerForwarded,
 }
 
 func callOf(c echo.Context, svc manifest.Service, who caller, raw []byte) service.Call {
