--- a/dev/examples.go
+++ b/dev/examples.go
@@ -27,7 +27,7 @@
 		kind, _ := s.index.Kind(svc.DefaultKind)
 		key := ""
 		if kind.NeverTwice {
-			key = "-H 'Idempotency-Key: order-4711' "
+			key = fmt.Sprintf("-H 'Idempotency-Key: %s-4711' ", name)
 		}
 		out = append(out, fmt.Sprintf("curl -X POST http://%s/v1/services/%s/run %s %s-d '{}'", s.CallerAddr(1), name, auth, key))
 	}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -119,6 +119,22 @@
 		}
 	})
 
+	// A newcomer pastes the printed lines and the second charge is refused: both
+	// examples used one key, which belongs to the customer, not to the service.
+	It("prints examples that do not use each other's keys", func() {
+		seen := map[string]bool{}
+		for _, line := range site.Examples() {
+			_, rest, ok := strings.Cut(line, "Idempotency-Key: ")
+			if !ok {
+				continue
+			}
+			key, _, _ := strings.Cut(rest, "'")
+			Expect(seen).NotTo(HaveKey(key))
+			seen[key] = true
+		}
+		Expect(seen).NotTo(BeEmpty())
+	})
+
 	It("speaks to an OpenAI client, streamed", func() {
 		c := openai.NewClient(option.WithBaseURL("http://"+site.CallerAddr(1)+"/v1"), option.WithAPIKey(dev.DemoKey), option.WithMaxRetries(0))
 		s := c.Chat.Completions.NewStreaming(context.Background(), openai.ChatCompletionNewParams{
