Put changed limits of retries and ejection into force

Cause, found on reading: the limits of the manifest were read when a service was first seen, and the ejection limit of engines never again, so an accepted change was in force for other settings only. Change: every new configuration sets them in the pools and the decision machine. The test fails without it.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -35,6 +35,12 @@
 	}
 }
 
+// SetLimits takes over the limits of a new configuration.
+func (p *Pool) SetLimits(retryShare, ejectShare float64) {
+	p.budget.SetShare(retryShare)
+	p.health.SetMaxShare(ejectShare)
+}
+
 // SetServers replaces the servers that may get new calls; leaving ones must
 // not be among them.
 func (p *Pool) SetServers(servers []Server) {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -44,6 +44,18 @@
 		}
 	})
 
+	// An operator forbids retries during an incident, the change is accepted, and
+	// retries go on: limits were read only when a service was first seen.
+	It("puts new limits into force", func() {
+		p.SetLimits(0, 0.5)
+		for range 50 {
+			p.MayRetry()
+		}
+		s, _ := p.Pick(0, nil)
+		p.Done(0, s.Name, balance.Succeeded)
+		Expect(p.MayRetry()).To(BeFalse())
+	})
+
 	// A healthy service answers 503: callers with short time limits hung up three
 	// times, which was counted against the server that was still working.
 	It("does not eject a server whose callers gave up", func() {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -185,10 +185,9 @@
 
 // SetLimits takes over the limits of a new configuration.
 func (n *Node) SetLimits(retryShare, ejectShare float64) {
-	if retryShare != n.cfg.RetryShare {
-		n.budget = retry.NewBudget(retryShare)
-	}
 	n.cfg.RetryShare, n.cfg.EjectShare = retryShare, ejectShare
+	n.budget.SetShare(retryShare)
+	n.health.SetMaxShare(ejectShare)
 }
 
 // Dump describes the node.
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -40,6 +40,9 @@
 	return &Tracker{maxShare: maxShare, rand: r, servers: map[string]*server{}}
 }
 
+// SetMaxShare replaces the bound on ejections; servers that are out stay out.
+func (t *Tracker) SetMaxShare(share float64) { t.maxShare = share }
+
 // Add makes the tracker aware of a server.
 func (t *Tracker) Add(name string) {
 	if t.servers[name] == nil {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -22,6 +22,9 @@
 // NewBudget returns a budget that allows share retries per success.
 func NewBudget(share float64) *Budget { return &Budget{share: share, tokens: maxTokens} }
 
+// SetShare replaces the retries allowed per success; what is saved up stays.
+func (b *Budget) SetShare(share float64) { b.share = share }
+
 // Success credits the budget.
 func (b *Budget) Success() { b.tokens = min(maxTokens, b.tokens+b.share) }
 
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -122,6 +122,7 @@
 	a.pools, a.results = map[string]*balance.Pool{}, map[result.Code]uint64{}
 	a.plain = service.NewClient(dialTimeout)
 	a.mem.OnView(a.replaceView)
+	a.conf.OnChange(a.setLimits)
 	a.server = &http.Server{
 		Handler: a.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -270,6 +271,16 @@
 	Pending int                     `json:"pending"`
 }
 
+// setLimits puts the limits of a new configuration into force.
+func (a *API) setLimits(ix *manifest.Index) {
+	l := ix.Manifest.Limits
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.pools {
+		p.SetLimits(l.RetryShare, l.EjectShare)
+	}
+}
+
 // replaceView takes over the backend servers of the plain services. Leaving
 // ones get no new call from here on.
 func (a *API) replaceView(v members.View) {
