Make one piece of code serve where logic stood twice

Ledger ownership, choosing the few that do a duty, liveness of an incarnation and telling failed connection attempts each stood in two or three places; a counter in the member table was never read.

--- a/bench/loop.go
+++ b/bench/loop.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/auburnmoor/auburnmoor/dispatch"
 	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/result"
@@ -185,7 +187,7 @@
 	switch a := a.(type) {
 	case dispatch.Send:
 		l.Messages++
-		l.Bytes += protoSize(a.Env)
+		l.Bytes += proto.Size(a.Env)
 		l.at(now+l.site.Hop, func(t time.Duration) { l.step(t, a.To, dispatch.Received{From: name, Env: a.Env}) })
 	case dispatch.Start:
 		l.at(now+l.site.Hop, func(t time.Duration) { l.start(t, name, a) })
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 )
 
@@ -77,6 +78,20 @@
 // ShardName is the name by which a shard's owner is derived.
 func ShardName(i int) string { return fmt.Sprintf("claims/%02d", i) }
 
+// OwnerOf returns the member that owns the ledger of a customer's key.
+func OwnerOf(customer, key string, members []string) string {
+	return place.Owner(ShardName(KeyOf(customer, key).Shard()), members)
+}
+
+// OwnedBy returns the ledgers that self owns among the members.
+func OwnedBy(self string, members []string) Owned {
+	var o Owned
+	for i := range o.Shards {
+		o.Shards[i] = place.Owner(ShardName(i), members) == self
+	}
+	return o
+}
+
 // Event is an input of a Machine.
 type Event interface{ event() }
 
--- a/claim/recovery.go
+++ b/claim/recovery.go
@@ -88,17 +88,16 @@
 	}
 	s.restore(old)
 	s.state = fencing
-	s.tail = &peerpb.LedgerSegment{OpenedUnix: s.m.unix}
-	if last == nil {
-		s.write(now, s.segmentKey(1), s.nextSegment(), 0)
-		return
-	}
-	s.tail = last.seg
-	if last.seg.Sealed {
+	if last == nil || last.seg.Sealed {
+		number := 1
+		if last != nil {
+			number = segmentNumber(last.key) + 1
+		}
 		s.tail = &peerpb.LedgerSegment{OpenedUnix: s.m.unix}
-		s.write(now, s.segmentKey(segmentNumber(last.key)+1), s.nextSegment(), 0)
+		s.write(now, s.segmentKey(number), s.nextSegment(), 0)
 		return
 	}
+	s.tail = last.seg
 	s.write(now, last.key, s.nextSegment(), last.version)
 }
 
--- a/confver/split.go
+++ b/confver/split.go
@@ -18,6 +18,9 @@
 	partPrefix = "config/part/"
 )
 
+// WatchDuty is the name by which the instances that watch the store are chosen.
+const WatchDuty = "config-watch"
+
 // Digest names content.
 func Digest(content []byte) string {
 	sum := sha256.Sum256(content)
--- a/control/claims/claims.go
+++ b/control/claims/claims.go
@@ -16,7 +16,6 @@
 	"github.com/auburnmoor/auburnmoor/member"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/platform"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/ring"
@@ -230,17 +229,13 @@
 func (c *Claims) owned() claim.Owned {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var owned claim.Owned
-	for i := range owned.Shards {
-		owned.Shards[i] = place.Owner(claim.ShardName(i), c.owners) == c.self
-	}
-	return owned
+	return claim.OwnedBy(c.self, c.owners)
 }
 
 func (c *Claims) ownerOf(customer, key string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return place.Owner(claim.ShardName(claim.KeyOf(customer, key).Shard()), c.owners)
+	return claim.OwnerOf(customer, key, c.owners)
 }
 
 // Claim asks the owner of the key's ledger until it answers or ctx ends. An
--- a/control/config/config.go
+++ b/control/config/config.go
@@ -246,12 +246,7 @@
 
 func (c *Config) watcher() bool {
 	names := member.Owners(c.mem.View().Alive)
-	for _, n := range place.Rank("config-watch", names, c.Watchers) {
-		if n == c.self {
-			return true
-		}
-	}
-	return len(names) == 0
+	return len(names) == 0 || place.Among(c.self, confver.WatchDuty, names, c.Watchers)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -3,6 +3,7 @@
 package members
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -63,6 +64,13 @@
 	Services []instances.Instance
 }
 
+// Lives reports whether a process of that name and incarnation is a member.
+func (v View) Lives(name string, incarnation uint64) bool {
+	return slices.ContainsFunc(v.Alive, func(s *peerpb.MemberState) bool {
+		return s.Name == name && s.Incarnation == incarnation
+	})
+}
+
 // Engine is a model engine as the list and its owner describe it.
 type Engine struct {
 	Name, Addr, DataCentre string
@@ -293,12 +301,7 @@
 	for _, e := range engines {
 		v.Engines = append(v.Engines, e)
 	}
-	slices.SortFunc(v.Engines, func(a, b Engine) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(v.Engines, func(a, b Engine) int { return cmp.Compare(a.Name, b.Name) })
 	return v
 }
 
--- a/control/reaper/reaper.go
+++ b/control/reaper/reaper.go
@@ -95,17 +95,10 @@
 }
 
 func (r *Reaper) observe(rep engine.Report) []string {
-	alive := r.mem.View().Alive
+	view := r.mem.View()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tracker.Observe(r.now(), rep, func(instance string, incarnation uint64) bool {
-		for _, s := range alive {
-			if s.Name == instance && s.Incarnation == incarnation {
-				return true
-			}
-		}
-		return false
-	})
+	return r.tracker.Observe(r.now(), rep, view.Lives)
 }
 
 // Dump implements auburnmoor.Dumper.
--- a/dispatch/directory.go
+++ b/dispatch/directory.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -24,12 +25,7 @@
 func newDirectory(engines []EngineInfo) *directory {
 	d := &directory{byName: map[string]*EngineInfo{}, pools: map[string]*pool{}}
 	engines = slices.Clone(engines)
-	slices.SortFunc(engines, func(a, b EngineInfo) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(engines, func(a, b EngineInfo) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range engines {
 		e := &engines[i]
 		d.byName[e.Name] = e
--- a/member/table.go
+++ b/member/table.go
@@ -6,6 +6,7 @@
 package member
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -51,7 +52,6 @@
 	rand    *rand.Rand
 	entries map[string]*entry
 	next    time.Duration
-	version uint64
 }
 
 // NewTable returns a table that knows only self.
@@ -101,9 +101,6 @@
 		}
 		changed = t.merge(now, s) || changed
 	}
-	if changed {
-		t.version++
-	}
 	return changed
 }
 
@@ -292,12 +289,7 @@
 			out = append(out, e.state)
 		}
 	}
-	slices.SortFunc(out, func(a, b *peerpb.MemberState) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *peerpb.MemberState) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/module.go
+++ b/module.go
@@ -5,6 +5,7 @@
 package auburnmoor
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -91,11 +92,6 @@
 	for _, info := range registry {
 		out = append(out, info)
 	}
-	slices.SortFunc(out, func(a, b ModuleInfo) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b ModuleInfo) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
--- a/place/place.go
+++ b/place/place.go
@@ -33,6 +33,12 @@
 	return out[:min(n, len(out))]
 }
 
+// Among reports whether self is one of the first n members for key: one of the
+// few that do a duty which the others leave to them.
+func Among(self, key string, members []string, n int) bool {
+	return slices.Contains(Rank(key, members, n), self)
+}
+
 func score(key, member string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/port/engine/engine.go
+++ b/port/engine/engine.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/port/netfault"
 )
 
 // Stream is the metadata of a stream; the prompt travels as the raw body.
@@ -158,7 +160,7 @@
 func (c *Client) stream(req *http.Request, each func(Chunk) error) error {
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return markDial(err)
+		return netfault.Mark(err, ErrNotSent, ErrBroken)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -184,16 +186,6 @@
 	}
 }
 
-// markDial tells a failed connection attempt, after which no byte was sent,
-// from a failure on an established connection.
-func markDial(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(err, ErrNotSent)
-	}
-	return errors.Mark(err, ErrBroken)
-}
-
 // Cancel ends a stream or releases a held KV cache. It is idempotent.
 func (c *Client) Cancel(ctx context.Context, addr, id string) error {
 	return c.call(ctx, http.MethodPost, "http://"+addr+"/v1/streams/"+url.PathEscape(id)+"/cancel", nil, nil)
@@ -229,7 +221,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return markDial(err)
+		return netfault.Mark(err, ErrNotSent, ErrBroken)
 	}
 	defer resp.Body.Close()
 	switch {
--- /dev/null
+++ b/port/netfault/netfault.go
@@ -0,0 +1,18 @@
+// Package netfault tells failures before a byte was sent from later ones.
+package netfault
+
+import (
+	"net"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Mark marks err as notSent when it is a failed connection attempt, after
+// which no byte can have reached the server, and as broken otherwise.
+func Mark(err, notSent, broken error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(err, notSent)
+	}
+	return errors.Mark(err, broken)
+}
--- a/port/service/service.go
+++ b/port/service/service.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/port/netfault"
 )
 
 // MaxAnswer bounds an answer in bytes.
@@ -72,7 +74,7 @@
 	req.Header = call.Header
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Answer{}, mark(err)
+		return Answer{}, netfault.Mark(err, ErrNotSent, ErrBroken)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
@@ -84,11 +86,3 @@
 	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
-
-func mark(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(err, ErrNotSent)
-	}
-	return errors.Mark(err, ErrBroken)
-}
--- a/serve/api/home.go
+++ b/serve/api/home.go
@@ -143,7 +143,7 @@
 
 // passOn sends a request to the home of its key, once.
 func (a *API) passOn(c echo.Context, name string, incarnation uint64) error {
-	if c.Request().Header.Get(headerForwarded) != "" || !a.lives(name, incarnation) {
+	if c.Request().Header.Get(headerForwarded) != "" || !a.mem.View().Lives(name, incarnation) {
 		return result.New(result.OutcomeUnknown, "the home of this key is gone; it will not run")
 	}
 	r := c.Request()
--- a/serve/api/once.go
+++ b/serve/api/once.go
@@ -130,16 +130,7 @@
 // live member.
 func (a *API) instanceLives(request string) bool {
 	id, ok := orphan.Parse(request)
-	return ok && a.lives(id.Instance, id.Incarnation)
-}
-
-func (a *API) lives(name string, incarnation uint64) bool {
-	for _, s := range a.mem.View().Alive {
-		if s.Name == name && s.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
+	return ok && a.mem.View().Lives(id.Instance, id.Incarnation)
 }
 
 // resume shows the answer of a stream that another instance started.
--- a/standin/enginecore/core.go
+++ b/standin/enginecore/core.go
@@ -1,8 +1,10 @@
 package enginecore
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -218,16 +220,7 @@
 	}
 }
 
-func byPriority(a, b *stream) int {
-	switch {
-	case a.req.Priority < b.req.Priority:
-		return -1
-	case a.req.Priority > b.req.Priority:
-		return 1
-	default:
-		return 0
-	}
-}
+func byPriority(a, b *stream) int { return cmp.Compare(a.req.Priority, b.req.Priority) }
 
 func (c *Core) planStep() (stepPlan, time.Duration) {
 	a := c.cfg.Assume
@@ -331,7 +324,7 @@
 			PrefillLeft: s.prefillLeft, Emitted: s.emitted, Held: s.held,
 		})
 	}
-	slices.SortFunc(r.Streams, func(a, b engine.StreamState) int { return compareStrings(a.ID, b.ID) })
+	slices.SortFunc(r.Streams, func(a, b engine.StreamState) int { return strings.Compare(a.ID, b.ID) })
 	return r
 }
 
@@ -366,17 +359,6 @@
 // Order carries out an order; it is idempotent.
 func (c *Core) Order(now time.Duration, o engine.Order) error { return c.orders.apply(now, o) }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // String implements fmt.Stringer.
 func (c *Core) String() string {
 	return fmt.Sprintf("%s: %d waiting, %d running, %d/%d tokens", c.cfg.Name, len(c.waiting), len(c.running), c.memUsed, c.cfg.KVTokens)
--- a/trial/requests.go
+++ b/trial/requests.go
@@ -78,7 +78,7 @@
 
 func (in *instance) toOwner(c *peerpb.Claim, res *peerpb.ClaimResult) {
 	owners := member.Owners(in.table.Alive(in.now()))
-	owner := place.Owner(claim.ShardName(claim.KeyOf(c.Customer, c.Key).Shard()), owners)
+	owner := claim.OwnerOf(c.Customer, c.Key, owners)
 	switch {
 	case owner == in.name && res != nil:
 		in.claim(claim.Resulted{Result: res})
@@ -168,11 +168,7 @@
 	if in.now()%pollEvery >= tickEvery {
 		return
 	}
-	watcher := false
-	for _, n := range place.Rank("config-watch", owners, 2) {
-		watcher = watcher || n == in.name
-	}
-	if !watcher && in.holder.Version() > 0 {
+	if !place.Among(in.name, confver.WatchDuty, owners, 2) && in.holder.Version() > 0 {
 		return
 	}
 	in.call(func() func() {
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -15,7 +15,6 @@
 	"github.com/auburnmoor/auburnmoor/lease"
 	"github.com/auburnmoor/auburnmoor/member"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/vtime"
@@ -203,11 +202,7 @@
 	}
 	owners := member.Owners(in.table.Alive(in.now()))
 	if in.now() > settle {
-		var owned claim.Owned
-		for i := range owned.Shards {
-			owned.Shards[i] = place.Owner(claim.ShardName(i), owners) == in.name
-		}
-		in.claim(owned)
+		in.claim(claim.OwnedBy(in.name, owners))
 	}
 	in.claim(claim.Tick{})
 	in.lease.Want(true)
