Ask again while an engine changes owners

Cause: an end-to-end spec failed with 503 under load: instances joined, took both engines over and were asked for them before their first load report; the entry took "no backend" for an answer and gave up at once. Ruled out: lost engines and missing configuration (requests were served 1.8 s before and the platform's stop does not touch serving). Change: an owner that has not heard of an engine says that it cannot answer, which counts as silence; the same engines are asked again after a pause, within a second in all.

--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -104,7 +104,7 @@
 
 func (n *Node) onQuoteRequest(now time.Duration, from string, q *peerpb.QuoteRequest) {
 	reply := &peerpb.QuoteReply{Engine: q.Engine, Id: q.Job.Id, Attempt: q.Job.Attempt}
-	if e := n.owned[q.Engine]; e != nil {
+	if e := n.owned[q.Engine]; e != nil && e.Known() {
 		p := sched.Prediction{Refusal: result.NoBackend, RetryAfter: ejectedRetry}
 		if !n.unusable(now, q.Engine) {
 			p = e.Quote(now, q.Job)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -52,6 +52,9 @@
 	first  time.Duration
 	code   result.Code
 	used   bool
+	// unready is an answer of an instance that does not own the engine, or has
+	// not heard of it since it took it over.
+	unready bool
 }
 
 type partState int
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -78,7 +78,7 @@
 	if !q.Owned {
 		code = result.NoBackend
 	}
-	r.quotes = append(r.quotes, quote{engine: q.Engine, first: usDuration(q.FirstTokenUs), code: code})
+	r.quotes = append(r.quotes, quote{engine: q.Engine, first: usDuration(q.FirstTokenUs), code: code, unready: !q.Owned})
 	r.note(code, usDuration(q.RetryAfterUs))
 	if code != result.OK {
 		r.record.candidate(q.Engine, 0, code.String())
@@ -119,10 +119,15 @@
 }
 
 // askAgain tries other candidates after every one asked refused or was silent.
+// While an engine changes owners nobody can answer for it for a moment; that
+// counts as silence, and the same engines are asked again after a pause.
 func (n *Node) askAgain(now time.Duration, r *request) {
-	silent := len(r.quotes) == 0
+	silent := true
 	for _, q := range r.quotes {
-		r.tried[q.engine] = true
+		silent = silent && q.unready
+		if !q.unready {
+			r.tried[q.engine] = true
+		}
 	}
 	r.round++
 	limit := n.cfg.Rounds
