--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	./bin/auburnmoor bench
 
 bench-bounds: build
-	./bin/auburnmoor bench --bounds bench/bounds.toml
+	./bin/auburnmoor bench --bounds lab/bench/bounds.toml
 
 faults: build
 	./bin/auburnmoor faults
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnmoor/auburnmoor/bench"
+	"github.com/auburnmoor/auburnmoor/lab/bench"
 )
 
 type benchCmd struct {
--- a/cli/dev.go
+++ b/cli/dev.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnmoor/auburnmoor/dev"
+	"github.com/auburnmoor/auburnmoor/lab/dev"
 	"github.com/auburnmoor/auburnmoor/process"
 )
 
--- a/cli/faults.go
+++ b/cli/faults.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnmoor/auburnmoor/trial"
+	"github.com/auburnmoor/auburnmoor/lab/trial"
 )
 
 type faultsCmd struct {
--- a/cli/load.go
+++ b/cli/load.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnmoor/auburnmoor/load"
+	"github.com/auburnmoor/auburnmoor/lab/load"
 )
 
 type loadCmd struct {
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"github.com/auburnmoor/auburnmoor/confver"
+	"github.com/auburnmoor/auburnmoor/decide/confver"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/result"
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -10,11 +10,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
+	"github.com/auburnmoor/auburnmoor/lab/standin/engineserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/platformserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/serviceserver"
 	"github.com/auburnmoor/auburnmoor/port/instances"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
-	"github.com/auburnmoor/auburnmoor/standin/engineserver"
-	"github.com/auburnmoor/auburnmoor/standin/platformserver"
-	"github.com/auburnmoor/auburnmoor/standin/serviceserver"
 )
 
 type standinCmd struct {
--- a/control/claims/claims.go
+++ b/control/claims/claims.go
@@ -11,12 +11,12 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
-	"github.com/auburnmoor/auburnmoor/claim"
 	"github.com/auburnmoor/auburnmoor/control/members"
-	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/control/platformapi"
+	"github.com/auburnmoor/auburnmoor/decide/claim"
+	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/platform"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/ring"
 	"github.com/auburnmoor/auburnmoor/settings"
@@ -53,7 +53,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Claims) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{platform.ID, peerlink.ID, members.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{platformapi.ID, peerlink.ID, members.ID},
 		New: func() auburnmoor.Module { return new(Claims) },
 	}
 }
@@ -70,7 +70,7 @@
 
 // Provision implements auburnmoor.Provisioner.
 func (c *Claims) Provision(ctx *auburnmoor.Context) error {
-	p, err := auburnmoor.Require[*platform.Platform](ctx, platform.ID)
+	p, err := auburnmoor.Require[*platformapi.Platform](ctx, platformapi.ID)
 	if err != nil {
 		return err
 	}
--- a/control/config/config.go
+++ b/control/config/config.go
@@ -13,14 +13,14 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
-	"github.com/auburnmoor/auburnmoor/confver"
 	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/control/platformapi"
+	"github.com/auburnmoor/auburnmoor/decide/confver"
+	"github.com/auburnmoor/auburnmoor/decide/member"
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/manifest"
-	"github.com/auburnmoor/auburnmoor/member"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/place"
-	"github.com/auburnmoor/auburnmoor/platform"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/settings"
 )
@@ -62,7 +62,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Config) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{platform.ID, peerlink.ID, members.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{platformapi.ID, peerlink.ID, members.ID},
 		New: func() auburnmoor.Module { return new(Config) },
 	}
 }
@@ -78,7 +78,7 @@
 
 // Provision implements auburnmoor.Provisioner.
 func (c *Config) Provision(ctx *auburnmoor.Context) error {
-	p, err := auburnmoor.Require[*platform.Platform](ctx, platform.ID)
+	p, err := auburnmoor.Require[*platformapi.Platform](ctx, platformapi.ID)
 	if err != nil {
 		return err
 	}
--- a/control/members/cost_test.go
+++ b/control/members/cost_test.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/instances"
 )
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -13,10 +13,10 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
-	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/control/platformapi"
+	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/platform"
 	"github.com/auburnmoor/auburnmoor/port/instances"
 	"github.com/auburnmoor/auburnmoor/ring"
 	"github.com/auburnmoor/auburnmoor/settings"
@@ -81,7 +81,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Members) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, platform.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, platformapi.ID},
 		New: func() auburnmoor.Module { return new(Members) },
 	}
 }
@@ -94,7 +94,7 @@
 
 // Provision implements auburnmoor.Provisioner.
 func (m *Members) Provision(c *auburnmoor.Context) error {
-	p, err := auburnmoor.Require[*platform.Platform](c, platform.ID)
+	p, err := auburnmoor.Require[*platformapi.Platform](c, platformapi.ID)
 	if err != nil {
 		return err
 	}
--- a/control/orders/orders.go
+++ b/control/orders/orders.go
@@ -14,14 +14,14 @@
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/config"
 	"github.com/auburnmoor/auburnmoor/control/members"
-	"github.com/auburnmoor/auburnmoor/lease"
-	"github.com/auburnmoor/auburnmoor/member"
-	"github.com/auburnmoor/auburnmoor/place"
-	"github.com/auburnmoor/auburnmoor/platform"
+	"github.com/auburnmoor/auburnmoor/control/platformapi"
+	"github.com/auburnmoor/auburnmoor/decide/lease"
+	"github.com/auburnmoor/auburnmoor/decide/member"
+	"github.com/auburnmoor/auburnmoor/decide/place"
+	"github.com/auburnmoor/auburnmoor/decide/rollout"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/port/weights"
-	"github.com/auburnmoor/auburnmoor/rollout"
 )
 
 // ID is the name of the module and of its settings table.
@@ -56,7 +56,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Orders) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{platform.ID, members.ID, config.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{platformapi.ID, members.ID, config.ID},
 		New: func() auburnmoor.Module { return new(Orders) },
 	}
 }
@@ -74,7 +74,7 @@
 
 // Provision implements auburnmoor.Provisioner.
 func (o *Orders) Provision(c *auburnmoor.Context) error {
-	p, err := auburnmoor.Require[*platform.Platform](c, platform.ID)
+	p, err := auburnmoor.Require[*platformapi.Platform](c, platformapi.ID)
 	if err != nil {
 		return err
 	}
--- a/platform/platform.go
+++ b/control/platformapi/platformapi.go
@@ -1,5 +1,5 @@
-// Package platform gives modules the clients of the platform's services.
-package platform
+// Package platformapi gives modules the clients of the platform's services.
+package platformapi
 
 import (
 	"sync"
--- a/control/reaper/reaper.go
+++ b/control/reaper/reaper.go
@@ -10,7 +10,7 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/members"
-	"github.com/auburnmoor/auburnmoor/orphan"
+	"github.com/auburnmoor/auburnmoor/decide/orphan"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/ring"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
--- a/balance/pool.go
+++ b/decide/balance/pool.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/health"
-	"github.com/auburnmoor/auburnmoor/retry"
+	"github.com/auburnmoor/auburnmoor/decide/health"
+	"github.com/auburnmoor/auburnmoor/decide/retry"
 )
 
 // Server is a backend server of a plain service.
--- a/balance/pool_test.go
+++ b/decide/balance/pool_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnmoor/auburnmoor/balance"
+	"github.com/auburnmoor/auburnmoor/decide/balance"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 )
 
--- a/claim/claim.go
+++ b/decide/claim/claim.go
@@ -17,8 +17,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 )
 
--- a/claim/claim_test.go
+++ b/decide/claim/claim_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnmoor/auburnmoor/claim"
+	"github.com/auburnmoor/auburnmoor/decide/claim"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
--- a/confver/confver_test.go
+++ b/decide/confver/confver_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnmoor/auburnmoor/confver"
+	"github.com/auburnmoor/auburnmoor/decide/confver"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/result"
--- a/dispatch/directory.go
+++ b/decide/dispatch/directory.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/place"
 )
 
 // pool is the engines that serve one model.
--- a/dispatch/gang.go
+++ b/decide/dispatch/gang.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/result"
-	"github.com/auburnmoor/auburnmoor/retry"
 )
 
 // A gang is the set of engines that hold the KV cache of a prompt larger than
--- a/dispatch/node.go
+++ b/decide/dispatch/node.go
@@ -4,11 +4,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/health"
+	"github.com/auburnmoor/auburnmoor/decide/health"
+	"github.com/auburnmoor/auburnmoor/decide/retry"
+	"github.com/auburnmoor/auburnmoor/decide/sched"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/result"
-	"github.com/auburnmoor/auburnmoor/retry"
-	"github.com/auburnmoor/auburnmoor/sched"
 )
 
 // Config tunes a Node.
--- a/dispatch/owner.go
+++ b/decide/dispatch/owner.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/sched"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/result"
-	"github.com/auburnmoor/auburnmoor/sched"
 )
 
 // ejectedRetry is when to ask again for an engine that is out of rotation.
--- a/dispatch/place_bench_test.go
+++ b/decide/dispatch/place_bench_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/prefix"
 )
 
 func fleetOf(workers int) Directory {
--- a/dispatch/router.go
+++ b/decide/dispatch/router.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/result"
-	"github.com/auburnmoor/auburnmoor/retry"
 )
 
 // Delays of the router.
--- a/health/tracker.go
+++ b/decide/health/tracker.go
@@ -8,7 +8,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/retry"
+	"github.com/auburnmoor/auburnmoor/decide/retry"
 )
 
 // Bounds of an ejection.
--- a/health/tracker_test.go
+++ b/decide/health/tracker_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnmoor/auburnmoor/health"
+	"github.com/auburnmoor/auburnmoor/decide/health"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 )
 
--- a/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/decide/lease"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/lease"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 )
 
--- a/member/cost_test.go
+++ b/decide/member/cost_test.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
--- a/member/table_test.go
+++ b/decide/member/table_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/member"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
--- a/orphan/orphan_test.go
+++ b/decide/orphan/orphan_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/decide/orphan"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/orphan"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 )
 
--- a/place/cost_test.go
+++ b/decide/place/cost_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/auburnmoor/auburnmoor/place"
+	"github.com/auburnmoor/auburnmoor/decide/place"
 )
 
 // BenchmarkAssign is the division of engines among instances, done at each
--- a/place/place_test.go
+++ b/decide/place/place_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/place"
 )
 
 func TestPlace(t *testing.T) { testkit.Suite(t, "place") }
--- a/retry/budget_test.go
+++ b/decide/retry/budget_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/retry"
 )
 
 func TestRetry(t *testing.T) { testkit.Suite(t, "retry") }
--- a/rollout/rollout_test.go
+++ b/decide/rollout/rollout_test.go
@@ -10,10 +10,10 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/auburnmoor/auburnmoor/decide/rollout"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/rollout"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
--- a/sched/engine.go
+++ b/decide/sched/engine.go
@@ -8,9 +8,9 @@
 import (
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/prefix"
 )
 
 // Config tunes the scheduling of an engine.
--- a/sched/engine_test.go
+++ b/decide/sched/engine_test.go
@@ -9,11 +9,11 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/auburnmoor/auburnmoor/decide/sched"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/result"
-	"github.com/auburnmoor/auburnmoor/sched"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -16,9 +16,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnmoor/auburnmoor/dev"
+	"github.com/auburnmoor/auburnmoor/lab/dev"
+	"github.com/auburnmoor/auburnmoor/lab/standin/answer"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/standin/answer"
 )
 
 // fleet is a site of real processes.
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -18,13 +18,13 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/auburnmoor/auburnmoor/dev"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/lab/dev"
+	"github.com/auburnmoor/auburnmoor/lab/standin/answer"
+	"github.com/auburnmoor/auburnmoor/lab/standin/engineserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/platformserver"
 	_ "github.com/auburnmoor/auburnmoor/modules"
 	"github.com/auburnmoor/auburnmoor/port/instances"
-	"github.com/auburnmoor/auburnmoor/standin/answer"
-	"github.com/auburnmoor/auburnmoor/standin/engineserver"
-	"github.com/auburnmoor/auburnmoor/standin/platformserver"
 )
 
 func TestE2E(t *testing.T) { testkit.Suite(t, "e2e") }
--- a/bench/baseline.go
+++ b/lab/bench/baseline.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/result"
 )
--- a/bench/bench_test.go
+++ b/lab/bench/bench_test.go
@@ -10,10 +10,10 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/auburnmoor/auburnmoor/bench"
-	"github.com/auburnmoor/auburnmoor/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
+	"github.com/auburnmoor/auburnmoor/lab/bench"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
--- a/bench/loop.go
+++ b/lab/bench/loop.go
@@ -8,10 +8,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/auburnmoor/auburnmoor/dispatch"
-	"github.com/auburnmoor/auburnmoor/place"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/place"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/result"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/vtime"
 )
 
--- a/bench/plot.go
+++ b/lab/bench/plot.go
@@ -1,6 +1,6 @@
 package bench
 
-import "github.com/auburnmoor/auburnmoor/plots"
+import "github.com/auburnmoor/auburnmoor/lab/plots"
 
 // Plot draws the p95 time to first token by prompt length, a bar for each
 // policy.
--- a/bench/policy.go
+++ b/lab/bench/policy.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/dispatch"
-	"github.com/auburnmoor/auburnmoor/sched"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/sched"
 )
 
 // Policy is a way to run a site: the product's, a variant of it or a baseline.
--- a/bench/scenario.go
+++ b/lab/bench/scenario.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/prefix"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 )
 
 // Scenario is a named experiment.
--- a/bench/workload.go
+++ b/lab/bench/workload.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/prefix"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 )
 
 // modelName is the one model that the emulated engines serve.
--- a/dev/dev.go
+++ b/lab/dev/dev.go
@@ -11,16 +11,16 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/auburnmoor/auburnmoor/confver"
+	"github.com/auburnmoor/auburnmoor/decide/confver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
+	"github.com/auburnmoor/auburnmoor/lab/standin/engineserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/platformserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/serviceserver"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/port/instances"
 	"github.com/auburnmoor/auburnmoor/port/objectapi"
 	"github.com/auburnmoor/auburnmoor/process"
 	"github.com/auburnmoor/auburnmoor/settings"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
-	"github.com/auburnmoor/auburnmoor/standin/engineserver"
-	"github.com/auburnmoor/auburnmoor/standin/platformserver"
-	"github.com/auburnmoor/auburnmoor/standin/serviceserver"
 )
 
 // Options size the site.
--- a/load/client.go
+++ b/lab/load/client.go
@@ -14,8 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/lab/standin/answer"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/standin/answer"
 )
 
 // answered is what came back for one request.
--- a/load/plot.go
+++ b/lab/load/plot.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/auburnmoor/auburnmoor/plots"
+	"github.com/auburnmoor/auburnmoor/lab/plots"
 )
 
 // quantiles are the points of a plot.
--- a/standin/enginecore/cache.go
+++ b/lab/standin/enginecore/cache.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/prefix"
 )
 
 // maxEvents bounds the cache events kept for readers; older ones are a gap.
--- a/standin/enginecore/core.go
+++ b/lab/standin/enginecore/core.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/prefix"
 )
 
 // Config describes one engine.
--- a/standin/enginecore/core_test.go
+++ b/lab/standin/enginecore/core_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
--- a/standin/engineserver/faults.go
+++ b/lab/standin/engineserver/faults.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 )
 
 // FaultKind is a fault that can be requested.
--- a/standin/engineserver/server.go
+++ b/lab/standin/engineserver/server.go
@@ -16,10 +16,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
+	"github.com/auburnmoor/auburnmoor/lab/standin/answer"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/prefix"
-	"github.com/auburnmoor/auburnmoor/standin/answer"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 )
 
 // keepEnded is how long an ended stream can still be resumed.
--- a/trial/requests.go
+++ b/lab/trial/requests.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/claim"
-	"github.com/auburnmoor/auburnmoor/confver"
-	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/decide/claim"
+	"github.com/auburnmoor/auburnmoor/decide/confver"
+	"github.com/auburnmoor/auburnmoor/decide/member"
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/place"
 	"github.com/auburnmoor/auburnmoor/result"
 
 	"github.com/cockroachdb/errors"
--- a/trial/trial.go
+++ b/lab/trial/trial.go
@@ -10,13 +10,13 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnmoor/auburnmoor/claim"
-	"github.com/auburnmoor/auburnmoor/confver"
-	"github.com/auburnmoor/auburnmoor/lease"
-	"github.com/auburnmoor/auburnmoor/member"
+	"github.com/auburnmoor/auburnmoor/decide/claim"
+	"github.com/auburnmoor/auburnmoor/decide/confver"
+	"github.com/auburnmoor/auburnmoor/decide/lease"
+	"github.com/auburnmoor/auburnmoor/decide/member"
+	"github.com/auburnmoor/auburnmoor/lab/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/standin/enginecore"
 	"github.com/auburnmoor/auburnmoor/vtime"
 )
 
--- a/trial/trial_test.go
+++ b/lab/trial/trial_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
-	"github.com/auburnmoor/auburnmoor/trial"
+	"github.com/auburnmoor/auburnmoor/lab/trial"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
--- a/serve/api/completion.go
+++ b/serve/api/completion.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/labstack/echo/v4"
 
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/prefix"
 	"github.com/auburnmoor/auburnmoor/result"
 )
 
--- a/serve/api/entries.go
+++ b/serve/api/entries.go
@@ -5,9 +5,9 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/auburnmoor/auburnmoor/decide/member"
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/manifest"
-	"github.com/auburnmoor/auburnmoor/member"
-	"github.com/auburnmoor/auburnmoor/place"
 )
 
 // entriesAnswer tells a caller which instances to use.
--- a/serve/api/home.go
+++ b/serve/api/home.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburnmoor/auburnmoor/claim"
+	"github.com/auburnmoor/auburnmoor/decide/claim"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/result"
 )
--- a/serve/api/once.go
+++ b/serve/api/once.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburnmoor/auburnmoor/orphan"
+	"github.com/auburnmoor/auburnmoor/decide/orphan"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/result"
--- a/serve/api/plain.go
+++ b/serve/api/plain.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburnmoor/auburnmoor/balance"
+	"github.com/auburnmoor/auburnmoor/decide/balance"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/port/service"
 	"github.com/auburnmoor/auburnmoor/result"
--- a/serve/api/session.go
+++ b/serve/api/session.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnmoor/auburnmoor/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/prefix"
 	"github.com/auburnmoor/auburnmoor/port/engine"
-	"github.com/auburnmoor/auburnmoor/prefix"
 	"github.com/auburnmoor/auburnmoor/result"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
 )
--- a/serve/enginepoll/enginepoll.go
+++ b/serve/enginepoll/enginepoll.go
@@ -11,7 +11,7 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/members"
-	"github.com/auburnmoor/auburnmoor/dispatch"
+	"github.com/auburnmoor/auburnmoor/decide/dispatch"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
