--- a/cli/serve.go
+++ b/cli/serve.go
@@ -14,7 +14,7 @@
 )
 
 type serveCmd struct {
-	Config string `required:"" type:"existingfile" help:"Settings file of the instance."`
+	Config string `required:"" env:"AUBURNMOOR_SETTINGS" type:"existingfile" help:"Settings file of the instance."`
 }
 
 // Run serves until a signal, then drains.
--- /dev/null
+++ b/control/loads/loads.go
@@ -0,0 +1,181 @@
+// Package loads shares between instances what work each has placed on the
+// backend servers, so that every instance can place requests by itself.
+package loads
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/peerlink"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "control.loads"
+
+func init() { auburnmoor.Register(new(Loads)) }
+
+// Times of the reports.
+const (
+	// gatherFor is how long changes are gathered into one report. Two instances
+	// that place a request within it do not see each other's.
+	gatherFor = 2 * time.Millisecond
+	// completeEvery bounds how long a lost report leaves others with a wrong
+	// figure.
+	completeEvery = time.Second
+)
+
+// Loads is the module "control.loads".
+type Loads struct {
+	self    string
+	link    *peerlink.Link
+	members *members.Members
+
+	mu     sync.Mutex
+	ledger *spread.Ledger
+	dirty  chan struct{}
+}
+
+// ModuleInfo implements auburnmoor.Module.
+func (*Loads) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{
+		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, peerlink.ID}, OnRequest: true,
+		New: func() auburnmoor.Module { return new(Loads) },
+	}
+}
+
+// Provision implements auburnmoor.Provisioner.
+func (l *Loads) Provision(c *auburnmoor.Context) (err error) {
+	if l.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
+		return err
+	}
+	if l.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
+		return err
+	}
+	l.self, l.ledger, l.dirty = c.Self.Name, spread.NewLedger(), make(chan struct{}, 1)
+	l.link.Handle(l.receive)
+	l.members.OnView(l.keepLive)
+	return nil
+}
+
+// Start implements auburnmoor.Starter.
+func (l *Loads) Start(ctx context.Context) error {
+	go l.run(ctx)
+	return nil
+}
+
+// Place runs choose with the present loads and notes what it placed, in one
+// step, so that two requests of this instance never see the same room.
+func (l *Loads) Place(choose func(load func(string) spread.Load) (spread.Plan, bool)) (spread.Plan, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := choose(l.ledger.Of)
+	if !ok {
+		return p, false
+	}
+	for _, part := range p.Parts {
+		l.ledger.Add(part.Server.ID, part.Load)
+	}
+	l.wake()
+	return p, true
+}
+
+// Done ends work that Place noted.
+func (l *Loads) Done(server string, v spread.Load) {
+	if v == (spread.Load{}) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Sub(server, v)
+	l.wake()
+}
+
+func (l *Loads) wake() {
+	select {
+	case l.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Loads) run(ctx context.Context) {
+	complete := time.NewTicker(completeEvery)
+	defer complete.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-complete.C:
+			l.report(true)
+		case <-l.dirty:
+			time.Sleep(gatherFor)
+			l.report(false)
+		}
+	}
+}
+
+func (l *Loads) report(complete bool) {
+	l.mu.Lock()
+	changed := l.ledger.TakeChanged()
+	if complete {
+		changed = l.ledger.All()
+	}
+	l.mu.Unlock()
+	if len(changed) == 0 && !complete {
+		return
+	}
+	msg := &peerpb.LoadReport{Complete: complete}
+	for server, v := range changed {
+		msg.Servers = append(msg.Servers, &peerpb.ServerLoad{
+			Server: server, Calls: v.Calls, HeldTokens: v.HeldTokens, ReadUs: v.Read.Microseconds(), Parts: v.Parts,
+		})
+	}
+	for _, m := range l.members.View().Alive {
+		if m.Name != l.self {
+			l.link.Send(m.Name, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
+		}
+	}
+}
+
+func (l *Loads) receive(from string, env *peerpb.Envelope) {
+	r := env.GetLoadReport()
+	if r == nil {
+		return
+	}
+	loads := make(map[string]spread.Load, len(r.Servers))
+	for _, s := range r.Servers {
+		loads[s.Server] = spread.Load{
+			Calls: s.Calls, HeldTokens: s.HeldTokens, Read: time.Duration(s.ReadUs) * time.Microsecond, Parts: s.Parts,
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Report(from, r.Complete, loads)
+}
+
+func (l *Loads) keepLive(v members.View) {
+	live := map[string]bool{}
+	for _, m := range v.Alive {
+		live[m.Name] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Keep(live)
+}
+
+// Dump implements auburnmoor.Dumper.
+func (l *Loads) Dump() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Dump{Totals: l.ledger.Totals(), Own: l.ledger.All()}
+}
+
+// Dump is the work placed on backend servers.
+type Dump struct {
+	Totals map[string]spread.Load `json:"totals"`
+	Own    map[string]spread.Load `json:"own"`
+}
--- a/control/members/dump.go
+++ b/control/members/dump.go
@@ -11,7 +11,7 @@
 func viewKey(v View) string {
 	var b strings.Builder
 	for _, s := range v.Alive {
-		fmt.Fprintf(&b, "%s/%d/%t/%s;", s.Name, s.Incarnation, s.Leaving, s.CallerAddr)
+		fmt.Fprintf(&b, "%s/%d/%t/%t/%s;", s.Name, s.Incarnation, s.Leaving, s.Serving, s.CallerAddr)
 	}
 	for _, e := range v.Engines {
 		fmt.Fprintf(&b, "%s@%s/%t", e.Name, e.Addr, e.Leaving)
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
-	"github.com/auburnmoor/auburnmoor/control/platformapi"
 	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -81,7 +80,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Members) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, platformapi.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, instances.Port},
 		New: func() auburnmoor.Module { return new(Members) },
 	}
 }
@@ -94,7 +93,7 @@
 
 // Provision implements auburnmoor.Provisioner.
 func (m *Members) Provision(c *auburnmoor.Context) error {
-	p, err := auburnmoor.Require[*platformapi.Platform](c, platformapi.ID)
+	p, err := auburnmoor.Find[instances.Source](c)
 	if err != nil {
 		return err
 	}
@@ -212,6 +211,14 @@
 	m.publish()
 }
 
+// SetServing announces whether this instance can answer requests.
+func (m *Members) SetServing(serving bool) {
+	m.mu.Lock()
+	m.table.SetServing(serving)
+	m.mu.Unlock()
+	m.publish()
+}
+
 // Leave announces that this instance is shutting down.
 func (m *Members) Leave() {
 	m.mu.Lock()
--- a/control/platformapi/platformapi.go
+++ b/control/platformapi/platformapi.go
@@ -35,7 +35,7 @@
 
 // ModuleInfo implements auburnmoor.Module.
 func (*Platform) ModuleInfo() auburnmoor.ModuleInfo {
-	return auburnmoor.ModuleInfo{ID: ID, New: func() auburnmoor.Module { return new(Platform) }}
+	return auburnmoor.ModuleInfo{ID: ID, Provides: []auburnmoor.ModuleID{instances.Port}, New: func() auburnmoor.Module { return new(Platform) }}
 }
 
 // Provision implements auburnmoor.Provisioner.
--- /dev/null
+++ b/decide/backends/backends.go
@@ -0,0 +1,128 @@
+// Package backends keeps what is known of the backend servers and since when.
+// A set is changed by one goroutine; Snapshot gives others a view that does not
+// change.
+package backends
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Server is one start of a backend server. A server that starts again has
+// another ID.
+type Server struct {
+	ID         string
+	Service    string
+	Addr       string
+	DataCentre string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Leaving servers finish what they have and take nothing new.
+	Leaving bool
+}
+
+// Change is one event of the list of servers.
+type Change struct {
+	ID string
+	// Server is nil when the server left the list.
+	Server *Server
+}
+
+// Snapshot is the set at one revision.
+type Snapshot struct {
+	// Revision is the store's revision that the snapshot reflects.
+	Revision int64
+	byID     map[string]Server
+	services map[string][]Server
+}
+
+// Ready returns the servers of a service that may get new work, by ID.
+func (s *Snapshot) Ready(service string) []Server { return s.services[service] }
+
+// Get returns a server by ID, leaving or not.
+func (s *Snapshot) Get(id string) (Server, bool) {
+	v, ok := s.byID[id]
+	return v, ok
+}
+
+// Len counts the servers, leaving ones included.
+func (s *Snapshot) Len() int { return len(s.byID) }
+
+// departedFor is how long a server that left is remembered, so that an older
+// read of the list cannot bring it back. Stale reads are seconds behind.
+const departedFor = 30 * time.Second
+
+// Set is the list of servers as its changes arrive.
+type Set struct {
+	revision int64
+	byID     map[string]Server
+	leaving  map[string]time.Duration
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{byID: map[string]Server{}, leaving: map[string]time.Duration{}}
+}
+
+// Replace takes over a whole list read at a revision. An older list than the
+// one held is ignored.
+func (s *Set) Replace(now time.Duration, servers []Server, revision int64) bool {
+	if revision < s.revision {
+		return false
+	}
+	s.revision = revision
+	s.byID = make(map[string]Server, len(servers))
+	for _, v := range servers {
+		s.put(now, v)
+	}
+	for id, at := range s.leaving {
+		if now-at > departedFor {
+			delete(s.leaving, id)
+		}
+	}
+	return true
+}
+
+// Apply takes over changes that lead to a revision.
+func (s *Set) Apply(now time.Duration, changes []Change, revision int64) bool {
+	if revision < s.revision {
+		return false
+	}
+	s.revision = revision
+	for _, c := range changes {
+		if c.Server == nil {
+			delete(s.byID, c.ID)
+			continue
+		}
+		s.put(now, *c.Server)
+	}
+	return true
+}
+
+// put keeps a server that once said that it is leaving in that state: a server
+// never returns from it under the same ID.
+func (s *Set) put(now time.Duration, v Server) {
+	if _, known := s.leaving[v.ID]; known {
+		v.Leaving = true
+	}
+	if v.Leaving {
+		s.leaving[v.ID] = now
+	}
+	s.byID[v.ID] = v
+}
+
+// Snapshot returns the present set.
+func (s *Set) Snapshot() *Snapshot {
+	out := &Snapshot{Revision: s.revision, byID: make(map[string]Server, len(s.byID)), services: map[string][]Server{}}
+	for id, v := range s.byID {
+		out.byID[id] = v
+		if !v.Leaving {
+			out.services[v.Service] = append(out.services[v.Service], v)
+		}
+	}
+	for _, list := range out.services {
+		slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return out
+}
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -84,6 +84,15 @@
 	t.self.Version++
 }
 
+// SetServing announces whether self can answer requests.
+func (t *Table) SetServing(serving bool) {
+	if t.self.Serving == serving {
+		return
+	}
+	t.self.Serving = serving
+	t.self.Version++
+}
+
 // SetEngines replaces the engines that self reports for.
 func (t *Table) SetEngines(engines []*peerpb.EngineState) {
 	t.self.Engines = engines
@@ -136,7 +145,7 @@
 		return false
 	}
 	wasAlive := t.alive(now, e)
-	visible := !wasAlive || e.state.Incarnation != s.Incarnation || e.state.Leaving != s.Leaving || !sameEngines(e.state.Engines, s.Engines)
+	visible := !wasAlive || e.state.Incarnation != s.Incarnation || e.state.Leaving != s.Leaving || e.state.Serving != s.Serving || !sameEngines(e.state.Engines, s.Engines)
 	if visible {
 		e.changedAt = now
 	}
@@ -269,7 +278,7 @@
 	return &peerpb.MemberState{
 		Name: s.Name, Incarnation: s.Incarnation, Heartbeat: s.Heartbeat, Leaving: s.Leaving,
 		DataCentre: s.DataCentre, Region: s.Region, PeerAddr: s.PeerAddr, CallerAddr: s.CallerAddr,
-		Engines: s.Engines, Version: s.Version,
+		Engines: s.Engines, Version: s.Version, Serving: s.Serving,
 	}
 }
 
--- a/kernel.go
+++ b/kernel.go
@@ -1,8 +1,11 @@
 package auburnmoor
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +61,9 @@
 	Scope     tally.Scope
 	Reporter  tally.CachedStatsReporter
 	Configure func(id ModuleID, m Module) error
+	// Load names the modules to load, beside those that they require; empty
+	// loads every registered module that is not OnRequest.
+	Load []ModuleID
 }
 
 // Kernel owns the modules of one process from load to cleanup.
@@ -73,7 +79,7 @@
 // New loads every registered module, configures and checks it. All problems
 // are reported together.
 func New(opts Options) (*Kernel, error) {
-	order, err := sortByRequires(Modules())
+	order, err := Select(opts.Load)
 	if err != nil {
 		return nil, err
 	}
@@ -181,15 +187,70 @@
 // DumpAll lets a module serve the state dump of the whole process.
 func (c *Context) DumpAll() map[ModuleID]any { return c.kernel.Dump() }
 
+// Select returns the modules that a process with these settings loads, in the
+// order in which they start.
+func Select(load []ModuleID) ([]ModuleInfo, error) {
+	all := Modules()
+	if len(load) == 0 {
+		return sortByRequires(slices.DeleteFunc(all, func(i ModuleInfo) bool { return i.OnRequest }))
+	}
+	byID := map[ModuleID]ModuleInfo{}
+	for _, info := range all {
+		byID[info.ID] = info
+	}
+	chosen := map[ModuleID]ModuleInfo{}
+	provided := map[ModuleID]bool{}
+	for _, id := range load {
+		info, ok := byID[id]
+		if !ok {
+			return nil, errors.Newf("no module %q", id)
+		}
+		chosen[id] = info
+		for _, port := range info.Provides {
+			provided[port] = true
+		}
+	}
+	for added := true; added; {
+		added = false
+		for _, info := range chosen {
+			for _, id := range info.Requires {
+				dep, known := byID[id]
+				if _, have := chosen[id]; have || provided[id] || !known {
+					continue
+				}
+				chosen[id], added = dep, true
+			}
+		}
+	}
+	return sortByRequires(slices.SortedFunc(maps.Values(chosen), func(a, b ModuleInfo) int { return cmp.Compare(a.ID, b.ID) }))
+}
+
+// Find returns the loaded module that implements T, such as a port with
+// several implementations of which a process loads one.
+func Find[T any](c *Context) (T, error) {
+	var zero T
+	for _, m := range c.kernel.modules {
+		if t, ok := m.(T); ok {
+			return t, nil
+		}
+	}
+	return zero, errors.Newf("no loaded module implements %T", &zero)
+}
+
 func sortByRequires(infos []ModuleInfo) ([]ModuleInfo, error) {
 	byID := map[ModuleID]ModuleInfo{}
 	for _, info := range infos {
 		byID[info.ID] = info
+		for _, port := range info.Provides {
+			byID[port] = info
+		}
 	}
 	const (
 		visiting = 1
 		done     = 2
 	)
+	// A provider is reached by its own name and by those of its ports, so marks
+	// go by its own name.
 	mark := map[ModuleID]int{}
 	var order []ModuleInfo
 	var visit func(ModuleInfo) error
--- a/module.go
+++ b/module.go
@@ -20,7 +20,13 @@
 type ModuleInfo struct {
 	ID ModuleID
 	// Requires lists modules that are provisioned and started before this one.
+	// A name that no module bears stands for the module that provides it.
 	Requires []ModuleID
+	// Provides lists the names of ports that this module implements. Among the
+	// modules of one process at most one provides a port.
+	Provides []ModuleID
+	// OnRequest keeps the module out of processes whose settings do not name it.
+	OnRequest bool
 	// New returns an empty instance; its exported fields are its settings.
 	New func() Module
 }
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -124,6 +124,9 @@
 	return nil
 }
 
+// AtAddr is the name of an instance of which only the peer address is known.
+func AtAddr(addr string) string { return "@" + addr }
+
 // Send queues an envelope for an instance and reports whether there was room.
 func (l *Link) Send(to string, env *peerpb.Envelope) bool {
 	p, err := l.peer(to)
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -25,7 +25,7 @@
 		}
 		// An instance that took over an address gets messages meant for its
 		// predecessor; acting on them would answer for another.
-		if env.To != sv.link.self.Name {
+		if env.To != sv.link.self.Name && env.To != AtAddr(sv.link.self.PeerAddr) {
 			sv.link.dropped.Add(1)
 			continue
 		}
--- a/port/instances/instances.go
+++ b/port/instances/instances.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor"
 )
 
 // Role tells what an instance runs.
@@ -40,6 +42,19 @@
 	List(ctx context.Context) ([]Instance, error)
 }
 
+// Port is the name under which a module provides the instance list.
+const Port auburnmoor.ModuleID = "port.instances"
+
+// Source is implemented by the module that provides the instance list.
+type Source interface{ Lister() Lister }
+
+// Registrar is implemented by a list into which instances put themselves. Both
+// calls are idempotent.
+type Registrar interface {
+	Register(ctx context.Context, self Instance) error
+	Deregister(ctx context.Context, name string) error
+}
+
 // Client reads the list over HTTP.
 type Client struct{ url string }
 
--- /dev/null
+++ b/serve/entries/entries.go
@@ -0,0 +1,70 @@
+// Package entries answers callers that ask which entry instances to use.
+package entries
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "serve.entries"
+
+func init() { auburnmoor.Register(new(Entries)) }
+
+const (
+	// most is how many addresses a caller uses of one answer.
+	most = 64
+	// keep is how long callers may keep an answer. It bounds how long they go
+	// on choosing an instance that is gone; each asks once in this time.
+	keep = 2 * time.Second
+)
+
+// Entries is the module "serve.entries".
+type Entries struct{ members *members.Members }
+
+// ModuleInfo implements auburnmoor.Module.
+func (*Entries) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{ID: ID, Requires: []auburnmoor.ModuleID{members.ID}, OnRequest: true, New: func() auburnmoor.Module { return new(Entries) }}
+}
+
+// Provision implements auburnmoor.Provisioner.
+func (e *Entries) Provision(c *auburnmoor.Context) (err error) {
+	e.members, err = auburnmoor.Require[*members.Members](c, members.ID)
+	return err
+}
+
+// Answer is what a caller is told.
+type Answer struct {
+	Addrs []string
+	Keep  time.Duration
+}
+
+// For answers a caller in a data centre. No address at all means that this
+// instance knows of none that serves, itself included.
+func (e *Entries) For(dataCentre string) Answer {
+	return Answer{Addrs: Choose(e.members.View().Alive, dataCentre, rand.Shuffle), Keep: keep}
+}
+
+// Choose returns the addresses of serving instances. Beyond the most that a
+// caller uses, those of its own data centre come first.
+func Choose(alive []*peerpb.MemberState, dataCentre string, shuffle func(int, func(i, j int))) []string {
+	var near, far []string
+	for _, m := range alive {
+		switch {
+		case m.Leaving || !m.Serving:
+		case m.DataCentre == dataCentre:
+			near = append(near, m.CallerAddr)
+		default:
+			far = append(far, m.CallerAddr)
+		}
+	}
+	shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	all := slices.Concat(near, far)
+	return all[:min(most, len(all))]
+}
--- /dev/null
+++ b/serve/relay/exchange.go
@@ -0,0 +1,371 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/attempt"
+	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+	"github.com/auburnmoor/auburnmoor/result"
+)
+
+// Times and sizes of an exchange.
+const (
+	// pauseNoBackend is when a client may come back while no server is ready: a
+	// replaced server is listed about a second after its start.
+	pauseNoBackend = time.Second
+	// pauseNotRun is when a client may come back after servers turned the
+	// request away; a slot of a plain service is free again after about 30 ms.
+	pauseNotRun = 150 * time.Millisecond
+	// leastLeft is the time below which another attempt cannot succeed.
+	leastLeft = 20 * time.Millisecond
+	// firstPatience is the least that a stream's first attempt waits for its
+	// first event beyond twice the prediction. Callers give up after 2 s, so a
+	// second attempt must start well before.
+	firstPatience = 900 * time.Millisecond
+	// waitingPatience is added while the server has no free slot.
+	waitingPatience = time.Second
+	// gapPatience is the least silence in a stream that moves it to another
+	// server, and gapFactor that in multiples of the useful pause.
+	gapPatience = 1200 * time.Millisecond
+	gapFactor   = 3
+	// answerPatience is the share of the useful time after which an idempotent
+	// request is tried at another server.
+	answerPatience = 0.8
+	// maxAnswer bounds a whole answer in bytes.
+	maxAnswer = 16 << 20
+	// readBuffer is the size of one read of a stream; an event has some 100 bytes.
+	readBuffer = 16 << 10
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	relay    *Relay
+	req      *Request
+	sink     Sink
+	route    *route.Route
+	service  *route.Service
+	customer string
+	version  uint64
+	state    *attempt.State
+	time     time.Duration
+
+	avoid  []string
+	events events
+	begun  bool
+	// last is the newest answer of a server's own that may be passed on.
+	last     backend.Head
+	lastBody []byte
+	started  time.Duration
+	first    time.Duration
+}
+
+// Errors that end an attempt beside those of the port.
+var (
+	errSilent = errors.New("no answer within the time of the attempt")
+	errClient = errors.New("client is gone")
+)
+
+// run makes attempts until an answer is out.
+func (x *exchange) run(ctx context.Context) {
+	x.started = x.relay.now()
+	x.relay.arrived(x.service.Name)
+	for {
+		plan, ok := x.place()
+		if !ok {
+			x.end(ctx, result.New(x.noPlaceCode(), "no backend server can take the request").After(pauseNoBackend))
+			return
+		}
+		outcome, err := x.attempt(ctx, plan)
+		if err == nil {
+			x.finished(plan)
+			return
+		}
+		if ctx.Err() != nil || errors.Is(err, errClient) {
+			x.timeUp(ctx, err)
+			return
+		}
+		x.avoid = append(x.avoid, plan.Writer().ID)
+		if !x.next(ctx, plan, outcome, err) {
+			return
+		}
+	}
+}
+
+// next carries out what follows a failed attempt and reports whether to go on.
+func (x *exchange) next(ctx context.Context, plan spread.Plan, o attempt.Outcome, err error) bool {
+	action := x.state.Next(o, func() bool { return x.left() > leastLeft && x.relay.mayRetry(x.service.Name) })
+	x.relay.count("attempts_failed_total", "outcome", o.String())
+	x.relay.log.Info("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
+		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.left()),
+		zap.Duration("servers_age", x.relay.catalog.ServersAge()), zap.Error(err))
+	switch action {
+	case attempt.Retry:
+		x.events.restart()
+		return true
+	case attempt.Refuse:
+		x.end(ctx, result.New(result.NoBackend, "no backend server ran the request").After(pauseNotRun))
+	case attempt.PassOn:
+		x.sink.Whole(x.last, x.lastBody)
+		x.log("server error passed on")
+	case attempt.Fail, attempt.Abort:
+		x.end(ctx, result.New(result.BackendFailed, "the backend server failed"))
+	}
+	return false
+}
+
+// end gives the client a final answer of this instance's own.
+func (x *exchange) end(ctx context.Context, why *result.Error) {
+	if x.begun {
+		x.sink.Abort()
+		x.log("stream broken off", zap.Stringer("code", why.Code))
+		return
+	}
+	if why.NotRun && x.state.MayHaveRun() {
+		why = result.New(result.BackendFailed, "the backend server failed")
+	}
+	x.relay.refused(x.req, why)
+	x.sink.Refuse(why)
+}
+
+// timeUp ends an exchange whose time is over or whose client is gone.
+func (x *exchange) timeUp(ctx context.Context, err error) {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		x.relay.count("client_gone_total", "route", x.route.Kind.String())
+		x.log("client gone", zap.Error(err))
+		x.sink.Abort()
+		return
+	}
+	code := result.DeadlinePassed
+	if !x.state.MayHaveRun() && x.state.Sent() == 0 && errors.Is(err, backend.ErrNotSent) {
+		code = result.DeadlineNotRun
+	}
+	x.end(ctx, result.New(code, "time limit of %s passed", x.time))
+}
+
+func (x *exchange) noPlaceCode() result.Code {
+	if e := x.service.Engine; e != nil && x.req.PromptTokens > e.Memory {
+		return result.TooLongForFleet
+	}
+	return result.NoBackend
+}
+
+func (x *exchange) left() time.Duration { return x.time - time.Since(x.req.Arrived) }
+
+// place chooses servers for the next attempt.
+func (x *exchange) place() (spread.Plan, bool) {
+	r := x.relay
+	servers := r.usable(x.service.Name)
+	req := spread.Request{Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre}
+	return r.loads.Place(func(load func(string) spread.Load) (spread.Plan, bool) {
+		if x.service.Engine == nil {
+			return spread.ChoosePlain(servers, load, req)
+		}
+		return spread.Choose(x.service.Engine, servers, load, req)
+	})
+}
+
+// answerTokens estimates the length of the answer: the limit that the client
+// names is seldom reached, the service's usual length is closer.
+func (x *exchange) answerTokens() int64 {
+	if x.service.Engine == nil || x.service.Engine.UsualAnswer == 0 {
+		return x.req.AnswerTokens
+	}
+	return min(x.req.AnswerTokens, x.service.Engine.UsualAnswer)
+}
+
+// attempt sends the request to the servers of a plan.
+func (x *exchange) attempt(ctx context.Context, plan spread.Plan) (attempt.Outcome, error) {
+	work := newWork(x.relay, plan)
+	defer work.end()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := time.AfterFunc(x.patience(plan), func() { cancel(errSilent) })
+	defer patience.Stop()
+
+	answer, err := x.relay.client.Do(ctx, x.call(plan))
+	if err != nil {
+		return x.broken(ctx, plan, err)
+	}
+	defer answer.Close()
+	h := answer.Head()
+	if h.NotRun {
+		return x.turnedAway(plan, h)
+	}
+	if x.route.Kind == route.Stream && h.Status < 300 {
+		return x.stream(ctx, plan, answer, work, patience)
+	}
+	return x.whole(ctx, plan, answer)
+}
+
+// patience is how long an attempt waits for its answer, or for the first event
+// of a stream. Only the last attempt waits as long as the client does: ending it
+// sooner could lose an answer and cannot gain one.
+func (x *exchange) patience(plan spread.Plan) time.Duration {
+	if x.state.Last() || !x.route.Repeatable() {
+		return x.left()
+	}
+	if x.route.Kind != route.Stream {
+		return time.Duration(answerPatience * float64(x.route.FirstTarget))
+	}
+	d := firstPatience + 2*plan.FirstEvent
+	if plan.Waiting {
+		d += waitingPatience
+	}
+	return d
+}
+
+func (x *exchange) call(plan spread.Plan) backend.Call {
+	w := plan.Writer()
+	c := backend.Call{
+		Server: w.ID, Addr: w.Addr, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: x.req.Header, Body: x.req.Body,
+		RequestID: x.req.ID, Customer: x.customer, Left: x.left(), ResumeAfter: x.req.ResumeAfter,
+	}
+	if x.events.lastRaw != "" {
+		c.ResumeAfter = x.events.lastRaw
+	}
+	for _, h := range plan.Helpers() {
+		c.Helpers = append(c.Helpers, backend.Helper{Addr: h.Server.Addr})
+	}
+	return c
+}
+
+// broken tells what an error of an attempt means.
+func (x *exchange) broken(ctx context.Context, plan spread.Plan, err error) (attempt.Outcome, error) {
+	switch {
+	case errors.Is(err, backend.ErrNotSent):
+		if ctx.Err() == nil {
+			x.relay.failed(x.service.Name, plan.Writer().ID)
+		}
+		return attempt.NotSent, err
+	case errors.Is(context.Cause(ctx), errSilent):
+		x.relay.failed(x.service.Name, serverIDs(plan)...)
+		return attempt.Silent, errors.Mark(errSilent, backend.ErrBroken)
+	case ctx.Err() != nil:
+		return attempt.Broken, err
+	default:
+		x.relay.failed(x.service.Name, plan.Writer().ID)
+		return attempt.Broken, err
+	}
+}
+
+// turnedAway takes a server's promise that it did not run the request.
+func (x *exchange) turnedAway(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
+	if id := atFault(plan, h.AtFault); id != "" && id != plan.Writer().ID {
+		x.relay.failed(x.service.Name, id)
+		x.avoid = append(x.avoid, id)
+	}
+	return attempt.NotRun, errors.Newf("server answered %d, not run, at fault %q", h.Status, h.AtFault)
+}
+
+// atFault finds the server that an answer names by its ID or address.
+func atFault(plan spread.Plan, name string) string {
+	for _, p := range plan.Parts {
+		if name != "" && (p.Server.ID == name || p.Server.Addr == name) {
+			return p.Server.ID
+		}
+	}
+	return ""
+}
+
+func serverIDs(plan spread.Plan) []string {
+	var out []string
+	for _, p := range plan.Parts {
+		out = append(out, p.Server.ID)
+	}
+	return out
+}
+
+// whole reads an answer to its end before any of it is shown, so that one which
+// breaks can be asked for again.
+func (x *exchange) whole(ctx context.Context, plan spread.Plan, answer backend.Answer) (attempt.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswer+1))
+	h := answer.Head()
+	switch {
+	case err != nil:
+		return x.broken(ctx, plan, err)
+	case len(body) > maxAnswer:
+		return attempt.Broken, errors.Newf("answer exceeds %d bytes", maxAnswer)
+	case h.Status < 300 && !h.Sealed, h.Status >= 500 && !h.Sealed:
+		x.relay.failed(x.service.Name, plan.Writer().ID)
+		return attempt.Broken, errors.Newf("unsigned answer with status %d", h.Status)
+	case h.Status >= 500:
+		x.last, x.lastBody = h, body
+		return attempt.ServerError, errors.Newf("server answered %d", h.Status)
+	}
+	x.first = x.relay.now() - x.started
+	x.sink.Whole(h, body)
+	return 0, nil
+}
+
+// stream passes whole events on as they arrive.
+func (x *exchange) stream(ctx context.Context, plan spread.Plan, answer backend.Answer, work *work, patience *time.Timer) (attempt.Outcome, error) {
+	buf := make([]byte, readBuffer)
+	for {
+		n, err := answer.Read(buf)
+		if n > 0 {
+			out, bad := x.events.feed(buf[:n])
+			if len(out) > 0 {
+				work.firstEvent()
+				patience.Reset(x.gap())
+				if werr := x.forward(answer.Head(), out); werr != nil {
+					return attempt.Broken, errors.Mark(werr, errClient)
+				}
+			}
+			if bad != nil {
+				return x.broken(ctx, plan, errors.Mark(bad, backend.ErrBroken))
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if x.events.partial() || !x.begun {
+				return x.broken(ctx, plan, errors.Mark(io.ErrUnexpectedEOF, backend.ErrBroken))
+			}
+			x.sink.End()
+			return 0, nil
+		}
+		if err != nil {
+			return x.broken(ctx, plan, err)
+		}
+	}
+}
+
+// gap is the silence in a stream that ends an attempt.
+func (x *exchange) gap() time.Duration {
+	if x.state.Last() || !x.route.Repeatable() {
+		return max(x.left(), leastLeft)
+	}
+	return max(gapPatience, gapFactor*x.route.GapTarget)
+}
+
+func (x *exchange) forward(h backend.Head, events []byte) error {
+	if !x.begun {
+		x.first = x.relay.now() - x.started
+		x.sink.Begin(h)
+		x.begun = true
+		x.state.Forwarded()
+	}
+	return x.sink.Write(events)
+}
+
+func (x *exchange) finished(plan spread.Plan) {
+	x.relay.succeeded(x.service.Name, serverIDs(plan)...)
+	x.relay.count("answers_total", "kind", x.route.Kind.String())
+	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("first_seconds", buckets).RecordDuration(x.first)
+	x.log("answered", zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
+		zap.Duration("predicted", plan.FirstEvent), zap.Duration("first", x.first), zap.Bool("waiting", plan.Waiting))
+}
+
+// log writes the line that tells how a request ended.
+func (x *exchange) log(msg string, fields ...zap.Field) {
+	x.relay.log.Info(msg, slices.Concat([]zap.Field{
+		zap.String("request", x.req.ID), zap.String("route", x.route.Name), zap.Uint64("version", x.version), zap.Int64("prompt", x.req.PromptTokens),
+		zap.Int("attempts", x.state.Sent()+1), zap.Duration("took", x.relay.now()-x.started),
+	}, fields)...)
+}
--- /dev/null
+++ b/serve/relay/relay.go
@@ -0,0 +1,277 @@
+// Package relay passes requests on to backend servers and their answers back.
+// It finds the route, places the request, and follows decide/attempt when an
+// attempt fails.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/control/loads"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/decide/attempt"
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/health"
+	"github.com/auburnmoor/auburnmoor/decide/retry"
+	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+	"github.com/auburnmoor/auburnmoor/result"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "serve.relay"
+
+func init() { auburnmoor.Register(new(Relay)) }
+
+// Defaults of the settings.
+const (
+	defaultRetryRatio  = 0.2
+	defaultRetryExtra  = 20
+	defaultRetryWindow = 10 * time.Second
+	// ownShare of the fleet's fixed number of retries is used, because the
+	// members that share it are not known exactly.
+	ownShare = 0.8
+	// maxEjected is the share of a service's servers that may be out of rotation.
+	maxEjected = 0.34
+)
+
+// Relay is the module "serve.relay".
+type Relay struct {
+	// RetryRatio and RetryExtra bound the attempts beyond the first of each
+	// request, over all instances, in each RetryWindow: a share of the requests
+	// for a service, and a number.
+	RetryRatio  float64           `toml:"retry_ratio" validate:"min=0,max=1"`
+	RetryExtra  float64           `toml:"retry_extra" validate:"min=0"`
+	RetryWindow settings.Duration `toml:"retry_window"`
+
+	log        *zap.Logger
+	now        func() time.Duration
+	scope      tally.Scope
+	dataCentre string
+	catalog    *follow.Follower
+	loads      *loads.Loads
+	members    *members.Members
+	client     backend.Client
+
+	active atomic.Int64
+	mu     sync.Mutex
+	rand   *rand.Rand
+	pools  map[string]*pool
+}
+
+// pool is what this instance learned of a service's servers from its requests.
+type pool struct {
+	tracker *health.Tracker
+	retries *retry.Window
+	known   map[string]bool
+}
+
+// ModuleInfo implements auburnmoor.Module.
+func (*Relay) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{
+		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, backend.Port}, OnRequest: true,
+		New: func() auburnmoor.Module { return new(Relay) },
+	}
+}
+
+// Provision implements auburnmoor.Provisioner.
+func (r *Relay) Provision(c *auburnmoor.Context) (err error) {
+	if r.catalog, err = auburnmoor.Require[*follow.Follower](c, follow.ID); err != nil {
+		return err
+	}
+	if r.loads, err = auburnmoor.Require[*loads.Loads](c, loads.ID); err != nil {
+		return err
+	}
+	if r.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
+		return err
+	}
+	src, err := auburnmoor.Find[backend.Source](c)
+	if err != nil {
+		return err
+	}
+	if r.RetryWindow == 0 {
+		r.RetryWindow = settings.Duration(defaultRetryWindow)
+	}
+	if r.RetryRatio == 0 && r.RetryExtra == 0 {
+		r.RetryRatio, r.RetryExtra = defaultRetryRatio, defaultRetryExtra
+	}
+	r.log, r.now, r.scope, r.client, r.dataCentre = c.Log, c.Now, c.Scope, src.Backends(), c.Self.DataCentre
+	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
+	return nil
+}
+
+// Active counts the requests that are being served.
+func (r *Relay) Active() int64 { return r.active.Load() }
+
+// Serve answers one request. It returns when the answer is out or the client is
+// gone.
+func (r *Relay) Serve(ctx context.Context, req *Request, sink Sink) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	x, refusal := r.accept(req, sink)
+	if refusal != nil {
+		r.refused(req, refusal)
+		sink.Refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Arrived.Add(x.time))
+	defer cancel()
+	x.run(ctx)
+}
+
+// pauseWithoutConfig is when a client that was refused for want of a
+// configuration may come back: about what a start takes until the store answers.
+const pauseWithoutConfig = 500 * time.Millisecond
+
+// accept checks a request against the configuration in force.
+func (r *Relay) accept(req *Request, sink Sink) (*exchange, *result.Error) {
+	table := r.catalog.Table()
+	if table == nil || r.catalog.Servers() == nil {
+		return nil, result.New(result.NoConfiguration, "no configuration known yet").After(pauseWithoutConfig)
+	}
+	rt, ok := table.Lookup(req.Host, req.Path)
+	if !ok {
+		return nil, result.New(result.NotFound, "no route matches")
+	}
+	customer, ok := table.Customer(req.Key)
+	if !ok && !rt.Public && len(table.Customers) > 0 {
+		return nil, result.New(result.UnknownKey, "unknown key")
+	}
+	if max := table.Limits.BodyBytes; max > 0 && len(req.Body) > max {
+		return nil, result.New(result.BodyTooLarge, "body exceeds the limit of %d bytes", max)
+	}
+	name := ""
+	if customer != nil {
+		name = customer.Name
+	}
+	service, ok := table.Service(r.pick(rt))
+	if !ok {
+		return nil, result.New(result.NoBackend, "the route's service is not configured").After(pauseNoBackend)
+	}
+	return &exchange{
+		relay: r, req: req, sink: sink, route: rt, service: service, customer: name, version: table.Version,
+		state: attempt.New(rt), time: timeLeft(rt, req),
+	}, nil
+}
+
+func timeLeft(rt *route.Route, req *Request) time.Duration {
+	if req.Deadline > 0 && (rt.Timeout == 0 || req.Deadline < rt.Timeout) {
+		return req.Deadline
+	}
+	return rt.Timeout
+}
+
+func (r *Relay) pick(rt *route.Route) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rt.Pick(r.rand)
+}
+
+func (r *Relay) refused(req *Request, why *result.Error) {
+	r.count("refusals_total", "code", why.Code.String())
+	r.log.Info("refused", zap.String("request", req.ID), zap.Uint32("code", uint32(why.Code)), zap.String("why", why.Message),
+		zap.String("host", req.Host), zap.String("path", req.Path), zap.Uint64("version", r.version()),
+		zap.Duration("config_age", r.catalog.ConfigAge()))
+}
+
+func (r *Relay) version() uint64 {
+	if t := r.catalog.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (r *Relay) count(name, tag, value string) {
+	r.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(1)
+}
+
+// pool returns what is known of a service; r.mu is held.
+func (r *Relay) pool(service string) *pool {
+	p := r.pools[service]
+	if p == nil {
+		p = &pool{
+			tracker: health.NewTracker(maxEjected, r.rand), known: map[string]bool{},
+			retries: retry.NewWindow(r.RetryWindow.Std(), r.RetryRatio, 0),
+		}
+		r.pools[service] = p
+	}
+	return p
+}
+
+// usable returns the servers of a service that may get new work: ready ones
+// that are not out of rotation.
+func (r *Relay) usable(service string) []backends.Server {
+	ready := r.catalog.Servers().Ready(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pool(service)
+	p.follow(ready)
+	out := make([]backends.Server, 0, len(ready))
+	for _, s := range ready {
+		if p.tracker.Usable(r.now(), s.ID) {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return ready
+	}
+	return out
+}
+
+// follow makes the tracker forget servers that left.
+func (p *pool) follow(ready []backends.Server) {
+	here := make(map[string]bool, len(ready))
+	for _, s := range ready {
+		here[s.ID] = true
+		if !p.known[s.ID] {
+			p.tracker.Add(s.ID)
+		}
+	}
+	for id := range p.known {
+		if !here[id] {
+			p.tracker.Remove(id)
+		}
+	}
+	p.known = here
+}
+
+func (r *Relay) arrived(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pool(service).retries.Request(r.now())
+}
+
+// mayRetry spends one retry of this instance's part of the fleet's budget.
+func (r *Relay) mayRetry(service string) bool {
+	members := max(1, len(r.members.View().Alive))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.pool(service).retries
+	w.SetExtra(ownShare * r.RetryExtra / float64(members))
+	return w.Take(r.now())
+}
+
+func (r *Relay) succeeded(service string, ids ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		r.pool(service).tracker.Success(id)
+	}
+}
+
+func (r *Relay) failed(service string, ids ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		r.pool(service).tracker.Failure(r.now(), id)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,9 @@
 	LogFormat string `toml:"log_format" validate:"omitempty,oneof=json console"`
 	// DrainTimeout bounds a graceful shutdown; zero waits for every stream.
 	DrainTimeout Duration `toml:"drain_timeout"`
+	// Modules are the modules to load beside those that they require; empty
+	// loads those of the product's own interface.
+	Modules []string `toml:"modules"`
 }
 
 // Duration reads "1.5s" and similar.
@@ -105,10 +108,23 @@
 	return problemList(f.decode(string(id), t, m))
 }
 
+// Load returns the modules that the settings ask for.
+func (f *File) Load() []auburnmoor.ModuleID {
+	var out []auburnmoor.ModuleID
+	for _, id := range f.Instance.Modules {
+		out = append(out, auburnmoor.ModuleID(id))
+	}
+	return out
+}
+
 // CheckAll checks every module's table without starting anything.
 func (f *File) CheckAll() error {
 	var all []error
-	for _, info := range auburnmoor.Modules() {
+	infos, err := auburnmoor.Select(f.Load())
+	if err != nil {
+		return errors.Wrap(err, f.Path)
+	}
+	for _, info := range infos {
 		m := info.New()
 		if err := f.Configure(info.ID, m); err != nil {
 			all = append(all, err)
