--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -27,6 +27,8 @@
 	// completeEvery bounds how long a lost report leaves others with a wrong
 	// figure.
 	completeEvery = time.Second
+	// blindFor bounds how long a new instance waits to hear from its peers.
+	blindFor = 3 * time.Second
 )
 
 // Loads is the module "control.loads".
@@ -35,9 +37,14 @@
 	link    *peerlink.Link
 	members *members.Members
 
+	now   func() time.Duration
+	dirty chan struct{}
+
 	mu     sync.Mutex
 	ledger *spread.Ledger
-	dirty  chan struct{}
+	// heard are the peers that reported all of their work.
+	heard map[string]bool
+	peers int
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -56,7 +63,7 @@
 	if l.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
 		return err
 	}
-	l.self, l.ledger, l.dirty = c.Self.Name, spread.NewLedger(), make(chan struct{}, 1)
+	l.self, l.now, l.ledger, l.dirty, l.heard = c.Self.Name, c.Now, spread.NewLedger(), make(chan struct{}, 1), map[string]bool{}
 	l.link.Handle(l.receive)
 	l.members.OnView(l.keepLive)
 	return nil
@@ -84,6 +91,18 @@
 	return p, true
 }
 
+// Blind reports whether this instance began too recently to know what others
+// have placed. Instances that start together and each believe the servers to be
+// empty all choose the same ones.
+func (l *Loads) Blind() bool {
+	if l.now() > blindFor {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers == 0 || len(l.heard) < l.peers
+}
+
 // Done ends work that Place noted.
 func (l *Loads) Done(server string, v spread.Load) {
 	if v == (spread.Load{}) {
@@ -155,6 +174,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.Report(from, r.Complete, loads)
+	if r.Complete {
+		l.heard[from] = true
+	}
 }
 
 func (l *Loads) keepLive(v members.View) {
@@ -165,6 +187,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.Keep(live)
+	l.peers = len(live) - 1
 }
 
 // Dump implements auburnmoor.Dumper.
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -33,6 +33,12 @@
 	Avoid []string
 	// DataCentre is preferred among equals.
 	DataCentre string
+	// Alone asks for a single engine: helpers turned the request away before.
+	Alone bool
+	// Random is set while the loads of other instances are not known. It moves
+	// the start of the order of servers, so that instances which know nothing of
+	// each other do not all choose the same.
+	Random int
 }
 
 // Part is the work of one server in a plan.
@@ -77,7 +83,7 @@
 // can hold it.
 func Choose(e *route.Engine, servers []backends.Server, load func(string) Load, r Request) (Plan, bool) {
 	c := chooser{engine: e, load: load, req: r}
-	c.roles = divide(without(servers, r.Avoid), load)
+	c.roles = divide(rotate(without(servers, r.Avoid), r.Random), load)
 	writer, ok := c.writer()
 	if !ok {
 		return Plan{}, false
@@ -119,6 +125,14 @@
 	return slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool { return slices.Contains(avoid, s.ID) })
 }
 
+func rotate(servers []backends.Server, by int) []backends.Server {
+	if by == 0 || len(servers) == 0 {
+		return servers
+	}
+	by %= len(servers)
+	return slices.Concat(servers[by:], servers[:by])
+}
+
 type chooser struct {
 	engine *route.Engine
 	load   func(string) Load
@@ -226,7 +240,7 @@
 // at half speed, where they would read short prompts at a sixth.
 func (c *chooser) helpers(writer backends.Server) []backends.Server {
 	want := min(int((c.req.Prompt+partTokens-1)/partTokens)-1, maxHelpers)
-	if want <= 0 {
+	if want <= 0 || c.req.Alone && !c.long() {
 		return nil
 	}
 	if !c.long() {
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,6 +43,8 @@
 	answerPatience = 0.8
 	// maxAnswer bounds a whole answer in bytes.
 	maxAnswer = 16 << 20
+	// maxRandom is above the number of servers of a service.
+	maxRandom = 1 << 16
 	// readBuffer is the size of one read of a stream; an event has some 100 bytes.
 	readBuffer = 16 << 10
 )
@@ -167,7 +170,10 @@
 func (x *exchange) place() (spread.Plan, bool) {
 	r := x.relay
 	servers := r.usable(x.service.Name)
-	req := spread.Request{Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre}
+	req := spread.Request{Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0}
+	if r.loads.Blind() {
+		req.Random = 1 + rand.IntN(maxRandom)
+	}
 	return r.loads.Place(func(load func(string) spread.Load) (spread.Plan, bool) {
 		if x.service.Engine == nil {
 			return spread.ChoosePlain(servers, load, req)
--- a/serve/relay/work.go
+++ b/serve/relay/work.go
@@ -21,6 +21,8 @@
 	// reading are the parts whose prompt is still being read, with the timers
 	// that end them.
 	reading []*time.Timer
+	// begun tells that the first event arrived, or never will.
+	begun bool
 }
 
 // newWork notes when each part is expected to be read. Without that the reading
@@ -46,13 +48,19 @@
 	}
 	t.Stop()
 	p := w.plan.Parts[i]
-	w.relay.loads.Done(p.Server.ID, spread.Load{Read: p.Load.Read, Parts: p.Load.Parts})
+	w.relay.loads.Done(p.Server.ID, spread.Load{Read: p.Load.Read})
 }
 
-// firstEvent ends the reading of the prompt at all servers.
+// firstEvent ends the reading of the prompt at all servers. Only now do the
+// helpers stop counting it among the parts that they accept at once.
 func (w *work) firstEvent() {
-	for i := range w.plan.Parts {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	for i, p := range w.plan.Parts {
 		w.read(i)
+		w.relay.loads.Done(p.Server.ID, spread.Load{Parts: p.Load.Parts})
 	}
 }
 
