--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -25,6 +25,9 @@
 	// helperWait is the reading before which an engine is not asked to help with
 	// a short prompt: its own engine reads 5,000 tokens in 31 ms.
 	helperWait = 40 * time.Millisecond
+	// helperCost is what a further helper must gain: each is one more engine whose
+	// loss stalls the request.
+	helperCost = 4 * time.Millisecond
 	// memoryShare of an engine's memory is filled; the rest absorbs answers that
 	// grow longer than estimated, which would preempt others.
 	memoryShare = 0.95
@@ -248,24 +251,42 @@
 		return nil
 	}
 	if !c.long() {
-		return c.leastReading(c.roles.shortReaders, writer, want)
+		idle := c.leastReading(c.roles.shortReaders, writer)
+		idle = slices.DeleteFunc(idle, func(s backends.Server) bool { return c.load(s.ID).Read > helperWait })
+		return idle[:min(want, len(idle))]
 	}
 	if ReadTime(c.engine, c.req.Prompt) > hugeRead {
 		want = min(want, (len(c.roles.longReaders)+len(c.roles.longWriters))/hugeShare)
 	}
-	return c.leastReading(c.roles.longReaders, writer, want)
+	idle := c.leastReading(c.roles.longReaders, writer)
+	return c.fastest(writer, idle[:min(want, len(idle))])
 }
 
-func (c *chooser) leastReading(group []backends.Server, writer backends.Server, n int) []backends.Server {
+// leastReading returns the engines of a group that accept another part, those
+// that would read it first in front.
+func (c *chooser) leastReading(group []backends.Server, writer backends.Server) []backends.Server {
 	free := slices.DeleteFunc(slices.Clone(group), func(s backends.Server) bool {
-		l := c.load(s.ID)
-		return s.ID == writer.ID || l.Parts >= int64(max(1, c.engine.Slots)) || !c.long() && l.Read > helperWait
+		return s.ID == writer.ID || c.load(s.ID).Parts >= int64(max(1, c.engine.Slots))
 	})
 	slices.SortFunc(free, func(a, b backends.Server) int {
-		la, lb := c.load(a.ID), c.load(b.ID)
-		return cmp.Or(cmp.Compare(min(la.Calls, 1), min(lb.Calls, 1)), cmp.Compare(la.Read, lb.Read), cmp.Compare(la.Parts, lb.Parts), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(c.readBy(a, 0), c.readBy(b, 0)), cmp.Compare(c.load(a.ID).Parts, c.load(b.ID).Parts), cmp.Compare(a.ID, b.ID))
 	})
-	return free[:min(n, len(free))]
+	return free
+}
+
+// fastest returns as many engines from the front of free as make the slowest
+// part of the prompt come first: parts are even, so one busy engine delays all.
+func (c *chooser) fastest(writer backends.Server, free []backends.Server) []backends.Server {
+	total := ReadTime(c.engine, c.req.Prompt)
+	best, bestTime := 0, c.readBy(writer, total)
+	for k := 1; k <= len(free); k++ {
+		each := total / time.Duration(k+1)
+		t := max(c.readBy(writer, each), c.readBy(free[k-1], each)) + time.Duration(k)*helperCost
+		if t < bestTime {
+			best, bestTime = k, t
+		}
+	}
+	return free[:best]
 }
 
 func (c *chooser) plan(writer backends.Server, helpers []backends.Server) Plan {
