Stand-ins of the platform's store and backend servers; tests of processes on them

Twenty-three specs with three entry processes: stream, safe, unsafe and two-engine requests, wrong answers of servers, leaving servers, configuration, store faults, SIGHUP and SIGTERM.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -85,9 +85,13 @@
 	}
 }
 
+// exitMargin of the time to drain is left for closing down, so that the process
+// is gone before it would be killed.
+const exitMargin = 500 * time.Millisecond
+
 func drain(p *process.Process, f *settings.File, log *zap.Logger) error {
 	ctx := context.Background()
-	if d := f.Instance.DrainTimeout.Std(); d > 0 {
+	if d := f.Instance.DrainTimeout.Std() - exitMargin; d > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, d)
 		defer cancel()
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -93,7 +93,7 @@
 	c.roles = divide(rotate(without(servers, r.Avoid), r.Random), load)
 	writer, ok := c.writer()
 	if !ok {
-		return Plan{}, false
+		return c.apart()
 	}
 	helpers := c.helpers(writer)
 	return c.plan(writer, helpers), true
--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,435 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
+)
+
+// estate is a site on the users' platform: stand-ins of its store and of its
+// backend servers in the test's process, entry instances as processes.
+type estate struct {
+	*fleet
+	store   *storeserver.Server
+	engines []*workerserver.Server
+	plain   []*workerserver.Server
+	version int
+}
+
+const estateBase = 19_000
+
+func estateAddr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", estateBase+offset) }
+
+// Sizes of the stand-in engines: a prompt of 150,000 tokens needs two of them.
+const (
+	engineMemory = 100_000
+	streamEvents = 12
+)
+
+func newEstate() *estate {
+	s := &estate{fleet: &fleet{dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}, store: storeserver.New(estateAddr(1))}
+	s.bin = filepath.Join(s.dir, "auburnmoor")
+	out, err := exec.Command("go", "build", "-o", s.bin, "../cmd/auburnmoor").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	Expect(s.store.Start()).To(Succeed())
+	for i := range 3 {
+		s.engines = append(s.engines, s.server(fmt.Sprint("e", i), "model", workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory}))
+		s.plain = append(s.plain, s.server(fmt.Sprint("p", i), "registry", workerserver.Config{}))
+	}
+	s.configure("k1")
+	for i := range 3 {
+		s.entry(i)
+	}
+	for i := range 3 {
+		Eventually(func() int { return call("GET", "http://"+estateAddr(300+i)+"/readiness", "").status }, "15s", "50ms").Should(Equal(200))
+		Eventually(func() string { return call("GET", "http://"+estateAddr(200+i)+"/resolve?name=h&zone=dc-1", "").body }, "15s", "50ms").
+			Should(And(ContainSubstring(estateAddr(100)), ContainSubstring(estateAddr(101)), ContainSubstring(estateAddr(102))))
+	}
+	return s
+}
+
+func (s *estate) server(id, service string, cfg workerserver.Config) *workerserver.Server {
+	cfg.ID, cfg.Addr = id, "127.0.0.1:0"
+	w := workerserver.New(cfg)
+	Expect(w.Start()).To(Succeed())
+	s.announce(id, service, w.Addr(), "ready")
+	return w
+}
+
+func (s *estate) announce(id, service, addr, state string) {
+	Expect(s.store.Put("servers", id, map[string]any{"service": service, "address": addr, "zone": "dc-0", "slots": 4, "state": state})).To(Succeed())
+}
+
+// configure writes the next version, in which one customer holds a key.
+func (s *estate) configure(key string) {
+	s.version += 3
+	route := func(name, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{"name": name, "hostname": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "service": service, "timeoutMs": 8000, "targetLatencyMs": 300, "maxAttempts": 2}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	Expect(s.store.Put("config", "main", map[string]any{
+		"version": s.version,
+		"routes": []any{
+			route("ask", "streaming", "model", map[string]any{"resumable": true, "gapTargetMs": 250}),
+			route("look", "safe", "registry", nil),
+			route("print", "unsafe", "registry", nil),
+		},
+		"services": []any{
+			map[string]any{"name": "model", "engine": map[string]any{
+				"slots": 4, "kvCapacity": engineMemory, "step_ms": 0.5, "read_per_s": 1e6, "pairs_per_m": 0.01, "chunk": 2048, "stride": 10,
+				"usual": map[string]any{"prompt": 1000, "answer": 100},
+			}},
+			map[string]any{"name": "registry"},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "school", "apiKeys": []string{key}}},
+	})).To(Succeed())
+}
+
+func (s *estate) entry(i int) {
+	name := fmt.Sprint("entry-", i)
+	path := filepath.Join(s.dir, name+".toml")
+	Expect(os.WriteFile(path, []byte(fmt.Sprintf(`[instance]
+name = %q
+data_centre = "dc-%d"
+region = "r"
+caller_addr = %q
+peer_addr = %q
+admin_addr = %q
+drain_timeout = "8s"
+modules = ["platform.client", "platform.front", "http.admin"]
+[platform.client]
+store = %q
+seeds = %q
+[platform.front]
+directory = %q
+ready = %q
+[control.members]
+gossip = "200ms"
+`, name, i, estateAddr(100+i), estateAddr(400+i), estateAddr(500+i), estateAddr(1), estateAddr(400), estateAddr(200+i), estateAddr(300+i))), 0o600)).To(Succeed())
+	s.start(name, "serve", "--config", path)
+}
+
+func (s *estate) close() {
+	s.stop()
+	s.store.Close()
+	for _, w := range append(s.engines, s.plain...) {
+		w.Close()
+	}
+}
+
+// attempt is a client attempt at entry 0.
+type attempt struct {
+	path, id, key string
+	tokens        int
+	body          string
+}
+
+func (a attempt) send(entry int) (*http.Response, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+estateAddr(100+entry)+a.path, strings.NewReader(a.body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", a.id)
+	req.Header.Set("X-Deadline-Ms", "5000")
+	req.Header.Set("Authorization", "Bearer "+a.key)
+	req.Header.Set("X-Tenant", "somebody else")
+	if a.tokens > 0 {
+		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,100", a.tokens))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return resp, string(raw)
+}
+
+func wholeStream(id string) string {
+	var b bytes.Buffer
+	for n := 1; n <= streamEvents; n++ {
+		b.WriteString(workerserver.Event(id, n))
+	}
+	return b.String()
+}
+
+func runs(servers []*workerserver.Server, id string) (n int) {
+	for _, w := range servers {
+		n += w.Runs(id)
+	}
+	return n
+}
+
+func sealOfOne(servers []string, id string) []string {
+	var out []string
+	for _, s := range servers {
+		out = append(out, workerserver.Seal(s, id))
+	}
+	return out
+}
+
+var (
+	engineIDs = []string{"e0", "e1", "e2"}
+	plainIDs  = []string{"p0", "p1", "p2"}
+)
+
+var _ = Describe("on the users' platform", Ordered, func() {
+	var s *estate
+	BeforeAll(func() { s = newEstate() })
+	AfterAll(func() { s.close() })
+
+	It("passes a stream on with its signature and every event", func() {
+		resp, body := attempt{path: "/ask/1?x=%20y", id: "s1", key: "k1", tokens: 900, body: "prompt"}.send(0)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(wholeStream("s1")))
+		Expect(resp.Header.Get("X-Response-Seal")).To(BeElementOf(sealOfOne(engineIDs, "s1")))
+		Expect(resp.Header.Get("X-Request-Id")).To(Equal("s1"))
+		Expect(runs(s.engines, "s1")).To(Equal(1))
+	})
+
+	It("tells the server the customer's name and the time left, and keeps the key", func() {
+		_, _ = attempt{path: "/print/a/b?q=1", id: "u0", key: "k1", body: "label"}.send(0)
+		var seen []workerserver.Seen
+		for _, w := range s.plain {
+			for _, v := range w.Seen() {
+				if v.ID == "u0" {
+					seen = append(seen, v)
+				}
+			}
+		}
+		Expect(seen).To(HaveLen(1))
+		Expect(seen[0].Target).To(Equal("/print/a/b?q=1"))
+		Expect(seen[0].Tenant).To(Equal("school"))
+		Expect(seen[0].Body).To(Equal("label"))
+		Expect(seen[0].Authorization).To(BeEmpty())
+		Expect(seen[0].DeadlineMS).To(BeNumerically("<=", 5000))
+		Expect(seen[0].DeadlineMS).To(BeNumerically(">", 3000))
+	})
+
+	It("refuses unknown routes and keys", func() {
+		resp, _ := attempt{path: "/nowhere/", id: "x1", key: "k1"}.send(0)
+		Expect(resp.StatusCode).To(Equal(404))
+		resp, _ = attempt{path: "/look/1", id: "x2", key: "wrong"}.send(0)
+		Expect(resp.StatusCode).To(Equal(401))
+	})
+
+	// A parcel gets two labels. The server printed one, the connection broke, and
+	// the instance sent the request to another server.
+	DescribeTable("never runs a once-only request twice", func(f workerserver.Fault, status int) {
+		id := "once-" + string(f)
+		for _, w := range s.plain {
+			w.Inject(f)
+		}
+		resp, body := attempt{path: "/print/1", id: id, key: "k1", body: "label"}.send(1)
+		for _, w := range s.plain {
+			w.ClearFaults()
+		}
+		Expect(resp.StatusCode).To(Equal(status))
+		Expect(runs(s.plain, id)).To(BeNumerically("<=", 1))
+		if status == 200 {
+			Expect(body).To(Equal(workerserver.Body(id)))
+		} else {
+			Expect(resp.Header.Get("X-Response-Seal")).To(BeEmpty())
+		}
+	},
+		Entry("answer lost", workerserver.Lost, 502),
+		Entry("answer cut", workerserver.Cut, 502),
+		Entry("bytes that are no answer", workerserver.Garbage, 502),
+		Entry("an answer without a length", workerserver.Unframed, 200),
+		Entry("a second answer", workerserver.Extra, 200),
+	)
+
+	// A label is reported as not printed, and a client that believes it prints
+	// another: only a server's own promise may become such a refusal.
+	It("says that a request did not run only when no server ran it", func() {
+		for _, w := range s.plain {
+			w.Inject(workerserver.Shed)
+		}
+		resp, _ := attempt{path: "/print/1", id: "shed", key: "k1"}.send(0)
+		for _, w := range s.plain {
+			w.ClearFaults()
+		}
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(runs(s.plain, "shed")).To(BeZero())
+	})
+
+	DescribeTable("asks another server for an idempotent request", func(f workerserver.Fault) {
+		id := "again-" + string(f)
+		s.plain[0].Inject(f)
+		s.plain[1].Inject(f)
+		s.plain[2].Inject(f)
+		resp, body := attempt{path: "/look/1", id: id, key: "k1"}.send(0)
+		for _, w := range s.plain {
+			w.ClearFaults()
+		}
+		// All servers fail once, so the second attempt fails as well where the
+		// first did; without faults left it succeeds.
+		if resp.StatusCode == 200 {
+			Expect(body).To(Equal(workerserver.Body(id)))
+		}
+		s.plain[0].Inject(f)
+		Eventually(func() string {
+			_, body := attempt{path: "/look/1", id: id + "-2", key: "k1"}.send(0)
+			return body
+		}, "5s", "20ms").Should(Equal(workerserver.Body(id + "-2")))
+	},
+		Entry("answer lost", workerserver.Lost),
+		Entry("answer cut", workerserver.Cut),
+		Entry("bytes that are no answer", workerserver.Garbage),
+		Entry("refused", workerserver.Shed),
+		Entry("no answer", workerserver.Mute),
+	)
+
+	// A caller gets the answer of somebody else. The server sent its last answer
+	// twice, and the second copy arrived on the kept connection where the answer
+	// to the next request was due.
+	It("gives each caller its own answer after extra answers", func() {
+		for i := range 30 {
+			s.plain[i%3].Inject(workerserver.Extra)
+			id := fmt.Sprint("own-", i)
+			resp, body := attempt{path: "/look/1", id: id, key: "k1"}.send(0)
+			Expect(resp.StatusCode).To(Equal(200))
+			Expect(body).To(Equal(workerserver.Body(id)))
+		}
+	})
+
+	// A review arrives with a piece missing or twice. The engine broke off in the
+	// middle of an event, and the stream went on at another engine.
+	It("continues a broken stream at another engine without a gap", func() {
+		for _, w := range s.engines {
+			w.Inject(workerserver.Cut)
+		}
+		resp, body := attempt{path: "/ask/1", id: "resume", key: "k1", tokens: 900}.send(0)
+		for _, w := range s.engines {
+			w.ClearFaults()
+		}
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(wholeStream("resume")))
+		Expect(runs(s.engines, "resume")).To(Equal(2))
+	})
+
+	It("reads a prompt larger than one engine on two and gives the memory back", func() {
+		resp, body := attempt{path: "/ask/1", id: "large", key: "k1", tokens: 150_000}.send(0)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(wholeStream("large")))
+		helped := false
+		for _, w := range s.engines {
+			for _, v := range w.Seen() {
+				helped = helped || v.ID == "large" && strings.Contains(v.Helpers, "/large-")
+			}
+		}
+		Expect(helped).To(BeTrue())
+		for _, w := range s.engines {
+			Eventually(w.Reserved, "5s", "20ms").Should(BeZero())
+			Expect(w.DoubleUse()).To(BeZero())
+		}
+	})
+
+	// An engine works on for callers who have left, and those who stay wait.
+	It("ends the work of a client that leaves", func() {
+		req, err := http.NewRequest(http.MethodPost, "http://"+estateAddr(100)+"/ask/1", strings.NewReader("x"))
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "h.example"
+		req.Header.Set("X-Request-Id", "leaves")
+		req.Header.Set("Authorization", "Bearer k1")
+		req.Header.Set("X-Token-Counts", "900,100")
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = bufio.NewReader(resp.Body).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Eventually(func() int { return s.engines[0].Left() + s.engines[1].Left() + s.engines[2].Left() }, "3s", "20ms").Should(BeNumerically(">=", 1))
+	})
+
+	// A leaving server still gets requests, and cuts them off when it ends.
+	It("sends nothing to a server that is leaving", func() {
+		s.announce("p0", "registry", s.plain[0].Addr(), "draining")
+		Eventually(func() bool {
+			before := len(s.plain[0].Seen())
+			for i := range 6 {
+				_, _ = attempt{path: "/look/1", id: fmt.Sprint("drain-", time.Now().UnixNano(), i), key: "k1"}.send(i % 3)
+			}
+			return len(s.plain[0].Seen()) == before
+		}, "3s", "50ms").Should(BeTrue())
+		s.announce("p0", "registry", s.plain[0].Addr(), "ready")
+	})
+
+	// A key that was taken away goes on working at instances that the store turns
+	// away or that restart; a new key fails there.
+	It("puts a configuration in force at every instance and never goes back", func() {
+		s.configure("k2")
+		for i := range 3 {
+			Eventually(func() int {
+				resp, _ := attempt{path: "/look/1", id: fmt.Sprint("cfg-", i), key: "k2"}.send(i)
+				return resp.StatusCode
+			}, "2s", "20ms").Should(Equal(200))
+			resp, _ := attempt{path: "/look/1", id: fmt.Sprint("old-", i), key: "k1"}.send(i)
+			Expect(resp.StatusCode).To(Equal(401))
+		}
+		s.store.SetFaults(storeserver.Faults{ForgetHistory: true})
+		s.configure("k1")
+		for i := range 3 {
+			Eventually(func() int {
+				resp, _ := attempt{path: "/look/1", id: fmt.Sprint("cfg2-", i), key: "k1"}.send(i)
+				return resp.StatusCode
+			}, "3s", "20ms").Should(Equal(200))
+		}
+	})
+
+	It("serves on while the store is down", func() {
+		s.store.SetFaults(storeserver.Faults{Down: true})
+		time.Sleep(300 * time.Millisecond)
+		for i := range 3 {
+			resp, _ := attempt{path: "/look/1", id: fmt.Sprint("down-", i), key: "k1"}.send(i)
+			Expect(resp.StatusCode).To(Equal(200))
+		}
+		s.store.SetFaults(storeserver.Faults{})
+	})
+
+	It("goes on serving after SIGHUP", func() {
+		s.signal("entry-2", syscall.SIGHUP)
+		time.Sleep(200 * time.Millisecond)
+		resp, _ := attempt{path: "/look/1", id: "hup", key: "k1"}.send(2)
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+
+	// A rolling restart cuts answers off.
+	It("finishes what it has when it is told to stop", func() {
+		type outcome struct{ body string }
+		done := make(chan outcome, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body := attempt{path: "/ask/1", id: "last", key: "k1", tokens: 900}.send(2)
+			done <- outcome{body}
+		}()
+		Eventually(func() int { return runs(s.engines, "last") }, "3s", "5ms").Should(Equal(1))
+		s.signal("entry-2", syscall.SIGTERM)
+		Expect((<-done).body).To(Equal(wholeStream("last")))
+		Eventually(func() string { return call("GET", "http://"+estateAddr(200)+"/resolve?name=h&zone=dc-1", "").body }, "3s", "50ms").
+			ShouldNot(ContainSubstring(estateAddr(102)))
+		s.wait("entry-2")
+		var body struct {
+			Items []json.RawMessage `json:"items"`
+		}
+		Expect(json.Unmarshal([]byte(call("GET", "http://"+estateAddr(1)+"/objects/auburnmoor-entries", "").body), &body)).To(Succeed())
+		Expect(body.Items).To(HaveLen(2))
+	})
+})
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -28,7 +28,8 @@
 const (
 	// Shed refuses the request; it does not run.
 	Shed Fault = "shed"
-	// Cut runs the request and breaks off in the middle of the answer.
+	// Cut runs the request and breaks off in the middle of the answer. A stream
+	// that is resumed is not cut again.
 	Cut Fault = "cut"
 	// Lost runs the request and closes the connection without an answer.
 	Lost Fault = "lost"
@@ -70,6 +71,7 @@
 	used   map[string]bool
 	// doubleUse counts tickets that two requests used at once.
 	doubleUse int
+	left      int
 }
 
 // Seen is a request as it arrived.
@@ -109,6 +111,20 @@
 	s.faults = append(s.faults, f...)
 }
 
+// ClearFaults takes back the faults that have not struck.
+func (s *Server) ClearFaults() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = nil
+}
+
+// Left counts the streams whose caller left before their end.
+func (s *Server) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
 // Runs returns how often a request ran here.
 func (s *Server) Runs(id string) int {
 	s.mu.Lock()
@@ -252,7 +268,7 @@
 	}
 	for n := first + 1; n <= s.cfg.Events; n++ {
 		ev := Event(id, n)
-		if f == Cut && n == s.cfg.Events/2 {
+		if f == Cut && first == 0 && n == s.cfg.Events/2 {
 			// The stream breaks in the middle of an event.
 			_, _ = io.WriteString(w, ev[:len(ev)/2])
 			_ = http.NewResponseController(w).Flush()
@@ -262,6 +278,9 @@
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-r.Context().Done():
+			s.mu.Lock()
+			s.left++
+			s.mu.Unlock()
 			return
 		case <-time.After(s.cfg.EventPause):
 		}
