--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -77,18 +77,18 @@
 
 // Place runs choose with the present loads and notes what it placed, in one
 // step, so that two requests of this instance never see the same room.
-func (l *Loads) Place(choose func(load func(string) spread.Load) (spread.Plan, bool)) (spread.Plan, bool) {
+func (l *Loads) Place(choose func(load func(string) spread.Load) (spread.Plan, spread.Verdict)) (spread.Plan, spread.Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p, ok := choose(l.ledger.Of)
-	if !ok {
-		return p, false
+	p, v := choose(l.ledger.Of)
+	if v != spread.Placed {
+		return p, v
 	}
 	for _, part := range p.Parts {
 		l.ledger.Add(part.Server.ID, part.Load)
 	}
 	l.wake()
-	return p, true
+	return p, spread.Placed
 }
 
 // Blind reports whether this instance began too recently to know what others
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -11,19 +11,23 @@
 
 // Figures of the policy.
 const (
-	// partTokens is the least that is worth reading apart: half a chunk.
+	// partTokens is the least that is worth reading apart: half a chunk. Parts of
+	// 4,096 and 9,000 tokens did no better.
 	partTokens = 1024
 	// maxHelpers is the most that an engine accepts for one prompt.
 	maxHelpers = 16
-	// longTokens is the length from which a prompt is long. Its own engine reads
-	// ten chunks and more, one in a pass, and what is short would wait for them.
+	// longTokens is the length from which a prompt is long: reading it alone
+	// takes 150 ms, half of the time that a short one has for its first event.
 	longTokens = 20_000
-	// hugeRead is the reading time from which a prompt gets only a part of the
-	// engines, one in hugeShare, so that the others go on being served.
-	hugeRead  = 8 * time.Second
-	hugeShare = 4
+	// hugeBacklog is the reading that the engines may have before them on the
+	// mean when a prompt for which no engine has memory is taken. Nearly idle,
+	// 8 to 16 engines bring its first event within 1.1 to 2.8 s (300,000 to
+	// 630,000 tokens); four busy ones needed 4.9 s.
+	hugeBacklog = 5 * time.Millisecond
 	// helperWait is the reading before which an engine is not asked to help with
-	// a short prompt: its own engine reads 5,000 tokens in 31 ms.
+	// a short prompt: its own engine reads 5,000 tokens in 31 ms. Of the value of
+	// short prompts, 0.84 and 0.80 were kept on two heavy loads with it, 0.82 and
+	// 0.74 without.
 	helperWait = 40 * time.Millisecond
 	// helperCost is what a further helper must gain: each is one more engine whose
 	// loss stalls the request.
@@ -86,9 +90,22 @@
 	return time.Duration(linear + pairs)
 }
 
-// Choose places a request of a model service. It returns false when no server
-// can hold it.
-func Choose(e *route.Engine, servers []backends.Server, load func(string) Load, r Request) (Plan, bool) {
+// Verdict tells whether a request was placed.
+type Verdict int
+
+// The verdicts.
+const (
+	Placed Verdict = iota
+	// NoServer: the service has no server that may get the request.
+	NoServer
+	// NoRoom: the servers are too busy at present.
+	NoRoom
+	// TooLarge: all engines together lack the memory.
+	TooLarge
+)
+
+// Choose places a request of a model service.
+func Choose(e *route.Engine, servers []backends.Server, load func(string) Load, r Request) (Plan, Verdict) {
 	c := chooser{engine: e, load: load, req: r}
 	c.roles = divide(rotate(without(servers, r.Avoid), r.Random), load)
 	writer, ok := c.writer()
@@ -96,15 +113,15 @@
 		return c.apart()
 	}
 	helpers := c.helpers(writer)
-	return c.plan(writer, helpers), true
+	return c.plan(writer, helpers), Placed
 }
 
 // ChoosePlain places a request of a plain service at the server with the most
 // room.
-func ChoosePlain(servers []backends.Server, load func(string) Load, r Request) (Plan, bool) {
+func ChoosePlain(servers []backends.Server, load func(string) Load, r Request) (Plan, Verdict) {
 	servers = without(servers, r.Avoid)
 	if len(servers) == 0 {
-		return Plan{}, false
+		return Plan{}, NoServer
 	}
 	best := slices.MinFunc(servers, func(a, b backends.Server) int {
 		return cmp.Or(
@@ -115,7 +132,7 @@
 	return Plan{
 		Parts:   []Part{{Server: best, Load: Load{Calls: 1}}},
 		Waiting: best.Slots > 0 && load(best.ID).Calls >= int64(best.Slots),
-	}, true
+	}, Placed
 }
 
 func elsewhere(s backends.Server, dataCentre string) int {
@@ -160,14 +177,9 @@
 func (c *chooser) fits(s backends.Server) bool { return c.room(s) >= c.need() }
 
 // writer returns the engine with the least to do that has memory for the
-// request, among those of the request's own length first.
+// request, one that writes already if it can be.
 func (c *chooser) writer() (backends.Server, bool) {
-	r := c.roles
-	groups := [][]backends.Server{r.shortWriters, r.shortReaders, r.longWriters}
-	if c.long() {
-		groups = [][]backends.Server{r.longWriters, r.longReaders, r.shortWriters}
-	}
-	for _, group := range groups {
+	for _, group := range [][]backends.Server{c.roles.writers, c.roles.readers} {
 		if s, ok := c.leastBusy(group, c.fits); ok {
 			return s, true
 		}
@@ -177,8 +189,19 @@
 
 // apart places a prompt for which no engine has memory: the engine with the
 // most room writes and holds what it can, others reserve memory for the rest.
-func (c *chooser) apart() (Plan, bool) {
+// Reading it keeps all engines busy for a second or two. That is worth it only
+// while they have nothing else to read: otherwise many others are late for one.
+func (c *chooser) apart() (Plan, Verdict) {
 	all := c.roles.all()
+	if len(all) == 0 {
+		return Plan{}, NoServer
+	}
+	if c.need() > int64(memoryShare*float64(c.engine.Memory)*float64(len(all))) {
+		return Plan{}, TooLarge
+	}
+	if c.backlog(all) > hugeBacklog {
+		return Plan{}, NoRoom
+	}
 	slices.SortFunc(all, func(a, b backends.Server) int {
 		return cmp.Or(cmp.Compare(c.room(b), c.room(a)), cmp.Compare(a.ID, b.ID))
 	})
@@ -192,9 +215,18 @@
 		left -= c.room(s)
 	}
 	if left > 0 || len(holders) < 2 || len(holders) > maxHelpers {
-		return Plan{}, false
+		return Plan{}, NoRoom
 	}
-	return c.hold(holders), true
+	return c.hold(holders), Placed
+}
+
+// backlog is the mean reading that the engines have before them.
+func (c *chooser) backlog(all []backends.Server) time.Duration {
+	var sum time.Duration
+	for _, s := range all {
+		sum += c.load(s.ID).Read
+	}
+	return sum / time.Duration(len(all))
 }
 
 // leastReserve is the least memory worth reserving at an engine.
@@ -202,7 +234,6 @@
 
 // hold divides the memory of a prompt evenly, but for what an engine lacks.
 func (c *chooser) hold(holders []backends.Server) Plan {
-	c.req.Avoid = nil
 	helpers := c.helpers(holders[0])
 	helpers = slices.DeleteFunc(helpers, func(s backends.Server) bool {
 		return slices.ContainsFunc(holders, func(h backends.Server) bool { return h.ID == s.ID })
@@ -241,24 +272,19 @@
 	}), true
 }
 
-// helpers returns the engines with the least to read among those that read
-// prompts of this length. Long prompts also use the engines that write long
-// answers: in a pass of theirs a deep chunk takes half of the time, so they read
-// at half speed, where they would read short prompts at a sixth.
+// helpers returns the engines that read parts of the prompt. Short prompts are
+// helped only by engines that have hardly anything to read, long ones by as many
+// as bring the first event nearer.
 func (c *chooser) helpers(writer backends.Server) []backends.Server {
 	want := min(int((c.req.Prompt+partTokens-1)/partTokens)-1, maxHelpers)
 	if want <= 0 || c.req.Alone && !c.long() {
 		return nil
 	}
+	idle := c.leastReading(c.roles.readers, writer)
 	if !c.long() {
-		idle := c.leastReading(c.roles.shortReaders, writer)
 		idle = slices.DeleteFunc(idle, func(s backends.Server) bool { return c.load(s.ID).Read > helperWait })
 		return idle[:min(want, len(idle))]
 	}
-	if ReadTime(c.engine, c.req.Prompt) > hugeRead {
-		want = min(want, (len(c.roles.longReaders)+len(c.roles.longWriters))/hugeShare)
-	}
-	idle := c.leastReading(c.roles.longReaders, writer)
 	return c.fastest(writer, idle[:min(want, len(idle))])
 }
 
--- /dev/null
+++ b/decide/spread/spread_test.go
@@ -0,0 +1,214 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+)
+
+func TestSpread(t *testing.T) { testkit.Suite(t, "spread") }
+
+var engine = &route.Engine{
+	Slots: 16, Memory: 315_000, Step: 850 * time.Microsecond, StepPerWriter: 4250 * time.Nanosecond, ReadPerSecond: 177_000,
+	PairsPerMillion: 184 * time.Microsecond, Chunk: 2048, Stride: 51, UsualAnswer: 1600,
+}
+
+func servers(n int) []backends.Server {
+	out := make([]backends.Server, n)
+	for i := range out {
+		out[i] = backends.Server{ID: fmt.Sprintf("s%02d", i), DataCentre: fmt.Sprint("dc-", i%3), Slots: 16}
+	}
+	return out
+}
+
+// fleet places requests and keeps their loads.
+type fleet struct {
+	servers []backends.Server
+	ledger  *spread.Ledger
+}
+
+func newFleet(n int) *fleet { return &fleet{servers: servers(n), ledger: spread.NewLedger()} }
+
+func (f *fleet) place(r spread.Request) (spread.Plan, spread.Verdict) {
+	p, v := spread.Choose(engine, f.servers, f.ledger.Of, r)
+	if v == spread.Placed {
+		for _, part := range p.Parts {
+			f.ledger.Add(part.Server.ID, part.Load)
+		}
+	}
+	return p, v
+}
+
+// read ends the reading of a plan, as its first event does.
+func (f *fleet) read(p spread.Plan) {
+	for _, part := range p.Parts {
+		f.ledger.Sub(part.Server.ID, spread.Load{Read: part.Load.Read, Parts: part.Load.Parts})
+	}
+}
+
+var _ = Describe("placing", func() {
+	// A tutor waits: answers were written on every engine, so each prompt was
+	// read between the token steps of others.
+	It("writes on few engines and reads on the others", func() {
+		f := newFleet(21)
+		writers := map[string]bool{}
+		for range 40 {
+			p, v := f.place(spread.Request{Prompt: 5000, Answer: 1600})
+			Expect(v).To(Equal(spread.Placed))
+			writers[p.Writer().ID] = true
+			f.read(p)
+		}
+		Expect(len(writers)).To(BeNumerically("<=", 6))
+		for _, h := range must(f.place(spread.Request{Prompt: 5000, Answer: 1600})).Helpers() {
+			Expect(writers[h.Server.ID]).To(BeFalse())
+		}
+	})
+
+	It("keeps answers on several engines and engines for reading", func() {
+		f := newFleet(21)
+		writers := map[string]bool{}
+		for range 300 {
+			p, _ := f.place(spread.Request{Prompt: 500, Answer: 100})
+			writers[p.Writer().ID] = true
+			f.read(p)
+		}
+		Expect(len(writers)).To(BeNumerically(">=", 3))
+		Expect(len(writers)).To(BeNumerically("<=", 15))
+	})
+
+	It("never gives an engine more memory than it has", func() {
+		f := newFleet(21)
+		for range 200 {
+			p, v := f.place(spread.Request{Prompt: 150_000, Answer: 1000})
+			if v == spread.Placed {
+				f.read(p)
+			}
+		}
+		for _, s := range f.servers {
+			Expect(f.ledger.Of(s.ID).HeldTokens).To(BeNumerically("<=", engine.Memory))
+		}
+	})
+
+	// Short prompts wait behind a portfolio: it was read in the engines that all
+	// of them use as helpers.
+	It("does not have a short prompt wait for helpers that read long ones", func() {
+		f := newFleet(21)
+		for range 6 {
+			must(f.place(spread.Request{Prompt: 150_000, Answer: 1000}))
+		}
+		p := must(f.place(spread.Request{Prompt: 5000, Answer: 1600}))
+		for _, h := range p.Helpers() {
+			Expect(f.ledger.Of(h.Server.ID).Read - h.Load.Read).To(BeNumerically("<=", 40*time.Millisecond))
+		}
+	})
+
+	It("leaves a busy engine out when it would delay all parts of a long prompt", func() {
+		f := newFleet(9)
+		f.ledger.Add("s08", spread.Load{Read: 20 * time.Second})
+		p := must(f.place(spread.Request{Prompt: 150_000, Answer: 1000}))
+		Expect(len(p.Helpers())).To(BeNumerically(">=", 4))
+		for _, h := range p.Helpers() {
+			Expect(h.Server.ID).NotTo(Equal("s08"))
+		}
+	})
+
+	It("reserves memory for what the writing engine cannot hold", func() {
+		f := newFleet(21)
+		p, v := f.place(spread.Request{Prompt: 700_000, Answer: 1000})
+		Expect(v).To(Equal(spread.Placed))
+		held := p.Parts[0].Load.HeldTokens
+		for _, h := range p.Helpers() {
+			Expect(h.Reserve).To(Equal(h.Load.HeldTokens))
+			held += h.Reserve
+		}
+		Expect(held).To(Equal(int64(701_000)))
+		Expect(len(p.Helpers())).To(BeNumerically("<=", 16))
+	})
+
+	It("refuses such a prompt while the engines are busy, and one that no fleet can hold", func() {
+		f := newFleet(21)
+		for _, s := range f.servers {
+			f.ledger.Add(s.ID, spread.Load{Read: 200 * time.Millisecond})
+		}
+		_, v := f.place(spread.Request{Prompt: 700_000, Answer: 1000})
+		Expect(v).To(Equal(spread.NoRoom))
+		_, v = f.place(spread.Request{Prompt: 10_000_000, Answer: 1000})
+		Expect(v).To(Equal(spread.TooLarge))
+	})
+
+	It("avoids servers that failed the request, and has none when all did", func() {
+		f := newFleet(2)
+		p := must(f.place(spread.Request{Prompt: 100, Answer: 10, Avoid: []string{"s00"}}))
+		Expect(p.Writer().ID).To(Equal("s01"))
+		_, v := f.place(spread.Request{Prompt: 100, Answer: 10, Avoid: []string{"s00", "s01"}})
+		Expect(v).To(Equal(spread.NoServer))
+	})
+
+	It("asks no engine for more parts than it accepts", func() {
+		f := newFleet(7)
+		for range 40 {
+			f.place(spread.Request{Prompt: 150_000, Answer: 10})
+		}
+		for _, s := range f.servers {
+			Expect(f.ledger.Of(s.ID).Parts).To(BeNumerically("<=", engine.Slots))
+		}
+	})
+
+	It("spreads instances that know nothing of each other", func() {
+		writers := map[string]bool{}
+		for i := range 12 {
+			writers[must(newFleet(21).place(spread.Request{Prompt: 500, Answer: 10, Random: i + 1})).Writer().ID] = true
+		}
+		Expect(len(writers)).To(BeNumerically(">=", 6))
+	})
+
+	It("takes the plain server with the most room, the near one among equals", func() {
+		f := newFleet(3)
+		f.ledger.Add("s00", spread.Load{Calls: 2})
+		p, _ := spread.ChoosePlain(f.servers, f.ledger.Of, spread.Request{DataCentre: "dc-2"})
+		Expect(p.Writer().ID).To(Equal("s02"))
+	})
+})
+
+func must(p spread.Plan, v spread.Verdict) spread.Plan {
+	ExpectWithOffset(1, v).To(Equal(spread.Placed))
+	return p
+}
+
+var _ = Describe("ledger", func() {
+	one := spread.Load{Calls: 1, HeldTokens: 10, Read: time.Second, Parts: 1}
+
+	It("adds up the work of all instances and forgets those that are gone", func() {
+		l := spread.NewLedger()
+		l.Add("a", one)
+		l.Report("peer", false, map[string]spread.Load{"a": one, "b": one})
+		Expect(l.Of("a").Calls).To(Equal(int64(2)))
+		l.Keep(map[string]bool{})
+		Expect(l.Of("a").Calls).To(Equal(int64(1)))
+		Expect(l.Of("b")).To(Equal(spread.Load{}))
+	})
+
+	// An engine looks busy for ever: the report that its work ended was lost.
+	It("is put right by the next complete report", func() {
+		l := spread.NewLedger()
+		l.Report("peer", false, map[string]spread.Load{"a": one})
+		l.Report("peer", true, map[string]spread.Load{})
+		Expect(l.Of("a")).To(Equal(spread.Load{}))
+	})
+
+	It("reports changes once, with their present value", func() {
+		l := spread.NewLedger()
+		l.Add("a", one)
+		l.Sub("a", one)
+		Expect(l.TakeChanged()).To(Equal(map[string]spread.Load{"a": {}}))
+		Expect(l.TakeChanged()).To(BeEmpty())
+	})
+})
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -23,6 +23,9 @@
 	// pauseNoBackend is when a client may come back while no server is ready: a
 	// replaced server is listed about a second after its start.
 	pauseNoBackend = time.Second
+	// pauseNoRoom is when a client may come back with a prompt for which the
+	// engines are too busy: reading what they have takes them some seconds.
+	pauseNoRoom = 2500 * time.Millisecond
 	// pauseNotRun is when a client may come back after servers turned the
 	// request away; a slot of a plain service is free again after about 30 ms.
 	pauseNotRun = 150 * time.Millisecond
@@ -85,9 +88,9 @@
 	x.started = x.relay.now()
 	x.relay.arrived(x.service.Name)
 	for {
-		plan, ok := x.place()
-		if !ok {
-			x.end(ctx, result.New(x.noPlaceCode(), "no backend server can take the request").After(pauseNoBackend))
+		plan, verdict := x.place()
+		if verdict != spread.Placed {
+			x.end(notPlaced(verdict))
 			return
 		}
 		outcome, err := x.attempt(ctx, plan)
@@ -100,14 +103,14 @@
 			return
 		}
 		x.avoid = append(x.avoid, plan.Writer().ID)
-		if !x.next(ctx, plan, outcome, err) {
+		if !x.next(plan, outcome, err) {
 			return
 		}
 	}
 }
 
 // next carries out what follows a failed attempt and reports whether to go on.
-func (x *exchange) next(ctx context.Context, plan spread.Plan, o attempt.Outcome, err error) bool {
+func (x *exchange) next(plan spread.Plan, o attempt.Outcome, err error) bool {
 	action := x.state.Next(o, func() bool { return x.left() > leastLeft && x.relay.mayRetry(x.service.Name) })
 	x.relay.count("attempts_failed_total", "outcome", o.String())
 	x.relay.log.Info("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
@@ -118,18 +121,18 @@
 		x.events.restart()
 		return true
 	case attempt.Refuse:
-		x.end(ctx, result.New(result.NoBackend, "no backend server ran the request").After(pauseNotRun))
+		x.end(result.New(result.NoBackend, "no backend server ran the request").After(pauseNotRun))
 	case attempt.PassOn:
 		x.sink.Whole(x.last, x.lastBody)
 		x.log("server error passed on")
 	case attempt.Fail, attempt.Abort:
-		x.end(ctx, result.New(result.BackendFailed, "the backend server failed"))
+		x.end(result.New(result.BackendFailed, "the backend server failed"))
 	}
 	return false
 }
 
 // end gives the client a final answer of this instance's own.
-func (x *exchange) end(ctx context.Context, why *result.Error) {
+func (x *exchange) end(why *result.Error) {
 	if x.begun {
 		x.sink.Abort()
 		x.log("stream broken off", zap.Stringer("code", why.Code))
@@ -154,27 +157,32 @@
 	if !x.state.MayHaveRun() && x.state.Sent() == 0 && errors.Is(err, backend.ErrNotSent) {
 		code = result.DeadlineNotRun
 	}
-	x.end(ctx, result.New(code, "time limit of %s passed", x.time))
+	x.end(result.New(code, "time limit of %s passed", x.time))
 }
 
-func (x *exchange) noPlaceCode() result.Code {
-	if false {
-		return result.NoBackend
+// notPlaced is the refusal of a request for which no server was chosen.
+func notPlaced(v spread.Verdict) *result.Error {
+	switch v {
+	case spread.TooLarge:
+		return result.New(result.TooLongForFleet, "all engines together lack the memory for this prompt")
+	case spread.NoRoom:
+		return result.New(result.Overloaded, "the engines are too busy for this prompt").After(pauseNoRoom)
+	default:
+		return result.New(result.NoBackend, "no backend server is ready").After(pauseNoBackend)
 	}
-	return result.NoBackend
 }
 
 func (x *exchange) left() time.Duration { return x.time - time.Since(x.req.Arrived) }
 
 // place chooses servers for the next attempt.
-func (x *exchange) place() (spread.Plan, bool) {
+func (x *exchange) place() (spread.Plan, spread.Verdict) {
 	r := x.relay
 	servers := r.usable(x.service.Name)
 	req := spread.Request{Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0}
 	if r.loads.Blind() {
 		req.Random = 1 + rand.IntN(maxRandom)
 	}
-	return r.loads.Place(func(load func(string) spread.Load) (spread.Plan, bool) {
+	return r.loads.Place(func(load func(string) spread.Load) (spread.Plan, spread.Verdict) {
 		if x.service.Engine == nil {
 			return spread.ChoosePlain(servers, load, req)
 		}
