--- a/port/objectapi/objectapi.go
+++ b/port/objectapi/objectapi.go
@@ -51,7 +51,7 @@
 // Headers of the HTTP protocol.
 const (
 	HeaderVersion = "X-Object-Version"
-	HeaderExpect  = "X-Expect-Version"
+	HeaderExpect  = "X-Object-Expect"
 )
 
 // Client speaks the platform's HTTP protocol.
