--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -432,4 +432,31 @@
 		Expect(json.Unmarshal([]byte(call("GET", "http://"+estateAddr(1)+"/objects/auburnmoor-entries", "").body), &body)).To(Succeed())
 		Expect(body.Items).To(HaveLen(2))
 	})
+
+	// A review is cut off by a restart: the instance took it seconds after it was
+	// told to stop, and its time to drain ended before the review did.
+	It("refuses what comes long after it was told to stop", func() {
+		for _, w := range s.plain {
+			w.Inject(workerserver.Mute)
+		}
+		held := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			resp, _ := attempt{path: "/print/1", id: "held", key: "k1"}.send(1)
+			held <- resp.StatusCode
+		}()
+		Eventually(func() int { return runs(s.plain, "held") }, "3s", "5ms").Should(Equal(1))
+		for _, w := range s.plain {
+			w.ClearFaults()
+		}
+		s.signal("entry-1", syscall.SIGTERM)
+		time.Sleep(3 * time.Second)
+		resp, _ := attempt{path: "/look/1", id: "late", key: "k1"}.send(1)
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(resp.Close).To(BeTrue())
+		Expect(runs(s.plain, "late")).To(BeZero())
+		Expect(<-held).To(Equal(504))
+		s.wait("entry-1")
+	})
 })
