--- a/control/platformapi/platformapi.go
+++ b/control/platformapi/platformapi.go
@@ -2,6 +2,7 @@
 package platformapi
 
 import (
+	"context"
 	"sync"
 
 	"github.com/uber-go/tally/v4"
@@ -67,6 +68,16 @@
 // Lister returns the client of the instance list.
 func (p *Platform) Lister() instances.Lister { return p.lister }
 
+// Register implements instances.Registrar.
+func (p *Platform) Register(ctx context.Context, self instances.Instance) error {
+	return p.lister.Register(ctx, self)
+}
+
+// Deregister implements instances.Registrar.
+func (p *Platform) Deregister(ctx context.Context, name string) error {
+	return p.lister.Deregister(ctx, name)
+}
+
 // Dump implements auburnmoor.Dumper.
 func (p *Platform) Dump() any {
 	p.mu.Lock()
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -73,8 +73,6 @@
 keep_entries = "1s"
 `, name, i, addr(100+i), addr(200+i), addr(300+i), addr(1), addr(1))
 	Expect(os.WriteFile(path, []byte(conf), 0o600)).To(Succeed())
-	raw, _ := json.Marshal(map[string]string{"role": "entry", "addr": addr(100 + i), "peer_addr": addr(200 + i), "data_centre": "dc", "region": "test"})
-	call(http.MethodPut, "http://"+addr(1)+"/instances/"+name, string(raw))
 	f.start(name, "serve", "--config", path)
 }
 
@@ -118,6 +116,17 @@
 	BeforeAll(func() { f = newFleet() })
 	AfterAll(func() { f.stop() })
 
+	// Instances that were started by hand never met: each served alone, because
+	// nothing put them into the instance list. Nobody lists these either.
+	It("finds its instances by itself", func() {
+		for i := 1; i <= 3; i++ {
+			body := call("GET", "http://"+addr(100+i)+"/v1/entries", "").body
+			for k := 1; k <= 3; k++ {
+				Expect(body).To(ContainSubstring(addr(100 + k)))
+			}
+		}
+	})
+
 	// An appeal review is lost, or runs twice: its instance is killed in the
 	// middle. The engine keeps the stream, the ledger says where it runs, and a
 	// repeat of the key at another instance picks the answer up.
--- a/port/instances/instances.go
+++ b/port/instances/instances.go
@@ -3,9 +3,11 @@
 package instances
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 
 	"github.com/cockroachdb/errors"
 
@@ -78,3 +80,33 @@
 	var out []Instance
 	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "instance list")
 }
+
+// Register implements Registrar.
+func (c *Client) Register(ctx context.Context, self Instance) error {
+	raw, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	return c.change(ctx, http.MethodPut, self.Name, raw)
+}
+
+// Deregister implements Registrar.
+func (c *Client) Deregister(ctx context.Context, name string) error {
+	return c.change(ctx, http.MethodDelete, name, nil)
+}
+
+func (c *Client) change(ctx context.Context, method, name string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.url+"/"+url.PathEscape(name), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "instance list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Newf("instance list answered %d", resp.StatusCode)
+	}
+	return nil
+}
