--- a/cli/cli.go
+++ b/cli/cli.go
@@ -34,6 +34,7 @@
 	Load     loadCmd     `cmd:"" help:"Send a load to real addresses and check every answer."`
 	Faults   faultsCmd   `cmd:"" help:"Inject faults into the state machines in virtual time."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
+	Explain  explainCmd  `cmd:"" help:"Tell the story of one request from the logs of all instances."`
 	Standin  standinCmd  `cmd:"" help:"Run one stand-in of an outside system."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -211,6 +211,12 @@
 }
 
 func (f *Follower) lost(what string, failures int, err error) {
+	if errors.Is(err, catalog.ErrNone) {
+		if failures == 0 {
+			f.log.Info("the store holds no configuration yet")
+		}
+		return
+	}
 	f.scope.Tagged(map[string]string{"what": what}).Counter("store_failures_total").Inc(1)
 	if failures == 0 {
 		f.log.Warn("store lost", zap.String("what", what), eventlog.Error(err))
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -96,6 +96,7 @@
 			x.end(notPlaced(verdict))
 			return
 		}
+		x.placed(plan)
 		outcome, err := x.attempt(ctx, plan)
 		if err == nil {
 			x.finished(plan)
@@ -116,7 +117,7 @@
 func (x *exchange) next(plan spread.Plan, o attempt.Outcome, err error) bool {
 	action := x.state.Next(o, func() bool { return x.left() > leastLeft && x.relay.mayRetry(x.service.Name) })
 	x.relay.count("attempts_failed_total", "outcome", o.String())
-	x.relay.log.Info("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
+	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
 		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.left()),
 		zap.Duration("servers_age", x.relay.catalog.ServersAge()), eventlog.Error(err))
 	switch action {
@@ -127,7 +128,7 @@
 		x.end(result.New(result.NoBackend, "no backend server ran the request").After(pauseNotRun))
 	case attempt.PassOn:
 		x.sink.Whole(x.last, x.lastBody)
-		x.log("server error passed on")
+		x.warn("server error passed on")
 	case attempt.Fail, attempt.Abort:
 		x.end(result.New(result.BackendFailed, "the backend server failed"))
 	}
@@ -138,7 +139,7 @@
 func (x *exchange) end(why *result.Error) {
 	if x.begun {
 		x.sink.Abort()
-		x.log("stream broken off", zap.Stringer("code", why.Code))
+		x.warn("stream broken off", zap.Stringer("code", why.Code))
 		return
 	}
 	if why.NotRun && x.state.MayHaveRun() {
@@ -152,7 +153,7 @@
 func (x *exchange) timeUp(ctx context.Context, err error) {
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		x.relay.count("client_gone_total", "route", x.route.Kind.String())
-		x.log("client gone", eventlog.Error(err))
+		x.warn("client gone", eventlog.Error(err))
 		x.sink.Abort()
 		return
 	}
@@ -391,10 +392,23 @@
 		zap.Duration("predicted", plan.FirstEvent), zap.Duration("first", x.first), zap.Duration("longest_gap", x.longestGap), zap.Bool("waiting", plan.Waiting))
 }
 
-// log writes the line that tells how a request ended.
-func (x *exchange) log(msg string, fields ...zap.Field) {
-	x.relay.log.Info(msg, slices.Concat([]zap.Field{
+// placed logs where an attempt goes and what that was decided from.
+func (x *exchange) placed(plan spread.Plan) {
+	snap := x.relay.catalog.Servers()
+	x.relay.log.Info("placed", zap.String("request", x.req.ID), zap.String("route", x.route.Name), zap.Uint64("version", x.version),
+		zap.String("customer", x.customer), zap.Int64("prompt", x.req.PromptTokens), zap.String("server", plan.Writer().ID),
+		zap.Strings("helpers", serverIDs(plan)[1:]), zap.Duration("predicted", plan.FirstEvent), zap.Bool("waiting", plan.Waiting),
+		zap.Int64("servers_revision", snap.Revision), zap.Duration("servers_age", x.relay.catalog.ServersAge()), zap.Duration("left", x.left()))
+}
+
+func (x *exchange) log(msg string, fields ...zap.Field) { x.relay.log.Info(msg, x.fields(fields)...) }
+
+func (x *exchange) warn(msg string, fields ...zap.Field) { x.relay.log.Warn(msg, x.fields(fields)...) }
+
+// fields are those of the line that tells how a request ended.
+func (x *exchange) fields(more []zap.Field) []zap.Field {
+	return slices.Concat([]zap.Field{
 		zap.String("request", x.req.ID), zap.String("route", x.route.Name), zap.Uint64("version", x.version), zap.Int64("prompt", x.req.PromptTokens),
 		zap.Int("attempts", x.state.Sent()+1), zap.Duration("took", x.relay.now()-x.started),
-	}, fields)...)
+	}, more)
 }
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -178,7 +178,7 @@
 
 func (r *Relay) refused(req *Request, why *result.Error) {
 	r.count("refusals_total", "code", why.Code.String())
-	r.log.Info("refused", zap.String("request", req.ID), zap.Uint32("code", uint32(why.Code)), zap.String("why", why.Message),
+	r.log.Warn("refused", zap.String("request", req.ID), zap.Uint32("code", uint32(why.Code)), zap.String("why", why.Message),
 		zap.String("host", req.Host), zap.String("path", req.Path), zap.Uint64("version", r.version()),
 		zap.Duration("config_age", r.catalog.ConfigAge()))
 }
@@ -257,7 +257,11 @@
 	defer r.mu.Unlock()
 	w := r.pool(service).retries
 	w.SetExtra(ownShare * r.RetryExtra / float64(members))
-	return w.Take(r.now())
+	if w.Take(r.now()) {
+		return true
+	}
+	r.count("retries_denied_total", "service", service)
+	return false
 }
 
 func (r *Relay) succeeded(service string, ids ...string) {
