Pass over servers that just turned work away; say why a prompt has no room

A server that leaves refuses to help up to a second before the store tells that it leaves; each prompt of that time was turned away, often twice.

--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -80,6 +80,10 @@
 	Parts []Part
 	// FirstEvent is the predicted time to the first event.
 	FirstEvent time.Duration
+	// Backlog is the mean reading before the engines and MostRoom the memory in
+	// tokens of the emptiest, where a request was not placed for them.
+	Backlog  time.Duration
+	MostRoom int64
 	// Waiting tells that the server already has as many calls as it runs at once.
 	Waiting bool
 }
@@ -216,12 +220,13 @@
 	if c.need() > int64(memoryShare*float64(c.engine.Memory)*float64(len(all))) {
 		return Plan{}, TooLarge
 	}
-	if c.backlog(all) > hugeBacklog {
-		return Plan{}, NoRoom
-	}
 	slices.SortFunc(all, func(a, b backends.Server) int {
 		return cmp.Or(cmp.Compare(c.room(b), c.room(a)), cmp.Compare(a.ID, b.ID))
 	})
+	refused := Plan{Backlog: c.backlog(all), MostRoom: c.room(all[0])}
+	if refused.Backlog > hugeBacklog {
+		return refused, NoRoom
+	}
 	left := c.need()
 	var holders []backends.Server
 	for _, s := range all {
@@ -232,7 +237,7 @@
 		left -= c.room(s)
 	}
 	if left > 0 || len(holders) < 2 || len(holders) > maxHelpers {
-		return Plan{}, NoRoom
+		return refused, NoRoom
 	}
 	return c.hold(holders), Placed
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -93,7 +93,7 @@
 	for {
 		plan, verdict := x.place()
 		if verdict != spread.Placed {
-			x.end(notPlaced(verdict))
+			x.end(notPlaced(plan, verdict))
 			return
 		}
 		x.placed(plan)
@@ -165,12 +165,13 @@
 }
 
 // notPlaced is the refusal of a request for which no server was chosen.
-func notPlaced(v spread.Verdict) *result.Error {
+func notPlaced(p spread.Plan, v spread.Verdict) *result.Error {
 	switch v {
 	case spread.TooLarge:
 		return result.New(result.TooLongForFleet, "all engines together lack the memory for this prompt")
 	case spread.NoRoom:
-		return result.New(result.Overloaded, "the engines are too busy for this prompt").After(pauseNoRoom)
+		return result.New(result.Overloaded, "the engines are too busy for this prompt: %s to read on the mean, room for %d tokens on the emptiest",
+			p.Backlog.Round(time.Millisecond), p.MostRoom).After(pauseNoRoom)
 	default:
 		return result.New(result.NoBackend, "no backend server is ready").After(pauseNoBackend)
 	}
@@ -270,6 +271,7 @@
 	case errors.Is(err, backend.ErrNotSent):
 		if ctx.Err() == nil {
 			x.relay.failed(x.service.Name, plan.Writer().ID)
+			x.relay.suspend(x.service.Name, plan.Writer().ID)
 		}
 		return attempt.NotSent, err
 	case errors.Is(context.Cause(ctx), errSilent):
@@ -286,7 +288,7 @@
 // turnedAway takes a server's promise that it did not run the request.
 func (x *exchange) turnedAway(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
 	if id := atFault(plan, h.AtFault); id != "" && id != plan.Writer().ID {
-		x.relay.failed(x.service.Name, id)
+		x.relay.suspend(x.service.Name, id)
 		x.avoid = append(x.avoid, id)
 	}
 	return attempt.NotRun, errors.Newf("server answered %d, not run, at fault %q", h.Status, h.AtFault)
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -40,6 +40,9 @@
 	// ownShare of the fleet's fixed number of retries is used, because the
 	// members that share it are not known exactly.
 	ownShare = 0.8
+	// suspendFor is about how long the store takes to tell that a server leaves:
+	// a heartbeat of 1.2 s and the delay of the list.
+	suspendFor = 1500 * time.Millisecond
 	// maxEjected is the share of a service's servers that may be out of rotation.
 	maxEjected = 0.34
 )
@@ -73,6 +76,9 @@
 	tracker *health.Tracker
 	retries *retry.Window
 	known   map[string]bool
+	// suspended are servers that just turned work away or could not be reached,
+	// until when.
+	suspended map[string]time.Duration
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -179,7 +185,7 @@
 func (r *Relay) refused(req *Request, why *result.Error) {
 	r.count("refusals_total", "code", why.Code.String())
 	r.log.Warn("refused", zap.String("request", req.ID), zap.Uint32("code", uint32(why.Code)), zap.String("why", why.Message),
-		zap.String("host", req.Host), zap.String("path", req.Path), zap.Uint64("version", r.version()),
+		zap.Int64("prompt", req.PromptTokens), zap.String("host", req.Host), zap.String("path", req.Path), zap.Uint64("version", r.version()),
 		zap.Duration("config_age", r.catalog.ConfigAge()))
 }
 
@@ -199,7 +205,7 @@
 	p := r.pools[service]
 	if p == nil {
 		p = &pool{
-			tracker: health.NewTracker(maxEjected, r.rand), known: map[string]bool{},
+			tracker: health.NewTracker(maxEjected, r.rand), known: map[string]bool{}, suspended: map[string]time.Duration{},
 			retries: retry.NewWindow(r.RetryWindow.Std(), r.RetryRatio, 0),
 		}
 		r.pools[service] = p
@@ -217,7 +223,7 @@
 	p.follow(ready)
 	out := make([]backends.Server, 0, len(ready))
 	for _, s := range ready {
-		if p.tracker.Usable(r.now(), s.ID) {
+		if p.tracker.Usable(r.now(), s.ID) && r.now() >= p.suspended[s.ID] {
 			out = append(out, s)
 		}
 	}
@@ -239,6 +245,7 @@
 	for id := range p.known {
 		if !here[id] {
 			p.tracker.Remove(id)
+			delete(p.suspended, id)
 		}
 	}
 	p.known = here
@@ -272,6 +279,15 @@
 	}
 }
 
+// suspend passes over a server for a while. A server that leaves refuses to help
+// before the store tells that it leaves; without the pause every prompt of the
+// next second is read apart with it, and turned away.
+func (r *Relay) suspend(service, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pool(service).suspended[id] = r.now() + suspendFor
+}
+
 func (r *Relay) failed(service string, ids ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
