--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -11,9 +11,10 @@
 
 // Figures of the policy.
 const (
-	// partTokens is the least that is worth reading apart: half a chunk. Parts of
-	// 4,096 and 9,000 tokens did no better.
-	partTokens = 1024
+	// partTokens is the least that is worth reading apart: a quarter of a chunk,
+	// which an engine reads in 3 ms. 1,024 kept 0.01 less of the value of all
+	// requests; 4,096 and 9,000, tried with an earlier division, did no better.
+	partTokens = 512
 	// maxHelpers is the most that an engine accepts for one prompt.
 	maxHelpers = 16
 	// longTokens is the length from which a prompt is long: reading it alone
