--- a/cli/dev.go
+++ b/cli/dev.go
@@ -9,12 +9,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/examples"
 	"github.com/auburnmoor/auburnmoor/lab/dev"
 	"github.com/auburnmoor/auburnmoor/process"
 )
 
 type devCmd struct {
-	Manifest   string  `default:"examples/te-puna.toml" type:"path" help:"Manifest to accept first."`
+	Manifest   string  `type:"path" help:"Manifest to accept first; that of the Te Puna example by default."`
 	Entries    int     `default:"3" help:"Number of entry instances."`
 	Engines    int     `default:"6" help:"Number of engine stand-ins."`
 	StepFactor float64 `default:"0.25" help:"Scale of the assumed engine step times."`
@@ -25,10 +26,19 @@
 // readyTimeout bounds the start of a site.
 const readyTimeout = 30 * time.Second
 
+// manifest reads the file named, or takes the one built in, so that the command
+// works from any folder.
+func (c *devCmd) manifest() ([]byte, error) {
+	if c.Manifest == "" {
+		return examples.TePuna, nil
+	}
+	return os.ReadFile(c.Manifest)
+}
+
 // Run runs a site until a signal.
 func (c *devCmd) Run(e *env) error {
 	o := dev.DefaultOptions()
-	raw, err := os.ReadFile(c.Manifest)
+	raw, err := c.manifest()
 	if err != nil {
 		return usage(err)
 	}
--- /dev/null
+++ b/control/follow/follow_test.go
@@ -0,0 +1,132 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
+	_ "github.com/auburnmoor/auburnmoor/platform"
+	"github.com/auburnmoor/auburnmoor/process"
+	"github.com/auburnmoor/auburnmoor/settings"
+)
+
+func TestFollow(t *testing.T) { testkit.Suite(t, "follow") }
+
+// start runs the modules that follow a store, with waits of 200 ms.
+func start(store string) *follow.Follower {
+	f, err := settings.Parse("f", []byte(fmt.Sprintf(`
+[instance]
+name = "e"
+data_centre = "d"
+region = "r"
+caller_addr = "127.0.0.1:1"
+peer_addr = "127.0.0.1:19800"
+admin_addr = "127.0.0.1:1"
+modules = ["platform.client", "control.catalog"]
+[platform.client]
+store = %q
+[control.catalog]
+wait = "200ms"
+`, store)))
+	Expect(err).NotTo(HaveOccurred())
+	p, err := process.New(f, zap.NewNop())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(p.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() {
+		Expect(p.Stop(context.Background())).To(Succeed())
+		Expect(p.Close()).To(Succeed())
+	})
+	return p.Module(follow.ID).(*follow.Follower)
+}
+
+var _ = Describe("following the store", func() {
+	var srv *storeserver.Server
+	put := func(version int) {
+		Expect(srv.Put("config", "main", map[string]any{"version": version})).To(Succeed())
+	}
+	server := func(id, state string) {
+		Expect(srv.Put("servers", id, map[string]any{"service": "s", "address": "127.0.0.1:9", "state": state})).To(Succeed())
+	}
+	BeforeEach(func() {
+		srv = storeserver.New("127.0.0.1:0")
+		Expect(srv.Start()).To(Succeed())
+		DeferCleanup(srv.Close)
+		put(3)
+		server("a", "ready")
+	})
+	version := func(f *follow.Follower) func() uint64 {
+		return func() uint64 {
+			if t := f.Table(); t != nil {
+				return t.Version
+			}
+			return 0
+		}
+	}
+	ready := func(f *follow.Follower) func() int {
+		return func() int {
+			if s := f.Servers(); s != nil {
+				return len(s.Ready("s"))
+			}
+			return -1
+		}
+	}
+
+	It("adopts what changes", func() {
+		f := start(srv.Addr())
+		Eventually(version(f), "3s", "5ms").Should(Equal(uint64(3)))
+		Eventually(ready(f), "3s", "5ms").Should(Equal(1))
+		Expect(f.Ready()).To(BeTrue())
+		put(8)
+		server("b", "ready")
+		Eventually(version(f), "3s", "5ms").Should(Equal(uint64(8)))
+		Eventually(ready(f), "3s", "5ms").Should(Equal(2))
+	})
+
+	// A key that was taken away works again: a read that was seconds behind
+	// brought an older version back.
+	It("never goes back to an older version", func() {
+		f := start(srv.Addr())
+		Eventually(version(f), "3s", "5ms").Should(Equal(uint64(3)))
+		put(9)
+		Eventually(version(f), "3s", "5ms").Should(Equal(uint64(9)))
+		put(7)
+		Consistently(version(f), "300ms", "20ms").Should(Equal(uint64(9)))
+	})
+
+	// A leaving server goes on getting requests: the watch was open but silent,
+	// and the change was dropped from the history meanwhile.
+	DescribeTable("catches up after", func(f storeserver.Faults) {
+		fol := start(srv.Addr())
+		Eventually(ready(fol), "3s", "5ms").Should(Equal(1))
+		srv.SetFaults(f)
+		time.Sleep(50 * time.Millisecond)
+		server("a", "draining")
+		put(11)
+		time.Sleep(300 * time.Millisecond)
+		srv.SetFaults(storeserver.Faults{ForgetHistory: true})
+		Eventually(ready(fol), "5s", "10ms").Should(BeZero())
+		Eventually(version(fol), "5s", "10ms").Should(Equal(uint64(11)))
+		Eventually(func() time.Duration { return fol.ServersAge() }, "3s", "10ms").Should(BeNumerically("<", 500*time.Millisecond))
+	},
+		Entry("an outage", storeserver.Faults{Down: true}),
+		Entry("silence", storeserver.Faults{Silent: true}),
+		Entry("slowness", storeserver.Faults{DelayMS: 100}),
+		Entry("a dropped history", storeserver.Faults{ForgetHistory: true}),
+	)
+
+	It("is not ready without a store and tells how old its knowledge is", func() {
+		srv.SetFaults(storeserver.Faults{Down: true})
+		f := start(srv.Addr())
+		Consistently(f.Ready, "200ms", "20ms").Should(BeFalse())
+		srv.SetFaults(storeserver.Faults{})
+		Eventually(f.Ready, "3s", "10ms").Should(BeTrue())
+	})
+})
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,9 @@
+// Package examples holds the manifests of two sites.
+package examples
+
+import _ "embed" // for the manifest below
+
+// TePuna is the manifest of the Te Puna site.
+//
+//go:embed te-puna.toml
+var TePuna []byte
