--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -68,7 +68,6 @@
 	// configHeard and serversHeard are when the store last confirmed what is
 	// held, in nanoseconds since the start.
 	configHeard, serversHeard atomic.Int64
-	listeners                 []func()
 	inbox                     *ring.Ring[catalog.Config]
 	heard                     *ring.Ring[peerVersion]
 }
@@ -113,10 +112,6 @@
 	return nil
 }
 
-// OnChange calls fn after every change of configuration or servers. It must be
-// called before Start.
-func (f *Follower) OnChange(fn func()) { f.listeners = append(f.listeners, fn) }
-
 // Start implements auburnmoor.Starter.
 func (f *Follower) Start(ctx context.Context) error {
 	go f.followConfig(ctx)
@@ -151,12 +146,8 @@
 	return 0
 }
 
-func (f *Follower) changed() {
-	f.members.SetServing(f.Ready())
-	for _, fn := range f.listeners {
-		fn()
-	}
-}
+// changed tells the members whether this instance can serve by now.
+func (f *Follower) changed() { f.members.SetServing(f.Ready()) }
 
 // source is one of the two things that are followed, as its loop sees it.
 type source struct {
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -120,22 +120,10 @@
 // Service is a group of backend servers with the same task.
 type Service struct {
 	Name string
-	// HealthPath answers 200 while a server considers itself healthy.
-	HealthPath string
-	// MaxConnections bounds the connections of all callers to one server.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
 
-// Limits bound what a client may send and how long it may take.
-type Limits struct {
-	HeaderBytes, BodyBytes int
-	HeaderTimeout          time.Duration
-	// IdleTimeout is how long a connection may stay open without a request.
-	IdleTimeout time.Duration
-}
-
 // Customer is an organization whose requests carry one of its keys.
 type Customer struct {
 	Name string
@@ -152,7 +140,8 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	// BodyBytes bounds the body of a request; zero does not.
+	BodyBytes int
 }
 
 // Table answers questions about one version.
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -254,7 +254,8 @@
 	l := c.load(s.ID)
 	d := l.Read + each
 	if l.Calls > 0 {
-		d += time.Duration(c.engine.Stride) * (c.engine.Step + time.Duration(l.Calls)*c.engine.StepPerWriter)
+		context := time.Duration(l.HeldTokens) * c.engine.StepPerThousand / 1000
+		d += time.Duration(c.engine.Stride) * (c.engine.Step + time.Duration(l.Calls)*c.engine.StepPerWriter + context)
 	}
 	return d
 }
--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -42,6 +42,8 @@
 	Customer  string
 	// Left is the time that the server may take.
 	Left time.Duration
+	// Rank orders requests that wait at the server; 0 is the most urgent.
+	Rank int
 	// Helpers read parts of the prompt.
 	Helpers []Helper
 	// ResumeAfter continues a stream after the event of this id.
@@ -101,6 +103,4 @@
 	Reserve(ctx context.Context, r Reservation) (bool, error)
 	// Release gives memory back.
 	Release(ctx context.Context, r Reservation) error
-	// Healthy asks a server for its health.
-	Healthy(ctx context.Context, server, addr, path string) error
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -61,11 +61,15 @@
 	route    *route.Route
 	service  *route.Service
 	customer string
-	version  uint64
-	state    *attempt.State
-	time     time.Duration
+	// rank is that of the customer, or else of the route.
+	rank    int
+	version uint64
+	state   *attempt.State
+	time    time.Duration
 
-	avoid  []string
+	avoid []string
+	// pause is what servers that turned the request away asked for.
+	pause  time.Duration
 	events events
 	begun  bool
 	// last is the newest answer of a server's own that may be passed on.
@@ -123,7 +127,7 @@
 		x.events.restart()
 		return true
 	case attempt.Refuse:
-		x.end(result.New(result.NoBackend, "no backend server ran the request").After(pauseNotRun))
+		x.end(result.New(result.NoBackend, "no backend server ran the request").After(max(pauseNotRun, x.pause)))
 	case attempt.PassOn:
 		x.sink.Whole(x.last, x.lastBody)
 		x.warn("server error passed on")
@@ -252,7 +256,7 @@
 	w := plan.Writer()
 	c := backend.Call{
 		Server: w.ID, Addr: w.Addr, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: x.req.Header, Body: x.req.Body,
-		RequestID: x.req.ID, Customer: x.customer, Left: x.left(), ResumeAfter: x.req.ResumeAfter,
+		RequestID: x.req.ID, Customer: x.customer, Left: x.left(), Rank: x.rank, ResumeAfter: x.req.ResumeAfter,
 	}
 	if x.events.lastRaw != "" {
 		c.ResumeAfter = x.events.lastRaw
@@ -285,6 +289,7 @@
 
 // turnedAway takes a server's promise that it did not run the request.
 func (x *exchange) turnedAway(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
+	x.pause = max(x.pause, h.RetryAfter)
 	if id := atFault(plan, h.AtFault); id != "" && id != plan.Writer().ID {
 		x.relay.suspend(x.service.Name, id)
 		x.avoid = append(x.avoid, id)
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -152,19 +152,22 @@
 	if !ok && !rt.Public && len(table.Customers) > 0 {
 		return nil, result.New(result.UnknownKey, "unknown key")
 	}
-	if max := table.Limits.BodyBytes; max > 0 && len(req.Body) > max {
+	if max := table.BodyBytes; max > 0 && len(req.Body) > max {
 		return nil, result.New(result.BodyTooLarge, "body exceeds the limit of %d bytes", max)
 	}
-	name := ""
+	name, rank := "", rt.Rank
 	if customer != nil {
 		name = customer.Name
+		if customer.HasRank {
+			rank = customer.Rank
+		}
 	}
 	service, ok := table.Service(r.pick(rt))
 	if !ok {
 		return nil, result.New(result.NoBackend, "the route's service is not configured").After(pauseNoBackend)
 	}
 	return &exchange{
-		relay: r, req: req, sink: sink, route: rt, service: service, customer: name, version: table.Version,
+		relay: r, req: req, sink: sink, route: rt, service: service, customer: name, rank: rank, version: table.Version,
 		state: attempt.New(rt), time: timeLeft(rt, req),
 	}, nil
 }
