--- a/decide/attempt/attempt.go
+++ b/decide/attempt/attempt.go
@@ -99,7 +99,8 @@
 	if s.mayRepeat(o) && s.sent < s.route.MaxAttempts && budget() {
 		return Retry
 	}
-	if o == ServerError {
+	// Behind the beginning of a stream another answer would complete it falsely.
+	if o == ServerError && !s.forwarded {
 		return PassOn
 	}
 	return s.giveUp()
--- a/decide/attempt/attempt_test.go
+++ b/decide/attempt/attempt_test.go
@@ -64,6 +64,15 @@
 		Expect(s.Next(attempt.Broken, yes)).To(Equal(attempt.Abort))
 	})
 
+	// A review ends in the middle and looks complete: its stream broke, the server
+	// that was to go on answered 500, and that answer was appended.
+	It("never passes on a server's failure behind the beginning of a stream", func() {
+		s := attempt.New(resumable)
+		s.Forwarded()
+		Expect(s.Next(attempt.Broken, yes)).To(Equal(attempt.Retry))
+		Expect(s.Next(attempt.ServerError, yes)).To(Equal(attempt.Abort))
+	})
+
 	It("does not count servers that could not be reached as attempts, but bounds them", func() {
 		s := attempt.New(once)
 		for range 3 {
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -323,6 +323,44 @@
 		Expect(runs(s.engines, "resume")).To(Equal(2))
 	})
 
+	// A review ends in the middle and looks complete: the engine that was to go on
+	// failed, and its answer was appended.
+	It("breaks a stream off when the engine that was to go on fails", func() {
+		defer func() {
+			for _, w := range s.engines {
+				w.ClearFaults()
+			}
+		}()
+		outcome := func() string {
+			for _, w := range s.engines {
+				w.ClearFaults()
+				w.Inject(workerserver.Cut)
+			}
+			req, err := http.NewRequest(http.MethodPost, "http://"+estateAddr(100)+"/ask/1", strings.NewReader("x"))
+			Expect(err).NotTo(HaveOccurred())
+			req.Host = "h.example"
+			id := fmt.Sprint("half-", time.Now().UnixNano())
+			req.Header.Set("X-Request-Id", id)
+			req.Header.Set("Authorization", "Bearer k1")
+			req.Header.Set("X-Token-Counts", "900,100")
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			// The first half is out; whoever goes on fails.
+			for _, w := range s.engines {
+				w.ClearFaults()
+				w.Inject(workerserver.Failed)
+			}
+			raw, err := io.ReadAll(resp.Body)
+			if err == nil {
+				return string(raw)
+			}
+			Expect(wholeStream(id)).To(HavePrefix(string(raw)))
+			return "broken off"
+		}
+		Expect(outcome()).To(Equal("broken off"))
+	})
+
 	It("reads a prompt larger than one engine on two and gives the memory back", func() {
 		resp, body := attempt{path: "/ask/1", id: "large", key: "k1", tokens: 150_000}.send(0)
 		Expect(resp.StatusCode).To(Equal(200))
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -36,6 +36,9 @@
 
 // stream passes whole events on as they arrive.
 func (x *exchange) stream(ctx context.Context, plan spread.Plan, answer backend.Answer, work *work, patience *time.Timer) (attempt.Outcome, error) {
+	if !answer.Head().Sealed {
+		return x.broken(ctx, plan, errors.Mark(errors.New("unsigned stream"), backend.ErrBroken))
+	}
 	buf := make([]byte, readBuffer)
 	for {
 		n, err := answer.Read(buf)
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -232,6 +232,11 @@
 	if x.route.Kind == route.Stream && h.Status < 300 {
 		return x.stream(ctx, plan, answer, work, patience)
 	}
+	if x.begun {
+		// A part of the stream is out. No other kind of answer may follow it.
+		x.relay.failed(x.service.Name, plan.Writer().ID)
+		return attempt.Broken, errors.Newf("server answered %d in the middle of a stream", h.Status)
+	}
 	return x.whole(ctx, plan, answer)
 }
 
