A last attempt is ended by the deadline, not by its own timer

Both fired at the same moment; when the timer won, the client got 502 instead of 504 and the servers of a slow answer were counted as failed.

--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -71,7 +71,7 @@
 // gap is the silence in a stream that ends an attempt.
 func (x *exchange) gap() time.Duration {
 	if x.state.Last() || !x.route.Repeatable() {
-		return max(x.left(), leastLeft)
+		return x.left() + beyondDeadline
 	}
 	return max(gapPatience, gapFactor*x.route.GapTarget)
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -42,6 +42,9 @@
 	// server, and gapFactor that in multiples of the useful pause.
 	gapPatience = 1200 * time.Millisecond
 	gapFactor   = 3
+	// beyondDeadline keeps the timer of a last attempt out of the way: the
+	// deadline ends it, which is no sign against its servers.
+	beyondDeadline = time.Second
 	// answerPatience is the share of the useful time after which an idempotent
 	// request is tried at another server.
 	answerPatience = 0.8
@@ -65,18 +68,22 @@
 	rank    int
 	version uint64
 	state   *attempt.State
-	time    time.Duration
+	// time is what the request may take from its arrival on.
+	time time.Duration
 
+	// avoid are the servers that already failed this request.
 	avoid []string
 	// pause is what servers that turned the request away asked for.
 	pause  time.Duration
 	events events
-	begun  bool
+	// begun tells that the beginning of a stream is out.
+	begun bool
 	// last is the newest answer of a server's own that may be passed on.
 	last     backend.Head
 	lastBody []byte
-	started  time.Duration
-	first    time.Duration
+	// started is when serving began, first how long the first event, or the whole
+	// answer, took.
+	started, first time.Duration
 	// lastEvent is when the newest events were passed on, longestGap the longest
 	// pause before some.
 	lastEvent, longestGap time.Duration
@@ -245,7 +252,7 @@
 // sooner could lose an answer and cannot gain one.
 func (x *exchange) patience(plan spread.Plan) time.Duration {
 	if x.state.Last() || !x.route.Repeatable() {
-		return x.left()
+		return x.left() + beyondDeadline
 	}
 	if x.route.Kind != route.Stream {
 		return time.Duration(answerPatience * float64(x.route.FirstTarget))
