--- a/lab/passes/engine.go
+++ b/lab/passes/engine.go
@@ -13,9 +13,9 @@
 // part is the share of a prompt that one engine reads.
 type part struct {
 	req *request
-	// from and left are tokens: where reading goes on, and how many remain.
-	from, left int64
-	helper     bool
+	// left are the tokens that remain to be read.
+	left   int64
+	helper bool
 }
 
 // engine is one model engine.
@@ -69,8 +69,8 @@
 	for budget > 0 && len(e.parts) > 0 {
 		p := e.parts[0]
 		n := min(budget, p.left)
-		took += readTime(e.spec, p.req, p.from, n)
-		p.from, p.left, budget = p.from+n, p.left-n, budget-n
+		took += readTime(e.spec, p.req, n)
+		p.left, budget = p.left-n, budget-n
 		if p.left == 0 {
 			e.read = append(e.read, p)
 			e.parts = e.parts[1:]
@@ -81,7 +81,7 @@
 
 // readTime is the time for n tokens of a prompt. Each part has its share of the
 // pairs of the whole prompt, so the depth of a token is taken as the mean one.
-func readTime(e *route.Engine, r *request, _ int64, n int64) time.Duration {
+func readTime(e *route.Engine, r *request, n int64) time.Duration {
 	linear := float64(n) / e.ReadPerSecond * float64(time.Second)
 	pairs := float64(n) * float64(r.prompt) / 2 / 1e6 * float64(e.PairsPerMillion)
 	return time.Duration(linear + pairs)
