--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -14,10 +14,12 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	grpcbackoff "google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/internal/tcpopt"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/ring"
 )
@@ -29,10 +31,22 @@
 
 // Bounds of the link.
 const (
-	defaultRing    = 4096
-	maxMessage     = 64 << 20
-	reconnectFirst = 100 * time.Millisecond
-	reconnectMost  = 3 * time.Second
+	defaultRing = 4096
+	maxMessage  = 64 << 20
+	// Pauses between vain attempts to connect. A peer that restarts, or whose
+	// partition heals, must be heard again before the view of its load is old.
+	reconnectFirst  = 100 * time.Millisecond
+	reconnectMost   = 800 * time.Millisecond
+	reconnectGrowth = 1.6
+	reconnectJitter = 0.2
+	// dialTimeout ends an attempt whose opening packet was lost: the kernel sends
+	// the next ones after 1, 3, 7 and 15 s, so an attempt that began during a
+	// partition would connect only that long after its end. gRPC waits 20 s by
+	// itself. A round trip between data centres takes 3 ms.
+	dialTimeout = 500 * time.Millisecond
+	// userTimeout ends a connection that went silent; a round trip of 3 ms is far
+	// below, and a new connection works at once.
+	userTimeout = 1500 * time.Millisecond
 )
 
 // Handler takes over a received envelope; it must not block.
@@ -168,6 +182,11 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dial),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           grpcbackoff.Config{BaseDelay: reconnectFirst, Multiplier: reconnectGrowth, Jitter: reconnectJitter, MaxDelay: reconnectMost},
+			MinConnectTimeout: dialTimeout,
+		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)))
 	if err != nil {
 		return nil, err
@@ -179,6 +198,11 @@
 	return p, nil
 }
 
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, Control: tcpopt.UserTimeout(userTimeout)}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // pump sends one instance's envelopes and reconnects with jittered backoff, so
 // that a restarted instance is not met by everyone at once.
 func (l *Link) pump(ctx context.Context, p *peer) {
