Take the list of servers from peers while the store does not tell it

Cause: only configurations were passed on between instances. One that started during an outage of the store had no servers and answered 503 until it ended; one that the store turned away did not hear of leaving servers. Test: control/follow "takes servers and configuration from a peer while the store is down", fails before (no servers after 10 s).

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/peerlink"
-	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 	"github.com/auburnmoor/auburnmoor/ring"
 	"github.com/auburnmoor/auburnmoor/settings"
@@ -68,8 +68,14 @@
 	// configHeard and serversHeard are when the store last confirmed what is
 	// held, in nanoseconds since the start.
 	configHeard, serversHeard atomic.Int64
-	inbox                     *ring.Ring[catalog.Config]
-	heard                     *ring.Ring[peerVersion]
+	// storeFailing tells that the last call for the list of servers failed.
+	storeFailing atomic.Bool
+	inbox        *ring.Ring[catalog.Config]
+	heard        *ring.Ring[peerVersion]
+
+	// mu guards set, which reads of the store and replies of peers change.
+	mu  sync.Mutex
+	set *backends.Set
 }
 
 type peerVersion struct {
@@ -101,6 +107,7 @@
 		f.Wait = settings.Duration(defaultWait)
 	}
 	f.log, f.now, f.scope, f.catalog = c.Log, c.Now, c.Scope, src.Catalog()
+	f.set = backends.NewSet()
 	f.inbox = ring.New[catalog.Config]("catalog.inbox", inboxSize)
 	f.heard = ring.New[peerVersion]("catalog.heard", inboxSize)
 	f.members.CarryConfig(f.version, func(from string, version uint64) {
@@ -117,6 +124,7 @@
 	go f.followConfig(ctx)
 	go f.followServers(ctx)
 	go f.askPeers(ctx)
+	go f.askServers(ctx)
 	return nil
 }
 
@@ -149,6 +157,9 @@
 // changed tells the members whether this instance can serve by now.
 func (f *Follower) changed() { f.members.SetServing(f.Ready()) }
 
+// whatServers names the list of servers in logs and metrics.
+const whatServers = "servers"
+
 // source is one of the two things that are followed, as its loop sees it.
 type source struct {
 	name string
@@ -202,6 +213,9 @@
 }
 
 func (f *Follower) lost(what string, failures int, err error) {
+	if what == whatServers {
+		f.storeFailing.Store(true)
+	}
 	if errors.Is(err, catalog.ErrNone) {
 		if failures == 0 {
 			f.log.Info("the store holds no configuration yet")
@@ -215,6 +229,9 @@
 }
 
 func (f *Follower) regained(what string, failures int) {
+	if what == whatServers {
+		f.storeFailing.Store(false)
+	}
 	if failures > 0 {
 		f.log.Info("store regained", zap.String("what", what), zap.Int("failed_calls", failures))
 	}
@@ -271,15 +288,14 @@
 }
 
 func (f *Follower) followServers(ctx context.Context) {
-	set := backends.NewSet()
 	f.follow(ctx, source{
-		name: "servers",
+		name: whatServers,
 		read: func(ctx context.Context) (int64, error) {
 			l, err := f.catalog.Servers(ctx)
 			if err != nil {
 				return 0, err
 			}
-			f.publish(set, set.Replace(f.now(), l.Servers, l.Revision))
+			f.update(f.now(), func(now time.Duration) bool { return f.set.Replace(now, l.Servers, l.Revision) })
 			return l.Revision, nil
 		},
 		watch: func(ctx context.Context, after int64) (int64, error) {
@@ -287,59 +303,27 @@
 			if err != nil {
 				return 0, err
 			}
-			f.publish(set, len(l.Changes) > 0 && set.Apply(f.now(), l.Changes, l.Revision))
+			f.update(f.now(), func(now time.Duration) bool { return len(l.Changes) > 0 && f.set.Apply(now, l.Changes, l.Revision) })
 			return l.Revision, nil
 		},
 	})
 }
 
-func (f *Follower) publish(set *backends.Set, changed bool) {
-	f.serversHeard.Store(int64(f.now()))
-	if !changed {
+// update changes the list of servers as the store confirmed it at a time, and
+// publishes it if it changed.
+func (f *Follower) update(confirmed time.Duration, change func(now time.Duration) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serversHeard.Store(max(f.serversHeard.Load(), int64(confirmed)))
+	if !change(f.now()) {
 		return
 	}
-	snap := set.Snapshot()
+	snap := f.set.Snapshot()
 	f.servers.Store(snap)
 	f.log.Info("backend servers changed", zap.Int64("revision", snap.Revision), zap.Int("servers", snap.Len()))
 	f.changed()
 }
 
-// askPeers fetches a version that a peer holds and the store did not tell in
-// time. An instance that the store turns away stays up to date that way.
-func (f *Follower) askPeers(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case c := <-f.inbox.C():
-			f.adopt(c, "peer")
-		case v := <-f.heard.C():
-			sleep(ctx, askPeerAfter)
-			if v.version > f.version() {
-				f.link.Send(v.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: f.version()}}})
-			}
-		}
-	}
-}
-
-func (f *Follower) receive(from string, env *peerpb.Envelope) {
-	switch {
-	case env.GetConfigRequest() != nil:
-		raw := f.raw.Load()
-		if raw == nil || f.version() <= env.GetConfigRequest().HaveVersion {
-			return
-		}
-		f.link.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: &peerpb.ConfigReply{Version: f.version(), Content: *raw}}})
-	case env.GetConfigReply() != nil:
-		c, err := f.catalog.Decode(env.GetConfigReply().Content)
-		if err != nil {
-			f.log.Warn("configuration from a peer cannot be read", zap.String("peer", from), eventlog.Error(err))
-			return
-		}
-		f.inbox.Offer(c)
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/control/follow/follow_test.go
+++ b/control/follow/follow_test.go
@@ -20,22 +20,28 @@
 
 func TestFollow(t *testing.T) { testkit.Suite(t, "follow") }
 
+// firstPeer is the peer address of the first instance of a test.
+const firstPeer = "127.0.0.1:19800"
+
 // start runs the modules that follow a store, with waits of 200 ms.
-func start(store string) *follow.Follower {
+func start(store string) *follow.Follower { return startAt(store, "e", firstPeer) }
+
+func startAt(store, name, peerAddr string) *follow.Follower {
 	f, err := settings.Parse("f", []byte(fmt.Sprintf(`
 [instance]
-name = "e"
+name = %q
 data_centre = "d"
 region = "r"
 caller_addr = "127.0.0.1:1"
-peer_addr = "127.0.0.1:19800"
+peer_addr = %q
 admin_addr = "127.0.0.1:1"
 modules = ["platform.client", "control.catalog"]
 [platform.client]
 store = %q
+seeds = "127.0.0.1:19800"
 [control.catalog]
 wait = "200ms"
-`, store)))
+`, name, peerAddr, store)))
 	Expect(err).NotTo(HaveOccurred())
 	p, err := process.New(f, zap.NewNop())
 	Expect(err).NotTo(HaveOccurred())
@@ -122,6 +128,26 @@
 		Entry("a dropped history", storeserver.Faults{ForgetHistory: true}),
 	)
 
+	// Labels are refused for ten seconds: an instance was replaced while the store
+	// was down and had no servers until it returned. Its peers knew them all the
+	// while.
+	It("takes servers and configuration from a peer while the store is down", func() {
+		first := start(srv.Addr())
+		Eventually(ready(first), "3s", "5ms").Should(Equal(1))
+		down := storeserver.New("127.0.0.1:0")
+		Expect(down.Start()).To(Succeed())
+		DeferCleanup(down.Close)
+		down.SetFaults(storeserver.Faults{Down: true})
+		second := startAt(down.Addr(), "f", "127.0.0.1:19801")
+		Eventually(ready(second), "10s", "10ms").Should(Equal(1))
+		Eventually(version(second), "10s", "10ms").Should(Equal(uint64(3)))
+		Expect(second.ServersAge()).To(BeNumerically("<", 5*time.Second))
+
+		server("a", "draining")
+		Eventually(ready(first), "3s", "5ms").Should(BeZero())
+		Eventually(ready(second), "10s", "10ms").Should(BeZero())
+	})
+
 	It("is not ready without a store and tells how old its knowledge is", func() {
 		srv.SetFaults(storeserver.Faults{Down: true})
 		f := start(srv.Addr())
--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -39,7 +39,6 @@
 
 // Loads is the module "control.loads".
 type Loads struct {
-	self    string
 	log     *zap.Logger
 	link    *peerlink.Link
 	members *members.Members
@@ -70,7 +69,7 @@
 	if l.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
 		return err
 	}
-	l.self, l.log, l.now, l.ledger, l.dirty, l.heard = c.Self.Name, c.Log, c.Now, spread.NewLedger(), make(chan struct{}, 1), map[string]bool{}
+	l.log, l.now, l.ledger, l.dirty, l.heard = c.Log, c.Now, spread.NewLedger(), make(chan struct{}, 1), map[string]bool{}
 	l.link.Handle(l.receive)
 	l.members.OnView(l.keepLive)
 	return nil
@@ -185,10 +184,8 @@
 			Server: server, Calls: v.Calls, LongCalls: v.LongCalls, HeldTokens: v.HeldTokens, ReadUs: v.Read.Microseconds(), UnreadUs: v.Unread.Microseconds(), Parts: v.Parts,
 		})
 	}
-	for _, m := range l.members.View().Alive {
-		if m.Name != l.self {
-			l.link.Send(m.Name, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
-		}
+	for _, peer := range l.members.Peers() {
+		l.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
 	}
 }
 
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -394,6 +394,17 @@
 	return m.view
 }
 
+// Peers returns the names of the live instances but this one.
+func (m *Members) Peers() []string {
+	var out []string
+	for _, s := range m.View().Alive {
+		if s.Name != m.self.Name {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
+
 // Leaving reports whether this instance has announced its departure.
 func (m *Members) Leaving() bool {
 	m.mu.Lock()
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -46,6 +46,15 @@
 	return v, ok
 }
 
+// All returns every server, leaving ones included, in no order.
+func (s *Snapshot) All() []Server {
+	out := make([]Server, 0, len(s.byID))
+	for _, v := range s.byID {
+		out = append(out, v)
+	}
+	return out
+}
+
 // Len counts the servers, leaving ones included.
 func (s *Snapshot) Len() int { return len(s.byID) }
 
