Enforce the configuration's limits; never pass on a false promise; test orders that go astray

- A server's 408, 429 or 503 without its own statement that the request did not run was passed on, and clients would send a once-only request again.
It is a broken attempt now. e2e "a refusal that does not say that it did not run".
- A prompt for which engines did not grant memory was refused with 413, after which no client asks again: the engines to avoid were left out of the fleet's memory.
Found by the new e2e table of orders that are unanswered, late, dropped or late again and again; no memory stays set aside in any of them.

--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -140,8 +140,16 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	// BodyBytes bounds the body of a request; zero does not.
-	BodyBytes int
+	Limits    Limits
+}
+
+// Limits bound what clients may send and how long they may take. A zero value
+// sets no bound.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	// HeaderTimeout is the time for the headers of a request, IdleTimeout that
+	// between two requests on a connection.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Table answers questions about one version.
--- a/decide/spread/apart.go
+++ b/decide/spread/apart.go
@@ -17,7 +17,7 @@
 	if len(all) == 0 {
 		return Plan{}, NoServer
 	}
-	if c.need() > int64(memoryShare*float64(c.engine.Memory)*float64(len(all))) {
+	if c.need() > c.mostMemory() {
 		return Plan{}, TooLarge
 	}
 	slices.SortFunc(all, func(a, b backends.Server) int {
@@ -46,6 +46,14 @@
 	return p, Placed
 }
 
+// mostMemory is what all servers of the service can hold of one prompt, those
+// included that this request must avoid or that are out of rotation: a prompt
+// too large for the others at present is turned away for now, not for good.
+func (c *chooser) mostMemory() int64 {
+	engines := min(c.req.Fleet, maxHelpers+1)
+	return int64(memoryShare * float64(c.engine.Memory) * float64(engines))
+}
+
 // leastReserve is the least memory worth reserving at an engine.
 const leastReserve = 16_000
 
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -58,6 +58,9 @@
 // Request is what the placing of a request depends on.
 type Request struct {
 	Prompt, Answer int64
+	// Fleet is the number of servers of the service, those out of rotation
+	// included.
+	Fleet int
 	// Avoid are servers that already failed this request.
 	Avoid []string
 	// DataCentre is preferred among equals.
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -249,6 +249,7 @@
 		Entry("answer lost", workerserver.Lost, 502),
 		Entry("answer cut", workerserver.Cut, 502),
 		Entry("bytes that are no answer", workerserver.Garbage, 502),
+		Entry("a refusal that does not say that it did not run", workerserver.Busy, 502),
 		Entry("an answer without a length", workerserver.Unframed, 200),
 		Entry("a second answer", workerserver.Extra, 200),
 	)
@@ -379,6 +380,34 @@
 	})
 
 	// An engine works on for callers who have left, and those who stay wait.
+	// An engine answers fewer and fewer long prompts: memory was set aside by an
+	// order that got no answer and was carried out after the request had ended, or
+	// the order that gives memory back was lost. Nobody was left to end it.
+	DescribeTable("loses no memory when orders are", func(reserve []workerserver.OrderFault) {
+		for _, e := range s.engines {
+			e.InjectOrder(reserve...)
+		}
+		id := "orders-" + string(reserve[0])
+		resp, body := attempt{path: "/ask/1", id: id, key: "k1", tokens: 150_000}.send(0)
+		if resp.StatusCode == 200 {
+			Expect(body).To(Equal(wholeStream(id)))
+		} else {
+			Expect(resp.StatusCode).To(BeElementOf(429, 503))
+			Expect(runs(s.engines, id)).To(BeZero())
+		}
+		// Late orders are carried out within a second.
+		time.Sleep(time.Second)
+		for _, e := range s.engines {
+			Eventually(e.Reserved, "4s", "20ms").Should(BeZero())
+			Expect(e.DoubleUse()).To(BeZero())
+		}
+	},
+		Entry("unanswered", []workerserver.OrderFault{workerserver.OrderUnanswered}),
+		Entry("carried out late", []workerserver.OrderFault{workerserver.OrderLate}),
+		Entry("dropped", []workerserver.OrderFault{workerserver.OrderDropped}),
+		Entry("late again and again", []workerserver.OrderFault{workerserver.OrderLate, workerserver.OrderLate, workerserver.OrderLate, workerserver.OrderLate}),
+	)
+
 	It("ends the work of a client that leaves", func() {
 		req, err := http.NewRequest(http.MethodPost, "http://"+estateAddr(100)+"/ask/1", strings.NewReader("x"))
 		Expect(err).NotTo(HaveOccurred())
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -128,6 +128,7 @@
 func (w *world) place(q *request, res *Result) {
 	recent := w.meter.Observe(w.Now(), spread.Backlog(w.servers, w.ledger.Of))
 	plan, verdict := spread.Choose(engineSpec, w.servers, w.ledger.Of, spread.Request{
+		Fleet:  len(w.servers),
 		Prompt: q.prompt, Answer: min(int64(q.events)*eventTokens, engineSpec.UsualAnswer),
 		Waited: w.Now() - q.arrived, Patience: spread.Patience(q.kind.First, q.kind.Deadline), Recent: recent, Useful: q.kind.First,
 	})
--- a/result/result.go
+++ b/result/result.go
@@ -29,6 +29,7 @@
 	KeyRequired        Code = 1008
 	KeyReused          Code = 1009
 	BodyTooSlow        Code = 1010
+	HeaderTooLarge     Code = 1011
 	Overloaded         Code = 2001
 	CannotFinishInTime Code = 2002
 	ShareExceeded      Code = 2003
@@ -73,6 +74,7 @@
 	{KeyRequired, "idempotency_key_required", http.StatusBadRequest, true, "This kind may not be repeated, so the request must carry an Idempotency-Key."},
 	{KeyReused, "idempotency_key_reused", http.StatusUnprocessableEntity, true, "The Idempotency-Key was used before with another request."},
 	{BodyTooSlow, "body_too_slow", http.StatusRequestTimeout, true, "The body did not arrive within the read timeout."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, true, "The headers exceed the limit of this instance."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, true, "The queues of the candidate engines are full."},
 	{CannotFinishInTime, "cannot_finish_in_time", http.StatusTooManyRequests, true, "The predicted completion lies beyond the request's time limit."},
 	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, true, "The customer already holds its share while others wait."},
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,11 @@
 	case h.Status < 300 && !h.Sealed, h.Status >= 500 && !h.Sealed:
 		x.relay.failed(x.service.Name, plan.Writer().ID)
 		return attempt.Broken, errors.Newf("unsigned answer with status %d", h.Status)
+	case promisesNotRun(h.Status):
+		// The server does not say that the request did not run, but its status tells
+		// clients so: they would send a once-only request again that may have run.
+		x.relay.failed(x.service.Name, plan.Writer().ID)
+		return attempt.Broken, errors.Newf("server answered %d without the promise that goes with it", h.Status)
 	case h.Status >= 500:
 		x.last, x.lastBody = h, body
 		return attempt.ServerError, errors.Newf("server answered %d", h.Status)
@@ -34,6 +40,17 @@
 	return 0, nil
 }
 
+// promisesNotRun reports whether clients take a status for the promise that the
+// request did not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // stream passes whole events on as they arrive.
 func (x *exchange) stream(ctx context.Context, plan spread.Plan, answer backend.Answer, work *work, patience *time.Timer) (attempt.Outcome, error) {
 	if !answer.Head().Sealed {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -157,7 +157,10 @@
 	if !ok && !rt.Public && len(table.Customers) > 0 {
 		return nil, result.New(result.UnknownKey, "unknown key")
 	}
-	if max := table.BodyBytes; max > 0 && len(req.Body) > max {
+	if max := table.Limits.HeaderBytes; max > 0 && req.HeaderBytes > max {
+		return nil, result.New(result.HeaderTooLarge, "headers exceed the limit of %d bytes", max)
+	}
+	if max := table.Limits.BodyBytes; max > 0 && len(req.Body) > max {
 		return nil, result.New(result.BodyTooLarge, "body exceeds the limit of %d bytes", max)
 	}
 	name, rank := "", rt.Rank
@@ -221,24 +224,23 @@
 	return p
 }
 
-// usable returns the servers of a service that may get new work: ready ones
-// that are not out of rotation.
-func (r *Relay) usable(service string) []backends.Server {
+// usable returns the servers of a service that may get new work, ready ones that
+// are not out of rotation, and the number of all ready ones.
+func (r *Relay) usable(service string) (out []backends.Server, fleet int) {
 	ready := r.catalog.Servers().Ready(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pool(service)
 	p.follow(ready)
-	out := make([]backends.Server, 0, len(ready))
 	for _, s := range ready {
 		if p.tracker.Usable(r.now(), s.ID) && r.now() >= p.suspended[s.ID] {
 			out = append(out, s)
 		}
 	}
 	if len(out) == 0 {
-		return ready
+		out = ready
 	}
-	return out
+	return out, len(ready)
 }
 
 // follow makes the tracker forget servers that left.
--- a/serve/relay/request.go
+++ b/serve/relay/request.go
@@ -18,7 +18,9 @@
 	Target, Path string
 	// Header holds the headers to pass on.
 	Header http.Header
-	Body   []byte
+	// HeaderBytes is the size of all headers as they came.
+	HeaderBytes int
+	Body        []byte
 	// Key is the bearer key, empty if none was sent.
 	Key string
 	// Deadline is how long the client waits; zero if it did not say.
