Pass over slow servers and ones that fail a part of their requests; let servers return in steps

Cause: only three failures in a row took a server out, so one that fails two requests in five stayed, and one that answers five times as slowly always did. Now: the share of failures over 8 s against that of the others; the shortest of four pauses between events against the usual one; a return in steps of one, four and all. Answers to requests from before an ejection no longer end it.

--- a/decide/balance/pool.go
+++ b/decide/balance/pool.go
@@ -94,7 +94,7 @@
 	}
 	switch v {
 	case Succeeded:
-		p.health.Success(name)
+		p.health.Success(now, name)
 		p.budget.Success()
 	case Failed:
 		p.health.Failure(now, name)
--- a/decide/dispatch/owner.go
+++ b/decide/dispatch/owner.go
@@ -164,10 +164,10 @@
 	case peerpb.Stage_STAGE_FAILED:
 		n.health.Failure(now, p.Engine)
 	case peerpb.Stage_STAGE_FIRST_TOKEN:
-		n.health.Success(p.Engine)
+		n.health.Success(now, p.Engine)
 		e.Found(p.Id, p.Attempt, p.CachedTokens)
 	case peerpb.Stage_STAGE_DONE:
-		n.health.Success(p.Engine)
+		n.health.Success(now, p.Engine)
 	case peerpb.Stage_STAGE_READY:
 	default:
 		n.health.Abandon(p.Engine)
--- a/decide/health/tracker_test.go
+++ b/decide/health/tracker_test.go
@@ -36,7 +36,7 @@
 		Expect(tr.Usable(6*time.Second, "a")).To(BeTrue())
 		tr.Begin(6*time.Second, "a")
 		Expect(tr.Usable(6*time.Second, "a")).To(BeFalse(), "a second probe at once")
-		tr.Success("a")
+		tr.Success(6*time.Second, "a")
 		Expect(tr.Usable(6*time.Second, "a")).To(BeTrue())
 	})
 
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -276,8 +276,21 @@
 	l := c.load(s.ID)
 	d := l.Read + each
 	if l.Calls > 0 {
-		context := time.Duration(l.HeldTokens) * c.engine.StepPerThousand / 1000
-		d += time.Duration(c.engine.Stride) * (c.engine.Step + time.Duration(l.Calls)*c.engine.StepPerWriter + context)
+		d += Pass(c.engine, l)
 	}
 	return d
 }
+
+// Pass is the time that an engine needs for the token steps of one pass, without
+// what it reads meanwhile.
+func Pass(e *route.Engine, l Load) time.Duration {
+	if e == nil {
+		return 0
+	}
+	context := time.Duration(l.HeldTokens) * e.StepPerThousand / 1000
+	return time.Duration(e.Stride) * (e.Step + time.Duration(l.Calls)*e.StepPerWriter + context)
+}
+
+// Short reports whether a prompt is answered by engines that write short answers
+// and read little for others.
+func Short(tokens int64) bool { return tokens < longTokens }
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -24,14 +24,15 @@
 	case len(body) > maxAnswer:
 		return attempt.Broken, errors.Newf("answer exceeds %d bytes", maxAnswer)
 	case h.Status < 300 && !h.Sealed, h.Status >= 500 && !h.Sealed:
-		x.relay.failed(x.service.Name, plan.Writer().ID)
+		x.fail(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("unsigned answer with status %d", h.Status)
 	case promisesNotRun(h.Status):
 		// The server does not say that the request did not run, but its status tells
 		// clients so: they would send a once-only request again that may have run.
-		x.relay.failed(x.service.Name, plan.Writer().ID)
+		x.fail(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("server answered %d without the promise that goes with it", h.Status)
 	case h.Status >= 500:
+		x.fault(plan.Writer().ID)
 		x.last, x.lastBody = h, body
 		return attempt.ServerError, errors.Newf("server answered %d", h.Status)
 	}
@@ -64,6 +65,7 @@
 			if len(out) > 0 {
 				work.firstEvent()
 				patience.Reset(x.gap())
+				x.observePace(plan)
 				if werr := x.forward(answer.Head(), out); werr != nil {
 					return attempt.Broken, errors.Mark(werr, errClient)
 				}
@@ -100,7 +102,8 @@
 		x.begun = true
 		x.state.Forwarded()
 	} else {
-		x.longestGap = max(x.longestGap, x.relay.now()-x.lastEvent)
+		x.newestGap = x.relay.now() - x.lastEvent
+		x.longestGap = max(x.longestGap, x.newestGap)
 	}
 	x.lastEvent = x.relay.now()
 	x.heard.Store(int64(x.lastEvent))
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
+	"github.com/auburnmoor/auburnmoor/decide/health"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/eventlog"
@@ -74,6 +75,10 @@
 
 	// avoid are the servers that already failed this request.
 	avoid []string
+	// judged are the servers of the present attempt that failed it.
+	judged []string
+	// pace judges the pauses of the present attempt.
+	pace health.Run
 	// pause is what servers that turned the request away asked for.
 	pause  time.Duration
 	events events
@@ -93,6 +98,8 @@
 	// lastEvent is when the newest events were passed on, longestGap the longest
 	// pause before some.
 	lastEvent, longestGap time.Duration
+	// newestGap is the pause before the newest events, zero before the first ones.
+	newestGap time.Duration
 }
 
 // Errors that end an attempt beside those of the port.
@@ -118,6 +125,7 @@
 		}
 		x.placed(plan)
 		outcome, err := x.attempt(ctx, plan)
+		x.settle(plan, err == nil)
 		if err == nil {
 			x.finished(plan)
 			return
@@ -227,6 +235,7 @@
 
 // attempt sends the request to the servers of a plan.
 func (x *exchange) attempt(ctx context.Context, plan spread.Plan) (attempt.Outcome, error) {
+	x.begin(plan)
 	work := newWork(x.relay, plan)
 	defer work.end()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -253,7 +262,7 @@
 	}
 	if x.begun {
 		// A part of the stream is out. No other kind of answer may follow it.
-		x.relay.failed(x.service.Name, plan.Writer().ID)
+		x.fail(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("server answered %d in the middle of a stream", h.Status)
 	}
 	return x.whole(ctx, plan, answer)
@@ -279,17 +288,17 @@
 	switch {
 	case errors.Is(err, backend.ErrNotSent):
 		if ctx.Err() == nil {
-			x.relay.failed(x.service.Name, plan.Writer().ID)
+			x.fail(plan.Writer().ID)
 			x.relay.suspend(x.service.Name, plan.Writer().ID)
 		}
 		return attempt.NotSent, err
 	case errors.Is(context.Cause(ctx), errSilent):
-		x.relay.failed(x.service.Name, serverIDs(plan)...)
+		x.fail(serverIDs(plan)...)
 		return attempt.Silent, errors.Mark(errSilent, backend.ErrBroken)
 	case ctx.Err() != nil:
 		return attempt.Broken, err
 	default:
-		x.relay.failed(x.service.Name, plan.Writer().ID)
+		x.fail(plan.Writer().ID)
 		return attempt.Broken, err
 	}
 }
--- a/serve/relay/log.go
+++ b/serve/relay/log.go
@@ -10,7 +10,6 @@
 
 // finished records an answer that is out.
 func (x *exchange) finished(plan spread.Plan) {
-	x.relay.succeeded(x.service.Name, serverIDs(plan)...)
 	x.relay.count("answers_total", "kind", x.route.Kind.String())
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("first_seconds", buckets).RecordDuration(x.first)
 	x.log("answered", zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -79,6 +79,8 @@
 	tracker *health.Tracker
 	retries *retry.Window
 	known   map[string]bool
+	// pace is what pauses between events usually are.
+	pace health.Pace
 	// meter is the reading before the servers over the last seconds.
 	meter spread.Meter
 	// suspended are servers that just turned work away or could not be reached,
@@ -297,14 +299,6 @@
 	return r.pool(service).meter.Mean()
 }
 
-func (r *Relay) succeeded(service string, ids ...string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, id := range ids {
-		r.pool(service).tracker.Success(id)
-	}
-}
-
 // suspend passes over a server for a while. A server that leaves refuses to help
 // before the store tells that it leaves; without the pause every prompt of the
 // next second is read apart with it, and turned away.
@@ -313,11 +307,3 @@
 	defer r.mu.Unlock()
 	r.pool(service).suspended[id] = r.now() + suspendFor
 }
-
-func (r *Relay) failed(service string, ids ...string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, id := range ids {
-		r.pool(service).tracker.Failure(r.now(), id)
-	}
-}
