--- a/serve/api/once.go
+++ b/serve/api/once.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/auburnmoor/auburnmoor/decide/orphan"
+	"github.com/auburnmoor/auburnmoor/decide/sequence"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/result"
@@ -138,9 +139,9 @@
 	ctx, cancel := context.WithTimeout(c.Request().Context(), w.limit)
 	defer cancel()
 	out := w.sink(c, r)
-	next, u := int64(0), usage{}
+	order, u := sequence.From(0), usage{}
 	err := a.disp.Engine().Resume(ctx, a.disp.Addr(engineName), stream, 0, func(ch engine.Chunk) error {
-		text, err := accept(stream, &next, ch)
+		text, err := accept(stream, &order, ch)
 		if ch.End && err == nil {
 			u = usageOf(0, ch)
 		}
--- a/serve/api/session.go
+++ b/serve/api/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/dispatch"
 	"github.com/auburnmoor/auburnmoor/decide/prefix"
+	"github.com/auburnmoor/auburnmoor/decide/sequence"
 	"github.com/auburnmoor/auburnmoor/port/engine"
 	"github.com/auburnmoor/auburnmoor/result"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
@@ -34,7 +35,7 @@
 	// started is told where the answer is generated.
 	started func(engine, stream string)
 
-	next   int64
+	order  sequence.Order
 	prior  int64
 	usage  usage
 	cancel context.CancelFunc
@@ -99,7 +100,7 @@
 func (s *session) begin(ctx context.Context, st dispatch.Start) {
 	s.stopAttempt()
 	if !st.Resume {
-		s.next = 0
+		s.order = sequence.From(0)
 		s.sink.restart()
 	}
 	if st.Segment != nil && st.Segment.FromToken == 0 {
@@ -129,7 +130,7 @@
 	}
 	addr := s.disp.Addr(st.Engine)
 	if st.Resume {
-		res.err = s.disp.Engine().Resume(ctx, addr, dispatch.StreamID(st.ID, st.Attempt), s.next, each)
+		res.err = s.disp.Engine().Resume(ctx, addr, dispatch.StreamID(st.ID, st.Attempt), s.order.Following(), each)
 	} else {
 		res.err = s.disp.Engine().Run(ctx, addr, s.stream(st), s.text(st), each)
 	}
@@ -166,15 +167,15 @@
 
 // chunk accepts the next piece of this attempt's answer.
 func (s *session) chunk(st dispatch.Start, ch engine.Chunk) error {
-	next := s.next
-	text, err := accept(dispatch.StreamID(st.ID, st.Attempt), &s.next, ch)
+	next := s.order.Following()
+	text, err := accept(dispatch.StreamID(st.ID, st.Attempt), &s.order, ch)
 	switch {
 	case err != nil:
 		return err
 	case ch.End:
 		s.usage = usageOf(s.prior, ch)
 		return nil
-	case s.next == next:
+	case s.order.Following() == next:
 		return nil
 	case next == 0:
 		s.disp.Report(dispatch.StreamFirst{ID: st.ID, Attempt: st.Attempt, Cached: ch.Cached})
@@ -182,23 +183,28 @@
 	return errors.Mark(s.sink.token(text), errCaller)
 }
 
-// accept checks that a chunk is the next of its stream and advances next. A
+// accept checks that a chunk is the next of its stream and returns its text. A
 // chunk of another stream, a doubled or a missing one would otherwise reach
 // the caller as part of a wrong answer; the number of chunks is checked at the
 // end.
-func accept(stream string, next *int64, ch engine.Chunk) (string, error) {
-	switch {
-	case ch.ID != stream:
+func accept(stream string, order *sequence.Order, ch engine.Chunk) (string, error) {
+	if ch.ID != stream {
 		return "", errCrossed
-	case ch.End && ch.Count != *next:
-		return "", errGap
-	case ch.End, ch.Seq < *next:
+	}
+	if ch.End {
+		if ch.Count != order.Following() {
+			return "", errGap
+		}
 		return "", nil
-	case ch.Seq > *next:
+	}
+	switch order.Take(ch.Seq) {
+	case sequence.Again:
+		return "", nil
+	case sequence.Gap:
 		return "", errGap
+	default:
+		return ch.Text, nil
 	}
-	*next++
-	return ch.Text, nil
 }
 
 func usageOf(prior int64, ch engine.Chunk) usage {
--- a/serve/relay/events.go
+++ b/serve/relay/events.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/decide/sequence"
 )
 
 // maxEvent bounds one event of a stream in bytes.
@@ -19,9 +21,8 @@
 // middle of one can be continued by another server without joining two halves.
 type events struct {
 	rest []byte
-	// last is the id of the last whole event, if hasLast.
-	last    int64
-	hasLast bool
+	order sequence.Order
+	// lastRaw is the id of the last whole event as it was sent.
 	lastRaw string
 }
 
@@ -61,14 +62,16 @@
 		e.lastRaw = raw
 		return true, nil
 	}
-	switch {
-	case e.hasLast && id <= e.last:
+	due := e.order.Following()
+	switch e.order.Take(id) {
+	case sequence.Again:
 		return false, nil
-	case e.hasLast && id != e.last+1:
-		return false, errors.Wrapf(errEventGap, "event %d after %d", id, e.last)
+	case sequence.Gap:
+		return false, errors.Wrapf(errEventGap, "event %d where %d is due", id, due)
+	default:
+		e.lastRaw = raw
+		return true, nil
 	}
-	e.last, e.hasLast, e.lastRaw = id, true, raw
-	return true, nil
 }
 
 // partial reports whether a part of an event is left over.
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -248,7 +248,9 @@
 		return attempt.NotSent, err
 	}
 	defer res.release()
+	sent := x.relay.now()
 	answer, err := x.relay.client.Do(ctx, x.call(plan, res))
+	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets).RecordDuration(x.relay.now() - sent)
 	if err != nil {
 		return x.broken(ctx, plan, err)
 	}
