--- a/serve/relay/events.go
+++ b/serve/relay/events.go
@@ -20,7 +20,7 @@
 // events cuts a stream into whole events, so that a stream which breaks in the
 // middle of one can be continued by another server without joining two halves.
 type events struct {
-	rest []byte
+	rest  []byte
 	order sequence.Order
 	// lastRaw is the id of the last whole event as it was sent.
 	lastRaw string
