--- a/control/config/config.go
+++ b/control/config/config.go
@@ -18,6 +18,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/confver"
 	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/decide/place"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -210,14 +211,14 @@
 		c.failures.Add(1)
 		failures = min(failures+1, 6)
 		// Jitter keeps the instances from returning to a recovered store together.
-		sleep(ctx, firstRetry<<failures/2+rand.N(firstRetry<<failures))
+		wait.For(ctx, firstRetry<<failures/2+rand.N(firstRetry<<failures))
 	}
 }
 
 func (c *Config) readStore(ctx context.Context) error {
 	watcher := c.watcher()
 	if !watcher && c.version.Load() > 0 {
-		sleep(ctx, c.PollStore.Std()/2+rand.N(c.PollStore.Std()))
+		wait.For(ctx, c.PollStore.Std()/2+rand.N(c.PollStore.Std()))
 	}
 	wait := time.Duration(0)
 	if watcher && c.version.Load() > 0 {
@@ -249,13 +250,6 @@
 	return len(names) == 0 || place.Among(c.self, confver.WatchDuty, names, c.Watchers)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Dump implements auburnmoor.Dumper.
 func (c *Config) Dump() any {
 	return Dump{
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -19,6 +19,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 	"github.com/auburnmoor/auburnmoor/ring"
@@ -202,7 +203,7 @@
 		}
 		f.lost(s.name, failures, err)
 		failures++
-		sleep(ctx, retry.Backoff(r, firstPause, longestPause, failures))
+		wait.For(ctx, retry.Backoff(r, firstPause, longestPause, failures))
 	}
 }
 
@@ -324,15 +325,6 @@
 	f.changed()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Dump implements auburnmoor.Dumper.
 func (f *Follower) Dump() any {
 	d := Dump{ConfigVersion: f.version(), ConfigAgeMS: f.ConfigAge().Milliseconds(), ServersAgeMS: f.ServersAge().Milliseconds()}
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
@@ -22,7 +23,7 @@
 		case c := <-f.inbox.C():
 			f.adopt(c, "peer")
 		case v := <-f.heard.C():
-			sleep(ctx, askPeerAfter)
+			wait.For(ctx, askPeerAfter)
 			if v.version > f.version() {
 				f.link.Send(v.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: f.version()}}})
 			}
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/internal/buckets"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 	"github.com/auburnmoor/auburnmoor/result"
 )
@@ -250,7 +251,7 @@
 	defer res.release()
 	sent := x.relay.now()
 	answer, err := x.relay.client.Do(ctx, x.call(plan, res))
-	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets).RecordDuration(x.relay.now() - sent)
+	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - sent)
 	if err != nil {
 		return x.broken(ctx, plan, err)
 	}
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/internal/buckets"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
 )
 
 const (
@@ -39,15 +41,13 @@
 	x.heldBack(plan)
 	began := r.now()
 	for verdict == spread.Hold {
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, rand.N(2*lookAgain)) {
 			return plan, verdict
-		case <-time.After(rand.N(2 * lookAgain)):
 		}
 		x.waited = r.now() - began
 		plan, verdict = x.place(x.holdPatience())
 	}
-	r.scope.Histogram("held_seconds", buckets).RecordDuration(x.waited)
+	r.scope.Histogram("held_seconds", buckets.Durations).RecordDuration(x.waited)
 	return plan, verdict
 }
 
--- a/serve/relay/log.go
+++ b/serve/relay/log.go
@@ -6,12 +6,13 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/internal/buckets"
 )
 
 // finished records an answer that is out.
 func (x *exchange) finished(plan spread.Plan) {
 	x.relay.count("answers_total", "kind", x.route.Kind.String())
-	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("first_seconds", buckets).RecordDuration(x.first)
+	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("first_seconds", buckets.Durations).RecordDuration(x.first)
 	x.log("answered", zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
 		zap.Duration("predicted", plan.FirstEvent), zap.Duration("first", x.first), zap.Duration("longest_gap", x.longestGap), zap.Bool("waiting", plan.Waiting))
 }
--- a/serve/relay/work.go
+++ b/serve/relay/work.go
@@ -4,14 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 )
 
-// buckets span 1 ms to 16 s.
-var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-
 // work gives the load of an attempt back as its parts end.
 type work struct {
 	relay *Relay
