--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -468,6 +468,23 @@
 		s.store.SetFaults(storeserver.Faults{})
 	})
 
+	// Long prompts wait though the engines are idle: the work of a request that had
+	// ended was never taken off, and all instances went on counting it.
+	It("counts no work when nothing is in progress", func() {
+		for i := range 3 {
+			Eventually(func() map[string]any {
+				var d struct {
+					Loads struct {
+						Totals map[string]any `json:"totals"`
+					} `json:"control.loads"`
+				}
+				Expect(json.Unmarshal([]byte(call("GET", "http://"+estateAddr(500+i)+"/admin/dump", "").body), &d)).To(Succeed())
+				Expect(d.Loads.Totals).NotTo(BeNil())
+				return d.Loads.Totals
+			}, "10s", "50ms").Should(BeEmpty())
+		}
+	})
+
 	It("goes on serving after SIGHUP", func() {
 		s.signal("entry-2", syscall.SIGHUP)
 		time.Sleep(200 * time.Millisecond)
