lab/passes: loads from files or drawn, an own late view for each instance, memory

- Loads are checked TOML files; four come with the program, Draw makes others from a seed.
Each instance has its own ledger; reports come after the time to gather them and the way between instances.
- Engines hold memory: an answer begins once its prompt is read and there is a slot and memory.
- Besides the whole value the worst windows of 4 s and the worst kind.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -31,7 +31,7 @@
 	Apply    applyCmd    `cmd:"" help:"Have a manifest accepted as the configuration in force."`
 	Status   statusCmd   `cmd:"" help:"Show what entry instances hold."`
 	Bench    benchCmd    `cmd:"" help:"Run the experiments in virtual time."`
-	Passes   passesCmd   `cmd:"" help:"Play the loads of two sites against the placing of requests, in virtual time."`
+	Passes   passesCmd   `cmd:"" help:"Play loads, known ones and drawn ones, against the placing of requests, in virtual time."`
 	Load     loadCmd     `cmd:"" help:"Send a load to real addresses and check every answer."`
 	Faults   faultsCmd   `cmd:"" help:"Inject faults into the state machines in virtual time."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
--- a/cli/passes.go
+++ b/cli/passes.go
@@ -7,21 +7,47 @@
 )
 
 type passesCmd struct {
-	Seeds    int           `default:"1" help:"Number of seeds, from 1 on; their results are added up."`
-	Load     float64       `default:"1" help:"Factor of the sheets' rates."`
-	Duration time.Duration `default:"34s" help:"Virtual time of a run; bursts fill its thirds."`
+	Load     []string      `help:"Loads: names of those that come with the program, or files. All that come with it by default, unless some are drawn."`
+	Draw     int           `help:"Number of deployments to draw beside them."`
+	Seed     uint64        `default:"1" help:"Seed of the drawn deployments and first seed of the runs."`
+	Seeds    int           `default:"1" help:"Number of runs of each load, each with a seed of its own."`
+	Rate     float64       `default:"1" help:"Factor of the loads' rates."`
+	Duration time.Duration `default:"34s" help:"Virtual time of a run; bursts fill equal spans of it."`
+	Lines    bool          `help:"Print a line for each load only."`
 }
 
-// Run plays the loads of the sites against the placing.
+// Run plays loads against the placing.
 func (c *passesCmd) Run(e *env) error {
-	for i := range passes.Sites() {
-		var runs [][]passes.Result
-		for seed := range c.Seeds {
-			runs = append(runs, passes.Run(passes.Sites()[i], uint64(seed+1), c.Duration, c.Load))
+	loads, err := c.loads()
+	if err != nil {
+		return usage(err)
+	}
+	var all []passes.Summary
+	for _, l := range loads {
+		s := passes.Play(l, c.Seed, c.Seeds, c.Duration, c.Rate)
+		all = append(all, s)
+		if c.Lines {
+			continue
 		}
-		if err := passes.Write(e.out, passes.Sites()[i].Name, passes.Merge(runs)); err != nil {
+		if err := passes.Write(e.out, s); err != nil {
 			return err
 		}
 	}
-	return nil
+	return passes.WriteLines(e.out, all)
+}
+
+func (c *passesCmd) loads() ([]passes.Load, error) {
+	names := c.Load
+	if len(names) == 0 && c.Draw == 0 {
+		names = passes.Shipped()
+	}
+	var out []passes.Load
+	for _, name := range names {
+		l, err := passes.ReadLoad(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l)
+	}
+	return append(out, passes.Draw(c.Draw, c.Seed)...), nil
 }
--- a/lab/passes/engine.go
+++ b/lab/passes/engine.go
@@ -1,6 +1,3 @@
-// Package passes plays a site's load against the placing of decide/spread in
-// virtual time. Its engines follow the published formula of a pass: all waiting
-// reading up to a chunk a step, and a stride of token steps when an engine writes.
 package passes
 
 import (
@@ -24,9 +21,11 @@
 	// parts wait to be read, those for other engines first.
 	parts   []*part
 	writers []*request
-	// queued requests have their prompt read and wait for a slot.
+	// queued requests have their prompt read and wait for a slot and memory.
 	queued []*request
-	busy   bool
+	// reserved is memory in tokens set aside for prompts that other engines answer.
+	reserved map[*request]int64
+	busy     bool
 	// read are the parts that end with the present pass.
 	read []*part
 }
@@ -41,13 +40,29 @@
 	e.parts = slices.Insert(e.parts, at, p)
 }
 
+// used is the memory in tokens that writers and reservations hold.
+func (e *engine) used() (sum int64) {
+	for _, w := range e.writers {
+		sum += w.held()
+	}
+	for _, tokens := range e.reserved {
+		sum += tokens
+	}
+	return sum
+}
+
+// reserve sets memory aside if it is free.
+func (e *engine) reserve(q *request, tokens int64) bool {
+	if e.used()+tokens > e.spec.Memory {
+		return false
+	}
+	e.reserved[q] = tokens
+	return true
+}
+
 // begin starts a pass and returns its length, or false when there is nothing to
 // do.
 func (e *engine) begin() (time.Duration, bool) {
-	for len(e.queued) > 0 && len(e.writers) < e.spec.Slots {
-		e.writers = append(e.writers, e.queued[0])
-		e.queued = e.queued[1:]
-	}
 	if len(e.parts) == 0 && len(e.writers) == 0 {
 		return 0, false
 	}
@@ -62,6 +77,21 @@
 	return time.Duration(steps)*step + e.readSome(e.spec.Chunk*int64(steps)), true
 }
 
+// admit lets requests whose prompt is read write in turn, as long as there are
+// slots and memory, and returns them. Their first token follows at once.
+func (e *engine) admit() []*request {
+	was := len(e.writers)
+	for len(e.queued) > 0 && len(e.writers) < e.spec.Slots {
+		q := e.queued[0]
+		if len(e.writers) > 0 && e.used()+q.held() > e.spec.Memory {
+			break
+		}
+		e.writers = append(e.writers, q)
+		e.queued = e.queued[1:]
+	}
+	return e.writers[was:]
+}
+
 // readSome reads at most budget tokens and returns the time that it takes.
 func (e *engine) readSome(budget int64) (took time.Duration) {
 	e.read = nil
@@ -78,6 +108,13 @@
 	return took
 }
 
+// drop ends all work on a request.
+func (e *engine) drop(q *request) {
+	e.parts = slices.DeleteFunc(e.parts, func(p *part) bool { return p.req == q })
+	e.queued = slices.DeleteFunc(e.queued, func(x *request) bool { return x == q })
+	delete(e.reserved, q)
+}
+
 // readTime is the time for n tokens of a prompt. Each part has its share of the
 // pairs of the whole prompt, so the depth of a token is taken as the mean one.
 func readTime(e *route.Engine, r *request, n int64) time.Duration {
--- /dev/null
+++ b/lab/passes/instance.go
@@ -0,0 +1,185 @@
+package passes
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+)
+
+const (
+	// lookAgain is the mean time after which an instance places a request again
+	// that it holds back.
+	lookAgain = 15 * time.Millisecond
+	// gatherFor is how long an instance gathers changes into one report.
+	gatherFor = 2 * time.Millisecond
+	// comeBack is when a client returns that was refused for want of room.
+	comeBack = 2500 * time.Millisecond
+	// comeBackShare of its remaining time is the most that a client waits.
+	comeBackShare = 1.0 / 3
+)
+
+// attempt is what an instance knows of a request that it placed.
+type attempt struct {
+	at   *instance
+	plan spread.Plan
+	// unread counts the parts that are still being read.
+	unread int
+	// context is the length of the prompt at the engine that writes.
+	context     int64
+	eventTokens int
+	// avoid are the engines that did not grant memory.
+	avoid []string
+}
+
+// instance is one entry instance.
+type instance struct {
+	*world
+	name   string
+	ledger *spread.Ledger
+	meter  spread.Meter
+	// dirty tells that a report is being gathered.
+	dirty bool
+}
+
+func newInstance(w *world, i int) *instance {
+	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger()}
+}
+
+// changed has the others told of this instance's work a little later.
+func (n *instance) changed() {
+	if n.dirty {
+		return
+	}
+	n.dirty = true
+	n.After(gatherFor, func() {
+		n.dirty = false
+		loads := n.ledger.TakeChanged()
+		n.After(n.load.Peers.Std(), func() {
+			for _, o := range n.instances {
+				if o != n {
+					o.ledger.Report(n.Now(), n.name, false, loads)
+				}
+			}
+		})
+	})
+}
+
+func (n *instance) arrive(q *request) {
+	q.at = n
+	n.place(q)
+}
+
+// place sends a request to engines, holds it back or refuses it.
+func (n *instance) place(q *request) {
+	if n.Now()-q.arrived > q.kind.Deadline.Std() {
+		q.result.GivenUp++
+		return
+	}
+	recent := n.meter.Observe(n.Now(), spread.Backlog(n.servers, n.ledger.Of))
+	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Of, spread.Request{
+		Fleet: len(n.servers), Prompt: q.prompt, Answer: n.spec.UsualAnswer, Avoid: q.avoid,
+		Waited: n.Now() - q.arrived, Patience: spread.Patience(q.kind.First.Std(), q.kind.Deadline.Std()), Recent: recent, Useful: q.kind.First.Std(),
+	})
+	switch verdict {
+	case spread.Placed:
+		n.send(q, plan)
+	case spread.Hold:
+		n.After(time.Duration(n.rand.Int64N(int64(2*lookAgain))), func() { n.place(q) })
+	default:
+		n.refuse(q)
+	}
+}
+
+// refuse turns a request away; its client comes back once if it has the time.
+func (n *instance) refuse(q *request) {
+	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
+	if q.refused || comeBack > time.Duration(comeBackShare*float64(left)) {
+		q.result.Refused++
+		return
+	}
+	q.refused = true
+	other := n.instances[n.rand.IntN(len(n.instances))]
+	n.After(comeBack, func() { other.arrive(q) })
+}
+
+// send places a request as planned. Memory that is not granted has it placed
+// again without the engine that refused.
+func (n *instance) send(q *request, plan spread.Plan) {
+	for _, p := range plan.Parts {
+		if p.Reserve > 0 && !n.engines[p.Server.ID].reserve(q, p.Reserve) {
+			n.dropAll(q, plan)
+			q.avoid = append(q.avoid, p.Server.ID)
+			n.After(2*n.load.Hop.Std(), func() { n.place(q) })
+			return
+		}
+	}
+	q.plan, q.unread, q.last, q.eventTokens = plan, len(plan.Parts), n.Now(), n.spec.Stride
+	each := q.prompt / int64(len(plan.Parts))
+	q.context = max(each, q.prompt-reserved(plan))
+	for i, p := range plan.Parts {
+		n.ledger.Add(p.Server.ID, p.Load)
+		n.After(p.ReadBy, func() { n.read(q, i) })
+		n.After(n.load.Hop.Std(), func() { n.deliver(q, i, max(1, each)) })
+	}
+	n.changed()
+	n.watch(q)
+}
+
+// deliver hands an engine its part of a prompt.
+func (n *instance) deliver(q *request, i int, tokens int64) {
+	if q.over {
+		return
+	}
+	id := q.plan.Parts[i].Server.ID
+	n.engines[id].add(&part{req: q, left: tokens, helper: i > 0})
+	n.pass(id)
+}
+
+func (n *instance) dropAll(q *request, plan spread.Plan) {
+	for _, p := range plan.Parts {
+		n.engines[p.Server.ID].drop(q)
+	}
+}
+
+func reserved(p spread.Plan) (sum int64) {
+	for _, part := range p.Parts {
+		sum += part.Reserve
+	}
+	return sum
+}
+
+// read takes the reading of one part off the ledger, once.
+func (n *instance) read(q *request, i int) {
+	p := &q.plan.Parts[i]
+	if p.Load.Read == 0 {
+		return
+	}
+	n.ledger.Sub(p.Server.ID, spread.Load{Read: p.Load.Read})
+	p.Load.Read = 0
+	n.changed()
+}
+
+// firstEvent ends the reading of the prompt at all engines.
+func (n *instance) firstEvent(q *request) {
+	for i := range q.plan.Parts {
+		n.read(q, i)
+		p := &q.plan.Parts[i]
+		begun := p.Load.Begun()
+		n.ledger.Sub(p.Server.ID, begun)
+		p.Load = p.Load.Minus(begun)
+	}
+	n.changed()
+}
+
+func (n *instance) end(q *request) {
+	q.over = true
+	n.firstEvent(q)
+	for i := range q.plan.Parts {
+		p := &q.plan.Parts[i]
+		n.ledger.Sub(p.Server.ID, p.Load)
+		p.Load = spread.Load{}
+	}
+	n.dropAll(q, q.plan)
+	n.changed()
+}
--- /dev/null
+++ b/lab/passes/result.go
@@ -0,0 +1,157 @@
+package passes
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// window is the length of the spans by which the worst seconds are told.
+const window = 4 * time.Second
+
+// worstWindows is the number of windows in Summary.Worst.
+const worstWindows = 2
+
+// value is what answers could have earned and did.
+type value struct{ Owed, Earned float64 }
+
+func (v value) share() float64 {
+	if v.Owed == 0 {
+		return 1
+	}
+	return v.Earned / v.Owed
+}
+
+func (v *value) add(o value) { v.Owed, v.Earned = v.Owed+o.Owed, v.Earned+o.Earned }
+
+// Result is what callers of one kind got.
+type Result struct {
+	Kind                       string
+	Asked, InTime, Late        int
+	Refused, GivenUp           int
+	Value                      value
+	FirstP50, FirstP99, GapP99 time.Duration
+	firsts, gaps               []time.Duration
+}
+
+// Share is the earned part of the value owed.
+func (r Result) Share() float64 { return r.Value.share() }
+
+func (r *Result) add(o Result) {
+	r.Asked, r.InTime, r.Late = r.Asked+o.Asked, r.InTime+o.InTime, r.Late+o.Late
+	r.Refused, r.GivenUp = r.Refused+o.Refused, r.GivenUp+o.GivenUp
+	r.Value.add(o.Value)
+	r.firsts, r.gaps = append(r.firsts, o.firsts...), append(r.gaps, o.gaps...)
+}
+
+func (r *Result) percentiles() {
+	r.FirstP50, r.FirstP99, r.GapP99 = percentile(r.firsts, 0.5), percentile(r.firsts, 0.99), percentile(r.gaps, 0.99)
+}
+
+func percentile(v []time.Duration, p float64) time.Duration {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[min(len(v)-1, int(p*float64(len(v))))]
+}
+
+// Summary is what a run, or several, gave.
+type Summary struct {
+	Load  string
+	Kinds []Result
+	// Whole is the share of the value that was earned, Worst that of the worst
+	// windows, and WorstKind that of the worst kind; means over the runs.
+	Whole, Worst, WorstKind float64
+	runs                    int
+}
+
+// Score is the mean of the three shares.
+func (s Summary) Score() float64 { return (s.Whole + s.Worst + s.WorstKind) / 3 }
+
+// Kind returns the result of one kind.
+func (s Summary) Kind(name string) Result {
+	for _, r := range s.Kinds {
+		if r.Kind == name {
+			return r
+		}
+	}
+	return Result{Kind: name}
+}
+
+// summarize sums one run up. A window counts by the requests that arrived in it.
+func summarize(load string, kinds []*Result, windows []value) Summary {
+	s := Summary{Load: load, WorstKind: 1, runs: 1}
+	var whole value
+	for _, r := range kinds {
+		r.percentiles()
+		s.Kinds = append(s.Kinds, *r)
+		whole.add(r.Value)
+		s.WorstKind = min(s.WorstKind, r.Share())
+	}
+	s.Whole = whole.share()
+	var shares []float64
+	for _, w := range windows {
+		shares = append(shares, w.share())
+	}
+	slices.Sort(shares)
+	n := min(worstWindows, len(shares))
+	for _, v := range shares[:n] {
+		s.Worst += v / float64(n)
+	}
+	return s
+}
+
+// Merge puts the runs of one load together.
+func Merge(runs []Summary) Summary {
+	out := Summary{Load: runs[0].Load}
+	for i := range runs[0].Kinds {
+		sum := Result{Kind: runs[0].Kinds[i].Kind}
+		for _, r := range runs {
+			sum.add(r.Kinds[i])
+		}
+		sum.percentiles()
+		out.Kinds = append(out.Kinds, sum)
+	}
+	for _, r := range runs {
+		out.runs += r.runs
+		out.Whole += r.Whole * float64(r.runs)
+		out.Worst += r.Worst * float64(r.runs)
+		out.WorstKind += r.WorstKind * float64(r.runs)
+	}
+	n := float64(out.runs)
+	out.Whole, out.Worst, out.WorstKind = out.Whole/n, out.Worst/n, out.WorstKind/n
+	return out
+}
+
+// Write prints the kinds of a summary as a table.
+func Write(out io.Writer, s Summary) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "LOAD\tKIND\tASKED\tIN TIME\tLATE\tREFUSED\tGIVEN UP\tVALUE\tFIRST P50\tP99\tPAUSE P99")
+	for _, r := range s.Kinds {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d ms\t%d ms\t%d ms\n", s.Load, r.Kind, r.Asked, r.InTime, r.Late, r.Refused, r.GivenUp,
+			r.Share(), r.FirstP50.Milliseconds(), r.FirstP99.Milliseconds(), r.GapP99.Milliseconds())
+	}
+	fmt.Fprintf(w, "%s\tall\t\t\t\t\t\t%.3f\tworst windows %.3f, worst kind %.3f\n", s.Load, s.Whole, s.Worst, s.WorstKind)
+	return w.Flush()
+}
+
+// WriteLines prints a line for each summary and one for their mean.
+func WriteLines(out io.Writer, all []Summary) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "LOAD\tWHOLE\tWORST WINDOWS\tWORST KIND\tSCORE")
+	mean := Summary{Load: "mean"}
+	for _, s := range all {
+		line(w, s)
+		n := float64(len(all))
+		mean.Whole, mean.Worst, mean.WorstKind = mean.Whole+s.Whole/n, mean.Worst+s.Worst/n, mean.WorstKind+s.WorstKind/n
+	}
+	line(w, mean)
+	return w.Flush()
+}
+
+func line(w io.Writer, s Summary) {
+	fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\n", s.Load, s.Whole, s.Worst, s.WorstKind, s.Score())
+}
