Deep prompts that are held back take turns over all instances

Cause: instances that hold prompts back see the same moment in which the engines have read enough, and send within milliseconds, before they hear of each other.

Change: each instance reports the first of its held prompts; one goes only when no other known one is before it: those that can still come in time first, then by length.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -48,6 +48,9 @@
 
 	mu     sync.Mutex
 	ledger *spread.Ledger
+	queue  *spread.Queue
+	// told is when the last report was sent.
+	told time.Duration
 	// heard are the peers that reported all of their work.
 	heard map[string]bool
 	peers int
@@ -69,7 +72,8 @@
 	if l.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
 		return err
 	}
-	l.log, l.now, l.ledger, l.dirty, l.heard = c.Log, c.Now, spread.NewLedger(), make(chan struct{}, 1), map[string]bool{}
+	l.log, l.now, l.ledger, l.queue = c.Log, c.Now, spread.NewLedger(), spread.NewQueue()
+	l.dirty, l.heard = make(chan struct{}, 1), map[string]bool{}
 	l.link.Handle(l.receive)
 	l.members.OnView(l.keepLive)
 	return nil
@@ -97,6 +101,37 @@
 	return p, spread.Placed
 }
 
+// Hold notes that this instance holds a prompt back, Leave that it does so no
+// longer. Peers are told when its first prompt is another one than before, and
+// from time to time that it still waits.
+func (l *Loads) Hold(t spread.Turn) {
+	l.onQueue(func(q *spread.Queue) { q.Hold(t) })
+}
+
+// Leave ends what Hold noted.
+func (l *Loads) Leave(request string) {
+	l.onQueue(func(q *spread.Queue) { q.Leave(request) })
+}
+
+func (l *Loads) onQueue(change func(*spread.Queue)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was, held := l.queue.First()
+	change(l.queue)
+	first, holds := l.queue.First()
+	if first != was || held != holds || holds && l.now()-l.told > spread.TurnRepeat {
+		l.wake()
+	}
+}
+
+// Behind reports whether a prompt must let another one go first, held back here
+// or at a peer.
+func (l *Loads) Behind(t spread.Turn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Behind(l.now(), t)
+}
+
 // Of returns the work of all instances on a server.
 func (l *Loads) Of(server string) spread.Load {
 	l.mu.Lock()
@@ -174,11 +209,13 @@
 	if complete {
 		changed = l.ledger.All()
 	}
+	first, held := l.queue.First()
+	l.told = l.now()
 	l.mu.Unlock()
-	if len(changed) == 0 && !complete {
-		return
-	}
 	msg := &peerpb.LoadReport{Complete: complete}
+	if held {
+		msg.Held = &peerpb.HeldPrompt{Request: first.Request, PromptTokens: first.Prompt, Late: first.Late}
+	}
 	for server, v := range changed {
 		msg.Servers = append(msg.Servers, &peerpb.ServerLoad{
 			Server: server, Calls: v.Calls, LongCalls: v.LongCalls, HeldTokens: v.HeldTokens, ReadUs: v.Read.Microseconds(), UnreadUs: v.Unread.Microseconds(), Parts: v.Parts,
@@ -204,6 +241,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.Report(l.now(), from, r.Complete, loads)
+	held := r.GetHeld()
+	l.queue.Report(l.now(), from, spread.Turn{Request: held.GetRequest(), Prompt: held.GetPromptTokens(), Late: held.GetLate()}, held != nil)
 	if r.Complete {
 		l.heard[from] = true
 	}
@@ -217,6 +256,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.Keep(live)
+	l.queue.Keep(live)
 	l.peers = len(live) - 1
 }
 
--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -24,10 +24,16 @@
 // what they have, and how much that is on the mean. Smaller prompts go at a
 // higher backlog, so that they pass larger ones that wait at other instances.
 func (c *chooser) held(servers []backends.Server) (time.Duration, bool) {
-	if !c.deep() || c.req.Waited >= c.req.Patience || c.huge() {
+	if !c.deep() || c.req.Waited >= c.req.Patience {
 		return 0, false
 	}
 	unread := Unread(servers, c.load)
+	if c.req.Behind {
+		return unread, true
+	}
+	if c.huge() {
+		return 0, false
+	}
 	limit := holdBacklog * holdTokens / time.Duration(c.req.Prompt)
 	return unread, unread > limit
 }
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -72,6 +72,8 @@
 	// Waited is how long the request has been held back and Patience how long it
 	// may be; zero sends it at once.
 	Waited, Patience time.Duration
+	// Behind tells that another prompt that is held back goes first.
+	Behind bool
 	// Recent is the mean reading before the engines over the last seconds.
 	Recent time.Duration
 	// Random is set while the loads of other instances are not known. It moves
@@ -291,6 +293,15 @@
 	return time.Duration(e.Stride) * (e.Step + time.Duration(l.Calls)*e.StepPerWriter + context)
 }
 
+// Deep reports whether a prompt may be held back.
+func Deep(tokens int64) bool { return tokens >= deepTokens }
+
+// Late reports whether a prompt that waited for a time cannot have its first
+// event within useful any more, read by as many engines as can share it.
+func Late(e *route.Engine, prompt int64, waited, useful time.Duration) bool {
+	return useful > 0 && waited+ReadTime(e, prompt)/(maxHelpers+1) > useful
+}
+
 // Short reports whether a prompt is answered by engines that write short answers
 // and read little for others.
 func Short(tokens int64) bool { return tokens < longTokens }
--- /dev/null
+++ b/decide/spread/turn.go
@@ -0,0 +1,105 @@
+package spread
+
+import (
+	"cmp"
+	"maps"
+	"time"
+)
+
+// Turn is the place of a held prompt in the order of all instances.
+type Turn struct {
+	Request string
+	Prompt  int64
+	// Late prompts cannot have their first event in time any more.
+	Late bool
+}
+
+// before reports whether a prompt goes first: one that can still come in time,
+// then the smaller one, since a prompt of half the length takes a quarter of the
+// engines' time.
+func (t Turn) before(o Turn) bool {
+	if t.Late != o.Late {
+		return o.Late
+	}
+	return cmp.Or(cmp.Compare(t.Prompt, o.Prompt), cmp.Compare(t.Request, o.Request)) < 0
+}
+
+// TurnBelieved is how long the last word of a peer on its first prompt counts.
+// A peer that froze would have all others wait for it. Peers repeat it every
+// TurnRepeat.
+const (
+	TurnBelieved = 600 * time.Millisecond
+	TurnRepeat   = 200 * time.Millisecond
+)
+
+type peerTurn struct {
+	Turn
+	heard time.Duration
+}
+
+// Queue is the order in which instances send the prompts that they hold back.
+// Without it all of them see the same moment in which the engines have read
+// enough, and send before they hear of each other: two prompts then take the
+// same engine, which has the memory for one, and the other keeps all engines
+// that read for it counted as busy until the first is answered. In bursts this
+// stopped all deep prompts for three to five seconds.
+//
+// Each instance tells its first prompt only. Views differ for the time that a
+// report takes, so two prompts may still be sent together; that is safe, just
+// slower. It is not safe for concurrent use.
+type Queue struct {
+	own   map[string]Turn
+	peers map[string]peerTurn
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue { return &Queue{own: map[string]Turn{}, peers: map[string]peerTurn{}} }
+
+// Hold notes a prompt that this instance holds back, or its new state.
+func (q *Queue) Hold(t Turn) { q.own[t.Request] = t }
+
+// Leave ends what Hold noted.
+func (q *Queue) Leave(request string) { delete(q.own, request) }
+
+// First returns this instance's first prompt.
+func (q *Queue) First() (first Turn, ok bool) {
+	for _, t := range q.own {
+		if !ok || t.before(first) {
+			first, ok = t, true
+		}
+	}
+	return first, ok
+}
+
+// Report takes over the first prompt of a peer; ok is false if it holds none.
+func (q *Queue) Report(now time.Duration, peer string, first Turn, ok bool) {
+	if !ok {
+		delete(q.peers, peer)
+		return
+	}
+	q.peers[peer] = peerTurn{Turn: first, heard: now}
+}
+
+// Keep forgets the prompts of peers that are not live.
+func (q *Queue) Keep(live map[string]bool) {
+	maps.DeleteFunc(q.peers, func(peer string, _ peerTurn) bool { return !live[peer] })
+}
+
+// Behind reports whether a prompt must let another one go first.
+func (q *Queue) Behind(now time.Duration, t Turn) bool {
+	for _, o := range q.own {
+		if o.Request != t.Request && o.before(t) {
+			return true
+		}
+	}
+	for peer, o := range q.peers {
+		if now-o.heard > TurnBelieved {
+			delete(q.peers, peer)
+			continue
+		}
+		if o.before(t) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/decide/spread/turn_test.go
@@ -0,0 +1,70 @@
+package spread_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+)
+
+// Every deep prompt of a burst waits for four seconds: instances that hold
+// prompts back all see the moment in which the engines have read enough, and
+// send within milliseconds, before they hear of each other. Two prompts take the
+// same engine, which has memory for one; the other has all engines that read for
+// it counted as busy until the first is answered.
+var _ = Describe("prompts held back at several instances", func() {
+	turn := func(id string, tokens int64) spread.Turn { return spread.Turn{Request: id, Prompt: tokens} }
+
+	It("go one after the other, the smaller first", func() {
+		a, b := spread.NewQueue(), spread.NewQueue()
+		a.Hold(turn("x", 200_000))
+		b.Hold(turn("y", 150_000))
+		first, held := b.First()
+		a.Report(0, "b", first, held)
+		first, held = a.First()
+		b.Report(0, "a", first, held)
+		Expect(a.Behind(0, turn("x", 200_000))).To(BeTrue())
+		Expect(b.Behind(0, turn("y", 150_000))).To(BeFalse())
+		b.Leave("y")
+		first, held = b.First()
+		a.Report(0, "b", first, held)
+		Expect(a.Behind(0, turn("x", 200_000))).To(BeFalse())
+	})
+
+	It("are in one order also when they are of one length", func() {
+		a := spread.NewQueue()
+		a.Report(0, "b", turn("y", 100_000), true)
+		Expect(a.Behind(0, turn("x", 100_000))).To(BeFalse())
+		Expect(a.Behind(0, turn("z", 100_000))).To(BeTrue())
+	})
+
+	It("let those go first that can still come in time", func() {
+		a := spread.NewQueue()
+		a.Report(0, "b", spread.Turn{Request: "y", Prompt: 100_000, Late: true}, true)
+		Expect(a.Behind(0, turn("x", 300_000))).To(BeFalse())
+		Expect(a.Behind(0, spread.Turn{Request: "x", Prompt: 300_000, Late: true})).To(BeTrue())
+	})
+
+	// All prompts wait for one at an instance that froze, or is gone.
+	It("do not wait for a peer that went silent or left", func() {
+		a := spread.NewQueue()
+		a.Report(0, "b", turn("y", 100_000), true)
+		Expect(a.Behind(spread.TurnBelieved, turn("x", 200_000))).To(BeTrue())
+		Expect(a.Behind(spread.TurnBelieved+1, turn("x", 200_000))).To(BeFalse())
+		a.Report(time.Second, "b", turn("y", 100_000), true)
+		a.Keep(map[string]bool{"c": true})
+		Expect(a.Behind(time.Second, turn("x", 200_000))).To(BeFalse())
+	})
+
+	It("are placed only when no other goes first", func() {
+		f := newFleet(21)
+		r := spread.Request{Prompt: 200_000, Answer: 800, Behind: true, Patience: 9 * time.Second}
+		_, v := f.place(r)
+		Expect(v).To(Equal(spread.Hold))
+		r.Waited = r.Patience
+		_, v = f.place(r)
+		Expect(v).To(Equal(spread.Placed))
+	})
+})
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -37,13 +37,15 @@
 	*world
 	name   string
 	ledger *spread.Ledger
+	queue  *spread.Queue
 	meter  spread.Meter
-	// dirty tells that a report is being gathered.
+	// dirty tells that a report is being gathered, told when the last one was.
 	dirty bool
+	told  time.Duration
 }
 
 func newInstance(w *world, i int) *instance {
-	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger()}
+	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger(), queue: spread.NewQueue()}
 }
 
 // changed has the others told of this instance's work a little later.
@@ -53,12 +55,14 @@
 	}
 	n.dirty = true
 	n.After(gatherFor, func() {
-		n.dirty = false
+		n.dirty, n.told = false, n.Now()
 		loads := n.ledger.TakeChanged()
+		first, held := n.queue.First()
 		n.After(n.load.Peers.Std(), func() {
 			for _, o := range n.instances {
 				if o != n {
 					o.ledger.Report(n.Now(), n.name, false, loads)
+					o.queue.Report(n.Now(), n.name, first, held)
 				}
 			}
 		})
@@ -74,13 +78,18 @@
 func (n *instance) place(q *request) {
 	if n.Now()-q.arrived > q.kind.Deadline.Std() {
 		q.result.GivenUp++
+		n.queue.Leave(q.id)
+		n.changed()
 		return
 	}
+	turn := spread.Turn{Request: q.id, Prompt: q.prompt, Late: spread.Late(n.spec, q.prompt, n.Now()-q.arrived, q.kind.First.Std())}
 	recent := n.meter.Observe(n.Now(), spread.Backlog(n.servers, n.ledger.Of))
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Of, spread.Request{
 		Fleet: len(n.servers), Prompt: q.prompt, Answer: n.spec.UsualAnswer, Avoid: q.avoid,
 		Waited: n.Now() - q.arrived, Patience: spread.Patience(q.kind.First.Std(), q.kind.Deadline.Std()), Recent: recent, Useful: q.kind.First.Std(),
+		Behind: n.queue.Behind(n.Now(), turn),
 	})
+	n.hold(turn, verdict == spread.Hold)
 	switch verdict {
 	case spread.Placed:
 		n.send(q, plan)
@@ -91,6 +100,19 @@
 	}
 }
 
+// hold has the others know whether a prompt waits here.
+func (n *instance) hold(t spread.Turn, waits bool) {
+	was, held := n.queue.First()
+	if waits {
+		n.queue.Hold(t)
+	} else {
+		n.queue.Leave(t.Request)
+	}
+	if first, ok := n.queue.First(); first != was || ok != held || n.Now()-n.told > spread.TurnRepeat && ok {
+		n.changed()
+	}
+}
+
 // refuse turns a request away; its client comes back once if it has the time.
 func (n *instance) refuse(q *request) {
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
--- a/lab/passes/passes_test.go
+++ b/lab/passes/passes_test.go
@@ -26,7 +26,9 @@
 
 var _ = Describe("the loads of three customers", func() {
 	// Short prompts wait behind deep ones, or deep ones are starved by short ones.
-	// Each bound is about 0.03 below what these six seeds give.
+	// Each bound is about 0.03 below what these six seeds give. Share of the value
+	// of deep prompts before and since they take turns over all instances, twelve
+	// seeds: camps 0.63 and 0.81, Te Puna 0.82 and 0.85, Thistlegate 0.80 and 0.84.
 	DescribeTable("keep their value", func(name string, rate, short, mid, deep float64) {
 		s := passes.Play(load(name), 1, 6, length, rate)
 		Expect(s.Kind("short").Share()).To(BeNumerically(">=", short), "short")
@@ -35,7 +37,7 @@
 	},
 		Entry("Te Puna", "tepuna", 1.0, 0.94, 0.95, 0.78),
 		Entry("Thistlegate", "thistlegate", 1.0, 0.93, 0.92, 0.71),
-		Entry("camps", "camps", 1.0, 0.90, 0.91, 0.59),
+		Entry("camps", "camps", 1.0, 0.90, 0.93, 0.75),
 		Entry("Te Puna, heavy", "tepuna", 1.3, 0.88, 0.90, 0.60),
 		Entry("Thistlegate, heavy", "thistlegate", 1.3, 0.84, 0.84, 0.60),
 	)
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -25,6 +25,7 @@
 // request is one client's request on its way through a run.
 type request struct {
 	attempt
+	id      string
 	kind    *Kind
 	result  *Result
 	window  int
@@ -91,7 +92,7 @@
 			continue
 		}
 		q := &request{
-			kind: k, result: res, arrived: t, window: int(t / window),
+			id: fmt.Sprintf("%s-%d", k.Name, t), kind: k, result: res, arrived: t, window: int(t / window),
 			prompt: max(40, int64(draw(r, k.Prompt))), events: max(1, int(draw(r, k.Events))),
 		}
 		at := w.instances[r.IntN(len(w.instances))]
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -38,9 +38,11 @@
 		return plan, spread.NoRoom
 	}
 	defer r.held.Add(-1)
+	defer r.loads.Leave(x.req.ID)
 	x.heldBack(plan)
 	began := r.now()
 	for verdict == spread.Hold {
+		r.loads.Hold(x.turn())
 		if !wait.For(ctx, rand.N(2*lookAgain)) {
 			return plan, verdict
 		}
@@ -60,6 +62,16 @@
 	return spread.Patience(x.route.FirstTarget, x.time)
 }
 
+// turn is the request's place among the prompts that are held back.
+func (x *exchange) turn() spread.Turn {
+	return spread.Turn{Request: x.req.ID, Prompt: x.req.PromptTokens, Late: spread.Late(x.service.Engine, x.req.PromptTokens, x.waited, x.route.FirstTarget)}
+}
+
+// behind reports whether a prompt that is held back goes before this one.
+func (x *exchange) behind() bool {
+	return x.service.Engine != nil && spread.Deep(x.req.PromptTokens) && x.relay.loads.Behind(x.turn())
+}
+
 // heldBack logs that a request waits and for what.
 func (x *exchange) heldBack(plan spread.Plan) {
 	x.relay.log.Info("held back", zap.String("request", x.req.ID), zap.Int64("prompt", x.req.PromptTokens),
