Requests that find no free slot wait at the instance, those that can be in time first

It waits at the instance, no longer than its caller has patience, and is then refused with a time to come back. Instances report how many wait, so that a free slot is taken by about one of them.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -101,8 +101,8 @@
 	return p, spread.Placed
 }
 
-// Hold notes that this instance holds a prompt back, Leave that it does so no
-// longer. Peers are told when its first prompt is another one than before, and
+// Hold notes that this instance holds a deep prompt back, Leave that it does so
+// no longer. Peers are told when its first prompt is another one than before, and
 // from time to time that it still waits.
 func (l *Loads) Hold(t spread.Turn) {
 	l.onQueue(func(q *spread.Queue) { q.Hold(t) })
@@ -113,13 +113,18 @@
 	l.onQueue(func(q *spread.Queue) { q.Leave(request) })
 }
 
+// WaitForSlot adds n to the requests that wait here for a free slot.
+func (l *Loads) WaitForSlot(n int) {
+	l.onQueue(func(q *spread.Queue) { q.WaitForSlot(n) })
+}
+
 func (l *Loads) onQueue(change func(*spread.Queue)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	was, held := l.queue.First()
+	was := l.queue.Own()
 	change(l.queue)
-	first, holds := l.queue.First()
-	if first != was || held != holds || holds && l.now()-l.told > spread.TurnRepeat {
+	w := l.queue.Own()
+	if w != was || w != (spread.Waiting{}) && l.now()-l.told > spread.TurnRepeat {
 		l.wake()
 	}
 }
@@ -132,6 +137,13 @@
 	return l.queue.Behind(l.now(), t)
 }
 
+// Rivals counts the requests that wait for a free slot at all instances.
+func (l *Loads) Rivals() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Rivals(l.now())
+}
+
 // Of returns the work of all instances on a server.
 func (l *Loads) Of(server string) spread.Load {
 	l.mu.Lock()
@@ -209,12 +221,12 @@
 	if complete {
 		changed = l.ledger.All()
 	}
-	first, held := l.queue.First()
+	waiting := l.queue.Own()
 	l.told = l.now()
 	l.mu.Unlock()
-	msg := &peerpb.LoadReport{Complete: complete}
-	if held {
-		msg.Held = &peerpb.HeldPrompt{Request: first.Request, PromptTokens: first.Prompt, Late: first.Late}
+	msg := &peerpb.LoadReport{Complete: complete, ForSlot: int32(waiting.ForSlot)}
+	if waiting.Held {
+		msg.Held = &peerpb.HeldPrompt{Request: waiting.First.Request, PromptTokens: waiting.First.Prompt, Late: waiting.First.Late}
 	}
 	for server, v := range changed {
 		msg.Servers = append(msg.Servers, &peerpb.ServerLoad{
@@ -241,13 +253,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.Report(l.now(), from, r.Complete, loads)
-	held := r.GetHeld()
-	l.queue.Report(l.now(), from, spread.Turn{Request: held.GetRequest(), Prompt: held.GetPromptTokens(), Late: held.GetLate()}, held != nil)
+	l.queue.Report(l.now(), from, waitingOf(r))
 	if r.Complete {
 		l.heard[from] = true
 	}
 }
 
+func waitingOf(r *peerpb.LoadReport) spread.Waiting {
+	w := spread.Waiting{ForSlot: int(r.ForSlot)}
+	if h := r.Held; h != nil {
+		w.First, w.Held = spread.Turn{Request: h.Request, Prompt: h.PromptTokens, Late: h.Late}, true
+	}
+	return w
+}
+
 func (l *Loads) keepLive(v members.View) {
 	live := map[string]bool{}
 	for _, m := range v.Alive {
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -57,6 +57,10 @@
 	// Waited is how long the request has been held back and Patience how long it
 	// may be; zero sends it at once.
 	Waited, Patience time.Duration
+	// Rivals are the requests that wait for a free slot at all instances, Draw is
+	// drawn evenly from zero to one for each placing.
+	Rivals int
+	Draw   float64
 	// Behind tells that another prompt that is held back goes first.
 	Behind bool
 	// Random is set while the loads of other instances are not known. It moves
@@ -130,6 +134,9 @@
 	if backlog, wait := c.held(servers); wait {
 		return Plan{Backlog: backlog}, Hold
 	}
+	if verdict := c.slots(servers); verdict != Placed {
+		return Plan{Backlog: Unread(servers, load)}, verdict
+	}
 	c.roles = divide(servers, load, e.Slots)
 	writer, ok := c.writer()
 	if !ok {
@@ -207,6 +214,11 @@
 
 func (c *chooser) fits(s backends.Server) bool { return c.room(s) >= c.need() }
 
+// fitsNow reports whether an engine also has a slot free.
+func (c *chooser) fitsNow(s backends.Server) bool {
+	return c.fits(s) && c.load(s.ID).Calls < int64(c.engine.Slots)
+}
+
 // writer returns the engine with the least to do that has memory for the
 // request, one that writes answers of its length already if it can be.
 func (c *chooser) writer() (backends.Server, bool) {
@@ -214,9 +226,11 @@
 	if c.deep() {
 		groups = [][]backends.Server{c.roles.longWriters, c.roles.readers, c.roles.writers}
 	}
-	for _, group := range groups {
-		if s, ok := c.leastBusy(group, c.fits); ok {
-			return s, true
+	for _, ok := range []func(backends.Server) bool{c.fitsNow, c.fits} {
+		for _, group := range groups {
+			if s, found := c.leastBusy(group, ok); found {
+				return s, true
+			}
 		}
 	}
 	return backends.Server{}, false
--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -32,8 +32,17 @@
 	TurnRepeat   = 200 * time.Millisecond
 )
 
-type peerTurn struct {
-	Turn
+// Waiting is what an instance tells of the requests that it holds back.
+type Waiting struct {
+	// First is the first of the deep prompts; Held is false if there are none.
+	First Turn
+	Held  bool
+	// ForSlot are the requests that wait for a free slot.
+	ForSlot int
+}
+
+type peerWaiting struct {
+	Waiting
 	heard time.Duration
 }
 
@@ -48,12 +57,13 @@
 // report takes, so two prompts may still be sent together; that is safe, just
 // slower. It is not safe for concurrent use.
 type Queue struct {
-	own   map[string]Turn
-	peers map[string]peerTurn
+	own     map[string]Turn
+	forSlot int
+	peers   map[string]peerWaiting
 }
 
 // NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{own: map[string]Turn{}, peers: map[string]peerTurn{}} }
+func NewQueue() *Queue { return &Queue{own: map[string]Turn{}, peers: map[string]peerWaiting{}} }
 
 // Hold notes a prompt that this instance holds back, or its new state.
 func (q *Queue) Hold(t Turn) { q.own[t.Request] = t }
@@ -61,28 +71,43 @@
 // Leave ends what Hold noted.
 func (q *Queue) Leave(request string) { delete(q.own, request) }
 
-// First returns this instance's first prompt.
-func (q *Queue) First() (first Turn, ok bool) {
+// WaitForSlot adds n to the requests of this instance that wait for a free slot.
+func (q *Queue) WaitForSlot(n int) { q.forSlot += n }
+
+// Own returns what this instance holds back.
+func (q *Queue) Own() Waiting {
+	w := Waiting{ForSlot: q.forSlot}
 	for _, t := range q.own {
-		if !ok || t.before(first) {
-			first, ok = t, true
+		if !w.Held || t.before(w.First) {
+			w.First, w.Held = t, true
 		}
 	}
-	return first, ok
+	return w
 }
 
-// Report takes over the first prompt of a peer; ok is false if it holds none.
-func (q *Queue) Report(now time.Duration, peer string, first Turn, ok bool) {
-	if !ok {
+// Report takes over what a peer holds back.
+func (q *Queue) Report(now time.Duration, peer string, w Waiting) {
+	if w == (Waiting{}) {
 		delete(q.peers, peer)
 		return
 	}
-	q.peers[peer] = peerTurn{Turn: first, heard: now}
+	q.peers[peer] = peerWaiting{Waiting: w, heard: now}
+}
+
+// Rivals counts the requests that wait for a free slot at all instances.
+func (q *Queue) Rivals(now time.Duration) int {
+	sum := q.forSlot
+	for _, w := range q.peers {
+		if now-w.heard <= TurnBelieved {
+			sum += w.ForSlot
+		}
+	}
+	return sum
 }
 
 // Keep forgets the prompts of peers that are not live.
 func (q *Queue) Keep(live map[string]bool) {
-	maps.DeleteFunc(q.peers, func(peer string, _ peerTurn) bool { return !live[peer] })
+	maps.DeleteFunc(q.peers, func(peer string, _ peerWaiting) bool { return !live[peer] })
 }
 
 // Behind reports whether a prompt must let another one go first.
@@ -97,7 +122,7 @@
 			delete(q.peers, peer)
 			continue
 		}
-		if o.before(t) {
+		if o.Held && o.First.before(t) {
 			return true
 		}
 	}
--- a/decide/spread/turn_test.go
+++ b/decide/spread/turn_test.go
@@ -17,32 +17,31 @@
 var _ = Describe("prompts held back at several instances", func() {
 	turn := func(id string, tokens int64) spread.Turn { return spread.Turn{Request: id, Prompt: tokens} }
 
+	held := func(t spread.Turn) spread.Waiting { return spread.Waiting{First: t, Held: true} }
+
 	It("go one after the other, the smaller first", func() {
 		a, b := spread.NewQueue(), spread.NewQueue()
 		a.Hold(turn("x", 200_000))
 		b.Hold(turn("y", 150_000))
-		first, held := b.First()
-		a.Report(0, "b", first, held)
-		first, held = a.First()
-		b.Report(0, "a", first, held)
+		a.Report(0, "b", b.Own())
+		b.Report(0, "a", a.Own())
 		Expect(a.Behind(0, turn("x", 200_000))).To(BeTrue())
 		Expect(b.Behind(0, turn("y", 150_000))).To(BeFalse())
 		b.Leave("y")
-		first, held = b.First()
-		a.Report(0, "b", first, held)
+		a.Report(0, "b", b.Own())
 		Expect(a.Behind(0, turn("x", 200_000))).To(BeFalse())
 	})
 
 	It("are in one order also when they are of one length", func() {
 		a := spread.NewQueue()
-		a.Report(0, "b", turn("y", 100_000), true)
+		a.Report(0, "b", held(turn("y", 100_000)))
 		Expect(a.Behind(0, turn("x", 100_000))).To(BeFalse())
 		Expect(a.Behind(0, turn("z", 100_000))).To(BeTrue())
 	})
 
 	It("let those go first that can still come in time", func() {
 		a := spread.NewQueue()
-		a.Report(0, "b", spread.Turn{Request: "y", Prompt: 100_000, Late: true}, true)
+		a.Report(0, "b", held(spread.Turn{Request: "y", Prompt: 100_000, Late: true}))
 		Expect(a.Behind(0, turn("x", 300_000))).To(BeFalse())
 		Expect(a.Behind(0, spread.Turn{Request: "x", Prompt: 300_000, Late: true})).To(BeTrue())
 	})
@@ -50,10 +49,10 @@
 	// All prompts wait for one at an instance that froze, or is gone.
 	It("do not wait for a peer that went silent or left", func() {
 		a := spread.NewQueue()
-		a.Report(0, "b", turn("y", 100_000), true)
+		a.Report(0, "b", held(turn("y", 100_000)))
 		Expect(a.Behind(spread.TurnBelieved, turn("x", 200_000))).To(BeTrue())
 		Expect(a.Behind(spread.TurnBelieved+1, turn("x", 200_000))).To(BeFalse())
-		a.Report(time.Second, "b", turn("y", 100_000), true)
+		a.Report(time.Second, "b", held(turn("y", 100_000)))
 		a.Keep(map[string]bool{"c": true})
 		Expect(a.Behind(time.Second, turn("x", 200_000))).To(BeFalse())
 	})
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -56,12 +56,12 @@
 	n.After(gatherFor, func() {
 		n.dirty, n.told = false, n.Now()
 		loads := n.ledger.TakeChanged()
-		first, held := n.queue.First()
+		waiting := n.queue.Own()
 		n.After(n.load.Peers.Std(), func() {
 			for _, o := range n.instances {
 				if o != n {
 					o.ledger.Report(n.Now(), n.name, false, loads)
-					o.queue.Report(n.Now(), n.name, first, held)
+					o.queue.Report(n.Now(), n.name, waiting)
 				}
 			}
 		})
@@ -77,8 +77,7 @@
 func (n *instance) place(q *request) {
 	if n.Now()-q.arrived > q.kind.Deadline.Std() {
 		q.result.GivenUp++
-		n.queue.Leave(q.id)
-		n.changed()
+		n.hold(q, spread.Turn{}, false)
 		return
 	}
 	turn := spread.Turn{Request: q.id, Prompt: q.prompt, Late: spread.Late(n.spec, q.prompt, n.Now()-q.arrived, q.kind.First.Std())}
@@ -86,9 +85,9 @@
 		Fleet: len(n.servers), Prompt: q.prompt, Answer: n.spec.UsualAnswer, Avoid: q.avoid,
 		Waited: n.Now() - q.arrived, Patience: spread.Patience(q.kind.First.Std(), q.kind.Deadline.Std()), Useful: q.kind.First.Std(),
 		Pause: q.kind.Pause.Std(), Tightest: n.tightest,
-		Behind: n.queue.Behind(n.Now(), turn),
+		Behind: n.queue.Behind(n.Now(), turn), Rivals: n.queue.Rivals(n.Now()), Draw: n.rand.Float64(),
 	})
-	n.hold(turn, verdict == spread.Hold)
+	n.hold(q, turn, verdict == spread.Hold)
 	switch verdict {
 	case spread.Placed:
 		n.send(q, plan)
@@ -99,15 +98,19 @@
 	}
 }
 
-// hold has the others know whether a prompt waits here.
-func (n *instance) hold(t spread.Turn, waits bool) {
-	was, held := n.queue.First()
-	if waits {
+// hold has the others know whether a request waits here.
+func (n *instance) hold(q *request, t spread.Turn, waits bool) {
+	was := n.queue.Own()
+	switch {
+	case spread.Deep(q.prompt) && waits:
 		n.queue.Hold(t)
-	} else {
-		n.queue.Leave(t.Request)
+	case spread.Deep(q.prompt):
+		n.queue.Leave(q.id)
+	case waits != q.waits:
+		n.queue.WaitForSlot(map[bool]int{true: 1, false: -1}[waits])
 	}
-	if first, ok := n.queue.First(); first != was || ok != held || n.Now()-n.told > spread.TurnRepeat && ok {
+	q.waits = waits
+	if w := n.queue.Own(); w != was || w != (spread.Waiting{}) && n.Now()-n.told > spread.TurnRepeat {
 		n.changed()
 	}
 }
--- a/lab/passes/passes_test.go
+++ b/lab/passes/passes_test.go
@@ -43,6 +43,7 @@
 		Entry("Te Puna", "tepuna", 1.0, 0.94, 0.95, 0.87),
 		Entry("Thistlegate", "thistlegate", 1.0, 0.94, 0.92, 0.83),
 		Entry("camps", "camps", 1.0, 0.91, 0.93, 0.80),
+		Entry("camps, more than the slots can write", "camps", 1.3, 0.70, 0.91, 0.59),
 		Entry("Te Puna, heavy", "tepuna", 1.3, 0.92, 0.93, 0.83),
 		Entry("Thistlegate, heavy", "thistlegate", 1.3, 0.91, 0.91, 0.74),
 	)
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -34,6 +34,8 @@
 	events  int
 	// refused tells that it was turned away once; its client comes back once.
 	refused bool
+	// waits tells that its instance holds it back.
+	waits bool
 	// sent counts the events that reached the client; last is when.
 	sent       int
 	last       time.Duration
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -213,7 +213,7 @@
 	r := x.relay
 	servers, fleet := r.usable(x.service.Name)
 	r.observe(x.service.Name, servers)
-	req := spread.Request{Behind: x.behind(), Fleet: fleet, Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0,
+	req := spread.Request{Behind: x.behind(), Rivals: r.loads.Rivals(), Draw: rand.Float64(), Fleet: fleet, Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0,
 		Useful: x.route.FirstTarget, Waited: x.waited, Patience: patience, Pause: x.route.GapTarget, Tightest: x.service.TightestPause}
 	if r.loads.Blind() {
 		req.Random = 1 + rand.IntN(maxRandom)
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -38,11 +38,13 @@
 		return plan, spread.NoRoom
 	}
 	defer r.held.Add(-1)
-	defer r.loads.Leave(x.req.ID)
+	defer x.joinQueue()()
 	x.heldBack(plan)
 	began := r.now()
 	for verdict == spread.Hold {
-		r.loads.Hold(x.turn())
+		if spread.Deep(x.req.PromptTokens) {
+			r.loads.Hold(x.turn())
+		}
 		if !wait.For(ctx, rand.N(2*lookAgain)) {
 			return plan, verdict
 		}
@@ -62,6 +64,17 @@
 	return spread.Patience(x.route.FirstTarget, x.time)
 }
 
+// joinQueue has other instances know that the request waits, until the function
+// that it returns is called.
+func (x *exchange) joinQueue() (leave func()) {
+	l := x.relay.loads
+	if spread.Deep(x.req.PromptTokens) {
+		return func() { l.Leave(x.req.ID) }
+	}
+	l.WaitForSlot(1)
+	return func() { l.WaitForSlot(-1) }
+}
+
 // turn is the request's place among the prompts that are held back.
 func (x *exchange) turn() spread.Turn {
 	return spread.Turn{Request: x.req.ID, Prompt: x.req.PromptTokens, Late: spread.Late(x.service.Engine, x.req.PromptTokens, x.waited, x.route.FirstTarget)}
