Short prompts go past engines that would be late; deep ones spread over engines; losses by cause

Now an engine that would be late is taken only when no other is in time. - Two audits sent 2 ms apart by two instances took one engine, with memory for one. Now each instance prefers other engines among those that cost about the same. lab/passes gives memory before reading, too. - A late deep prompt was held until its caller had no patience left (7.7 s), then sent with less time than it needs: its own lateness counted as a cost. Now it is weighed by what it is still worth. One whose answer cannot be whole in its caller's time is refused at once.

auburnmoor losses LOG... gives each lost request one cause and prints tables by kind and second; the line of an answer carries the objectives and what the engine did in the longest pause.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -15,13 +15,9 @@
 
 // Run prints the story of a request.
 func (c *explainCmd) Run(e *env) error {
-	var all []explain.Line
-	for _, name := range c.Files {
-		lines, err := readLog(name)
-		if err != nil {
-			return errors.Wrap(err, name)
-		}
-		all = append(all, lines...)
+	all, err := readLogs(c.Files)
+	if err != nil {
+		return err
 	}
 	s := explain.Of(c.ID, all)
 	if err := s.Write(e.out); err != nil {
--- /dev/null
+++ b/cli/losses.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/explain"
+	"github.com/auburnmoor/auburnmoor/losses"
+)
+
+type lossesCmd struct {
+	Files []string `arg:"" type:"existingfile" help:"Log files of all instances."`
+	JSON  bool     `help:"Print the report as JSON."`
+}
+
+// Run prints which requests were lost and why.
+func (c *lossesCmd) Run(e *env) error {
+	all, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	rep := losses.Find(all)
+	if rep.Requests == 0 {
+		return usage(errors.Newf("no line of a request in %d files", len(c.Files)))
+	}
+	if c.JSON {
+		return rep.JSON(e.out)
+	}
+	return rep.Write(e.out)
+}
+
+// readLogs reads the lines of several logs.
+func readLogs(names []string) (all []explain.Line, err error) {
+	for _, name := range names {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/decide/spread/group.go
+++ b/decide/spread/group.go
@@ -44,6 +44,18 @@
 	return cost
 }
 
+// tooDear reports whether a deep prompt is to wait because answers in progress
+// would lose more than it is worth. While its lateness counted as a cost of the
+// prompt itself, one that was late already waited until its caller had no patience
+// left, and was sent when its answer could not be whole in time any more.
+func (c *chooser) tooDear(g group) bool {
+	worth := value(c.req.Prompt)
+	if c.req.Useful > 0 && c.req.Waited+g.first > c.req.Useful {
+		worth *= lateValue
+	}
+	return g.harm > worth
+}
+
 // slowness is the share of its value that a prompt loses by coming just in time
 // rather than at once: it keeps the engines shorter from others.
 const slowness = 0.2
--- a/decide/spread/group_test.go
+++ b/decide/spread/group_test.go
@@ -82,3 +82,56 @@
 		Expect(v).To(Equal(spread.Placed))
 	})
 })
+
+var _ = Describe("where a short prompt goes", func() {
+	// A burst of questions begins a moment after a large audit was sent: its parts
+	// keep the engines that write first for a second, and the cooks' questions were
+	// sent to them though other engines had nothing to do.
+	It("is past engines that would be late", func() {
+		f := newFleet(21)
+		for _, s := range f.servers[:8] {
+			f.ledger.Add(s.ID, spread.Load{Read: time.Second, Unread: time.Second})
+		}
+		for range 30 {
+			p := must(f.place(spread.Request{Prompt: 5000, Answer: 1600, Useful: 300 * time.Millisecond}))
+			Expect(f.ledger.Of(p.Writer().ID).Read).To(BeNumerically("<", 300*time.Millisecond))
+			f.read(p)
+		}
+	})
+})
+
+var _ = Describe("a deep prompt", func() {
+	deep := spread.Request{Prompt: 150_000, Answer: 800, Useful: 3 * time.Second, Patience: 9 * time.Second, Pause: time.Second, Tightest: 250 * time.Millisecond}
+
+	// Two audits are sent by two instances within a millisecond. Both take the engine
+	// with the least to do, which has memory for one; the other is read seconds later.
+	It("goes to different engines from instances that do not know of each other's", func() {
+		writers := map[string]bool{}
+		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+			r := deep
+			r.Instance = name
+			writers[must(newFleet(21).place(r)).Writer().ID] = true
+		}
+		Expect(len(writers)).To(BeNumerically(">=", 3))
+	})
+
+	// A late audit waited until its caller was about to leave, because its own
+	// lateness counted against it, and then all its reading was for nothing.
+	It("that is late is sent where it harms nobody", func() {
+		f := newFleet(21)
+		r := deep
+		r.Waited = 3500 * time.Millisecond
+		must(f.place(r))
+	})
+
+	// Callers that lost their connection come back with two of fifteen seconds left.
+	It("that cannot be answered in its caller's time is refused at once", func() {
+		f := newFleet(21)
+		r := deep
+		r.Prompt, r.Left = 300_000, 700*time.Millisecond
+		_, v := f.place(r)
+		Expect(v).To(Equal(spread.NoRoom))
+		r.Left = 5 * time.Second
+		must(f.place(r))
+	})
+})
--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -55,6 +55,23 @@
 	return Late(c.engine, c.req.Prompt, c.req.Waited, c.req.Useful)
 }
 
+// leastAnswer is the share of a usual answer that is written at least. Answers to
+// deep prompts have about half of the mean length.
+const leastAnswer = 0.5
+
+// hopeless reports whether the answer of a deep prompt cannot be whole while its
+// caller waits, read by as many engines as can share it and written by an engine
+// that does nothing else. Clients that lost their connection come back with what
+// is left of their time; reading their prompts delays all others for nothing.
+func (c *chooser) hopeless() bool {
+	if c.req.Left <= 0 || c.req.Patience <= 0 || !c.deep() {
+		return false
+	}
+	alone := Pass(c.engine, Load{Calls: 1, HeldTokens: c.req.Prompt / (maxHelpers + 1)})
+	passes := leastAnswer * float64(c.req.Answer) / float64(max(1, c.engine.Stride))
+	return c.readTime(maxHelpers)+time.Duration(passes*float64(alone)) > c.req.Left
+}
+
 // Bounds of the patience. Clients give a stream up that has no event after four
 // times the useful time; 6 s instead of 9 kept 0.005 less of the value.
 const (
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -45,6 +46,8 @@
 	Fleet int
 	// Avoid are servers that already failed this request.
 	Avoid []string
+	// Instance is the name of the instance that places the request.
+	Instance string
 	// DataCentre is preferred among equals.
 	DataCentre string
 	// Alone asks for a single engine: helpers turned the request away before.
@@ -54,6 +57,9 @@
 	// Pause is the longest useful pause of the request's own answer, Tightest that
 	// of any answer of the service; zero if none is known.
 	Pause, Tightest time.Duration
+	// Left is how long the caller still waits for the whole answer; zero if that is
+	// not known.
+	Left time.Duration
 	// Waited is how long the request has been held back and Patience how long it
 	// may be; zero sends it at once.
 	Waited, Patience time.Duration
@@ -131,6 +137,9 @@
 func Choose(e *route.Engine, servers []backends.Server, load func(string) Load, r Request) (Plan, Verdict) {
 	c := chooser{engine: e, load: load, req: r}
 	servers = rotate(without(servers, r.Avoid), r.Random)
+	if c.hopeless() {
+		return Plan{Backlog: Unread(servers, load)}, NoRoom
+	}
 	if backlog, wait := c.held(servers); wait {
 		return Plan{Backlog: backlog}, Hold
 	}
@@ -146,7 +155,7 @@
 		return c.plan(writer, c.helpers(writer)), Placed
 	}
 	g := c.cheapest(servers, writer)
-	if c.deep() && c.req.Waited < c.req.Patience && c.cost(g) > value(r.Prompt) {
+	if c.deep() && c.req.Waited < c.req.Patience && c.tooDear(g) {
 		return Plan{Backlog: Unread(servers, load)}, Hold
 	}
 	return c.plan(writer, g.helpers), Placed
@@ -219,6 +228,21 @@
 	return c.fits(s) && c.load(s.ID).Calls < int64(c.engine.Slots)
 }
 
+// soon reports whether an engine also brings the first event in time, if it reads
+// the prompt alone.
+func (c *chooser) soon(s backends.Server) bool {
+	return c.fitsNow(s) && (c.req.Useful <= 0 || c.deep() || c.req.Waited+c.readBy(s, c.ownPart()) <= c.req.Useful)
+}
+
+// ownPart is the reading of the engine that writes: all of a short prompt, a share
+// of a long one.
+func (c *chooser) ownPart() time.Duration {
+	if c.long() {
+		return c.readTime(maxHelpers)
+	}
+	return c.readTime(0)
+}
+
 // writer returns the engine with the least to do that has memory for the
 // request, one that writes answers of its length already if it can be.
 func (c *chooser) writer() (backends.Server, bool) {
@@ -226,7 +250,7 @@
 	if c.deep() {
 		groups = [][]backends.Server{c.roles.longWriters, c.roles.readers, c.roles.writers}
 	}
-	for _, ok := range []func(backends.Server) bool{c.fitsNow, c.fits} {
+	for _, ok := range []func(backends.Server) bool{c.soon, c.fitsNow, c.fits} {
 		for _, group := range groups {
 			if s, found := c.leastBusy(group, ok); found {
 				return s, true
@@ -252,11 +276,42 @@
 		l := c.load(s.ID)
 		return l.Read + time.Duration(l.Calls)*callCost + time.Duration(l.LongCalls)*longCallCost
 	}
+	if c.deep() {
+		return c.apartFromOthers(fit, cost), true
+	}
 	return slices.MinFunc(fit, func(a, b backends.Server) int {
 		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(elsewhere(a, c.req.DataCentre), elsewhere(b, c.req.DataCentre)), cmp.Compare(a.ID, b.ID))
 	}), true
 }
 
+// likeCost is the difference up to which the costs of engines are taken as equal
+// when a deep prompt is placed.
+const likeCost = 100 * time.Millisecond
+
+// apartFromOthers returns an engine that costs about as little as any, by an order
+// of this instance's own. Two instances that place deep prompts before they hear
+// of each other would else give both to one engine, which has memory for one; the
+// other is read only when the first is answered, seconds later, by engines that
+// write short answers by then.
+func (c *chooser) apartFromOthers(fit []backends.Server, cost func(backends.Server) time.Duration) backends.Server {
+	least := cost(fit[0])
+	for _, s := range fit[1:] {
+		least = min(least, cost(s))
+	}
+	fit = slices.DeleteFunc(fit, func(s backends.Server) bool { return cost(s) > least+likeCost })
+	return slices.MinFunc(fit, func(a, b backends.Server) int {
+		return cmp.Compare(c.order(a), c.order(b))
+	})
+}
+
+// order is the place of an engine in the order of this instance.
+func (c *chooser) order(s backends.Server) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(c.req.Instance))
+	h.Write([]byte(s.ID))
+	return h.Sum64()
+}
+
 func (c *chooser) plan(writer backends.Server, helpers []backends.Server) Plan {
 	each := c.readTime(len(helpers))
 	first := Part{Server: writer, Load: Load{Calls: 1, HeldTokens: c.need(), Read: each, Unread: each}}
--- a/lab/passes/engine.go
+++ b/lab/passes/engine.go
@@ -18,10 +18,14 @@
 // engine is one model engine.
 type engine struct {
 	spec *route.Engine
+	// waiting requests have no memory yet; nothing of their prompts is read.
+	waiting []*request
 	// parts wait to be read, those for other engines first.
-	parts   []*part
+	parts []*part
+	// reading requests have memory here while their prompts are read.
+	reading []*request
 	writers []*request
-	// queued requests have their prompt read and wait for a slot and memory.
+	// queued requests have their prompt read and wait for a slot.
 	queued []*request
 	// reserved is memory in tokens set aside for prompts that other engines answer.
 	reserved map[*request]int64
@@ -40,10 +44,12 @@
 	e.parts = slices.Insert(e.parts, at, p)
 }
 
-// used is the memory in tokens that writers and reservations hold.
+// used is the memory in tokens that requests and reservations hold.
 func (e *engine) used() (sum int64) {
-	for _, w := range e.writers {
-		sum += w.held()
+	for _, group := range [][]*request{e.reading, e.queued, e.writers} {
+		for _, q := range group {
+			sum += q.held()
+		}
 	}
 	for _, tokens := range e.reserved {
 		sum += tokens
@@ -77,16 +83,27 @@
 	return time.Duration(steps)*step + e.readSome(e.spec.Chunk*int64(steps)), true
 }
 
-// admit lets requests whose prompt is read write in turn, as long as there are
-// slots and memory, and returns them. Their first token follows at once.
+// admit gives memory to requests in turn and returns those that got it: their
+// prompts may be read, here and by the engines that help.
 func (e *engine) admit() []*request {
-	was := len(e.writers)
-	for len(e.queued) > 0 && len(e.writers) < e.spec.Slots {
-		q := e.queued[0]
-		if len(e.writers) > 0 && e.used()+q.held() > e.spec.Memory {
+	was := len(e.reading)
+	for len(e.waiting) > 0 {
+		q := e.waiting[0]
+		if used := e.used(); used > 0 && used+q.held() > e.spec.Memory {
 			break
 		}
-		e.writers = append(e.writers, q)
+		e.reading = append(e.reading, q)
+		e.waiting = e.waiting[1:]
+	}
+	return slices.Clone(e.reading[was:])
+}
+
+// write lets requests whose prompt is read write in turn, as long as there are
+// slots, and returns them. Their first token follows at once.
+func (e *engine) write() []*request {
+	was := len(e.writers)
+	for len(e.queued) > 0 && len(e.writers) < e.spec.Slots {
+		e.writers = append(e.writers, e.queued[0])
 		e.queued = e.queued[1:]
 	}
 	return e.writers[was:]
@@ -111,7 +128,9 @@
 // drop ends all work on a request.
 func (e *engine) drop(q *request) {
 	e.parts = slices.DeleteFunc(e.parts, func(p *part) bool { return p.req == q })
-	e.queued = slices.DeleteFunc(e.queued, func(x *request) bool { return x == q })
+	for _, group := range []*[]*request{&e.waiting, &e.reading, &e.queued} {
+		*group = slices.DeleteFunc(*group, func(x *request) bool { return x == q })
+	}
 	delete(e.reserved, q)
 }
 
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -82,9 +82,9 @@
 	}
 	turn := spread.Turn{Request: q.id, Prompt: q.prompt, Late: spread.Late(n.spec, q.prompt, n.Now()-q.arrived, q.kind.First.Std())}
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Of, spread.Request{
-		Fleet: len(n.servers), Prompt: q.prompt, Answer: n.spec.UsualAnswer, Avoid: q.avoid,
+		Instance: n.name, Fleet: len(n.servers), Prompt: q.prompt, Answer: n.spec.UsualAnswer, Avoid: q.avoid,
 		Waited: n.Now() - q.arrived, Patience: spread.Patience(q.kind.First.Std(), q.kind.Deadline.Std()), Useful: q.kind.First.Std(),
-		Pause: q.kind.Pause.Std(), Tightest: n.tightest,
+		Left: q.kind.Deadline.Std() - (n.Now() - q.arrived), Pause: q.kind.Pause.Std(), Tightest: n.tightest,
 		Behind: n.queue.Behind(n.Now(), turn), Rivals: n.queue.Rivals(n.Now()), Draw: n.rand.Float64(),
 	})
 	n.hold(q, turn, verdict == spread.Hold)
@@ -144,26 +144,19 @@
 	for i, p := range plan.Parts {
 		n.ledger.Add(p.Server.ID, p.Load)
 		n.After(p.ReadBy, func() { n.read(q, i) })
-		n.After(n.load.Hop.Std(), func() { n.deliver(q, i, max(1, each)) })
 	}
+	n.After(n.load.Hop.Std(), func() { n.world.arrive(q) })
 	n.changed()
 	n.watch(q)
 }
 
-// deliver hands an engine its part of a prompt.
-func (n *instance) deliver(q *request, i int, tokens int64) {
-	if q.over {
-		return
-	}
-	id := q.plan.Parts[i].Server.ID
-	n.engines[id].add(&part{req: q, left: tokens, helper: i > 0})
-	n.pass(id)
-}
-
 func (n *instance) dropAll(q *request, plan spread.Plan) {
 	for _, p := range plan.Parts {
 		n.engines[p.Server.ID].drop(q)
 	}
+	for _, p := range plan.Parts {
+		n.admit(p.Server.ID)
+	}
 }
 
 func reserved(p spread.Plan) (sum int64) {
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -150,26 +150,50 @@
 		for _, p := range e.read {
 			w.partRead(p.req)
 		}
+		w.write(id)
 		w.admit(id)
 		w.pass(id)
 	})
 }
 
+// arrive hands an engine a request that it is to answer.
+func (w *world) arrive(q *request) {
+	if q.over {
+		return
+	}
+	id := q.plan.Writer().ID
+	w.engines[id].waiting = append(w.engines[id].waiting, q)
+	w.admit(id)
+}
+
+// admit has the prompts read for which an engine has memory.
+func (w *world) admit(id string) {
+	for _, q := range w.engines[id].admit() {
+		each := max(1, q.prompt/int64(len(q.plan.Parts)))
+		for i, p := range q.plan.Parts {
+			w.engines[p.Server.ID].add(&part{req: q, left: each, helper: i > 0})
+			w.pass(p.Server.ID)
+		}
+	}
+}
+
 // partRead notes that a part of a prompt is read. The first event follows the
-// last part, once the engine that writes has a slot and memory.
+// last part, once the engine that writes has a slot.
 func (w *world) partRead(q *request) {
 	if q.unread--; q.unread > 0 || q.over {
 		return
 	}
 	id := q.plan.Writer().ID
-	w.engines[id].queued = append(w.engines[id].queued, q)
-	w.admit(id)
+	e := w.engines[id]
+	e.reading = slices.DeleteFunc(e.reading, func(x *request) bool { return x == q })
+	e.queued = append(e.queued, q)
+	w.write(id)
 	w.pass(id)
 }
 
-// admit has an engine begin the answers for which it has room.
-func (w *world) admit(id string) {
-	for _, q := range w.engines[id].admit() {
+// write has an engine begin the answers for which it has slots.
+func (w *world) write(id string) {
+	for _, q := range w.engines[id].write() {
 		w.emit(q)
 	}
 }
--- /dev/null
+++ b/losses/write.go
@@ -0,0 +1,109 @@
+package losses
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// span is the length of the parts of a day that the tables tell of.
+const span = 2 * time.Second
+
+// Sizes of the tables.
+const (
+	worstSpans   = 10
+	largestShown = 5
+)
+
+// JSON writes the report for scripts.
+func (rep Report) JSON(out io.Writer) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(rep)
+}
+
+// Write prints the tables: causes by kind, causes in the worst seconds, and the
+// largest losses.
+func (rep Report) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "%d requests, %d lost (%d served late)\n\n", rep.Requests, len(rep.Losses), rep.late())
+	rep.byKind(w)
+	rep.bySecond(w)
+	rep.largest(w)
+	return w.Flush()
+}
+
+func (rep Report) late() (n int) {
+	for _, l := range rep.Losses {
+		if l.Served {
+			n++
+		}
+	}
+	return n
+}
+
+func (rep Report) byKind(w io.Writer) {
+	fmt.Fprint(w, "CAUSE")
+	for _, k := range Kinds() {
+		fmt.Fprintf(w, "\t%s", k)
+	}
+	fmt.Fprintln(w, "\tTOKENS OF ALL")
+	for _, c := range rep.Causes() {
+		fmt.Fprint(w, c)
+		for _, k := range Kinds() {
+			n, _ := rep.count(func(l Loss) bool { return l.Cause == c && l.Kind == k })
+			fmt.Fprintf(w, "\t%d", n)
+		}
+		_, tokens := rep.count(func(l Loss) bool { return l.Cause == c })
+		fmt.Fprintf(w, "\t%.3f\n", float64(tokens)/float64(max(1, rep.Tokens)))
+	}
+}
+
+// count counts losses and the tokens of their prompts.
+func (rep Report) count(of func(Loss) bool) (n int, tokens int64) {
+	for _, l := range rep.Losses {
+		if of(l) {
+			n++
+			tokens += l.Prompt
+		}
+	}
+	return n, tokens
+}
+
+func (rep Report) bySecond(w io.Writer) {
+	lost := map[int][]Loss{}
+	for _, l := range rep.Losses {
+		i := int(l.At.Sub(rep.Start) / span)
+		lost[i] = append(lost[i], l)
+	}
+	var order []int
+	for i := range lost {
+		order = append(order, i)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(len(lost[b]), len(lost[a])), cmp.Compare(a, b)) })
+	order = order[:min(worstSpans, len(order))]
+	slices.Sort(order)
+	fmt.Fprintf(w, "\nFROM SECOND\tLOST\tMOSTLY\n")
+	for _, i := range order {
+		sub := Report{Losses: lost[i]}
+		fmt.Fprintf(w, "%g\t%d", (time.Duration(i) * span).Seconds(), len(lost[i]))
+		for _, c := range sub.Causes() {
+			n, _ := sub.count(func(l Loss) bool { return l.Cause == c })
+			fmt.Fprintf(w, "\t%s %d", c, n)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+func (rep Report) largest(w io.Writer) {
+	all := slices.Clone(rep.Losses)
+	slices.SortFunc(all, func(a, b Loss) int { return cmp.Or(cmp.Compare(b.Prompt, a.Prompt), a.At.Compare(b.At)) })
+	fmt.Fprintf(w, "\nLARGEST\tPROMPT\tAT SECOND\tINSTANCE\tCAUSE\n")
+	for _, l := range all[:min(largestShown, len(all))] {
+		fmt.Fprintf(w, "%s\t%d\t%.3f\t%s\t%s\n", l.Request, l.Prompt, l.At.Sub(rep.Start).Seconds(), l.Instance, l.Cause)
+	}
+}
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -95,6 +95,18 @@
 	return max(gapPatience, gapFactor*x.route.GapTarget)
 }
 
+// observeGap keeps the longest pause and, if it was too long, what the engine had
+// to do meanwhile.
+func (x *exchange) observeGap() {
+	if x.newestGap <= x.longestGap {
+		return
+	}
+	x.longestGap = x.newestGap
+	if x.longestGap > x.route.GapTarget {
+		x.gapLoad = x.relay.loads.Of(x.writer)
+	}
+}
+
 func (x *exchange) forward(h backend.Head, events []byte) error {
 	if !x.begun {
 		x.first = x.relay.now() - x.started
@@ -103,7 +115,7 @@
 		x.state.Forwarded()
 	} else {
 		x.newestGap = x.relay.now() - x.lastEvent
-		x.longestGap = max(x.longestGap, x.newestGap)
+		x.observeGap()
 	}
 	x.lastEvent = x.relay.now()
 	x.heard.Store(int64(x.lastEvent))
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -99,6 +99,10 @@
 	// lastEvent is when the newest events were passed on, longestGap the longest
 	// pause before some.
 	lastEvent, longestGap time.Duration
+	// gapLoad is the work of the engine at the end of the longest pause, if that was
+	// too long; writer is the engine.
+	gapLoad spread.Load
+	writer  string
 	// newestGap is the pause before the newest events, zero before the first ones.
 	newestGap time.Duration
 }
@@ -213,8 +217,8 @@
 	r := x.relay
 	servers, fleet := r.usable(x.service.Name)
 	r.observe(x.service.Name, servers)
-	req := spread.Request{Behind: x.behind(), Rivals: r.loads.Rivals(), Draw: rand.Float64(), Fleet: fleet, Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0,
-		Useful: x.route.FirstTarget, Waited: x.waited, Patience: patience, Pause: x.route.GapTarget, Tightest: x.service.TightestPause}
+	req := spread.Request{Instance: r.name, Behind: x.behind(), Rivals: r.loads.Rivals(), Draw: rand.Float64(), Fleet: fleet, Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0,
+		Useful: x.route.FirstTarget, Waited: x.waited, Patience: patience, Left: x.left(), Pause: x.route.GapTarget, Tightest: x.service.TightestPause}
 	if r.loads.Blind() {
 		req.Random = 1 + rand.IntN(maxRandom)
 	}
@@ -238,6 +242,7 @@
 // attempt sends the request to the servers of a plan.
 func (x *exchange) attempt(ctx context.Context, plan spread.Plan) (attempt.Outcome, error) {
 	x.begin(plan)
+	x.writer = plan.Writer().ID
 	work := newWork(x.relay, plan)
 	defer work.end()
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/serve/relay/log.go
+++ b/serve/relay/log.go
@@ -14,7 +14,9 @@
 	x.relay.count("answers_total", "kind", x.route.Kind.String())
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("first_seconds", buckets.Durations).RecordDuration(x.first)
 	x.log("answered", zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
-		zap.Duration("predicted", plan.FirstEvent), zap.Duration("first", x.first), zap.Duration("longest_gap", x.longestGap), zap.Bool("waiting", plan.Waiting))
+		zap.Duration("predicted", plan.FirstEvent), zap.Duration("first", x.first), zap.Duration("longest_gap", x.longestGap), zap.Bool("waiting", plan.Waiting),
+		zap.Duration("first_target", x.route.FirstTarget), zap.Duration("gap_target", x.route.GapTarget),
+		zap.Duration("gap_read", x.gapLoad.Unread), zap.Duration("gap_pass", spread.Pass(x.service.Engine, x.gapLoad)))
 }
 
 // placed logs where an attempt goes and what that was decided from.
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -57,14 +57,14 @@
 	RetryExtra  float64           `toml:"retry_extra" validate:"min=0"`
 	RetryWindow settings.Duration `toml:"retry_window"`
 
-	log        *zap.Logger
-	now        func() time.Duration
-	scope      tally.Scope
-	dataCentre string
-	catalog    *follow.Follower
-	loads      *loads.Loads
-	members    *members.Members
-	client     backend.Client
+	log              *zap.Logger
+	now              func() time.Duration
+	scope            tally.Scope
+	name, dataCentre string
+	catalog          *follow.Follower
+	loads            *loads.Loads
+	members          *members.Members
+	client           backend.Client
 
 	// active counts the requests that are being served, held those of them that
 	// are held back.
@@ -118,6 +118,7 @@
 		r.RetryRatio, r.RetryExtra = defaultRetryRatio, defaultRetryExtra
 	}
 	r.log, r.now, r.scope, r.client, r.dataCentre = c.Log, c.Now, c.Scope, src.Backends(), c.Self.DataCentre
+	r.name = c.Self.Name
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
 	return nil
 }
