--- a/cli/passes.go
+++ b/cli/passes.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return usage(err)
 	}
-	all := passes.Play(passes.Plan{Loads: loads, Seed: c.Seed, Seeds: c.Seeds, Length: c.Duration, Rate: c.Rate})
+	all := passes.Play(passes.Series{Loads: loads, Seed: c.Seed, Seeds: c.Seeds, Length: c.Duration, Rate: c.Rate})
 	for _, s := range all {
 		if c.Lines {
 			break
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -23,6 +23,8 @@
 type attempt struct {
 	at   *instance
 	plan spread.Plan
+	// came is when the request reached the instance.
+	came time.Duration
 	// unread counts the parts that are still being read.
 	unread int
 	// context is the length of the prompt at the engine that writes.
@@ -69,7 +71,7 @@
 }
 
 func (n *instance) arrive(q *request) {
-	q.at = n
+	q.at, q.came = n, n.Now()
 	n.place(q)
 }
 
@@ -80,11 +82,14 @@
 		n.hold(q, spread.Turn{}, false)
 		return
 	}
-	turn := spread.Turn{Request: q.id, Prompt: q.prompt, Late: spread.Late(n.spec, q.prompt, n.Now()-q.arrived, q.kind.First.Std())}
+	waited, useful := n.Now()-q.came, q.kind.First.Std()
+	turn := spread.Turn{Request: q.id, Prompt: q.prompt, Late: spread.Late(n.spec, q.prompt, waited, useful)}
+	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Of, spread.Request{
-		Instance: n.name, Fleet: len(n.servers), Prompt: q.prompt, Answer: n.spec.UsualAnswer, Avoid: q.avoid,
-		Waited: n.Now() - q.arrived, Patience: spread.Patience(q.kind.First.Std(), q.kind.Deadline.Std()), Useful: q.kind.First.Std(),
-		Left: q.kind.Deadline.Std() - (n.Now() - q.arrived), Pause: q.kind.Pause.Std(), Tightest: n.tightest,
+		Instance: n.name, Fleet: len(n.servers), Avoid: q.avoid,
+		Prompt: q.prompt, Answer: n.spec.UsualAnswer,
+		Useful: useful, Pause: q.kind.Pause.Std(), Tightest: n.tightest,
+		Waited: waited, Patience: spread.Patience(useful, left+waited), Left: left,
 		Behind: n.queue.Behind(n.Now(), turn), Rivals: n.queue.Rivals(n.Now()), Draw: n.rand.Float64(),
 	})
 	n.hold(q, turn, verdict == spread.Hold)
@@ -106,8 +111,10 @@
 		n.queue.Hold(t)
 	case spread.Deep(q.prompt):
 		n.queue.Leave(q.id)
-	case waits != q.waits:
-		n.queue.WaitForSlot(map[bool]int{true: 1, false: -1}[waits])
+	case waits && !q.waits:
+		n.queue.WaitForSlot(1)
+	case q.waits && !waits:
+		n.queue.WaitForSlot(-1)
 	}
 	q.waits = waits
 	if w := n.queue.Own(); w != was || w != (spread.Waiting{}) && n.Now()-n.told > spread.TurnRepeat {
--- a/lab/passes/passes_test.go
+++ b/lab/passes/passes_test.go
@@ -25,7 +25,7 @@
 }
 
 func play(name string, seed uint64, seeds int, rate float64) passes.Summary {
-	return passes.Play(passes.Plan{Loads: []passes.Load{load(name)}, Seed: seed, Seeds: seeds, Length: length, Rate: rate})[0]
+	return passes.Play(passes.Series{Loads: []passes.Load{load(name)}, Seed: seed, Seeds: seeds, Length: length, Rate: rate})[0]
 }
 
 var _ = Describe("the loads of three customers", func() {
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -241,8 +241,8 @@
 	w.earn(q, q.kind.LateWorth)
 }
 
-// Plan is what Play runs.
-type Plan struct {
+// Series is what Play runs.
+type Series struct {
 	Loads []Load
 	// Seed is the first of Seeds seeds that each load is run with.
 	Seed  uint64
@@ -254,7 +254,7 @@
 
 // Play runs loads at the same time and returns a summary of each in their order,
 // so that the result does not depend on the machine.
-func Play(p Plan) []Summary {
+func Play(p Series) []Summary {
 	runs := make([][]Summary, len(p.Loads))
 	var wg sync.WaitGroup
 	free := make(chan struct{}, max(1, runtime.NumCPU()/2))
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -217,8 +217,13 @@
 	r := x.relay
 	servers, fleet := r.usable(x.service.Name)
 	r.observe(x.service.Name, servers)
-	req := spread.Request{Instance: r.name, Behind: x.behind(), Rivals: r.loads.Rivals(), Draw: rand.Float64(), Fleet: fleet, Prompt: x.req.PromptTokens, Answer: x.answerTokens(), Avoid: x.avoid, DataCentre: r.dataCentre, Alone: x.state.Sent() > 0,
-		Useful: x.route.FirstTarget, Waited: x.waited, Patience: patience, Left: x.left(), Pause: x.route.GapTarget, Tightest: x.service.TightestPause}
+	req := spread.Request{
+		Instance: r.name, DataCentre: r.dataCentre, Fleet: fleet, Avoid: x.avoid, Alone: x.state.Sent() > 0,
+		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
+		Useful: x.route.FirstTarget, Pause: x.route.GapTarget, Tightest: x.service.TightestPause,
+		Waited: x.waited, Patience: patience, Left: x.left(),
+		Behind: x.behind(), Rivals: r.loads.Rivals(), Draw: rand.Float64(),
+	}
 	if r.loads.Blind() {
 		req.Random = 1 + rand.IntN(maxRandom)
 	}
