--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -18,9 +18,10 @@
 	// between nearly none and twice as much. Instances that look at the same moment
 	// would all send before they hear of each other, some 4 ms later.
 	lookAgain = 15 * time.Millisecond
-	// maxHeld bounds the requests that one instance holds back. Six instances
+	// maxHeld bounds the deep prompts that one instance holds back. Six instances
 	// with so many have reading for half a minute before them, and no client
-	// waits that long.
+	// waits that long. Requests that wait for a slot do so for a second at most and
+	// are bounded by the instance's connections.
 	maxHeld = 32
 )
 
@@ -33,11 +34,14 @@
 	if verdict != spread.Hold {
 		return plan, verdict
 	}
-	if r.held.Add(1) > maxHeld {
-		r.held.Add(-1)
-		return plan, spread.NoRoom
-	}
+	r.held.Add(1)
 	defer r.held.Add(-1)
+	if spread.Deep(x.req.PromptTokens) {
+		defer r.heldDeep.Add(-1)
+		if r.heldDeep.Add(1) > maxHeld {
+			return plan, spread.NoRoom
+		}
+	}
 	defer x.joinQueue()()
 	x.heldBack(plan)
 	began := r.now()
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -67,11 +67,11 @@
 	client           backend.Client
 
 	// active counts the requests that are being served, held those of them that
-	// are held back.
-	active, held atomic.Int64
-	mu           sync.Mutex
-	rand         *rand.Rand
-	pools        map[string]*pool
+	// are held back, and heldDeep the deep ones of these.
+	active, held, heldDeep atomic.Int64
+	mu                     sync.Mutex
+	rand                   *rand.Rand
+	pools                  map[string]*pool
 }
 
 // pool is what this instance learned of a service's servers from its requests.
