--- a/decide/spread/ledger.go
+++ b/decide/spread/ledger.go
@@ -31,6 +31,9 @@
 	return Load{Calls: l.Calls - o.Calls, LongCalls: l.LongCalls - o.LongCalls, HeldTokens: l.HeldTokens - o.HeldTokens, Read: l.Read - o.Read, Parts: l.Parts - o.Parts, Unread: l.Unread - o.Unread}
 }
 
+// HasSlots reports whether a server of so many slots runs all its calls at once.
+func (l Load) HasSlots(slots int) bool { return slots > 0 && l.Calls <= int64(slots) }
+
 // Begun is the part of the work that ends with the first event of an answer.
 func (l Load) Begun() Load { return Load{Unread: l.Unread, Parts: l.Parts} }
 
--- a/decide/spread/slots_test.go
+++ b/decide/spread/slots_test.go
@@ -83,3 +83,17 @@
 		Expect(a.Rivals(0)).To(Equal(2))
 	})
 })
+
+// Six servers leave while the store is away. Each prompt that is sent to one of
+// them is turned away and loses one of its two attempts; the server is passed over
+// when it refused although it had a slot, and only then.
+var _ = Describe("a server's calls", func() {
+	DescribeTable("run at once if it has the slots", func(calls int64, slots int, want bool) {
+		Expect(spread.Load{Calls: calls}.HasSlots(slots)).To(Equal(want))
+	},
+		Entry("some free", int64(3), 16, true),
+		Entry("the refused one takes the last", int64(16), 16, true),
+		Entry("full", int64(17), 16, false),
+		Entry("slots not known", int64(0), 0, false),
+	)
+})
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
+	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/health"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
@@ -320,13 +321,27 @@
 // turnedAway takes a server's promise that it did not run the request.
 func (x *exchange) turnedAway(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
 	x.pause = max(x.pause, h.RetryAfter)
-	if id := atFault(plan, h.AtFault); id != "" && id != plan.Writer().ID {
+	id := atFault(plan, h.AtFault)
+	switch {
+	case id == "" || id == plan.Writer().ID:
+		x.suspendIdle(plan.Writer())
+	default:
 		x.relay.suspend(x.service.Name, id)
 		x.avoid = append(x.avoid, id)
 	}
 	return attempt.NotRun, errors.Newf("server answered %d, not run, at fault %q", h.Status, h.AtFault)
 }
 
+// suspendIdle passes over a server that turned a request away though it has free
+// slots as far as is known: it is leaving. While the store does not tell that,
+// every request that is placed there loses one of its attempts, and one that meets
+// two such servers is refused.
+func (x *exchange) suspendIdle(s backends.Server) {
+	if x.relay.loads.Of(s.ID).HasSlots(s.Slots) {
+		x.relay.suspend(x.service.Name, s.ID)
+	}
+}
+
 // atFault finds the server that an answer names by its ID or address.
 func atFault(plan spread.Plan, name string) string {
 	for _, p := range plan.Parts {
