--- a/decide/spread/apart.go
+++ b/decide/spread/apart.go
@@ -40,7 +40,7 @@
 	if left > 0 || len(holders) < 2 || len(holders) > maxHelpers {
 		return refused, c.notNow()
 	}
-	p := c.hold(servers, holders)
+	p := c.reserveAt(holders, servers)
 	if c.harmBy(p) > value(c.req.Prompt) {
 		return refused, c.notNow()
 	}
@@ -65,15 +65,15 @@
 // included that this request must avoid or that are out of rotation: a prompt
 // too large for the others at present is turned away for now, not for good.
 func (c *chooser) mostMemory() int64 {
-	engines := min(c.req.Fleet, maxHelpers+1)
-	return int64(memoryShare * float64(c.engine.Memory) * float64(engines))
+	return c.usable() * int64(min(c.req.Fleet, maxHelpers+1))
 }
 
 // leastReserve is the least memory worth reserving at an engine.
 const leastReserve = 16_000
 
-// hold divides the memory of a prompt evenly, but for what an engine lacks.
-func (c *chooser) hold(servers, holders []backends.Server) Plan {
+// reserveAt plans a prompt whose memory is divided evenly between holders, but for
+// what an engine lacks. The others of servers may help to read.
+func (c *chooser) reserveAt(holders, servers []backends.Server) Plan {
 	helpers := c.cheapest(servers, holders[0]).helpers
 	helpers = slices.DeleteFunc(helpers, func(s backends.Server) bool {
 		return slices.ContainsFunc(holders, func(h backends.Server) bool { return h.ID == s.ID })
--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -48,7 +48,7 @@
 // huge reports whether no engine has the memory for a prompt. Late, it is refused
 // at once: it takes all engines for a second or two and makes others late.
 func (c *chooser) huge() bool {
-	return c.need() > int64(memoryShare*float64(c.engine.Memory))
+	return c.need() > c.usable()
 }
 
 func (c *chooser) late() bool {
