Long and deep prompts are told by the time to read them, not by their length

20,000 and 80,000 tokens were chosen for engines of 177 tokens a ms. Now a prompt is long from 150 ms of reading and deep from one second, by the published figures.

--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -17,13 +17,16 @@
 	partTokens = 512
 	// maxHelpers is the most that an engine accepts for one prompt.
 	maxHelpers = 16
-	// longTokens is the length from which a prompt is long: reading it alone
-	// takes 150 ms, half of the time that a short one has for its first event.
-	longTokens = 20_000
-	// deepTokens is the length from which a prompt is deep: its part of a
-	// seventeenth takes 60 ms to read and its context lengthens each pass by
-	// 12 ms. Prompts from 20,000 tokens apart made those up to 80,000 late.
-	deepTokens = 80_000
+	// longRead is the time to read a prompt alone from which it is long: half of the
+	// time that a short one usually has for its first event. deepRead is that from
+	// which it is deep: its part of a seventeenth takes 60 ms, which is what a pass
+	// with short answers has to spare once it reads for others as well. Fixed
+	// lengths of 20,000 and 80,000 tokens did the same on the engines they were
+	// chosen for; on engines that read a third as fast 0.74 and 0.65 were kept with
+	// them on two loads, 0.78 and 0.70 with these (mean of the whole value, the worst
+	// windows and the worst kind, 16 seeds in virtual time).
+	longRead = 150 * time.Millisecond
+	deepRead = time.Second
 	// helperWait is the reading before which an engine is not asked to help with
 	// a short prompt: its own engine reads 5,000 tokens in 31 ms. Of the value of
 	// short prompts, 0.84 and 0.80 were kept on two heavy loads with it, 0.82 and
@@ -249,7 +252,7 @@
 }
 
 // Deep reports whether a prompt may be held back.
-func Deep(tokens int64) bool { return tokens >= deepTokens }
+func Deep(e *route.Engine, tokens int64) bool { return ReadTime(e, tokens) >= deepRead }
 
 // Late reports whether a prompt that waited for a time cannot have its first
 // event within useful any more, read by as many engines as can share it.
@@ -259,4 +262,4 @@
 
 // Short reports whether a prompt is answered by engines that write short answers
 // and read little for others.
-func Short(tokens int64) bool { return tokens < longTokens }
+func Short(e *route.Engine, tokens int64) bool { return ReadTime(e, tokens) < longRead }
--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -9,9 +9,9 @@
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 )
 
-func (c *chooser) long() bool { return c.req.Prompt >= longTokens }
+func (c *chooser) long() bool { return !Short(c.engine, c.req.Prompt) }
 
-func (c *chooser) deep() bool { return c.req.Prompt >= deepTokens }
+func (c *chooser) deep() bool { return Deep(c.engine, c.req.Prompt) }
 
 // need is the memory of the request; parts that helpers hold are not in it.
 func (c *chooser) need() int64 { return c.req.Prompt + c.req.Answer }
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -107,9 +107,9 @@
 func (n *instance) hold(q *request, t spread.Turn, waits bool) {
 	was := n.queue.Own()
 	switch {
-	case spread.Deep(q.prompt) && waits:
+	case spread.Deep(n.spec, q.prompt) && waits:
 		n.queue.Hold(t)
-	case spread.Deep(q.prompt):
+	case spread.Deep(n.spec, q.prompt):
 		n.queue.Leave(q.id)
 	case waits && !q.waits:
 		n.queue.WaitForSlot(1)
--- a/serve/relay/health.go
+++ b/serve/relay/health.go
@@ -70,7 +70,7 @@
 // answers to long prompts also read for others, so their pauses say nothing; nor
 // do any while the engines are overloaded.
 func (x *exchange) observePace(plan spread.Plan) {
-	if x.route.Kind != route.Stream || x.newestGap == 0 || !spread.Short(x.req.PromptTokens) {
+	if x.route.Kind != route.Stream || x.newestGap == 0 || !spread.Short(x.service.Engine, x.req.PromptTokens) {
 		return
 	}
 	r, id := x.relay, plan.Writer().ID
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -36,7 +36,7 @@
 	}
 	r.held.Add(1)
 	defer r.held.Add(-1)
-	if spread.Deep(x.req.PromptTokens) {
+	if x.deep() {
 		defer r.heldDeep.Add(-1)
 		if r.heldDeep.Add(1) > maxHeld {
 			return plan, spread.NoRoom
@@ -46,7 +46,7 @@
 	x.heldBack(plan)
 	began := r.now()
 	for verdict == spread.Hold {
-		if spread.Deep(x.req.PromptTokens) {
+		if x.deep() {
 			r.loads.Hold(x.turn())
 		}
 		if !wait.For(ctx, rand.N(2*lookAgain)) {
@@ -72,13 +72,18 @@
 // that it returns is called.
 func (x *exchange) joinQueue() (leave func()) {
 	l := x.relay.loads
-	if spread.Deep(x.req.PromptTokens) {
+	if x.deep() {
 		return func() { l.Leave(x.req.ID) }
 	}
 	l.WaitForSlot(1)
 	return func() { l.WaitForSlot(-1) }
 }
 
+// deep reports whether the request's prompt is deep.
+func (x *exchange) deep() bool {
+	return x.service.Engine != nil && spread.Deep(x.service.Engine, x.req.PromptTokens)
+}
+
 // turn is the request's place among the prompts that are held back.
 func (x *exchange) turn() spread.Turn {
 	return spread.Turn{Request: x.req.ID, Prompt: x.req.PromptTokens, Late: spread.Late(x.service.Engine, x.req.PromptTokens, x.waited, x.route.FirstTarget)}
@@ -86,7 +91,7 @@
 
 // behind reports whether a prompt that is held back goes before this one.
 func (x *exchange) behind() bool {
-	return x.service.Engine != nil && spread.Deep(x.req.PromptTokens) && x.relay.loads.Behind(x.turn())
+	return x.deep() && x.relay.loads.Behind(x.turn())
 }
 
 // heldBack logs that a request waits and for what.
