A prompt is long from 100 ms of reading

With 150 ms, prompts of 20,000 to 32,000 tokens counted as short there and were read by the engines that write. Kept at 100 ms, a third of the useful time.

--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -17,15 +17,17 @@
 	partTokens = 512
 	// maxHelpers is the most that an engine accepts for one prompt.
 	maxHelpers = 16
-	// longRead is the time to read a prompt alone from which it is long: half of the
-	// time that a short one usually has for its first event. deepRead is that from
+	// longRead is the time to read a prompt alone from which it is long: a third of
+	// the time that a short one usually has for its first event. 70 ms did the same;
+	// with 150 ms 0.67 of the value of short prompts were kept in a burst that asks
+	// for all slots, 0.74 with this (6 seeds in virtual time). deepRead is that from
 	// which it is deep: its part of a seventeenth takes 60 ms, which is what a pass
 	// with short answers has to spare once it reads for others as well. Fixed
 	// lengths of 20,000 and 80,000 tokens did the same on the engines they were
 	// chosen for; on engines that read a third as fast 0.74 and 0.65 were kept with
-	// them on two loads, 0.78 and 0.70 with these (mean of the whole value, the worst
+	// them on two loads, 0.80 and 0.72 with these (mean of the whole value, the worst
 	// windows and the worst kind, 16 seeds in virtual time).
-	longRead = 150 * time.Millisecond
+	longRead = 100 * time.Millisecond
 	deepRead = time.Second
 	// helperWait is the reading before which an engine is not asked to help with
 	// a short prompt: its own engine reads 5,000 tokens in 31 ms. Of the value of
