--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -28,23 +28,13 @@
 		return 0, false
 	}
 	unread := Unread(servers, c.load)
-	if c.req.Behind || c.req.Blind() && c.req.Waited < blindWait {
+	if c.req.Behind {
 		return unread, true
 	}
 	limit := holdBacklog * holdTokens / time.Duration(c.req.Prompt)
 	return unread, unread > limit
 }
 
-// blindWait is how long a deep prompt waits at an instance that does not know yet
-// what others have placed. After the loss of all instances the clients of a
-// burst come back within half a second. Sent at once by instances that knew
-// nothing of each other, their deep prompts kept the engines busy for three
-// seconds, and every short prompt of that time was late.
-const blindWait = time.Second
-
-// Blind reports whether the loads of other instances are not known.
-func (r Request) Blind() bool { return r.Random != 0 }
-
 // huge reports whether no engine has the memory for a prompt. Late, it is refused
 // at once: it takes all engines for a second or two and makes others late.
 func (c *chooser) huge() bool {
