--- a/losses/losses.go
+++ b/losses/losses.go
@@ -39,7 +39,7 @@
 	Unexplained  Cause = "unexplained"
 )
 
-// Kinds of request, by the length of the prompt.
+// Kinds of request, by the length of the prompt; the lengths only sort the tables.
 const (
 	plainKind = "plain"
 	shortKind = "below 20k"
