--- a/cli/losses.go
+++ b/cli/losses.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"strings"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnmoor/auburnmoor/explain"
@@ -20,7 +22,7 @@
 	}
 	rep := losses.Find(all)
 	if rep.Requests == 0 {
-		return usage(errors.Newf("no line of a request in %d files", len(c.Files)))
+		return usage(errors.Newf("no line of a request in %s", strings.Join(c.Files, ", ")))
 	}
 	if c.JSON {
 		return rep.JSON(e.out)
--- a/cli/passes.go
+++ b/cli/passes.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/auburnmoor/auburnmoor/lab/passes"
 )
 
@@ -16,6 +18,22 @@
 	Lines    bool          `help:"Print a line for each load only."`
 }
 
+// Validate implements kong.Validatable.
+func (c *passesCmd) Validate() error {
+	switch {
+	case c.Draw < 0:
+		return errors.Newf("--draw: %d is negative", c.Draw)
+	case c.Seeds < 1:
+		return errors.Newf("--seeds: %d is below 1", c.Seeds)
+	case !(c.Rate > 0):
+		return errors.Newf("--rate: %v is not above 0", c.Rate)
+	case c.Duration <= 0:
+		return errors.Newf("--duration: %v is not above 0", c.Duration)
+	default:
+		return nil
+	}
+}
+
 // Run plays loads against the placing.
 func (c *passesCmd) Run(e *env) error {
 	loads, err := c.loads()
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -91,6 +91,9 @@
 // thinned to that of their span.
 func (w *world) arrivals(k *Kind, res *Result, r *rand.Rand, length time.Duration, rate float64) {
 	most := slices.Max(k.Bursts)
+	if k.PerSecond*most <= 0 {
+		return
+	}
 	for t := time.Duration(0); ; {
 		t += time.Duration(r.ExpFloat64() / (k.PerSecond * rate * most) * float64(time.Second))
 		if t >= length {
