A prompt for which no engine has memory is deep, however fast it is read

Since prompts are told by the time to read them, one of 150,000 tokens on engines of a million tokens a second was not deep; it waited for a slot at an engine with memory for it, of which there is none, and was refused after 0.9 s with all engines idle.

--- a/decide/spread/apart.go
+++ b/decide/spread/apart.go
@@ -65,7 +65,7 @@
 // included that this request must avoid or that are out of rotation: a prompt
 // too large for the others at present is turned away for now, not for good.
 func (c *chooser) mostMemory() int64 {
-	return c.usable() * int64(min(c.req.Fleet, maxHelpers+1))
+	return usable(c.engine) * int64(min(c.req.Fleet, maxHelpers+1))
 }
 
 // leastReserve is the least memory worth reserving at an engine.
--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -38,7 +38,7 @@
 // huge reports whether no engine has the memory for a prompt. Late, it is refused
 // at once: it takes all engines for a second or two and makes others late.
 func (c *chooser) huge() bool {
-	return c.need() > c.usable()
+	return c.need() > usable(c.engine)
 }
 
 func (c *chooser) late() bool {
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -253,8 +253,14 @@
 	return time.Duration(e.Stride) * (e.Step + time.Duration(l.Calls)*e.StepPerWriter + context)
 }
 
-// Deep reports whether a prompt may be held back.
-func Deep(e *route.Engine, tokens int64) bool { return ReadTime(e, tokens) >= deepRead }
+// Deep reports whether a prompt takes its turn: reading it takes long, or no engine
+// has memory for it.
+func Deep(e *route.Engine, tokens int64) bool {
+	return ReadTime(e, tokens) >= deepRead || tokens > usable(e)
+}
+
+// usable is the memory of an engine that is given out.
+func usable(e *route.Engine) int64 { return int64(memoryShare * float64(e.Memory)) }
 
 // Late reports whether a prompt that waited for a time cannot have its first
 // event within useful any more, read by as many engines as can share it.
--- a/decide/spread/slots_test.go
+++ b/decide/spread/slots_test.go
@@ -62,6 +62,17 @@
 		Expect(after(f, 0, 0, 0)).To(Equal(spread.Hold))
 	})
 
+	// A prompt larger than a fast engine waited for a slot at an engine with memory
+	// for it, of which there is none, and was refused with all engines idle.
+	It("are not those for which no engine has memory", func() {
+		fast := *engine
+		fast.ReadPerSecond, fast.PairsPerMillion, fast.Memory = 1e6, 0, 100_000
+		f := newFleet(4)
+		p, v := spread.Choose(&fast, f.servers, f.ledger.Of, spread.Request{Fleet: 4, Prompt: 150_000, Answer: 100, Useful: 300 * time.Millisecond, Patience: 900 * time.Millisecond})
+		Expect(v).To(Equal(spread.Placed))
+		Expect(p.Helpers()).NotTo(BeEmpty())
+	})
+
 	It("are placed at once where they may not wait", func() {
 		r := short
 		r.Patience = 0
--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -11,16 +11,13 @@
 
 func (c *chooser) long() bool { return !Short(c.engine, c.req.Prompt) }
 
-func (c *chooser) deep() bool { return Deep(c.engine, c.req.Prompt) }
+func (c *chooser) deep() bool { return Deep(c.engine, c.req.Prompt) || c.huge() }
 
 // need is the memory of the request; parts that helpers hold are not in it.
 func (c *chooser) need() int64 { return c.req.Prompt + c.req.Answer }
 
-// usable is the memory of an engine that is given out.
-func (c *chooser) usable() int64 { return int64(memoryShare * float64(c.engine.Memory)) }
-
 // room is the memory that an engine may still be given.
-func (c *chooser) room(s backends.Server) int64 { return c.usable() - c.load(s.ID).HeldTokens }
+func (c *chooser) room(s backends.Server) int64 { return usable(c.engine) - c.load(s.ID).HeldTokens }
 
 func (c *chooser) fits(s backends.Server) bool { return c.room(s) >= c.need() }
 
