--- a/decide/spread/apart.go
+++ b/decide/spread/apart.go
@@ -38,14 +38,14 @@
 		left -= c.room(s)
 	}
 	if left > 0 || len(holders) < 2 || len(holders) > maxHelpers {
-		return refused, c.notNow()
+		return c.notNow(refused, ForMemory)
 	}
 	p := c.reserveAt(holders, servers)
 	if c.harmBy(p) > value(c.req.Prompt) {
-		return refused, c.notNow()
+		return c.notNow(refused, ForHarm)
 	}
 	if c.req.Useful > 0 && c.req.Waited+p.FirstEvent > c.req.Useful {
-		return refused, c.notNow()
+		return c.notNow(refused, ForTime)
 	}
 	return p, Placed
 }
@@ -54,11 +54,12 @@
 // it could still come in time at calm engines, and then turns it away: its client
 // comes back once. Held for as long as clients wait, most of them were refused
 // after 9 s or answered late, at the cost of all others.
-func (c *chooser) notNow() Verdict {
+func (c *chooser) notNow(p Plan, why Reason) (Plan, Verdict) {
+	p.Reason = why
 	if c.req.Waited < c.req.Patience && !c.late() {
-		return Hold
+		return p, Hold
 	}
-	return NoRoom
+	return p, NoRoom
 }
 
 // mostMemory is what all servers of the service can hold of one prompt, those
--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -20,19 +20,22 @@
 	holdTokens  = 154_000
 )
 
-// held reports whether a prompt is to wait until the engines have read more of
-// what they have, and how much that is on the mean. Smaller prompts go at a
+// held tells why a prompt is to wait until the engines have read more of what they
+// have, and how much that is on the mean. Smaller prompts go at a
 // higher backlog, so that they pass larger ones that wait at other instances.
-func (c *chooser) held(servers []backends.Server) (time.Duration, bool) {
+func (c *chooser) held(servers []backends.Server) (time.Duration, Reason) {
 	if !c.deep() || c.req.Waited >= c.req.Patience || c.huge() && c.late() {
-		return 0, false
+		return 0, NoReason
 	}
 	unread := Unread(servers, c.load)
 	if c.req.Behind {
-		return unread, true
+		return unread, ForTurn
 	}
 	limit := holdBacklog * holdTokens / time.Duration(c.req.Prompt)
-	return unread, unread > limit
+	if unread > limit {
+		return unread, ForReading
+	}
+	return unread, NoReason
 }
 
 // huge reports whether no engine has the memory for a prompt. Late, it is refused
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -101,6 +101,8 @@
 	// tokens of the emptiest, where a request was not placed for them.
 	Backlog  time.Duration
 	MostRoom int64
+	// Reason is why a request was not placed.
+	Reason Reason
 	// Waiting tells that the server already has as many calls as it runs at once.
 	Waiting bool
 }
@@ -143,13 +145,13 @@
 	c := chooser{engine: e, load: load, req: r}
 	servers = rotate(without(servers, r.Avoid), r.Random)
 	if c.hopeless() {
-		return Plan{Backlog: Unread(servers, load)}, NoRoom
+		return Plan{Backlog: Unread(servers, load), Reason: ForTime}, NoRoom
 	}
-	if backlog, wait := c.held(servers); wait {
-		return Plan{Backlog: backlog}, Hold
+	if backlog, reason := c.held(servers); reason != NoReason {
+		return Plan{Backlog: backlog, Reason: reason}, Hold
 	}
 	if verdict := c.slots(servers); verdict != Placed {
-		return Plan{Backlog: Unread(servers, load)}, verdict
+		return Plan{Backlog: Unread(servers, load), Reason: ForSlot}, verdict
 	}
 	c.roles = divide(servers, load, e.Slots)
 	writer, ok := c.writer()
@@ -161,7 +163,7 @@
 	}
 	g := c.cheapest(servers, writer)
 	if c.deep() && c.req.Waited < c.req.Patience && c.tooDear(g) {
-		return Plan{Backlog: Unread(servers, load)}, Hold
+		return Plan{Backlog: Unread(servers, load), Reason: ForHarm}, Hold
 	}
 	return c.plan(writer, g.helpers), Placed
 }
--- /dev/null
+++ b/decide/spread/reason_test.go
@@ -0,0 +1,41 @@
+package spread_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+)
+
+// A user asks why a prompt of 300,000 tokens was refused after three seconds. The
+// logs name the mean reading and the emptiest engine, which had room; whether the
+// prompt waited for its turn, for reading or for memory they do not tell.
+var _ = Describe("a request that is not placed", func() {
+	deep := spread.Request{Prompt: 200_000, Answer: 1600, Useful: 3 * time.Second, Pause: time.Second, Patience: 9 * time.Second}
+
+	DescribeTable("says what it waits for", func(each spread.Load, change func(*spread.Request), want spread.Reason) {
+		f := newFleet(21)
+		for _, s := range f.servers {
+			f.ledger.Add(s.ID, each)
+		}
+		r := deep
+		change(&r)
+		p, v := f.place(r)
+		Expect(v).To(Equal(spread.Hold))
+		Expect(p.Reason).To(Equal(want), p.Reason.String())
+	},
+		Entry("another prompt", spread.Load{}, func(r *spread.Request) { r.Behind = true }, spread.ForTurn),
+		Entry("reading", spread.Load{Unread: 400 * time.Millisecond}, func(*spread.Request) {}, spread.ForReading),
+		Entry("a slot", spread.Load{Calls: 16}, func(r *spread.Request) { r.Prompt = 5000 }, spread.ForSlot),
+		Entry("memory", spread.Load{HeldTokens: 290_000, Calls: 1}, func(r *spread.Request) { r.Prompt = 400_000 }, spread.ForMemory),
+		Entry("answers in progress", spread.Load{Calls: 15, HeldTokens: 60_000}, func(r *spread.Request) { r.Tightest = 70 * time.Millisecond }, spread.ForHarm),
+	)
+
+	It("is placed without a reason", func() {
+		p, v := newFleet(21).place(deep)
+		Expect(v).To(Equal(spread.Placed))
+		Expect(p.Reason).To(Equal(spread.NoReason))
+	})
+})
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -29,6 +29,8 @@
 	unread int
 	// context is the length of the prompt at the engine that writes.
 	context int64
+	// waitedFor is why it was last held back.
+	waitedFor spread.Reason
 	// avoid are the engines that did not grant memory.
 	avoid []string
 }
@@ -95,6 +97,7 @@
 	case spread.Placed:
 		n.send(q, plan)
 	case spread.Hold:
+		q.waitedFor = plan.Reason
 		n.After(time.Duration(n.rand.Int64N(int64(2*lookAgain))), func() { n.place(q) })
 	default:
 		n.refuse(q)
@@ -129,6 +132,7 @@
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
 	if q.refused || comeBack > time.Duration(comeBackShare*float64(left)) {
 		q.result.Refused++
+		q.result.RefusedAfter[q.waitedFor]++
 		return
 	}
 	q.refused = true
--- a/lab/passes/result.go
+++ b/lab/passes/result.go
@@ -1,11 +1,15 @@
 package passes
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/spread"
 )
 
 // window is the length of the spans by which the worst seconds are told.
@@ -28,12 +32,60 @@
 
 // Result is what callers of one kind got.
 type Result struct {
-	Kind                       string
-	Asked, InTime, Late        int
-	Refused, GivenUp           int
+	Kind                string
+	Asked, InTime, Late int
+	Refused, GivenUp    int
+	// RefusedAfter counts the refused ones by what they last waited for.
+	RefusedAfter               map[spread.Reason]int
 	Value                      value
 	FirstP50, FirstP99, GapP99 time.Duration
-	firsts, gaps               []time.Duration
+	// Largest and Large are the shares answered, in time or late, of the largest tenth
+	// of the prompts and of the fifth below it.
+	Largest, Large float64
+	firsts, gaps   []time.Duration
+	fates          []fate
+}
+
+// fate is the length of a prompt and whether its answer was whole.
+type fate struct {
+	prompt   int64
+	answered bool
+}
+
+// Shares of a kind's prompts that are told apart, the longest first. Whoever places
+// by what is cheapest serves the large ones last; the mean of a kind hides it.
+const (
+	largestShare = 0.1
+	largeShare   = 0.2
+)
+
+// Answered is the share of the requests whose answer was whole.
+func (r Result) Answered() float64 {
+	if r.Asked == 0 {
+		return 1
+	}
+	return float64(r.InTime+r.Late) / float64(r.Asked)
+}
+
+// sizes sets the shares of the large prompts.
+func (r *Result) sizes() {
+	slices.SortFunc(r.fates, func(a, b fate) int { return cmp.Compare(b.prompt, a.prompt) })
+	n := float64(len(r.fates))
+	first, second := int(largestShare*n), int((largestShare+largeShare)*n)
+	r.Largest, r.Large = answered(r.fates[:first]), answered(r.fates[first:second])
+}
+
+func answered(fates []fate) float64 {
+	if len(fates) == 0 {
+		return 1
+	}
+	whole := 0
+	for _, f := range fates {
+		if f.answered {
+			whole++
+		}
+	}
+	return float64(whole) / float64(len(fates))
 }
 
 // Share is the earned part of the value owed.
@@ -44,6 +96,10 @@
 	r.Refused, r.GivenUp = r.Refused+o.Refused, r.GivenUp+o.GivenUp
 	r.Value.add(o.Value)
 	r.firsts, r.gaps = append(r.firsts, o.firsts...), append(r.gaps, o.gaps...)
+	r.fates = append(r.fates, o.fates...)
+	for why, n := range o.RefusedAfter {
+		r.RefusedAfter[why] += n
+	}
 }
 
 func (r *Result) percentiles() {
@@ -87,6 +143,7 @@
 	var whole value
 	for _, r := range kinds {
 		r.percentiles()
+		r.sizes()
 		s.Kinds = append(s.Kinds, *r)
 		whole.add(r.Value)
 		s.WorstKind = min(s.WorstKind, r.Share())
@@ -108,11 +165,12 @@
 func Merge(runs []Summary) Summary {
 	out := Summary{Load: runs[0].Load}
 	for i := range runs[0].Kinds {
-		sum := Result{Kind: runs[0].Kinds[i].Kind}
+		sum := Result{Kind: runs[0].Kinds[i].Kind, RefusedAfter: map[spread.Reason]int{}}
 		for _, r := range runs {
 			sum.add(r.Kinds[i])
 		}
 		sum.percentiles()
+		sum.sizes()
 		out.Kinds = append(out.Kinds, sum)
 	}
 	for _, r := range runs {
@@ -126,15 +184,26 @@
 	return out
 }
 
+// refusedAfter renders RefusedAfter.
+func (r Result) refusedAfter() string {
+	var out []string
+	for why := range spread.Reasons {
+		if n := r.RefusedAfter[why]; n > 0 {
+			out = append(out, fmt.Sprintf("%s %d", why, n))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
 // Write prints the kinds of a summary as a table.
 func Write(out io.Writer, s Summary) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "LOAD\tKIND\tASKED\tIN TIME\tLATE\tREFUSED\tGIVEN UP\tVALUE\tFIRST P50\tP99\tPAUSE P99")
+	fmt.Fprintln(w, "LOAD\tKIND\tASKED\tIN TIME\tLATE\tREFUSED\tGIVEN UP\tVALUE\tANSWERED\tNEXT 20 IN 100\tLARGEST 10\tFIRST P50\tP99\tPAUSE P99\tREFUSED AFTER WAITING FOR")
 	for _, r := range s.Kinds {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d ms\t%d ms\t%d ms\n", s.Load, r.Kind, r.Asked, r.InTime, r.Late, r.Refused, r.GivenUp,
-			r.Share(), r.FirstP50.Milliseconds(), r.FirstP99.Milliseconds(), r.GapP99.Milliseconds())
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d ms\t%d ms\t%d ms\t%s\n", s.Load, r.Kind, r.Asked, r.InTime, r.Late, r.Refused, r.GivenUp,
+			r.Share(), r.Answered(), r.Large, r.Largest, r.FirstP50.Milliseconds(), r.FirstP99.Milliseconds(), r.GapP99.Milliseconds(), r.refusedAfter())
 	}
-	fmt.Fprintf(w, "%s\tall\t\t\t\t\t\t%.3f\tworst windows %.3f, worst kind %.3f\n", s.Load, s.Whole, s.Worst, s.WorstKind)
+	fmt.Fprintf(w, "%s\tall\t\t\t\t\t\t%.3f\t\t\t\tworst windows %.3f, worst kind %.3f\n", s.Load, s.Whole, s.Worst, s.WorstKind)
 	return w.Flush()
 }
 
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/vtime"
 )
 
@@ -41,6 +42,8 @@
 	last       time.Duration
 	first, gap time.Duration
 	over       bool
+	// answered tells that the answer was whole.
+	answered bool
 }
 
 // held is the memory of the request at the engine that writes its answer.
@@ -58,6 +61,8 @@
 	// tightest is the shortest useful pause of all kinds.
 	tightest time.Duration
 	windows  []value
+	// asked are all requests of the run.
+	asked []*request
 }
 
 // Run plays a load for a length of virtual time, with its rates times rate. The
@@ -79,11 +84,14 @@
 	w.windows = make([]value, int((length+window-1)/window))
 	var results []*Result
 	for i := range l.Kinds {
-		res := &Result{Kind: l.Kinds[i].Name}
+		res := &Result{Kind: l.Kinds[i].Name, RefusedAfter: map[spread.Reason]int{}}
 		results = append(results, res)
 		w.arrivals(&l.Kinds[i], res, rand.New(rand.NewPCG(seed, uint64(i))), length, rate)
 	}
 	w.RunUntil(length+drainFor, vtime.Always)
+	for _, q := range w.asked {
+		q.result.fates = append(q.result.fates, fate{prompt: q.prompt, answered: q.answered})
+	}
 	return summarize(l.Name, results, w.windows)
 }
 
@@ -107,6 +115,7 @@
 			prompt: max(40, int64(draw(r, k.Prompt))), events: max(1, int(draw(r, k.Events))),
 		}
 		at := w.instances[r.IntN(len(w.instances))]
+		w.asked = append(w.asked, q)
 		w.At(t, func() {
 			res.Asked++
 			w.owe(q)
@@ -234,6 +243,7 @@
 
 func (w *world) score(q *request) {
 	res := q.result
+	q.answered = true
 	res.firsts, res.gaps = append(res.firsts, q.first), append(res.gaps, q.gap)
 	if q.first <= q.kind.First.Std() && q.gap <= q.kind.Pause.Std() {
 		res.InTime++
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -91,6 +91,8 @@
 	lastBody []byte
 	// waited is how long the request was held back before its first attempt.
 	waited time.Duration
+	// waitedFor is why it was last held back.
+	waitedFor spread.Reason
 	// started is when serving began, first how long the first event, or the whole
 	// answer, took.
 	started, first time.Duration
@@ -178,7 +180,7 @@
 	if why.NotRun && x.state.MayHaveRun() {
 		why = result.New(result.BackendFailed, "the backend server failed")
 	}
-	x.relay.refused(x.req, why)
+	x.relay.refused(x.req, why, zap.Duration("held", x.waited), zap.Stringer("waited_for", x.waitedFor))
 	x.sink.Refuse(why)
 }
 
@@ -203,8 +205,8 @@
 	case spread.TooLarge:
 		return result.New(result.TooLongForFleet, "all engines together lack the memory for this prompt")
 	case spread.NoRoom:
-		return result.New(result.Overloaded, "the engines are too busy for this prompt: %s to read on the mean, room for %d tokens on the emptiest",
-			p.Backlog.Round(time.Millisecond), p.MostRoom).After(pauseNoRoom)
+		return result.New(result.Overloaded, "the engines are too busy for this prompt (%s): %s to read on the mean, room for %d tokens on the emptiest",
+			p.Reason, p.Backlog.Round(time.Millisecond), p.MostRoom).After(pauseNoRoom)
 	default:
 		return result.New(result.NoBackend, "no backend server is ready").After(pauseNoBackend)
 	}
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -43,6 +43,7 @@
 		}
 	}
 	defer x.joinQueue()()
+	r.count("held_total", "waits_for", plan.Reason.String())
 	x.heldBack(plan)
 	began := r.now()
 	for verdict == spread.Hold {
@@ -53,6 +54,7 @@
 			return plan, verdict
 		}
 		x.waited = r.now() - began
+		x.waitedFor = plan.Reason
 		plan, verdict = x.place(x.holdPatience())
 	}
 	r.scope.Histogram("held_seconds", buckets.Durations).RecordDuration(x.waited)
@@ -92,5 +94,5 @@
 // heldBack logs that a request waits and for what.
 func (x *exchange) heldBack(plan spread.Plan) {
 	x.relay.log.Info("held back", zap.String("request", x.req.ID), zap.Int64("prompt", x.req.PromptTokens),
-		zap.Duration("backlog", plan.Backlog), zap.Int64("held", x.relay.held.Load()), zap.Duration("left", x.left()))
+		zap.Stringer("waits_for", plan.Reason), zap.Duration("backlog", plan.Backlog), zap.Int64("held", x.relay.held.Load()), zap.Duration("left", x.left()))
 }
