--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 	./bin/auburnmoor dev
 
 test: lint
-	go test $(RACE) ./...
+	@test ! -s KNOWN-RED.txt || { echo "known failures, passed over:"; cat KNOWN-RED.txt; }
+	KNOWN_RED=$(CURDIR)/KNOWN-RED.txt go test $(RACE) ./...
 
 lint:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "gofmt would change: $$files"; exit 1; }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -19,10 +19,18 @@
 	os.Exit(m.Run())
 }
 
-// Suite runs the specs of a package in a fixed order.
+// Suite runs the specs of a package in a fixed order. It passes over those that the
+// list of known failures names, and prints them.
 func Suite(t *testing.T, name string) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
+	reds, err := knownRed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range reds {
+		suite.SkipStrings = append(suite.SkipStrings, r.skip())
+	}
 	ginkgo.RunSpecs(t, name, suite, reporter)
 }
--- a/lab/passes/passes_test.go
+++ b/lab/passes/passes_test.go
@@ -48,6 +48,26 @@
 		Entry("Thistlegate, heavy", "thistlegate", 1.3, 0.91, 0.91, 0.74),
 	)
 
+	// Users of a fleet of 69 engines have most of their largest prompts refused after
+	// three seconds. Smaller ones go first, and a prompt waits until the engines have
+	// little to read on the mean of the whole fleet, though 17 of them at most will read
+	// it: the mean stays high while two or three prompts are read anywhere, so no more
+	// are read at a time than on 18 engines, however many there are. Evidence: refused
+	// ones last waited for their turn, while the emptiest engine had no work at all; and
+	// with the mean of the 17 engines that have least to read, 0.83 are answered of the
+	// largest tenth that had 0.27, and nothing else was changed (a trial, eight seeds).
+	DescribeTable("answer large prompts at least half as often as others", func(name string) {
+		deep := play(name, 1, 6, 1).Kind("deep")
+		Expect(deep.Large).To(BeNumerically(">=", deep.Answered()/2), "the fifth below the largest tenth")
+		Expect(deep.Largest).To(BeNumerically(">=", deep.Answered()/2), "the largest tenth")
+	},
+		Entry("on 21 engines", "tepuna"),
+		Entry("on 16 engines", "thistlegate"),
+		Entry("on 18 engines", "camps"),
+		Entry("on 69 engines", "tepuna-grown"),
+		Entry("on 60 engines", "camps-grown"),
+	)
+
 	It("give the same result for the same seed", func() {
 		run := func() passes.Summary { return play("tepuna", 3, 2, 1) }
 		Expect(run()).To(Equal(run()))
