--- /dev/null
+++ b/decide/spread/hold_test.go
@@ -0,0 +1,44 @@
+package spread_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+)
+
+// On a fleet of 69 engines a prompt of 300,000 tokens is refused after three
+// seconds in which most engines had nothing to read. Two others were being read, by
+// 17 engines each; that made the mean reading of all engines 123 ms, and prompts of
+// that length wait above 102 ms. Evidence: the refusal named 65 ms and an emptiest
+// engine without any work, and 13 smaller prompts had been placed meanwhile.
+var _ = Describe("a large prompt on a large fleet", func() {
+	request := spread.Request{Prompt: 300_000, Answer: 1600, Useful: 4 * time.Second, Pause: time.Second, Patience: 9 * time.Second}
+
+	busy := func(fleet, engines int) *fleet {
+		f := newFleet(fleet)
+		for _, s := range f.servers[len(f.servers)-engines:] {
+			f.ledger.Add(s.ID, spread.Load{Read: time.Second, Unread: time.Second, Parts: 1})
+		}
+		return f
+	}
+
+	It("does not wait for engines that it would not use", func() {
+		p, v := busy(69, 34).place(request)
+		Expect(v).To(Equal(spread.Placed), p.Reason.String())
+		Expect(p.FirstEvent).To(BeNumerically("<", time.Second))
+	})
+
+	It("waits while too few engines are free", func() {
+		p, v := busy(69, 60).place(request)
+		Expect(v).To(Equal(spread.Hold))
+		Expect(p.Reason).To(Equal(spread.ForReading))
+	})
+
+	It("waits on a small fleet while half of it reads", func() {
+		_, v := busy(17, 9).place(request)
+		Expect(v).To(Equal(spread.Hold))
+	})
+})
