Instances work out the order of held prompts by themselves, told once

Change: a peer is told the weight, the wait so far and the useful time, and ranks the prompt as time goes by; lateness follows the same way.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -201,11 +201,12 @@
 	if complete {
 		changed = l.ledger.All()
 	}
-	waiting := l.queue.Tell(l.now())
+	now := l.now()
+	waiting := l.queue.Tell(now)
 	l.mu.Unlock()
 	msg := &peerpb.LoadReport{Complete: complete, ForSlot: int32(waiting.ForSlot)}
 	if waiting.Held {
-		msg.Held = &peerpb.HeldPrompt{Request: waiting.First.Request, Rank: waiting.First.Rank, Late: waiting.First.Late}
+		msg.Held = heldPrompt(now, waiting.First)
 	}
 	for server, v := range changed {
 		msg.Servers = append(msg.Servers, &peerpb.ServerLoad{
@@ -225,27 +226,40 @@
 	loads := make(map[string]spread.Load, len(r.Servers))
 	for _, s := range r.Servers {
 		loads[s.Server] = spread.Load{
-			Calls: s.Calls, LongCalls: s.LongCalls, HeldTokens: s.HeldTokens, Read: time.Duration(s.ReadUs) * time.Microsecond,
-			Unread: time.Duration(s.UnreadUs) * time.Microsecond, Parts: s.Parts,
+			Calls: s.Calls, LongCalls: s.LongCalls, HeldTokens: s.HeldTokens, Read: micros(s.ReadUs),
+			Unread: micros(s.UnreadUs), Parts: s.Parts,
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.Report(l.now(), from, r.Complete, loads)
-	l.queue.Report(l.now(), from, waitingOf(r))
+	l.queue.Report(l.now(), from, waitingOf(l.now(), r))
 	if r.Complete {
 		l.heard[from] = true
 	}
 }
 
-func waitingOf(r *peerpb.LoadReport) spread.Waiting {
+// heldPrompt tells of a prompt by how long it has waited, because instances have no
+// common clock.
+func heldPrompt(now time.Duration, t spread.Turn) *peerpb.HeldPrompt {
+	return &peerpb.HeldPrompt{
+		Request: t.Request, Weight: t.Weight, WaitedUs: (now - t.Since).Microseconds(),
+		UsefulUs: t.Useful.Microseconds(), LateAfterUs: t.LateAfter.Microseconds(),
+	}
+}
+
+func waitingOf(now time.Duration, r *peerpb.LoadReport) spread.Waiting {
 	w := spread.Waiting{ForSlot: int(r.ForSlot)}
 	if h := r.Held; h != nil {
-		w.First, w.Held = spread.Turn{Request: h.Request, Rank: h.Rank, Late: h.Late}, true
+		w.First, w.Held = spread.Turn{
+			Request: h.Request, Weight: h.Weight, Since: now - micros(h.WaitedUs), Useful: micros(h.UsefulUs), LateAfter: micros(h.LateAfterUs),
+		}, true
 	}
 	return w
 }
 
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 func (l *Loads) keepLive(v members.View) {
 	live := map[string]bool{}
 	for _, m := range v.Alive {
--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -8,14 +8,19 @@
 	"github.com/auburnmoor/auburnmoor/decide/route"
 )
 
-// Turn is the place of a held prompt in the order of all instances.
+// Turn is the place of a held prompt in the order of all instances. Every instance
+// works the order out by itself from what does not change, so that it need not be
+// told again as time goes by: told with each change of rank, it made for half of all
+// messages between 75 instances.
 type Turn struct {
 	Request string
-	// Rank is the length of the prompt in tokens, an engine's memory at most, and less
-	// the longer it waited.
-	Rank int64
-	// Late prompts cannot have their first event in time any more.
-	Late bool
+	// Weight is the length in tokens by which the prompt waits.
+	Weight int64
+	// Since is when the prompt came, by the clock of the instance that compares.
+	Since time.Duration
+	// Useful is the time within which its first event should come, LateAfter the wait
+	// after which that cannot be any more; zero if there is no such time.
+	Useful, LateAfter time.Duration
 }
 
 // ageing makes a prompt that waited for as long as its first event is useful rank as
@@ -25,24 +30,38 @@
 // 4. An order by arrival would make all prompts of a burst late.
 const ageing = 4
 
-// TurnOf returns the place of a prompt that waited for a time and whose first event
-// is useful within useful.
-func TurnOf(e *route.Engine, request string, prompt int64, waited, useful time.Duration) Turn {
-	t := Turn{Request: request, Rank: weight(e, prompt), Late: Late(e, prompt, waited, useful)}
+// TurnOf returns the place of a prompt that came at since and whose first event is
+// useful within useful.
+func TurnOf(e *route.Engine, request string, prompt int64, since, useful time.Duration) Turn {
+	t := Turn{Request: request, Weight: weight(e, prompt), Since: since, Useful: useful}
 	if useful > 0 {
-		t.Rank = int64(float64(t.Rank) / (1 + ageing*float64(waited)/float64(useful)))
+		// A prompt that was late when it came has waited too long from the beginning.
+		t.LateAfter = max(1, useful-ReadTime(e, prompt)/(maxHelpers+1))
 	}
 	return t
 }
 
+// late reports whether the first event cannot come in time any more.
+func (t Turn) late(now time.Duration) bool {
+	return t.Useful > 0 && now-t.Since > t.LateAfter
+}
+
+// rank is the weight in tokens, less the longer the prompt waited.
+func (t Turn) rank(now time.Duration) float64 {
+	if t.Useful <= 0 {
+		return float64(t.Weight)
+	}
+	return float64(t.Weight) / (1 + ageing*float64(now-t.Since)/float64(t.Useful))
+}
+
 // before reports whether a prompt goes first: one that can still come in time, then
 // the one of lower rank, since a prompt of half the length takes a quarter of the
 // engines' time.
-func (t Turn) before(o Turn) bool {
-	if t.Late != o.Late {
-		return o.Late
+func (t Turn) before(now time.Duration, o Turn) bool {
+	if t.late(now) != o.late(now) {
+		return o.late(now)
 	}
-	return cmp.Or(cmp.Compare(t.Rank, o.Rank), cmp.Compare(t.Request, o.Request)) < 0
+	return cmp.Or(cmp.Compare(t.rank(now), o.rank(now)), cmp.Compare(t.Request, o.Request)) < 0
 }
 
 // TurnBelieved is how long the last word of a peer on its first prompt counts.
@@ -88,7 +107,7 @@
 // NewQueue returns an empty queue.
 func NewQueue() *Queue { return &Queue{own: map[string]Turn{}, peers: map[string]peerWaiting{}} }
 
-// Hold notes a prompt that this instance holds back, or its new state.
+// Hold notes a prompt that this instance holds back.
 func (q *Queue) Hold(t Turn) { q.own[t.Request] = t }
 
 // Leave ends what Hold noted.
@@ -98,10 +117,10 @@
 func (q *Queue) WaitForSlot(n int) { q.forSlot += n }
 
 // Own returns what this instance holds back.
-func (q *Queue) Own() Waiting {
+func (q *Queue) Own(now time.Duration) Waiting {
 	w := Waiting{ForSlot: q.forSlot}
 	for _, t := range q.own {
-		if !w.Held || t.before(w.First) {
+		if !w.Held || t.before(now, w.First) {
 			w.First, w.Held = t, true
 		}
 	}
@@ -112,16 +131,16 @@
 // peers are to be told: of another state than before, and from time to time that
 // something still waits.
 func (q *Queue) Update(now time.Duration, change func(*Queue)) (tell bool) {
-	was := q.Own()
+	was := q.Own(now)
 	change(q)
-	w := q.Own()
+	w := q.Own(now)
 	return w != was || w != (Waiting{}) && now-q.told > turnRepeat
 }
 
 // Tell returns what peers are told now.
 func (q *Queue) Tell(now time.Duration) Waiting {
 	q.told = now
-	return q.Own()
+	return q.Own(now)
 }
 
 // Report takes over what a peer holds back.
@@ -152,7 +171,7 @@
 // Behind reports whether a prompt must let another one go first.
 func (q *Queue) Behind(now time.Duration, t Turn) bool {
 	for _, o := range q.own {
-		if o.Request != t.Request && o.before(t) {
+		if o.Request != t.Request && o.before(now, t) {
 			return true
 		}
 	}
@@ -161,7 +180,7 @@
 			delete(q.peers, peer)
 			continue
 		}
-		if o.Held && o.First.before(t) {
+		if o.Held && o.First.before(now, t) {
 			return true
 		}
 	}
--- a/decide/spread/turn_test.go
+++ b/decide/spread/turn_test.go
@@ -15,7 +15,7 @@
 // same engine, which has memory for one; the other has all engines that read for
 // it counted as busy until the first is answered.
 var _ = Describe("prompts held back at several instances", func() {
-	turn := func(id string, tokens int64) spread.Turn { return spread.Turn{Request: id, Rank: tokens} }
+	turn := func(id string, tokens int64) spread.Turn { return spread.Turn{Request: id, Weight: tokens} }
 
 	held := func(t spread.Turn) spread.Waiting { return spread.Waiting{First: t, Held: true} }
 
@@ -23,12 +23,12 @@
 		a, b := spread.NewQueue(), spread.NewQueue()
 		a.Hold(turn("x", 200_000))
 		b.Hold(turn("y", 150_000))
-		a.Report(0, "b", b.Own())
-		b.Report(0, "a", a.Own())
+		a.Report(0, "b", b.Own(0))
+		b.Report(0, "a", a.Own(0))
 		Expect(a.Behind(0, turn("x", 200_000))).To(BeTrue())
 		Expect(b.Behind(0, turn("y", 150_000))).To(BeFalse())
 		b.Leave("y")
-		a.Report(0, "b", b.Own())
+		a.Report(0, "b", b.Own(0))
 		Expect(a.Behind(0, turn("x", 200_000))).To(BeFalse())
 	})
 
@@ -41,16 +41,19 @@
 
 	It("let those go first that can still come in time", func() {
 		a := spread.NewQueue()
-		a.Report(0, "b", held(spread.Turn{Request: "y", Rank: 100_000, Late: true}))
+		late := func(id string, tokens int64) spread.Turn {
+			return spread.Turn{Request: id, Weight: tokens, Since: -time.Second, Useful: time.Second, LateAfter: time.Second / 2}
+		}
+		a.Report(0, "b", held(late("y", 100_000)))
 		Expect(a.Behind(0, turn("x", 300_000))).To(BeFalse())
-		Expect(a.Behind(0, spread.Turn{Request: "x", Rank: 300_000, Late: true})).To(BeTrue())
+		Expect(a.Behind(0, late("x", 300_000))).To(BeTrue())
 	})
 
 	// A prompt of 280,000 tokens is refused after three seconds: at any moment one of
 	// 75 instances holds a smaller one, however short it has waited.
 	It("let one go that has waited long before a smaller one that just came", func() {
 		place := func(id string, tokens int64, waited time.Duration) spread.Turn {
-			return spread.TurnOf(engine, id, tokens, waited, 4*time.Second)
+			return spread.TurnOf(engine, id, tokens, -waited, 4*time.Second)
 		}
 		a := spread.NewQueue()
 		a.Report(0, "b", held(place("y", 200_000, 0)))
@@ -60,11 +63,21 @@
 		Expect(a.Behind(0, place("x", 280_000, 500*time.Millisecond))).To(BeTrue(), "a much smaller one still goes first")
 	})
 
+	// Half of all messages between 75 instances told how the rank of a prompt changed.
+	It("are not told again as time goes by", func() {
+		a := spread.NewQueue()
+		hold := func(q *spread.Queue) { q.Hold(spread.TurnOf(engine, "x", 200_000, 0, 4*time.Second)) }
+		Expect(a.Update(0, hold)).To(BeTrue())
+		a.Tell(0)
+		Expect(a.Update(100*time.Millisecond, hold)).To(BeFalse())
+		Expect(a.Update(300*time.Millisecond, hold)).To(BeTrue(), "a peer may have missed it")
+	})
+
 	// The largest prompts of all are refused while smaller ones that no engine can hold
 	// either go first.
 	It("let prompts larger than an engine go by their arrival", func() {
 		place := func(id string, tokens int64, waited time.Duration) spread.Turn {
-			return spread.TurnOf(engine, id, tokens, waited, 4*time.Second)
+			return spread.TurnOf(engine, id, tokens, -waited, 4*time.Second)
 		}
 		a := spread.NewQueue()
 		a.Report(0, "b", held(place("y", 320_000, 0)))
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -57,6 +57,7 @@
 	n.dirty = true
 	n.After(gatherFor, func() {
 		n.dirty = false
+		n.reports++
 		loads := n.ledger.TakeChanged()
 		waiting := n.queue.Tell(n.Now())
 		n.After(n.load.Peers.Std(), func() {
@@ -83,7 +84,7 @@
 		return
 	}
 	waited, useful := n.Now()-q.came, q.kind.First.Std()
-	turn := spread.TurnOf(n.spec, q.id, q.prompt, waited, useful)
+	turn := spread.TurnOf(n.spec, q.id, q.prompt, q.came, useful)
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Of, spread.Request{
 		Instance: n.name, Fleet: len(n.servers), Avoid: q.avoid,
--- a/lab/passes/result.go
+++ b/lab/passes/result.go
@@ -121,7 +121,9 @@
 	// Whole is the share of the value that was earned, Worst that of the worst
 	// windows, and WorstKind that of the worst kind; means over the runs.
 	Whole, Worst, WorstKind float64
-	runs                    int
+	// Reports is how often a second an instance tells its peers of its work.
+	Reports float64
+	runs    int
 }
 
 // Score is the mean of the three shares.
@@ -178,9 +180,10 @@
 		out.Whole += r.Whole * float64(r.runs)
 		out.Worst += r.Worst * float64(r.runs)
 		out.WorstKind += r.WorstKind * float64(r.runs)
+		out.Reports += r.Reports * float64(r.runs)
 	}
 	n := float64(out.runs)
-	out.Whole, out.Worst, out.WorstKind = out.Whole/n, out.Worst/n, out.WorstKind/n
+	out.Whole, out.Worst, out.WorstKind, out.Reports = out.Whole/n, out.Worst/n, out.WorstKind/n, out.Reports/n
 	return out
 }
 
@@ -203,7 +206,7 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d ms\t%d ms\t%d ms\t%s\n", s.Load, r.Kind, r.Asked, r.InTime, r.Late, r.Refused, r.GivenUp,
 			r.Share(), r.Answered(), r.Large, r.Largest, r.FirstP50.Milliseconds(), r.FirstP99.Milliseconds(), r.GapP99.Milliseconds(), r.refusedAfter())
 	}
-	fmt.Fprintf(w, "%s\tall\t\t\t\t\t\t%.3f\t\t\t\tworst windows %.3f, worst kind %.3f\n", s.Load, s.Whole, s.Worst, s.WorstKind)
+	fmt.Fprintf(w, "%s\tall\t\t\t\t\t\t%.3f\t\t\t\tworst windows %.3f, worst kind %.3f, %.0f reports a second of an instance\n", s.Load, s.Whole, s.Worst, s.WorstKind, s.Reports)
 	return w.Flush()
 }
 
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -61,6 +61,8 @@
 	// tightest is the shortest useful pause of all kinds.
 	tightest time.Duration
 	windows  []value
+	// reports counts what instances told all of their peers.
+	reports int
 	// asked are all requests of the run.
 	asked []*request
 }
@@ -92,7 +94,9 @@
 	for _, q := range w.asked {
 		q.result.fates = append(q.result.fates, fate{prompt: q.prompt, answered: q.answered})
 	}
-	return summarize(l.Name, results, w.windows)
+	s := summarize(l.Name, results, w.windows)
+	s.Reports = float64(w.reports) / float64(l.Instances) / length.Seconds()
+	return s
 }
 
 // arrivals draws the requests of a kind. They come at the highest rate and are
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -88,7 +88,7 @@
 
 // turn is the request's place among the prompts that are held back.
 func (x *exchange) turn() spread.Turn {
-	return spread.TurnOf(x.service.Engine, x.req.ID, x.req.PromptTokens, x.waited, x.route.FirstTarget)
+	return spread.TurnOf(x.service.Engine, x.req.ID, x.req.PromptTokens, x.started, x.route.FirstTarget)
 }
 
 // heldBack logs that a request waits and for what.
