--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -33,12 +33,25 @@
 		return unread, ForTurn
 	}
 	limit := holdBacklog * holdTokens / time.Duration(weight(c.engine, c.req.Prompt))
+	limit += time.Duration(float64(limit) * c.waitedShare())
 	if unread > limit {
 		return unread, ForReading
 	}
 	return unread, NoReason
 }
 
+// waitedShare is the wait so far in useful times to the first event. The reading that
+// a prompt puts up with grows by it: one whose turn it is must not stand at the front
+// until it is late. Of the largest tenth on 60 engines 0.45 were answered without,
+// 0.50 with it, 0.51 and 0.50 with two and four times as much, which cost up to 0.01
+// and 0.04 of the score of five loads (six and eight seeds in virtual time).
+func (c *chooser) waitedShare() float64 {
+	if c.req.Useful <= 0 {
+		return 0
+	}
+	return float64(c.req.Waited) / float64(c.req.Useful)
+}
+
 // weight is the length by which a prompt waits. One that is larger than an engine
 // counts as one that just fits: by its whole length one in two of the largest tenth
 // was refused on a busy fleet although most of its engines were free. Answered of
