Instances that are gone are given up as soon on a large fleet as on a small one

Cause: a silence is believed for 0.7 s times the binary logarithm of the fleet, since gossip needs that long to reach everyone, and a heartbeat that came late by way of others counted from its arrival. Directories of 74 instances named one 7 s after it went off; those of eight never beyond 3 s. Ruled out: larger samples of gossip (cost grows with the fleet); probes of their own (instances send each other a message a second already). Change: a message from a member itself is a sign of life; gossip says how old a heartbeat is; silence is believed for 2.2 s at most, as on eight instances. Who leaves tells all members at once, in place of three.

--- a/control/members/members.go
+++ b/control/members/members.go
@@ -40,6 +40,9 @@
 	// FailBase is the silence after which a member of a fleet of two is
 	// suspected; it grows with the logarithm of the fleet's size.
 	FailBase settings.Duration `toml:"fail_base"`
+	// FailMost bounds it in large fleets, where instances hear from each other
+	// directly; zero does not.
+	FailMost settings.Duration `toml:"fail_most"`
 
 	log  *zap.Logger
 	now  func() time.Duration
@@ -119,6 +122,7 @@
 	if m.FailBase > 0 {
 		cfg.FailBase = m.FailBase.Std()
 	}
+	cfg.FailMost = m.FailMost.Std()
 	if m.PollList == 0 {
 		m.PollList = settings.Duration(defaultPollList)
 	}
@@ -166,6 +170,9 @@
 }
 
 func (m *Members) receive(from string, env *peerpb.Envelope) {
+	m.mu.Lock()
+	m.table.Heard(m.now(), from)
+	m.mu.Unlock()
 	if g := env.GetGossip(); g != nil {
 		m.inbox.Offer(g)
 		m.onVer(from, g.ConfigVersion)
@@ -205,7 +212,7 @@
 	m.mu.Lock()
 	msgs := m.table.Tick(m.now())
 	if atOnce {
-		msgs = append(msgs, m.table.Spread(m.now())...)
+		msgs = append(msgs, m.news()...)
 	}
 	m.mu.Unlock()
 	version := m.config()
@@ -215,6 +222,14 @@
 	}
 }
 
+// news are the messages that do not wait for the next round; m.mu is held.
+func (m *Members) news() []member.Message {
+	if m.leaving {
+		return m.table.Announce(m.now())
+	}
+	return m.table.Spread(m.now())
+}
+
 // SpreadNow gossips without waiting for the next period.
 func (m *Members) SpreadNow() {
 	select {
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -27,6 +27,9 @@
 	// suspected; it grows with the logarithm of the fleet's size, as the time
 	// does that a heartbeat needs to reach everyone.
 	FailBase time.Duration
+	// FailMost bounds that time in large fleets; zero does not. It needs direct signs
+	// of life (Heard) in half of it, since gossip takes longer to reach everyone.
+	FailMost time.Duration
 	// Forget removes a silent member from the table.
 	Forget time.Duration
 }
@@ -149,12 +152,16 @@
 	if visible {
 		e.changedAt = now
 	}
+	heard := now - age(s)
+	if s.Incarnation == e.state.Incarnation {
+		heard = max(heard, e.heard)
+	}
 	if s.Incarnation == e.state.Incarnation && s.Heartbeat < e.state.Heartbeat {
 		// A brief entry brought a later heartbeat before this change arrived.
 		s = cloneState(s)
 		s.Heartbeat = e.state.Heartbeat
 	}
-	e.state, e.heard, e.contact = s, now, false
+	e.state, e.heard, e.contact = s, heard, false
 	return visible
 }
 
@@ -169,10 +176,23 @@
 	visible := !t.alive(now, e) || (s.Leaving && !e.state.Leaving)
 	full := cloneState(e.state)
 	full.Heartbeat, full.Leaving = s.Heartbeat, e.state.Leaving || s.Leaving
-	e.state, e.heard = full, now
+	e.state, e.heard = full, max(e.heard, now-age(s))
 	return visible
 }
 
+// age is how old the heartbeat of an entry was when it was sent.
+func age(s *peerpb.MemberState) time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+
+// Heard notes a message that came from a member itself. In a fleet of 75 gossip
+// brings some heartbeats only after two to three seconds, and each instance would have
+// to believe a silence of four. Messages that members send each other anyway, at least
+// one a second, let it be as short as in a fleet of eight.
+func (t *Table) Heard(now time.Duration, name string) {
+	if e := t.entries[name]; e != nil && !e.contact {
+		e.heard = max(e.heard, now)
+	}
+}
+
 func sameEngines(a, b []*peerpb.EngineState) bool {
 	return slices.EqualFunc(a, b, func(x, y *peerpb.EngineState) bool {
 		return x.Name == y.Name && x.KvTotal == y.KvTotal && x.Leaving == y.Leaving && x.Addr == y.Addr && slices.Equal(x.Models, y.Models)
@@ -182,7 +202,11 @@
 // FailAfter is the silence after which a member is suspected.
 func (t *Table) FailAfter() time.Duration {
 	n := float64(max(2, len(t.entries)+1))
-	return time.Duration(float64(t.cfg.FailBase) * math.Log2(n))
+	after := time.Duration(float64(t.cfg.FailBase) * math.Log2(n))
+	if t.cfg.FailMost > 0 {
+		after = min(after, t.cfg.FailMost)
+	}
+	return after
 }
 
 func (t *Table) alive(now time.Duration, e *entry) bool {
@@ -216,6 +240,18 @@
 	return out
 }
 
+// Announce returns self's state to all live members, for news that all must act on
+// at once: by gossip the departure of an instance of 75 is known after a second.
+func (t *Table) Announce(now time.Duration) []Message {
+	var out []Message
+	for name, e := range t.entries {
+		if t.alive(now, e) {
+			out = append(out, Message{To: name, Gossip: &peerpb.Gossip{Members: []*peerpb.MemberState{cloneState(t.self)}}})
+		}
+	}
+	return out
+}
+
 // targets draws live members and one contact, so that instances which lost
 // each other for long find back.
 func (t *Table) targets(now time.Duration) []string {
@@ -265,11 +301,15 @@
 // change, so most entries carry only the heartbeat: in full, 350 instances
 // cost each other 59 KB a second, of which 22 KB are allowed.
 func (t *Table) told(now time.Duration, e *entry) *peerpb.MemberState {
+	ageMs := uint32(max(0, now-e.heard).Milliseconds())
 	if now-e.changedAt < newsFor || t.rand.IntN(fullEvery) == 0 {
-		return e.state
+		full := cloneState(e.state)
+		full.AgeMs = ageMs
+		return full
 	}
 	return &peerpb.MemberState{
-		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Version: e.state.Version, Brief: true,
+		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Version: e.state.Version,
+		Brief: true, AgeMs: ageMs,
 	}
 }
 
