An entry that cannot be read names no server, and hides no other

Cause, by reading: the list of servers, each batch of its changes and the list of instances were given up at the first entry that does not decode, so one entry of another writer blinded all instances for as long as it stood. A configuration that cannot be read was asked for again without end. Change: objects are decoded one by one; an entry without a field, with one of another type, an unknown state, no slots or no address is left out, a server whose entry turns bad gets no new work until its next good one. Said once for each entry and reason, counted, and in the dump. The last configuration stays in force. Not handled: a page of the store that is no JSON as a whole is still a failed call.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,5 @@
 	go test -fuzz=FuzzParse -fuzztime=30s ./settings
 	go test -fuzz=FuzzParse -fuzztime=30s ./manifest
 	go test -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
+	go test -run=XXX -fuzz=FuzzServerEntry -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzObjects -fuzztime=30s ./platform
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -74,9 +75,10 @@
 	inbox        *ring.Ring[catalog.Config]
 	heard        *ring.Ring[peerVersion]
 
-	// mu guards set, which reads of the store and replies of peers change.
+	// mu guards set and bad, which reads of the store and replies of peers change.
 	mu  sync.Mutex
 	set *backends.Set
+	bad unreadable
 }
 
 type peerVersion struct {
@@ -108,7 +110,7 @@
 		f.Wait = settings.Duration(defaultWait)
 	}
 	f.log, f.now, f.scope, f.catalog = c.Log, c.Now, c.Scope, src.Catalog()
-	f.set = backends.NewSet()
+	f.set, f.bad = backends.NewSet(), unreadable{}
 	f.inbox = ring.New[catalog.Config]("catalog.inbox", inboxSize)
 	f.heard = ring.New[peerVersion]("catalog.heard", inboxSize)
 	f.members.CarryConfig(f.version, func(from string, version uint64) {
@@ -243,6 +245,10 @@
 		name: "configuration",
 		read: func(ctx context.Context) (int64, error) {
 			c, err := f.catalog.Config(ctx)
+			if errors.Is(err, catalog.ErrUnreadable) {
+				f.notAdopted(c.Revision, err)
+				return c.Revision, nil
+			}
 			if err != nil {
 				return 0, err
 			}
@@ -252,6 +258,10 @@
 		},
 		watch: func(ctx context.Context, after int64) (int64, error) {
 			c, revision, err := f.catalog.WatchConfig(ctx, after, f.Wait.Std())
+			if errors.Is(err, catalog.ErrUnreadable) {
+				f.notAdopted(revision, err)
+				return revision, nil
+			}
 			if err != nil {
 				return 0, err
 			}
@@ -264,6 +274,13 @@
 	})
 }
 
+// notAdopted says that the newest configuration cannot be read. The one in force
+// stays; the next change is waited for, because asking again brings the same.
+func (f *Follower) notAdopted(revision int64, err error) {
+	f.scope.Tagged(map[string]string{"kind": "configuration"}).Counter("entries_unreadable_total").Inc(1)
+	f.log.Error("the newest configuration cannot be read, the last one stays in force", zap.Uint64("version", f.version()), zap.Int64("revision", revision), eventlog.Error(err))
+}
+
 // adopt takes over a version only if it is newer than the one in force.
 // Versions come from reads, watches and peers in any order; an older one that
 // arrives late must not bring back what operators took away.
@@ -296,7 +313,13 @@
 			if err != nil {
 				return 0, err
 			}
-			f.update(f.now(), func(now time.Duration) bool { return f.set.Replace(now, l.Servers, l.Revision) })
+			f.update(f.now(), func(now time.Duration) bool {
+				for _, s := range l.Servers {
+					f.settle(s.ID)
+				}
+				f.note(l.Unreadable)
+				return f.set.Replace(now, l.Servers, l.Revision)
+			})
 			return l.Revision, nil
 		},
 		watch: func(ctx context.Context, after int64) (int64, error) {
@@ -304,7 +327,15 @@
 			if err != nil {
 				return 0, err
 			}
-			f.update(f.now(), func(now time.Duration) bool { return len(l.Changes) > 0 && f.set.Apply(now, l.Changes, l.Revision) })
+			f.update(f.now(), func(now time.Duration) bool {
+				for _, c := range l.Changes {
+					if c.Server != nil {
+						f.settle(c.ID)
+					}
+				}
+				f.note(l.Unreadable)
+				return len(l.Changes) > 0 && f.set.Apply(now, l.Changes, l.Revision)
+			})
 			return l.Revision, nil
 		},
 	})
@@ -331,6 +362,9 @@
 	if s := f.Servers(); s != nil {
 		d.ServersRevision, d.Servers = s.Revision, s.Len()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.Unreadable = maps.Clone(f.bad)
 	return d
 }
 
@@ -341,4 +375,6 @@
 	Servers         int    `json:"servers"`
 	ServersRevision int64  `json:"servers_revision"`
 	ServersAgeMS    int64  `json:"servers_age_ms"`
+	// Unreadable are the entries of servers that cannot be read, with the reason.
+	Unreadable map[string]string `json:"unreadable,omitempty"`
 }
--- a/port/catalog/catalog.go
+++ b/port/catalog/catalog.go
@@ -24,6 +24,9 @@
 	// ErrHistoryGone tells that changes since the asked revision are no longer
 	// known; the whole must be read again.
 	ErrHistoryGone = errors.New("history of changes is gone")
+	// ErrUnreadable tells that a configuration cannot be read; the revision that comes
+	// with it is the one to watch from.
+	ErrUnreadable = errors.New("configuration cannot be read")
 	// ErrNone tells that no configuration was ever accepted.
 	ErrNone = errors.New("no configuration accepted yet")
 )
@@ -32,12 +35,24 @@
 type Servers struct {
 	Servers  []backends.Server
 	Revision int64
+	// Unreadable are entries that name no server to use.
+	Unreadable []Unreadable
+}
+
+// Unreadable is an entry that cannot be read: of another writer, or cut off.
+type Unreadable struct {
+	// Name is empty if it cannot be read either.
+	Name string
+	Why  error
 }
 
 // ServerChanges leads from a revision to the next.
 type ServerChanges struct {
 	Changes  []backends.Change
 	Revision int64
+	// Unreadable are entries that changed and name no server to use any more; Changes
+	// takes them out.
+	Unreadable []Unreadable
 }
 
 // Config is a version with the revision of its last change.
