A backend server that starts again under its ID is taken for a new one

A life that is not told may be any, so nothing changes where it is absent or no whole number. Peers pass it on. Not done: loads and reservations by life.

--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -94,7 +94,7 @@
 	out := &peerpb.ServersReply{Revision: snap.Revision, AgeUs: f.ServersAge().Microseconds()}
 	for _, s := range snap.All() {
 		out.Servers = append(out.Servers, &peerpb.ListedServer{
-			Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving,
+			Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving, Life: int64(s.Life),
 		})
 	}
 	f.link.Send(to, &peerpb.Envelope{Body: &peerpb.Envelope_ServersReply{ServersReply: out}})
@@ -110,7 +110,7 @@
 	var list []backends.Server
 	for _, s := range r.Servers {
 		list = append(list, backends.Server{
-			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving,
+			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life),
 		})
 	}
 	age := time.Duration(r.AgeUs) * time.Microsecond
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -9,10 +9,17 @@
 	"time"
 )
 
-// Server is one start of a backend server. A server that starts again has
-// another ID.
+// Life tells the starts of a server under one ID apart: the Unix millisecond of its
+// start, by its own clock, or zero if that is not known.
+type Life int64
+
+// Same reports whether two lives may be one. A life that is not known may be any.
+func (l Life) Same(o Life) bool { return l == 0 || o == 0 || l == o }
+
+// Server is one life of a backend server.
 type Server struct {
 	ID         string
+	Life       Life
 	Service    string
 	Addr       string
 	DataCentre string
@@ -66,12 +73,18 @@
 type Set struct {
 	revision int64
 	byID     map[string]Server
-	leaving  map[string]time.Duration
+	leaving  map[string]departure
+}
+
+// departure is when a server said that it leaves, and in which life.
+type departure struct {
+	at   time.Duration
+	life Life
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{byID: map[string]Server{}, leaving: map[string]time.Duration{}}
+	return &Set{byID: map[string]Server{}, leaving: map[string]departure{}}
 }
 
 // Replace takes over a whole list read at a revision. An older list than the
@@ -85,8 +98,8 @@
 	for _, v := range servers {
 		s.put(now, v)
 	}
-	for id, at := range s.leaving {
-		if now-at > departedFor {
+	for id, d := range s.leaving {
+		if now-d.at > departedFor {
 			delete(s.leaving, id)
 		}
 	}
@@ -109,14 +122,18 @@
 	return true
 }
 
-// put keeps a server that once said that it is leaving in that state: a server
-// never returns from it under the same ID.
+// put keeps a server that once said that it is leaving in that state: a server never
+// returns from it in the same life. Another life of the ID is a new server, whether
+// its clock says earlier or later: lists and changes are taken in the order of the
+// store's revisions, so what comes later was written later. An entry that the old life
+// wrote late can take the new one out until its next heartbeat, which costs a second
+// of one server and sends nothing to a server that leaves.
 func (s *Set) put(now time.Duration, v Server) {
-	if _, known := s.leaving[v.ID]; known {
+	if d, known := s.leaving[v.ID]; known && d.life.Same(v.Life) {
 		v.Leaving = true
 	}
 	if v.Leaving {
-		s.leaving[v.ID] = now
+		s.leaving[v.ID] = departure{now, v.Life}
 	}
 	s.byID[v.ID] = v
 }
--- a/decide/backends/backends_test.go
+++ b/decide/backends/backends_test.go
@@ -38,4 +38,32 @@
 		_, known := set.Snapshot().Get("a")
 		Expect(known).To(BeTrue())
 	})
+
+	// A service stays without its only server for half a minute: it was emptied, crashed
+	// and started again under its ID; the memory of its leaving outlived it.
+	DescribeTable("takes another life of the ID for another server", func(left, came backends.Life, ready bool) {
+		old, next := leaving, a
+		old.Life, next.Life = left, came
+		set := backends.NewSet()
+		set.Replace(0, []backends.Server{old}, 5)
+		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &next}}, 6)
+		Expect(set.Snapshot().Ready("s")).To(HaveLen(map[bool]int{true: 1}[ready]))
+	},
+		Entry("later", backends.Life(1000), backends.Life(2000), true),
+		Entry("whose clock was stepped back", backends.Life(2000), backends.Life(1000), true),
+		Entry("but not the same one", backends.Life(1000), backends.Life(1000), false),
+		Entry("but not one that is not known", backends.Life(1000), backends.Life(0), false),
+		Entry("nor one after a life that is not known", backends.Life(0), backends.Life(1000), false),
+	)
+
+	It("loses a new life to a late entry of the old one only until the next heartbeat", func() {
+		first, second := leaving, a
+		first.Life, second.Life = 1000, 2000
+		set := backends.NewSet()
+		set.Replace(0, []backends.Server{second}, 5)
+		set.Apply(0, []backends.Change{{ID: "a", Server: &first}}, 6)
+		Expect(set.Snapshot().Ready("s")).To(BeEmpty())
+		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &second}}, 7)
+		Expect(set.Snapshot().Ready("s")).To(HaveLen(1))
+	})
 })
--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -30,6 +30,8 @@
 type Call struct {
 	// Server is the ID that must answer; another server at the address refuses.
 	Server string
+	// Life tells the starts of the server apart, see backends.Life.
+	Life   int64
 	Addr   string
 	Method string
 	// Target is the path and query exactly as the client sent them.
@@ -80,6 +82,8 @@
 // Reservation keeps memory of an engine for one request.
 type Reservation struct {
 	Server, Addr string
+	// Life tells the starts of the server apart.
+	Life int64
 	// Ticket is chosen by the caller and never used for a second request.
 	Ticket string
 	Tokens int64
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -78,7 +78,7 @@
 type pool struct {
 	tracker *health.Tracker
 	retries *retry.Window
-	known   map[string]bool
+	known   map[string]backends.Life
 	// pace is what pauses between events usually are.
 	pace health.Pace
 	// meter is the reading before the servers over the last seconds.
@@ -219,7 +219,7 @@
 	p := r.pools[service]
 	if p == nil {
 		p = &pool{
-			tracker: health.NewTracker(maxEjected, r.rand), known: map[string]bool{}, suspended: map[string]time.Duration{},
+			tracker: health.NewTracker(maxEjected, r.rand), known: map[string]backends.Life{}, suspended: map[string]time.Duration{},
 			retries: retry.NewWindow(r.RetryWindow.Std(), r.RetryRatio, 0),
 		}
 		r.pools[service] = p
@@ -246,24 +246,35 @@
 	return out, len(ready)
 }
 
-// follow makes the tracker forget servers that left.
+// follow makes the tracker forget servers that left, and what it learned of a former
+// life of one: a server that started again would stay out of rotation for failures
+// that ended with its crash.
 func (p *pool) follow(ready []backends.Server) {
-	here := make(map[string]bool, len(ready))
+	here := make(map[string]backends.Life, len(ready))
 	for _, s := range ready {
-		here[s.ID] = true
-		if !p.known[s.ID] {
+		life, known := p.known[s.ID]
+		if known && !life.Same(s.Life) {
+			p.forget(s.ID)
+			known = false
+		}
+		if !known {
 			p.tracker.Add(s.ID)
 		}
+		here[s.ID] = s.Life
 	}
 	for id := range p.known {
-		if !here[id] {
-			p.tracker.Remove(id)
-			delete(p.suspended, id)
+		if _, ready := here[id]; !ready {
+			p.forget(id)
 		}
 	}
 	p.known = here
 }
 
+func (p *pool) forget(id string) {
+	p.tracker.Remove(id)
+	delete(p.suspended, id)
+}
+
 func (r *Relay) arrived(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
