--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -468,6 +468,63 @@
 		s.store.SetFaults(storeserver.Faults{})
 	})
 
+	// All instances refuse all requests: a tool of another team wrote one entry of its
+	// own among those of the servers, which none of them could read.
+	It("serves on among entries of another writer, through an outage and a restart", func() {
+		spoil := func(kind, name string) { Expect(s.store.Put(kind, name, []any{"not", "ours"})).To(Succeed()) }
+		serves := func(step string) {
+			for i := range 3 {
+				resp, _ := attempt{path: "/look/1", id: fmt.Sprint("other-", step, i), key: "k1"}.send(i)
+				Expect(resp.StatusCode).To(Equal(200), "%s at instance %d", step, i)
+			}
+		}
+		for i := range 5 {
+			spoil("servers", fmt.Sprint("a-tool-", i))
+			spoil("auburnmoor-entries", fmt.Sprint("a-tool-", i))
+		}
+		serves("new entries")
+		s.store.SetFaults(storeserver.Faults{Down: true})
+		time.Sleep(300 * time.Millisecond)
+		serves("outage")
+		s.store.SetFaults(storeserver.Faults{ForgetHistory: true})
+		s.signal("entry-2", syscall.SIGTERM)
+		s.wait("entry-2")
+		s.entry(2)
+		Eventually(func() int { return call("GET", "http://"+estateAddr(302)+"/readiness", "").status }, "15s", "50ms").Should(Equal(200))
+		serves("restart")
+		for i := range 5 {
+			s.store.Delete("servers", fmt.Sprint("a-tool-", i))
+			s.store.Delete("auburnmoor-entries", fmt.Sprint("a-tool-", i))
+		}
+	})
+
+	It("uses a server again whose entry was spoilt, and one that starts again under its ID", func() {
+		seen := func(n int) func() bool {
+			return func() bool {
+				before := len(s.plain[n].Seen())
+				for i := range 6 {
+					_, _ = attempt{path: "/look/1", id: fmt.Sprint("again-", time.Now().UnixNano(), i), key: "k1"}.send(i % 3)
+				}
+				return len(s.plain[n].Seen()) > before
+			}
+		}
+		Expect(s.store.Put("servers", "p1", map[string]any{"state": 7})).To(Succeed())
+		Eventually(seen(1), "3s", "50ms").Should(BeFalse())
+		s.announce("p1", "registry", s.plain[1].Addr(), "ready")
+		Eventually(seen(1), "3s", "50ms").Should(BeTrue())
+		life := func(state string, born int) {
+			Expect(s.store.Put("servers", "p0", map[string]any{
+				"service": "registry", "address": s.plain[0].Addr(), "zone": "dc-0", "slots": 4, "state": state, "born": born,
+			})).To(Succeed())
+		}
+		life("draining", 1000)
+		Eventually(seen(0), "3s", "50ms").Should(BeFalse())
+		life("ready", 1000)
+		Consistently(seen(0), "1s", "50ms").Should(BeFalse())
+		life("ready", 2000)
+		Eventually(seen(0), "3s", "50ms").Should(BeTrue())
+	})
+
 	// Long prompts wait though the engines are idle: the work of a request that had
 	// ended was never taken off, and all instances went on counting it.
 	It("counts no work when nothing is in progress", func() {
