--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -474,7 +474,7 @@
 		spoil := func(kind, name string) { Expect(s.store.Put(kind, name, []any{"not", "ours"})).To(Succeed()) }
 		serves := func(step string) {
 			for i := range 3 {
-				resp, _ := attempt{path: "/look/1", id: fmt.Sprint("other-", step, i), key: "k1"}.send(i)
+				resp, _ := attempt{path: "/look/1", id: fmt.Sprint("other-", step, i, time.Now().UnixNano()), key: "k1"}.send(i)
 				Expect(resp.StatusCode).To(Equal(200), "%s at instance %d", step, i)
 			}
 		}
@@ -492,6 +492,14 @@
 		s.entry(2)
 		Eventually(func() int { return call("GET", "http://"+estateAddr(302)+"/readiness", "").status }, "15s", "50ms").Should(Equal(200))
 		serves("restart")
+		// Changes are still seen; among idle servers the first by name is used.
+		fresh := s.server("a9", "registry", workerserver.Config{})
+		Eventually(func() int {
+			serves("new server")
+			return len(fresh.Seen())
+		}, "5s", "50ms").Should(BeNumerically(">", 0))
+		s.store.Delete("servers", "a9")
+		DeferCleanup(fresh.Close)
 		for i := range 5 {
 			s.store.Delete("servers", fmt.Sprint("a-tool-", i))
 			s.store.Delete("auburnmoor-entries", fmt.Sprint("a-tool-", i))
