--- a/decide/spread/turn_test.go
+++ b/decide/spread/turn_test.go
@@ -17,6 +17,11 @@
 var _ = Describe("prompts held back at several instances", func() {
 	turn := func(id string, tokens int64) spread.Turn { return spread.Turn{Request: id, Weight: tokens} }
 
+	// place is the turn of a prompt that has waited, at the time zero.
+	place := func(id string, tokens int64, waited time.Duration) spread.Turn {
+		return spread.TurnOf(engine, id, tokens, -waited, 4*time.Second)
+	}
+
 	held := func(t spread.Turn) spread.Waiting { return spread.Waiting{First: t, Held: true} }
 
 	It("go one after the other, the smaller first", func() {
@@ -52,9 +57,6 @@
 	// A prompt of 280,000 tokens is refused after three seconds: at any moment one of
 	// 75 instances holds a smaller one, however short it has waited.
 	It("let one go that has waited long before a smaller one that just came", func() {
-		place := func(id string, tokens int64, waited time.Duration) spread.Turn {
-			return spread.TurnOf(engine, id, tokens, -waited, 4*time.Second)
-		}
 		a := spread.NewQueue()
 		a.Report(0, "b", held(place("y", 200_000, 0)))
 		Expect(a.Behind(0, place("x", 280_000, 300*time.Millisecond))).To(BeTrue())
@@ -76,9 +78,6 @@
 	// The largest prompts of all are refused while smaller ones that no engine can hold
 	// either go first.
 	It("let prompts larger than an engine go by their arrival", func() {
-		place := func(id string, tokens int64, waited time.Duration) spread.Turn {
-			return spread.TurnOf(engine, id, tokens, -waited, 4*time.Second)
-		}
 		a := spread.NewQueue()
 		a.Report(0, "b", held(place("y", 320_000, 0)))
 		Expect(a.Behind(0, place("x", 600_000, 10*time.Millisecond))).To(BeFalse())
