The age of a heartbeat counts as silence only where members hear from each other directly

Cause: with an age, silence is the wait for news and the time that it took; the allowance by gossip alone was set for the first. On the users' platform a message a second comes from each member itself, so nothing changes there.

--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -152,7 +152,7 @@
 	if visible {
 		e.changedAt = now
 	}
-	heard := now - age(s)
+	heard := t.since(now, s)
 	if s.Incarnation == e.state.Incarnation {
 		heard = max(heard, e.heard)
 	}
@@ -176,12 +176,20 @@
 	visible := !t.alive(now, e) || (s.Leaving && !e.state.Leaving)
 	full := cloneState(e.state)
 	full.Heartbeat, full.Leaving = s.Heartbeat, e.state.Leaving || s.Leaving
-	e.state, e.heard = full, max(e.heard, now-age(s))
+	e.state, e.heard = full, max(e.heard, t.since(now, s))
 	return visible
 }
 
-// age is how old the heartbeat of an entry was when it was sent.
-func age(s *peerpb.MemberState) time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+// since is when silence begins for an entry that comes now. Where members hear from
+// each other directly, that is when its heartbeat was new: late news of one that is
+// gone must not keep it. By gossip alone the time that news takes is part of what
+// FailAfter allows; with its age as well, live members of 100 were given up.
+func (t *Table) since(now time.Duration, s *peerpb.MemberState) time.Duration {
+	if t.cfg.FailMost <= 0 {
+		return now
+	}
+	return now - time.Duration(s.AgeMs)*time.Millisecond
+}
 
 // Heard notes a message that came from a member itself. In a fleet of 75 gossip
 // brings some heartbeats only after two to three seconds, and each instance would have
