--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -246,37 +246,33 @@
 		name: "configuration",
 		read: func(ctx context.Context) (int64, error) {
 			c, err := f.catalog.Config(ctx)
-			if errors.Is(err, catalog.ErrUnreadable) {
-				f.notAdopted(c.Revision, err)
-				return c.Revision, nil
-			}
-			if err != nil {
-				return 0, err
-			}
-			f.adopt(c, "store")
-			f.configHeard.Store(int64(f.now()))
-			return c.Revision, nil
+			return f.takeConfig(&c, c.Revision, err)
 		},
 		watch: func(ctx context.Context, after int64) (int64, error) {
-			c, revision, err := f.catalog.WatchConfig(ctx, after, f.Wait.Std())
-			if errors.Is(err, catalog.ErrUnreadable) {
-				f.notAdopted(revision, err)
-				return revision, nil
-			}
-			if err != nil {
-				return 0, err
-			}
-			if c != nil {
-				f.adopt(*c, "store")
-			}
-			f.configHeard.Store(int64(f.now()))
-			return revision, nil
+			return f.takeConfig(f.catalog.WatchConfig(ctx, after, f.Wait.Std()))
 		},
 	})
 }
 
-// notAdopted says that the newest configuration cannot be read. The one in force
-// stays; the next change is waited for, because asking again brings the same.
+// takeConfig takes over what the store tells, nil if nothing changed, and returns the
+// revision to watch from. While the newest configuration cannot be read the one in
+// force stays, and the next change is waited for: asking again brings the same.
+func (f *Follower) takeConfig(c *catalog.Config, revision int64, err error) (int64, error) {
+	if errors.Is(err, catalog.ErrUnreadable) {
+		f.notAdopted(revision, err)
+		return revision, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if c != nil {
+		f.adopt(*c, "store")
+	}
+	f.configHeard.Store(int64(f.now()))
+	return revision, nil
+}
+
+// notAdopted says that the newest configuration cannot be read.
 func (f *Follower) notAdopted(revision int64, err error) {
 	f.scope.Tagged(map[string]string{"kind": "configuration"}).Counter("entries_unreadable_total").Inc(1)
 	f.log.Error("the newest configuration cannot be read, the last one stays in force", zap.Uint64("version", f.version()), zap.Int64("revision", revision), eventlog.Error(err))
--- a/decide/spread/hold.go
+++ b/decide/spread/hold.go
@@ -66,7 +66,7 @@
 }
 
 func (c *chooser) late() bool {
-	return Late(c.engine, c.req.Prompt, c.req.Waited, c.req.Useful)
+	return c.req.Useful > 0 && c.req.Waited > lateAfter(c.engine, c.req.Prompt, c.req.Useful)
 }
 
 // leastAnswer is the share of a usual answer that is written at least. Answers to
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -264,10 +264,10 @@
 // usable is the memory of an engine that is given out.
 func usable(e *route.Engine) int64 { return int64(memoryShare * float64(e.Memory)) }
 
-// Late reports whether a prompt that waited for a time cannot have its first
-// event within useful any more, read by as many engines as can share it.
-func Late(e *route.Engine, prompt int64, waited, useful time.Duration) bool {
-	return useful > 0 && waited+ReadTime(e, prompt)/(maxHelpers+1) > useful
+// lateAfter is the wait after which a prompt cannot have its first event within
+// useful any more, read by as many engines as can share it.
+func lateAfter(e *route.Engine, prompt int64, useful time.Duration) time.Duration {
+	return useful - ReadTime(e, prompt)/(maxHelpers+1)
 }
 
 // Short reports whether a prompt is answered by engines that write short answers
--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -19,7 +19,7 @@
 	// Since is when the prompt came, by the clock of the instance that compares.
 	Since time.Duration
 	// Useful is the time within which its first event should come, LateAfter the wait
-	// after which that cannot be any more; zero if there is no such time.
+	// after which that cannot be any more; both are zero if there is no such time.
 	Useful, LateAfter time.Duration
 }
 
@@ -38,8 +38,7 @@
 func TurnOf(e *route.Engine, request string, prompt int64, since, useful time.Duration) Turn {
 	t := Turn{Request: request, Weight: weight(e, prompt), Since: since, Useful: useful}
 	if useful > 0 {
-		// A prompt that was late when it came has waited too long from the beginning.
-		t.LateAfter = max(1, useful-ReadTime(e, prompt)/(maxHelpers+1))
+		t.LateAfter = lateAfter(e, prompt, useful)
 	}
 	return t
 }
