--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/decide/backends"
 )
 
 // Port is the name under which a module provides the client.
@@ -30,8 +31,8 @@
 type Call struct {
 	// Server is the ID that must answer; another server at the address refuses.
 	Server string
-	// Life tells the starts of the server apart, see backends.Life.
-	Life   int64
+	// Life tells the starts of the server apart.
+	Life   backends.Life
 	Addr   string
 	Method string
 	// Target is the path and query exactly as the client sent them.
@@ -83,7 +84,7 @@
 type Reservation struct {
 	Server, Addr string
 	// Life tells the starts of the server apart.
-	Life int64
+	Life backends.Life
 	// Ticket is chosen by the caller and never used for a second request.
 	Ticket string
 	Tokens int64
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -290,7 +290,7 @@
 func (x *exchange) call(plan spread.Plan, res *reservations) backend.Call {
 	w := plan.Writer()
 	c := backend.Call{
-		Server: w.ID, Life: int64(w.Life), Addr: w.Addr, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: x.req.Header, Body: x.req.Body,
+		Server: w.ID, Life: w.Life, Addr: w.Addr, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: x.req.Header, Body: x.req.Body,
 		RequestID: x.req.ID, Customer: x.customer, Left: x.left(), Rank: x.rank, ResumeAfter: x.req.ResumeAfter,
 	}
 	if x.events.lastRaw != "" {
--- a/serve/relay/reserve.go
+++ b/serve/relay/reserve.go
@@ -53,7 +53,7 @@
 	for i, p := range plan.Parts {
 		if p.Reserve > 0 {
 			r.all = append(r.all, backend.Reservation{
-				Server: p.Server.ID, Life: int64(p.Server.Life), Addr: p.Server.Addr, Tokens: p.Reserve, Hold: holdFor,
+				Server: p.Server.ID, Life: p.Server.Life, Addr: p.Server.Addr, Tokens: p.Reserve, Hold: holdFor,
 				Ticket: x.req.ID + "-" + strconv.Itoa(len(x.avoid)) + "-" + strconv.Itoa(i),
 			})
 		}
