A few instances watch the store, the others are told what changes

Cause: every instance watched the configuration and the servers with waits of two seconds; each pause and each change cost two calls of every instance.

Now one instance of each data centre watches, five at least, by weighted rendezvous hashing over the member list (decide/watch). A watch waits as long as the bounds on configuration and leaving servers allow. Changes go down a tree over the data centre; gossip tells versions, digests and how old the word of those that watch is. Others take over one a second when it is too old. A start reads once, stale if need be. Only those that watch put themselves into the list of instances.

--- a/control/config/config.go
+++ b/control/config/config.go
@@ -92,7 +92,7 @@
 	c.defaults()
 	c.self, c.log, c.store = ctx.Self.Name, ctx.Log, p.Store()
 	c.news = make(chan string, 1)
-	c.mem.CarryConfig(c.version.Load, c.heard)
+	c.mem.Carry(func(g *peerpb.Gossip) { g.ConfigVersion = c.version.Load() })
 	c.link.Handle(c.receive)
 	return nil
 }
@@ -155,6 +155,8 @@
 	switch b := env.Body.(type) {
 	case *peerpb.Envelope_ConfigRequest:
 		c.reply(from, b.ConfigRequest)
+	case *peerpb.Envelope_Gossip:
+		c.heard(from, b.Gossip.ConfigVersion)
 	case *peerpb.Envelope_ConfigReply:
 		if c.adopt(b.ConfigReply.Version, b.ConfigReply.Content) {
 			c.fromPeer.Add(1)
--- a/control/follow/follow_test.go
+++ b/control/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,6 +28,21 @@
 func start(store string) *follow.Follower { return startAt(store, "e", firstPeer) }
 
 func startAt(store, name, peerAddr string) *follow.Follower {
+	return startIn(store, name, peerAddr, firstPeer)
+}
+
+// running ends the processes of the present test.
+var running []func()
+
+// stopAll ends the processes that the present test started so far.
+func stopAll() {
+	for _, stop := range running {
+		stop()
+	}
+	running = nil
+}
+
+func startIn(store, name, peerAddr, seed string) *follow.Follower {
 	f, err := settings.Parse("f", []byte(fmt.Sprintf(`
 [instance]
 name = %q
@@ -38,18 +54,22 @@
 modules = ["platform.client", "control.catalog"]
 [platform.client]
 store = %q
-seeds = "127.0.0.1:19800"
+seeds = %q
 [control.catalog]
 wait = "200ms"
-`, name, peerAddr, store)))
+[control.members]
+few_listed = true
+gossip = "200ms"
+`, name, peerAddr, store, seed)))
 	Expect(err).NotTo(HaveOccurred())
 	p, err := process.New(f, zap.NewNop())
 	Expect(err).NotTo(HaveOccurred())
 	Expect(p.Start(context.Background())).To(Succeed())
-	DeferCleanup(func() {
+	running = append(running, sync.OnceFunc(func() {
 		Expect(p.Stop(context.Background())).To(Succeed())
 		Expect(p.Close()).To(Succeed())
-	})
+	}))
+	DeferCleanup(stopAll)
 	return p.Module(follow.ID).(*follow.Follower)
 }
 
@@ -120,7 +140,7 @@
 		srv.SetFaults(storeserver.Faults{ForgetHistory: true})
 		Eventually(ready(fol), "5s", "10ms").Should(BeZero())
 		Eventually(version(fol), "5s", "10ms").Should(Equal(uint64(11)))
-		Eventually(func() time.Duration { return fol.ServersAge() }, "3s", "10ms").Should(BeNumerically("<", 500*time.Millisecond))
+		Eventually(func() time.Duration { return fol.Age() }, "3s", "10ms").Should(BeNumerically("<", 500*time.Millisecond))
 	},
 		Entry("an outage", storeserver.Faults{Down: true}),
 		Entry("silence", storeserver.Faults{Silent: true}),
@@ -141,7 +161,7 @@
 		second := startAt(down.Addr(), "f", "127.0.0.1:19801")
 		Eventually(ready(second), "10s", "10ms").Should(Equal(1))
 		Eventually(version(second), "10s", "10ms").Should(Equal(uint64(3)))
-		Expect(second.ServersAge()).To(BeNumerically("<", 5*time.Second))
+		Expect(second.Age()).To(BeNumerically("<", 5*time.Second))
 
 		server("a", "draining")
 		Eventually(ready(first), "3s", "5ms").Should(BeZero())
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -5,47 +5,151 @@
 	"math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/auburnmoor/auburnmoor/decide/backends"
-	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
-// askPeers fetches a version that a peer holds and the store did not tell in
-// time. An instance that the store turns away stays up to date that way.
+const (
+	// askPeerAfter is the time that the store and the instances that watch it get to
+	// tell of what a peer has already, before the peer is asked for it.
+	askPeerAfter = 300 * time.Millisecond
+	// mostTold bounds the instances that watch of which one message tells.
+	mostTold = 8
+	// askServersEvery is how often a peer is asked for the list of servers while
+	// this instance holds none.
+	askServersEvery = 500 * time.Millisecond
+)
+
+// offer is something newer that a peer holds.
+type offer struct {
+	peer     string
+	version  uint64
+	revision int64
+	digest   uint64
+}
+
+// tell adds to a round of gossip what this instance holds and knows of those that watch.
+func (f *Follower) tell(g *peerpb.Gossip) {
+	g.ConfigVersion = f.version()
+	if s := f.Servers(); s != nil {
+		g.ServersRevision, g.ServersDigest = s.Revision, s.Digest
+	}
+	now := f.now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.news.Newest(now, mostTold) {
+		g.Confirmed = append(g.Confirmed, &peerpb.Confirmation{By: h.By, AgeMs: uint32(max(0, now-h.At).Milliseconds())})
+	}
+}
+
+// hear takes over what a peer's gossip says of the store.
+func (f *Follower) hear(from string, g *peerpb.Gossip) {
+	o := offer{peer: from, version: g.ConfigVersion, revision: g.ServersRevision, digest: g.ServersDigest}
+	f.mu.Lock()
+	now := f.now()
+	newest := time.Duration(0)
+	for _, c := range g.Confirmed {
+		at := now - time.Duration(c.AgeMs)*time.Millisecond
+		f.news.Note(watch.Heard{By: c.By, At: at})
+		newest = max(newest, at)
+	}
+	f.mu.Unlock()
+	if f.lacks(o) {
+		f.newer.Offer(o)
+		return
+	}
+	f.confirm(newest)
+}
+
+// lacks reports whether a peer holds something newer.
+func (f *Follower) lacks(o offer) bool { return o.version > f.version() || f.lacksServers(o) }
+
+func (f *Follower) lacksServers(o offer) bool {
+	s := f.Servers()
+	return o.revision > 0 && (s == nil || o.revision > s.Revision && o.digest != s.Digest)
+}
+
+// confirm notes that what is held was the newest at a time.
+func (f *Follower) confirm(at time.Duration) {
+	for {
+		old := f.confirmed.Load()
+		if int64(at) <= old || f.confirmed.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// heardFromStore notes the answer to a watch, or to a read of the newest state.
+func (f *Follower) heardFromStore(what string, err error) {
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.direct[what] = f.now()
+	at := min(f.direct[whatConfig], f.direct[whatServers])
+	if at > 0 {
+		f.news.Note(watch.Heard{By: f.name, At: at})
+		f.confirm(at)
+	}
+}
+
+// askPeers fetches what a peer holds and this instance was not told in time. One that
+// was frozen, cut off, or is new stays up to date that way.
 func (f *Follower) askPeers(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case c := <-f.inbox.C():
-			f.adopt(c, "peer")
-		case v := <-f.heard.C():
-			wait.For(ctx, askPeerAfter)
-			if v.version > f.version() {
-				f.link.Send(v.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: f.version()}}})
-			}
+			f.adoptFromPeer(c)
+		case o := <-f.newer.C():
+			f.fetch(ctx, o)
+		}
+	}
+}
+
+// fetch asks a peer for what is still lacking after a while.
+func (f *Follower) fetch(ctx context.Context, o offer) {
+	if !f.lacks(o) {
+		return
+	}
+	if f.Ready() {
+		wait.For(ctx, askPeerAfter)
+	}
+	f.drainInbox()
+	if o.version > f.version() {
+		f.scope.Counter("config_asked_total").Inc(1)
+		f.link.Send(o.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: f.version()}}})
+	}
+	if f.lacksServers(o) {
+		f.askForServers(o.peer)
+	}
+}
+
+// drainInbox takes over what came while this instance waited.
+func (f *Follower) drainInbox() {
+	for {
+		select {
+		case c := <-f.inbox.C():
+			f.adoptFromPeer(c)
+		default:
+			return
 		}
 	}
 }
 
 func (f *Follower) receive(from string, env *peerpb.Envelope) {
 	switch {
+	case env.GetGossip() != nil:
+		f.hear(from, env.GetGossip())
 	case env.GetConfigRequest() != nil:
-		raw := f.raw.Load()
-		if raw == nil || f.version() <= env.GetConfigRequest().HaveVersion {
-			return
+		if f.version() > env.GetConfigRequest().HaveVersion {
+			f.passConfig([]string{from})
 		}
-		f.link.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: &peerpb.ConfigReply{Version: f.version(), Content: *raw}}})
 	case env.GetConfigReply() != nil:
-		c, err := f.catalog.Decode(env.GetConfigReply().Content)
-		if err != nil {
-			f.log.Warn("configuration from a peer cannot be read", zap.String("peer", from), eventlog.Error(err))
-			return
-		}
-		f.inbox.Offer(c)
+		f.inbox.Offer(configFrom{from, env.GetConfigReply()})
 	case env.GetServersRequest() != nil:
 		f.tellServers(from, env.GetServersRequest().HaveRevision)
 	case env.GetServersReply() != nil:
@@ -53,69 +157,29 @@
 	}
 }
 
-// askServersEvery is how often a peer is asked for the list of servers while
-// the store does not tell it. A leaving server must be known within 2 s.
-const askServersEvery = 500 * time.Millisecond
-
-// askServers asks one peer after the other for the list of servers while the
-// store does not answer this instance. Without that an instance that starts
-// during an outage serves nothing until it ends, and one that the store turns
-// away goes on sending to servers that leave.
+// askServers asks one peer after the other for the list of servers while this instance
+// holds none. Without that an instance that starts during an outage of the store serves
+// nothing until it ends.
 func (f *Follower) askServers(ctx context.Context) {
-	wait.Every(ctx, askServersEvery, f.askForServers)
+	wait.Every(ctx, askServersEvery, func() {
+		peers := f.members.Peers()
+		if f.Servers() == nil && len(peers) > 0 {
+			f.askForServers(peers[rand.IntN(len(peers))])
+		}
+	})
 }
 
-func (f *Follower) askForServers() {
-	if f.Servers() != nil && !f.storeFailing.Load() {
-		return
-	}
-	peers := f.members.Peers()
-	if len(peers) == 0 {
-		return
-	}
-	f.link.Send(peers[rand.IntN(len(peers))], &peerpb.Envelope{Body: &peerpb.Envelope_ServersRequest{
+func (f *Follower) askForServers(peer string) {
+	f.scope.Counter("servers_asked_total").Inc(1)
+	f.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_ServersRequest{
 		ServersRequest: &peerpb.ServersRequest{HaveRevision: f.serversRevision()},
 	}})
 }
 
-// serversRevision is that of the list held, or -1.
-func (f *Follower) serversRevision() int64 {
-	if s := f.Servers(); s != nil {
-		return s.Revision
-	}
-	return -1
-}
-
 func (f *Follower) tellServers(to string, have int64) {
 	snap := f.Servers()
-	if snap == nil || snap.Revision < have {
-		return
-	}
-	out := &peerpb.ServersReply{Revision: snap.Revision, AgeUs: f.ServersAge().Microseconds()}
-	for _, s := range snap.All() {
-		out.Servers = append(out.Servers, &peerpb.ListedServer{
-			Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving, Life: int64(s.Life),
-		})
-	}
-	f.link.Send(to, &peerpb.Envelope{Body: &peerpb.Envelope_ServersReply{ServersReply: out}})
-}
-
-// adoptServers takes over a peer's list if it is newer than the one held. The
-// same list confirms the one held as of the peer's last word from the store.
-func (f *Follower) adoptServers(from string, r *peerpb.ServersReply) {
-	have := f.serversRevision()
-	if r.Revision < have {
+	if snap == nil || snap.Revision <= have {
 		return
 	}
-	var list []backends.Server
-	for _, s := range r.Servers {
-		list = append(list, backends.Server{
-			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life),
-		})
-	}
-	age := time.Duration(r.AgeUs) * time.Microsecond
-	f.update(f.now()-age, func(now time.Duration) bool { return r.Revision > have && f.set.Replace(now, list, r.Revision) })
-	if r.Revision > have {
-		f.log.Info("backend servers from a peer", zap.String("peer", from), zap.Int64("revision", r.Revision), zap.Duration("age", age))
-	}
+	f.passServers([]string{to}, wholeList(snap, f.Age()))
 }
--- /dev/null
+++ b/control/follow/servers.go
@@ -0,0 +1,171 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/catalog"
+)
+
+func (f *Follower) followServers(ctx context.Context) {
+	f.follow(ctx, source{
+		name: whatServers,
+		held: func() (int64, bool) { return f.serversRevision(), f.Servers() != nil },
+		read: func(ctx context.Context, staleOK bool) (int64, error) {
+			l, err := f.catalog.Servers(ctx, staleOK)
+			if err != nil {
+				return 0, err
+			}
+			f.takeServers(l)
+			return l.Revision, nil
+		},
+		watch: func(ctx context.Context, after int64) (int64, error) {
+			l, err := f.catalog.WatchServers(ctx, after, f.Wait.Std())
+			if err != nil {
+				return 0, err
+			}
+			f.takeChanges(l)
+			return l.Revision, nil
+		},
+	})
+}
+
+// takeServers takes over the whole list as the store tells it.
+func (f *Follower) takeServers(l catalog.Servers) {
+	before := f.Servers()
+	changed := f.update("store", func(now time.Duration) bool {
+		f.noteUnreadable(func(string) bool { return true }, l.Unreadable)
+		return f.set.Replace(now, l.Servers, l.Revision)
+	})
+	if changed && before != nil {
+		f.passServers(f.members.Standing().First(), wholeList(f.Servers(), f.Age()))
+	}
+}
+
+// takeChanges takes over what the store tells of changes.
+func (f *Follower) takeChanges(l catalog.ServerChanges) {
+	if len(l.Changes) == 0 {
+		return
+	}
+	before := f.Servers()
+	changed := f.update("store", func(now time.Duration) bool {
+		f.noteUnreadable(changedIn(l.Changes), l.Unreadable)
+		return f.set.Apply(now, l.Changes, l.Revision)
+	})
+	if changed {
+		f.passServers(f.members.Standing().First(), changedList(before, l))
+	}
+}
+
+// changedIn reports whether an entry is among changes.
+func changedIn(changes []backends.Change) func(id string) bool {
+	return func(id string) bool {
+		return slices.ContainsFunc(changes, func(c backends.Change) bool { return c.ID == id })
+	}
+}
+
+// update changes the list of servers and publishes it if it changed.
+func (f *Follower) update(from string, change func(now time.Duration) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !change(f.now()) {
+		return false
+	}
+	snap := f.set.Snapshot()
+	f.servers.Store(snap)
+	f.log.Info("backend servers changed", zap.String("from", from), zap.Int64("revision", snap.Revision), zap.Int("servers", snap.Len()))
+	f.changed()
+	return true
+}
+
+// serversRevision is that of the list held, or -1.
+func (f *Follower) serversRevision() int64 {
+	if s := f.Servers(); s != nil {
+		return s.Revision
+	}
+	return -1
+}
+
+// passServers sends a list, or changes, to peers.
+func (f *Follower) passServers(to []string, r *peerpb.ServersReply) {
+	for _, peer := range to {
+		f.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_ServersReply{ServersReply: r}})
+	}
+}
+
+// adoptServers takes over a peer's list, or its changes, if they are newer than what is
+// held, and passes them on in turn. Changes that do not follow on what is held are not
+// taken over: the whole list is asked for. Changes that go back further than what is
+// held lead to the same list, since each tells the last state of a server.
+func (f *Follower) adoptServers(from string, r *peerpb.ServersReply) {
+	held := f.Servers()
+	if held != nil && r.Revision <= held.Revision {
+		return
+	}
+	if r.Changes && (held == nil || held.Revision < r.After && held.Digest != r.AfterDigest) {
+		f.scope.Counter("servers_gaps_total").Inc(1)
+		f.askForServers(from)
+		return
+	}
+	taken := f.update(from, func(now time.Duration) bool {
+		if r.Changes {
+			return f.set.Apply(now, changesOf(r), r.Revision)
+		}
+		return f.set.Replace(now, serversOf(r), r.Revision)
+	})
+	if taken && held != nil {
+		f.passServers(f.members.Standing().Next(), r)
+	}
+}
+
+func wholeList(snap *backends.Snapshot, age time.Duration) *peerpb.ServersReply {
+	out := &peerpb.ServersReply{Revision: snap.Revision, AgeUs: age.Microseconds()}
+	for _, s := range snap.All() {
+		out.Servers = append(out.Servers, listed(s))
+	}
+	return out
+}
+
+func changedList(before *backends.Snapshot, l catalog.ServerChanges) *peerpb.ServersReply {
+	out := &peerpb.ServersReply{Revision: l.Revision, Changes: true, After: before.Revision, AfterDigest: before.Digest}
+	for _, c := range l.Changes {
+		if c.Server == nil {
+			out.Gone = append(out.Gone, c.ID)
+		} else {
+			out.Servers = append(out.Servers, listed(*c.Server))
+		}
+	}
+	return out
+}
+
+func changesOf(r *peerpb.ServersReply) []backends.Change {
+	var out []backends.Change
+	for _, id := range r.Gone {
+		out = append(out, backends.Change{ID: id})
+	}
+	for _, s := range serversOf(r) {
+		out = append(out, backends.Change{ID: s.ID, Server: &s})
+	}
+	return out
+}
+
+func serversOf(r *peerpb.ServersReply) []backends.Server {
+	var out []backends.Server
+	for _, s := range r.Servers {
+		out = append(out, backends.Server{
+			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life),
+		})
+	}
+	return out
+}
+
+func listed(s backends.Server) *peerpb.ListedServer {
+	return &peerpb.ListedServer{
+		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving, Life: int64(s.Life),
+	}
+}
--- a/control/follow/unreadable.go
+++ b/control/follow/unreadable.go
@@ -19,9 +19,9 @@
 // logged once and not with every read of the list.
 type unreadable map[string]string
 
-// note logs entries whose reason is new and forgets those that were read since; f.mu
+// noteUnreadable logs entries whose reason is new and forgets those that were read since; f.mu
 // is held.
-func (f *Follower) note(read func(name string) bool, bad []catalog.Unreadable) {
+func (f *Follower) noteUnreadable(read func(name string) bool, bad []catalog.Unreadable) {
 	still := unreadable{}
 	for _, u := range bad {
 		f.scope.Tagged(map[string]string{"kind": "server"}).Counter("entries_unreadable_total").Inc(1)
--- a/control/follow/unreadable_test.go
+++ b/control/follow/unreadable_test.go
@@ -24,17 +24,17 @@
 			}
 			return out
 		}
-		f.note(all, bad("a", "b"))
+		f.noteUnreadable(all, bad("a", "b"))
 		Expect(f.bad).To(HaveLen(2))
 		Expect(len(f.bad["a"])).To(BeNumerically("<=", mostText))
-		f.note(changed([]backends.Change{{ID: "a"}}), nil)
+		f.noteUnreadable(changedIn([]backends.Change{{ID: "a"}}), nil)
 		Expect(f.bad).To(HaveLen(1))
-		f.note(changed([]backends.Change{{ID: "c"}}), bad("c"))
+		f.noteUnreadable(changedIn([]backends.Change{{ID: "c"}}), bad("c"))
 		Expect(f.bad).To(HaveLen(2))
-		f.note(all, bad("b"))
+		f.noteUnreadable(all, bad("b"))
 		Expect(f.bad).To(HaveLen(1))
 		for i := range 300 {
-			f.note(changed(nil), bad(strings.Repeat("n", i+1)))
+			f.noteUnreadable(changedIn(nil), bad(strings.Repeat("n", i+1)))
 		}
 		Expect(len(f.bad)).To(BeNumerically("<=", mostUnreadable))
 	})
--- /dev/null
+++ b/control/follow/watch.go
@@ -0,0 +1,195 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/retry"
+	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
+	"github.com/auburnmoor/auburnmoor/port/catalog"
+)
+
+// Times of the calls to the store.
+const (
+	// readTimeout bounds a read of the whole.
+	readTimeout = 1500 * time.Millisecond
+	// Pauses after a failed call; drawn, so that the instances do not return to
+	// a store that was down all at once. Servers whose entries lapsed meanwhile are
+	// back two seconds after the store.
+	firstPause, longestPause = 50 * time.Millisecond, time.Second
+	// othersPause is the longest pause of an instance that others tell what it needs.
+	othersPause = 3 * time.Second
+	// settleFor is how long an instance that starts lives on what it read first. Gossip
+	// tells it meanwhile who else lives; before that each takes itself for the only one.
+	settleFor = 1500 * time.Millisecond
+	// dutyEvery is how often an instance looks whether it is to watch.
+	dutyEvery = 100 * time.Millisecond
+	// Changes that follow a change are gathered into one call for gatherFor, and longer
+	// up to gatherMost as long as they go on. When servers start or are replaced one
+	// after the other each changes its entry several times; a server that leaves may be
+	// sent requests for two seconds.
+	gatherFor, gatherMost = 100 * time.Millisecond, 500 * time.Millisecond
+)
+
+// The two things that are followed, as logs and metrics name them.
+const (
+	whatServers = "servers"
+	whatConfig  = "configuration"
+)
+
+// source is one of the two, as its loop sees it.
+type source struct {
+	name string
+	// held returns the revision up to which the content held is the newest, and whether
+	// any is held.
+	held func() (int64, bool)
+	// read takes over the whole and returns its revision; what it was some seconds ago
+	// will do if staleOK.
+	read func(ctx context.Context, staleOK bool) (int64, error)
+	// watch takes over what changed after a revision.
+	watch func(context.Context, int64) (int64, error)
+}
+
+// watcher is the state of one source's loop.
+type watcher struct {
+	source
+	rand *rand.Rand
+	// revision is the last one at which the store answered this instance.
+	revision int64
+	// gap tells that the history after revision is gone and the whole must be read.
+	gap, watching bool
+	failures      int
+	// gather is how long the next changes are gathered, zero after a watch without any.
+	gather time.Duration
+}
+
+// follow reads the whole once, then watches from there as long as that is this
+// instance's duty. After a gap in the history it reads the whole again. A watch that
+// failed or went silent is asked again from the same revision, over another connection.
+func (f *Follower) follow(ctx context.Context, s source) {
+	w := &watcher{source: s, rand: rand.New(rand.NewPCG(rand.Uint64(), 1))}
+	for ctx.Err() == nil {
+		due := f.due()
+		f.noteDuty(w, due)
+		began := w.revision
+		err := f.turn(ctx, w, due)
+		switch {
+		case err == nil:
+			f.regained(s.name, w.failures)
+			w.failures = 0
+			if due {
+				w.pace(ctx, w.revision > began)
+			}
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, catalog.ErrHistoryGone):
+			f.log.Info("history of changes is gone, reading the whole again", zap.String("what", s.name), zap.Int64("revision", w.revision))
+			w.gap = true
+		default:
+			f.lost(s.name, w.failures, err)
+			w.failures++
+			wait.For(ctx, retry.Backoff(w.rand, firstPause, f.longestPause(), w.failures))
+		}
+	}
+}
+
+// pace waits after changes, so that more of them come with the next call.
+func (w *watcher) pace(ctx context.Context, changed bool) {
+	if !changed {
+		w.gather = 0
+		return
+	}
+	w.gather = min(max(gatherFor, 2*w.gather), gatherMost)
+	wait.For(ctx, w.gather)
+}
+
+// turn makes the call that is due, or pauses if none is.
+func (f *Follower) turn(ctx context.Context, w *watcher, due bool) (err error) {
+	held, known := w.held()
+	w.revision = max(w.revision, held)
+	switch {
+	case !known:
+		w.revision, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (int64, error) { return w.read(ctx, true) })
+	case !due || w.name == whatConfig && f.storeFailing.Load():
+		// While the store fails one of the two loops asks whether it is back.
+		wait.For(ctx, dutyEvery)
+	case w.gap:
+		w.revision, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (int64, error) { return w.read(ctx, false) })
+		w.gap = err != nil
+		f.heardFromStore(w.name, err)
+	default:
+		w.revision, err = f.call(ctx, w, f.Wait.Std()+watchSlack, func(ctx context.Context) (int64, error) { return w.watch(ctx, w.revision) })
+		f.heardFromStore(w.name, err)
+	}
+	return err
+}
+
+// call makes one call and returns the revision of its answer, or the last one known.
+func (f *Follower) call(ctx context.Context, w *watcher, timeout time.Duration, fn func(context.Context) (int64, error)) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	revision, err := fn(ctx)
+	if err != nil {
+		return w.revision, err
+	}
+	return revision, nil
+}
+
+// due reports whether this instance watches the store now.
+func (f *Follower) due() bool {
+	now := f.now()
+	if now < settleFor {
+		return false
+	}
+	st := f.members.Standing()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.policy.Due(st, f.news.Age(now, st.Before))
+}
+
+// noteDuty logs when this instance begins or ceases to watch, and why.
+func (f *Follower) noteDuty(w *watcher, due bool) {
+	if w.watching == due {
+		return
+	}
+	w.watching = due
+	st := f.members.Standing()
+	f.scope.Tagged(map[string]string{"what": w.name}).Gauge("store_watching").Update(map[bool]float64{true: 1}[due])
+	if due && !st.Primary() {
+		f.scope.Tagged(map[string]string{"what": w.name}).Counter("store_takeovers_total").Inc(1)
+	}
+	f.log.Info("duty to watch the store changed", zap.String("what", w.name), zap.Bool("watching", due), zap.Int("rank", st.Rank), zap.Int("watchers", st.Watchers),
+		zap.Int("instances", len(st.Order)), zap.Duration("age", f.Age()))
+}
+
+// longestPause is the longest pause after failed calls.
+func (f *Follower) longestPause() time.Duration {
+	if f.Ready() && !f.members.Standing().Primary() {
+		return othersPause
+	}
+	return longestPause
+}
+
+func (f *Follower) lost(what string, failures int, err error) {
+	if what == whatServers {
+		f.storeFailing.Store(true)
+	}
+	f.scope.Tagged(map[string]string{"what": what}).Counter("store_failures_total").Inc(1)
+	if failures == 0 {
+		f.log.Warn("store lost", zap.String("what", what), eventlog.Error(err))
+	}
+}
+
+func (f *Follower) regained(what string, failures int) {
+	if what == whatServers {
+		f.storeFailing.Store(false)
+	}
+	if failures > 0 {
+		f.log.Info("store regained", zap.String("what", what), zap.Int("failed_calls", failures))
+	}
+}
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -8,14 +8,14 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/decide/member"
-	"github.com/auburnmoor/auburnmoor/decide/retry"
-	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/instances"
@@ -35,6 +35,9 @@
 	Seeds map[string]string `toml:"seeds" validate:"dive,hostname_port"`
 	// PollList is the period of reading the instance list.
 	PollList settings.Duration `toml:"poll_list"`
+	// FewListed leaves the list to a few: the instances that watch the store put
+	// themselves into it and read it, the others only while they know no peer.
+	FewListed bool `toml:"few_listed"`
 	// Gossip is the period of gossip.
 	Gossip settings.Duration `toml:"gossip"`
 	// FailBase is the silence after which a member of a fleet of two is
@@ -53,6 +56,8 @@
 	self      instances.Instance
 	inbox     *ring.Ring[*peerpb.Gossip]
 	spread    chan struct{}
+	// entered tells that this instance may be in the list.
+	entered atomic.Bool
 
 	publishing sync.Mutex
 	mu         sync.Mutex
@@ -61,8 +66,8 @@
 	last       []instances.Instance
 	view       View
 	onView     []func(View)
-	config     func() uint64
-	onVer      func(from string, version uint64)
+	standing   watch.Standing
+	carry      []func(*peerpb.Gossip)
 	names      string
 	leaving    bool
 }
@@ -100,10 +105,6 @@
 const (
 	defaultPollList = time.Second
 	inboxSize       = 1024
-	// registerTimeout bounds a call to the list, which answers in milliseconds.
-	registerTimeout = 2 * time.Second
-	// Pauses between vain attempts to register.
-	firstPause, longestPause = 200 * time.Millisecond, 5 * time.Second
 )
 
 // Provision implements auburnmoor.Provisioner.
@@ -128,14 +129,13 @@
 	}
 	self := &peerpb.MemberState{
 		Name: c.Self.Name, Incarnation: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Region: c.Self.Region,
-		PeerAddr: c.Self.PeerAddr, CallerAddr: c.Self.CallerAddr,
+		PeerAddr: c.Self.PeerAddr, CallerAddr: c.Self.CallerAddr, Capacity: c.Self.Capacity,
 	}
 	m.states = map[string]*peerpb.EngineState{}
 	m.log, m.now, m.list = c.Log, c.Now, p.Lister()
 	m.table = member.NewTable(self, cfg, rand.New(rand.NewPCG(c.Seed, 1)))
 	m.inbox = ring.New[*peerpb.Gossip]("members.inbox", inboxSize)
 	m.spread = make(chan struct{}, 1)
-	m.config, m.onVer = func() uint64 { return 0 }, func(string, uint64) {}
 	m.registrar, _ = p.(instances.Registrar)
 	m.self = instances.Instance{Name: self.Name, Role: instances.RoleEntry, Addr: self.CallerAddr, PeerAddr: self.PeerAddr, DataCentre: self.DataCentre, Region: self.Region}
 	m.link.SetResolver(m.resolve)
@@ -146,11 +146,9 @@
 // OnView calls f with every new view. It must be called before Start.
 func (m *Members) OnView(f func(View)) { m.onView = append(m.onView, f) }
 
-// CarryConfig lets gossip carry the configuration version: have returns one's
-// own, and heard is told those of others. It must be called before Start.
-func (m *Members) CarryConfig(have func() uint64, heard func(from string, version uint64)) {
-	m.config, m.onVer = have, heard
-}
+// Carry has gossip carry what a module adds to it. It must be called before Start;
+// what others added comes with their envelopes.
+func (m *Members) Carry(add func(*peerpb.Gossip)) { m.carry = append(m.carry, add) }
 
 // Start implements auburnmoor.Starter.
 func (m *Members) Start(ctx context.Context) error {
@@ -175,7 +173,6 @@
 	m.mu.Unlock()
 	if g := env.GetGossip(); g != nil {
 		m.inbox.Offer(g)
-		m.onVer(from, g.ConfigVersion)
 	}
 }
 
@@ -215,9 +212,10 @@
 		msgs = append(msgs, m.news()...)
 	}
 	m.mu.Unlock()
-	version := m.config()
 	for _, msg := range msgs {
-		msg.Gossip.ConfigVersion = version
+		for _, add := range m.carry {
+			add(msg.Gossip)
+		}
 		m.link.Send(msg.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}})
 	}
 }
@@ -263,62 +261,6 @@
 	m.SpreadNow()
 }
 
-// register puts this instance into the list, so that others find it when the
-// seeds of their settings are gone.
-func (m *Members) register(ctx context.Context) {
-	r := rand.New(rand.NewPCG(rand.Uint64(), 2))
-	for n := 0; ctx.Err() == nil; n++ {
-		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := m.registrar.Register(call, m.self)
-		cancel()
-		if err == nil {
-			m.log.Info("registered in the instance list", zap.Int("failed_calls", n))
-			return
-		}
-		if n == 0 {
-			m.log.Warn("not registered in the instance list, trying on", eventlog.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retry.Backoff(r, firstPause, longestPause, n)):
-		}
-	}
-}
-
-// deregister takes this instance out of the list at its shutdown. An entry that
-// stays behind costs others a vain connection attempt now and then.
-func (m *Members) deregister(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	if err := m.registrar.Deregister(call, m.self.Name); err != nil {
-		m.log.Warn("entry in the instance list stays behind", eventlog.Error(err))
-	}
-}
-
-// Drain implements auburnmoor.Drainer.
-func (m *Members) Drain(ctx context.Context) error {
-	if m.registrar != nil {
-		m.deregister(ctx)
-	}
-	return nil
-}
-
-func (m *Members) pollList(ctx context.Context) {
-	for {
-		list, err := m.list.List(ctx)
-		if err == nil {
-			m.contacts(list)
-			m.publish()
-		}
-		jittered := m.PollList.Std()/2 + rand.N(m.PollList.Std())
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(jittered):
-		}
-	}
-}
-
 // contacts takes over a new list. The last one stays in force while the list
 // cannot be read.
 func (m *Members) contacts(list []instances.Instance) {
@@ -349,6 +291,9 @@
 	names := viewKey(v)
 	changed := names != m.names
 	m.view, m.names = v, names
+	if changed {
+		m.standing = m.stand(v.Alive)
+	}
 	m.mu.Unlock()
 	if !changed {
 		return
@@ -359,6 +304,28 @@
 	}
 }
 
+// stand finds this instance's place among those of its data centre.
+func (m *Members) stand(alive []*peerpb.MemberState) watch.Standing {
+	var self watch.Member
+	others := make([]watch.Member, 0, len(alive))
+	for _, s := range alive {
+		w := watch.Member{Name: s.Name, DataCentre: s.DataCentre, Leaving: s.Leaving, Capacity: s.Capacity}
+		if s.Name == m.self.Name {
+			self = w
+			continue
+		}
+		others = append(others, w)
+	}
+	return watch.Stand(self, others)
+}
+
+// Standing is the place of this instance among those of its data centre.
+func (m *Members) Standing() watch.Standing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.standing
+}
+
 func (m *Members) build() View {
 	v := View{Alive: m.table.Alive(m.now())}
 	engines := map[string]Engine{}
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -5,8 +5,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Life tells the starts of a server under one ID apart: the Unix millisecond of its
@@ -29,6 +32,12 @@
 	Leaving bool
 }
 
+// digest is a hash of all that is told of a server. Sums of digests do not depend on an
+// order.
+func (s Server) digest() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s\x00%s\x00%s\x00%d\x00%t", s.ID, s.Life, s.Service, s.Addr, s.DataCentre, s.Slots, s.Leaving))
+}
+
 // Change is one event of the list of servers.
 type Change struct {
 	ID string
@@ -40,6 +49,9 @@
 type Snapshot struct {
 	// Revision is the store's revision that the snapshot reflects.
 	Revision int64
+	// Digest tells snapshots of unlike content apart; equal content has one digest at
+	// whichever revision it was read.
+	Digest   uint64
 	byID     map[string]Server
 	services map[string][]Server
 }
@@ -143,6 +155,7 @@
 	out := &Snapshot{Revision: s.revision, byID: make(map[string]Server, len(s.byID)), services: map[string][]Server{}}
 	for id, v := range s.byID {
 		out.byID[id] = v
+		out.Digest += v.digest()
 		if !v.Leaving {
 			out.services[v.Service] = append(out.services[v.Service], v)
 		}
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -326,7 +326,7 @@
 	return &peerpb.MemberState{
 		Name: s.Name, Incarnation: s.Incarnation, Heartbeat: s.Heartbeat, Leaving: s.Leaving,
 		DataCentre: s.DataCentre, Region: s.Region, PeerAddr: s.PeerAddr, CallerAddr: s.CallerAddr,
-		Engines: s.Engines, Version: s.Version, Serving: s.Serving,
+		Engines: s.Engines, Version: s.Version, Serving: s.Serving, Capacity: s.Capacity,
 	}
 }
 
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,20 @@
 	return out[:min(n, len(out))]
 }
 
+// usualWeight is the weight of a member that does not tell one.
+const usualWeight = 400
+
+// Weighted is the score of a member for key by weighted rendezvous hashing: the chance
+// to have the highest one grows with the weight. A zero weight stands for a usual one.
+func Weighted(key, member string, weight uint32) float64 {
+	if weight == 0 {
+		weight = usualWeight
+	}
+	const most = 1 << 53
+	u := (float64(score(key, member)>>11) + 0.5) / most
+	return -float64(weight) / math.Log(u)
+}
+
 // Among reports whether self is one of the first n members for key: one of the
 // few that do a duty which the others leave to them.
 func Among(self, key string, members []string, n int) bool {
--- a/kernel.go
+++ b/kernel.go
@@ -22,6 +22,9 @@
 	PeerAddr    string
 	CallerAddr  string
 	AdminAddr   string
+	// Capacity is the processor time of the instance in thousandths of a core, zero if
+	// the settings do not tell it.
+	Capacity uint32
 }
 
 // Context gives a module access to the process it runs in.
--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -151,6 +151,18 @@
 	}
 }
 
+// Calls counts the calls to a kind that the store answered or turned away.
+func (s *Server) Calls(kind string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, count := range s.counts {
+		if strings.HasSuffix(name, " "+kind) {
+			n += count
+		}
+	}
+	return n
+}
+
 type page struct {
 	Items         []Object `json:"items"`
 	More          bool     `json:"more"`
--- a/port/catalog/catalog.go
+++ b/port/catalog/catalog.go
@@ -27,7 +27,8 @@
 	// ErrUnreadable tells that a configuration cannot be read; the revision that comes
 	// with it is the one to watch from.
 	ErrUnreadable = errors.New("configuration cannot be read")
-	// ErrNone tells that no configuration was ever accepted.
+	// ErrNone tells that no configuration was accepted by the revision that comes with
+	// it.
 	ErrNone = errors.New("no configuration accepted yet")
 )
 
@@ -64,10 +65,11 @@
 
 // Catalog reads and watches. Every call ends with its context.
 type Catalog interface {
-	Servers(ctx context.Context) (Servers, error)
+	// Servers and Config read the whole, as it was some seconds ago if that will do.
+	Servers(ctx context.Context, staleOK bool) (Servers, error)
 	// WatchServers waits for changes after a revision, at most for wait.
 	WatchServers(ctx context.Context, after int64, wait time.Duration) (ServerChanges, error)
-	Config(ctx context.Context) (Config, error)
+	Config(ctx context.Context, staleOK bool) (Config, error)
 	// WatchConfig returns a nil Config when nothing changed within wait.
 	WatchConfig(ctx context.Context, after int64, wait time.Duration) (*Config, int64, error)
 	// Decode reads a configuration that another instance passed on.
--- a/port/instances/instances.go
+++ b/port/instances/instances.go
@@ -50,6 +50,10 @@
 // Source is implemented by the module that provides the instance list.
 type Source interface{ Lister() Lister }
 
+// Seeder is implemented by a list that knows some instances without a call. They may
+// be gone.
+type Seeder interface{ Seeds() []Instance }
+
 // Registrar is implemented by a list into which instances put themselves. Both
 // calls are idempotent.
 type Registrar interface {
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -154,7 +154,7 @@
 	x.relay.count("attempts_failed_total", "outcome", o.String())
 	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
 		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.left()),
-		zap.Duration("servers_age", x.relay.catalog.ServersAge()), eventlog.Error(err))
+		zap.Duration("servers_age", x.relay.catalog.Age()), eventlog.Error(err))
 	switch action {
 	case attempt.Retry:
 		x.events.restart()
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -200,7 +200,7 @@
 	r.count("refusals_total", "code", why.Code.String())
 	r.log.Warn("refused", append(more, zap.String("request", req.ID), zap.Uint32("code", uint32(why.Code)), zap.String("why", why.Message),
 		zap.Int64("prompt", req.PromptTokens), zap.String("host", req.Host), zap.String("path", req.Path), zap.Uint64("version", r.version()),
-		zap.Duration("config_age", r.catalog.ConfigAge()))...)
+		zap.Duration("config_age", r.catalog.Age()))...)
 }
 
 func (r *Relay) version() uint64 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,9 @@
 	CallerAddr string `toml:"caller_addr" validate:"required,hostname_port"`
 	PeerAddr   string `toml:"peer_addr" validate:"required,hostname_port"`
 	AdminAddr  string `toml:"admin_addr" validate:"required,hostname_port"`
+	// Cores is the processor time that the process may use; zero does not tell. Larger
+	// instances do more of the fleet's common duties.
+	Cores float64 `toml:"cores" validate:"min=0,max=1024"`
 	// LogFormat is json or console.
 	LogFormat string `toml:"log_format" validate:"omitempty,oneof=json console"`
 	// DrainTimeout bounds a graceful shutdown; zero waits for every stream.
@@ -38,6 +41,12 @@
 	Modules []string `toml:"modules"`
 }
 
+// Capacity is Cores in thousandths of a core.
+func (i Instance) Capacity() uint32 {
+	const perCore = 1000
+	return uint32(i.Cores * perCore)
+}
+
 // Duration reads "1.5s" and similar.
 type Duration time.Duration
 
