Members: news first, the freshest heartbeats next; the view is compared by digest

Cause: a message carried 16 of the members without regard to who is new. In virtual time 62,901 and 61,892 of the 89,700 pairs of 300 instances did not know each other three seconds after a start of all; none now (350: within 3.4 s). Strangers are answered at once.

The view was rendered as text ten times a second: half of the processor time of an instance at rest among 74 (1.6% of a core, processor profile).

--- a/control/members/dump.go
+++ b/control/members/dump.go
@@ -1,29 +1,61 @@
 package members
 
 import (
-	"fmt"
-	"strings"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/auburnmoor/auburnmoor/ring"
 )
 
-// viewKey renders what listeners care about, to tell whether a view changed.
-func viewKey(v View) string {
-	var b strings.Builder
+// viewKey is a digest of what listeners care about, to tell whether a view changed. It
+// is taken ten times a second: rendered as text it was half of the processor time of an
+// instance at rest among 74 (processor profile).
+func viewKey(v View) uint64 {
+	var k keyWriter
+	k.Reset()
 	for _, s := range v.Alive {
-		fmt.Fprintf(&b, "%s/%d/%t/%t/%s;", s.Name, s.Incarnation, s.Leaving, s.Serving, s.CallerAddr)
+		k.text(s.Name, s.CallerAddr)
+		k.number(s.Incarnation, bit(s.Leaving)|bit(s.Serving)<<1, uint64(s.Capacity))
 	}
 	for _, e := range v.Engines {
-		fmt.Fprintf(&b, "%s@%s/%t", e.Name, e.Addr, e.Leaving)
+		k.text(e.Name, e.Addr)
+		k.number(bit(e.Leaving), bit(e.State != nil))
 		if e.State != nil {
-			fmt.Fprintf(&b, "/%d/%v", e.State.KvTotal, e.State.Models)
+			k.number(uint64(e.State.KvTotal), uint64(len(e.State.Models)))
+			k.text(e.State.Models...)
 		}
-		b.WriteByte(';')
 	}
 	for _, s := range v.Services {
-		fmt.Fprintf(&b, "%s@%s/%t;", s.Name, s.Addr, s.Leaving)
+		k.text(s.Name, s.Addr)
+		k.number(bit(s.Leaving))
+	}
+	return k.Sum64()
+}
+
+// keyWriter digests fields one after the other.
+type keyWriter struct{ xxhash.Digest }
+
+func (k *keyWriter) text(fields ...string) {
+	for _, f := range fields {
+		k.number(uint64(len(f)))
+		_, _ = k.WriteString(f)
+	}
+}
+
+func (k *keyWriter) number(fields ...uint64) {
+	for _, f := range fields {
+		var raw [8]byte
+		binary.LittleEndian.PutUint64(raw[:], f)
+		_, _ = k.Write(raw[:])
+	}
+}
+
+func bit(b bool) uint64 {
+	if b {
+		return 1
 	}
-	return b.String()
+	return 0
 }
 
 // Dump is the state of the module.
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -68,8 +68,9 @@
 	onView     []func(View)
 	standing   watch.Standing
 	carry      []func(*peerpb.Gossip)
-	names      string
-	leaving    bool
+	// key is the digest of the view that the listeners were told last.
+	key     uint64
+	leaving bool
 }
 
 // View is a consistent picture of the fleet.
@@ -188,6 +189,7 @@
 			return
 		case g := <-m.inbox.C():
 			if m.merge(g) {
+				m.answer()
 				m.publish()
 			}
 		case <-t.C:
@@ -212,6 +214,18 @@
 		msgs = append(msgs, m.news()...)
 	}
 	m.mu.Unlock()
+	m.send(msgs)
+}
+
+// answer gossips with members that spoke to this one before it knew them.
+func (m *Members) answer() {
+	m.mu.Lock()
+	msgs := m.table.Answers(m.now())
+	m.mu.Unlock()
+	m.send(msgs)
+}
+
+func (m *Members) send(msgs []member.Message) {
 	for _, msg := range msgs {
 		for _, add := range m.carry {
 			add(msg.Gossip)
@@ -288,9 +302,9 @@
 	defer m.publishing.Unlock()
 	m.mu.Lock()
 	v := m.build()
-	names := viewKey(v)
-	changed := names != m.names
-	m.view, m.names = v, names
+	key := viewKey(v)
+	changed := key != m.key
+	m.view, m.key = v, key
 	if changed {
 		m.standing = m.stand(v.Alive)
 	}
--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -69,7 +69,7 @@
 
 // speak sends what a member has to send: gossip, and to all once a second.
 func (f *talk) speak(i int) {
-	for _, m := range f.tables[i].Tick(f.now) {
+	for _, m := range append(f.tables[i].Answers(f.now), f.tables[i].Tick(f.now)...) {
 		if to := slices.Index(f.names, m.To); to >= 0 && to != f.gone {
 			f.send(func() { f.tables[to].Receive(f.now, m.Gossip) })
 		}
@@ -182,3 +182,37 @@
 		Expect(t.tables[5].Announce(t.now)).To(HaveLen(73))
 	})
 })
+
+// Callers are sent to a part of the fleet only, and more instances than needed watch the
+// store: of 300 that start together some do not know others for half a minute, because a
+// message carries 16 of 300 members without regard to who is new.
+// Evidence: 62,901 and 61,892 of the 89,700 pairs of 300 instances were missing after three
+// seconds, none now.
+var _ = Describe("a fleet that starts together", func() {
+	DescribeTable("knows all of itself within three seconds of 300, a round more of 350", func(n int, seed uint64, within time.Duration) {
+		f := newTalk(n, seed, 2200*time.Millisecond, 0)
+		cfg := member.DefaultConfig()
+		cfg.Period, cfg.FailBase, cfg.FailMost = 400*time.Millisecond, 700*time.Millisecond, 2200*time.Millisecond
+		var seeds []member.Contact
+		for _, name := range f.names[:min(3, n)] {
+			seeds = append(seeds, member.Contact{Name: name})
+		}
+		for i, name := range f.names {
+			f.tables[i] = member.NewTable(&peerpb.MemberState{Name: name, Incarnation: 10}, cfg, rand.New(rand.NewPCG(seed, uint64(i+2))))
+			f.tables[i].SetContacts(seeds)
+		}
+		f.pass(within, func() {})
+		missing := 0
+		for _, t := range f.tables {
+			missing += n - len(t.Alive(f.now))
+		}
+		Expect(missing).To(BeZero())
+	},
+		Entry("8", 8, uint64(1), 3*time.Second),
+		Entry("74", 74, uint64(1), 3*time.Second),
+		Entry("150", 150, uint64(1), 3*time.Second),
+		Entry("300", 300, uint64(1), 3*time.Second),
+		Entry("300, another draw", 300, uint64(2), 3*time.Second),
+		Entry("350", 350, uint64(1), 3400*time.Millisecond),
+	)
+})
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -44,6 +44,8 @@
 	heard time.Duration
 	// changedAt is when the static part last changed; it is news for a while.
 	changedAt time.Duration
+	// told counts the messages that carried it since.
+	told int
 	// contact marks a name known only from the instance list or the settings.
 	contact bool
 }
@@ -55,6 +57,8 @@
 	rand    *rand.Rand
 	entries map[string]*entry
 	next    time.Duration
+	// strangers are members that spoke to this instance before it knew them.
+	strangers []string
 }
 
 // NewTable returns a table that knows only self.
@@ -106,16 +110,33 @@
 // they say of themselves, changed.
 func (t *Table) Receive(now time.Duration, g *peerpb.Gossip) bool {
 	changed := false
-	for _, s := range g.Members {
+	for i, s := range g.Members {
 		if s.Name == t.self.Name {
 			t.refute(s)
 			continue
 		}
-		changed = t.merge(now, s) || changed
+		met := t.merge(now, s)
+		// A message begins with its sender.
+		if met && i == 0 {
+			t.strangers = append(t.strangers, s.Name)
+		}
+		changed = met || changed
 	}
 	return changed
 }
 
+// Answers returns gossip to members that are new here and have spoken first. Without an
+// answer an instance that starts knows nobody until one of those that it spoke to, or
+// that they told, draws it.
+func (t *Table) Answers(now time.Duration) []Message {
+	var out []Message
+	for _, name := range t.strangers {
+		out = append(out, Message{To: name, Gossip: &peerpb.Gossip{Members: t.sample(now)}})
+	}
+	t.strangers = nil
+	return out
+}
+
 // refute outbids a state of self that this process did not publish. It is that
 // of an earlier process of the same name, whose wall clock may have run ahead;
 // peers would ignore the present one as stale.
@@ -150,7 +171,7 @@
 	wasAlive := t.alive(now, e)
 	visible := !wasAlive || e.state.Incarnation != s.Incarnation || e.state.Leaving != s.Leaving || e.state.Serving != s.Serving || !sameEngines(e.state.Engines, s.Engines)
 	if visible {
-		e.changedAt = now
+		e.changedAt, e.told = now, 0
 	}
 	heard := t.since(now, s)
 	if s.Incarnation == e.state.Incarnation {
@@ -271,38 +292,84 @@
 			rest = append(rest, name)
 		}
 	}
-	slices.Sort(live)
 	slices.Sort(rest)
-	t.rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	out := live[:min(t.cfg.Fanout, len(live))]
+	t.shuffle(live)
+	out := live[:min(t.cfg.Fanout+t.extra(now), len(live))]
 	if len(rest) > 0 {
 		out = append(out, rest[t.rand.IntN(len(rest))])
 	}
 	return out
 }
 
-// sample returns self and a bounded choice of the freshest live members; a
-// fresh heartbeat is news, an old one is known already.
+// extra is the number of further targets of a round while there is more news than a
+// message usually carries: after a start of all, or the loss of half.
+func (t *Table) extra(now time.Duration) int {
+	news := 0
+	for _, e := range t.entries {
+		if t.untold(now, e) {
+			news++
+		}
+	}
+	if news > t.cfg.Sample {
+		return extraFanout
+	}
+	return 0
+}
+
+// untold reports whether an entry is news that was not told often enough.
+func (t *Table) untold(now time.Duration, e *entry) bool {
+	return t.alive(now, e) && now-e.changedAt < newsFor && e.told < tellMost
+}
+
+// sample returns self, the news that were told least, and a bounded choice of the other
+// live members: those heard of last, since an old heartbeat is known already. Drawn
+// without regard to news, 62,901 of the 89,700 pairs of 300 instances that started
+// together did not know each other after three seconds, and some after 30 s; now all do
+// after three (virtual time). With the others drawn at random, a heartbeat of a live
+// member of 100 was not told to another for 16 s in 4 of 60 runs, in none of 60 now.
 func (t *Table) sample(now time.Duration) []*peerpb.MemberState {
-	out := []*peerpb.MemberState{cloneState(t.self)}
-	var names []string
+	var news, rest []string
 	for name, e := range t.entries {
-		if t.alive(now, e) {
-			names = append(names, name)
+		switch {
+		case t.untold(now, e):
+			news = append(news, name)
+		case t.alive(now, e):
+			rest = append(rest, name)
 		}
 	}
-	slices.Sort(names)
-	t.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names[:min(t.cfg.Sample, len(names))] {
-		out = append(out, t.told(now, t.entries[name]))
+	t.shuffle(news)
+	t.shuffle(rest)
+	slices.SortStableFunc(news, func(a, b string) int { return cmp.Compare(t.entries[a].told, t.entries[b].told) })
+	slices.SortStableFunc(rest, func(a, b string) int { return cmp.Compare(t.entries[b].heard, t.entries[a].heard) })
+	news = news[:min(max(newsMost, t.cfg.Sample), len(news))]
+	rest = rest[:min(max(0, t.cfg.Sample-len(news)), len(rest))]
+	out := []*peerpb.MemberState{cloneState(t.self)}
+	for _, name := range slices.Concat(news, rest) {
+		e := t.entries[name]
+		e.told++
+		out = append(out, t.told(now, e))
 	}
 	return out
 }
 
+// shuffle puts names into an order that depends on the seed alone.
+func (t *Table) shuffle(names []string) {
+	slices.Sort(names)
+	t.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
+
 // newsFor is how long a change is told in full; after that one in fullEvery.
 const (
 	newsFor   = 10 * time.Second
 	fullEvery = 16
+	// newsMost is how many news one message carries: 192 in full are some 17 KB. Of 300
+	// instances that start together each then tells all it knows within two rounds.
+	newsMost = 192
+	// extraFanout is how many more instances a round reaches while there is much news.
+	extraFanout = 2
+	// tellMost is in how many messages an instance tells a piece of news. With three
+	// messages a round it reaches everyone long before.
+	tellMost = 24
 )
 
 // told renders an entry for others. Names, addresses and engines rarely
