Smaller buffers and rings between instances

Private memory of an instance at rest, median, real processes on loopback: 17.8 to 14.3 MB among 74, 25.8 to 22.0 MB among 150, 9.4 to 8.7 MB among 22 (heap profile: rings of 4,096 places 2.1 MB of 74 peers).

--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -31,8 +31,14 @@
 
 // Bounds of the link.
 const (
-	defaultRing = 4096
+	// defaultRing is some seconds of messages to one instance under the heaviest load.
+	// Of 4,096 places, 74 peers took 2.1 MB of an instance at rest (heap profile).
+	defaultRing = 512
 	maxMessage  = 64 << 20
+	// ioBuffer is the size of the buffers of a connection between instances, in bytes.
+	// Most messages have some 200 bytes; larger ones go in several reads. gRPC's own
+	// 32 KB twice are allocated for each of hundreds of connections.
+	ioBuffer = 2 << 10
 	// Pauses between vain attempts to connect. A peer that restarts, or whose
 	// partition heals, must be heard again before the view of its load is old.
 	reconnectFirst  = 100 * time.Millisecond
@@ -118,7 +124,8 @@
 		return errors.Wrap(err, "peer address")
 	}
 	l.ctx, l.listener = ctx, lis
-	l.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+	l.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+		grpc.ReadBufferSize(ioBuffer), grpc.WriteBufferSize(ioBuffer))
 	peerpb.RegisterPeerServer(l.server, &server{link: l})
 	go func() { _ = l.server.Serve(lis) }()
 	return nil
@@ -183,6 +190,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dial),
+		grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           grpcbackoff.Config{BaseDelay: reconnectFirst, Multiplier: reconnectGrowth, Jitter: reconnectJitter, MaxDelay: reconnectMost},
 			MinConnectTimeout: dialTimeout,
