Cells: of a large fleet each instance tells only its cell of the work that it places

Members of other cells get a sign of life a second. A prompt that the own cell can not hold is placed on all servers, as is any request of a cell whose servers are all out of rotation.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -1,5 +1,5 @@
-// Package loads shares between instances what work each has placed on the
-// backend servers, so that every instance can place requests by itself.
+// Package loads shares between the instances of a cell what work each has placed on
+// the backend servers, so that every instance can place requests by itself.
 package loads
 
 import (
@@ -10,8 +10,10 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -42,6 +44,7 @@
 	log     *zap.Logger
 	link    *peerlink.Link
 	members *members.Members
+	catalog *follow.Follower
 
 	now   func() time.Duration
 	dirty chan struct{}
@@ -49,15 +52,16 @@
 	mu     sync.Mutex
 	ledger *spread.Ledger
 	queue  *spread.Queue
-	// heard are the peers that reported all of their work.
+	// heard are the mates that reported all of their work.
 	heard map[string]bool
-	peers int
+	cell  cell.Cell
+	mates map[string]bool
 }
 
 // ModuleInfo implements auburnmoor.Module.
 func (*Loads) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, peerlink.ID}, OnRequest: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, peerlink.ID, follow.ID}, OnRequest: true,
 		New: func() auburnmoor.Module { return new(Loads) },
 	}
 }
@@ -70,10 +74,14 @@
 	if l.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
 		return err
 	}
+	if l.catalog, err = auburnmoor.Require[*follow.Follower](c, follow.ID); err != nil {
+		return err
+	}
 	l.log, l.now, l.ledger, l.queue = c.Log, c.Now, spread.NewLedger(), spread.NewQueue()
+	l.cell.Count = 1
 	l.dirty, l.heard = make(chan struct{}, 1), map[string]bool{}
 	l.link.Handle(l.receive)
-	l.members.OnView(l.keepLive)
+	l.members.OnView(l.divide)
 	return nil
 }
 
@@ -147,7 +155,15 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peers == 0 || len(l.heard) < l.peers
+	if len(l.mates) == 0 {
+		return true
+	}
+	for mate := range l.mates {
+		if !l.heard[mate] {
+			return true
+		}
+	}
+	return false
 }
 
 // Done ends work that Place noted.
@@ -176,7 +192,9 @@
 		case <-ctx.Done():
 			return
 		case <-complete.C:
+			l.divide(l.members.View())
 			l.report(true)
+			l.greet()
 			l.expire()
 		case <-l.dirty:
 			time.Sleep(gatherFor)
@@ -203,6 +221,7 @@
 	}
 	now := l.now()
 	waiting := l.queue.Tell(now)
+	mates := l.cell.Mates
 	l.mu.Unlock()
 	msg := &peerpb.LoadReport{Complete: complete, ForSlot: int32(waiting.ForSlot)}
 	if waiting.Held {
@@ -213,8 +232,20 @@
 			Server: server, Calls: v.Calls, LongCalls: v.LongCalls, HeldTokens: v.HeldTokens, ReadUs: v.Read.Microseconds(), UnreadUs: v.Unread.Microseconds(), Parts: v.Parts,
 		})
 	}
+	for _, mate := range mates {
+		l.link.Send(mate, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
+	}
+}
+
+// greet sends instances of other cells the sign of life that reports are to mates.
+func (l *Loads) greet() {
+	l.mu.Lock()
+	mates := l.mates
+	l.mu.Unlock()
 	for _, peer := range l.members.Peers() {
-		l.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
+		if !mates[peer] {
+			l.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
+		}
 	}
 }
 
@@ -232,6 +263,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.mates[from] {
+		// Its list of members or servers is another one for the moment; what it places
+		// here is not known while that lasts.
+		return
+	}
 	l.ledger.Report(l.now(), from, r.Complete, loads)
 	l.queue.Report(l.now(), from, waitingOf(l.now(), r))
 	if r.Complete {
@@ -260,27 +296,68 @@
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func (l *Loads) keepLive(v members.View) {
-	live := map[string]bool{}
+// divide finds this instance's cell among the live instances.
+func (l *Loads) divide(v members.View) {
+	var live []string
 	for _, m := range v.Alive {
-		live[m.Name] = true
+		live = append(live, m.Name)
 	}
+	next := cell.Of(l.link.Self(), live, l.fewestEngines())
+	mates := make(map[string]bool, len(next.Mates))
+	for _, m := range next.Mates {
+		mates[m] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if next.Count != l.cell.Count || next.Index != l.cell.Index {
+		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count), zap.Int("mates", len(mates)), zap.Int("instances", len(live)))
+	}
+	l.cell, l.mates = next, mates
+	l.ledger.Keep(mates)
+	l.queue.Keep(mates)
+	for peer := range l.heard {
+		if !mates[peer] {
+			delete(l.heard, peer)
+		}
+	}
+}
+
+// fewestEngines is the number of ready servers of the model service that has fewest, zero
+// while nothing is known.
+func (l *Loads) fewestEngines() int {
+	table, servers := l.catalog.Table(), l.catalog.Servers()
+	if table == nil || servers == nil {
+		return 0
+	}
+	fewest := 0
+	for _, s := range table.Services {
+		n := len(servers.Ready(s.Name))
+		if s.Engine != nil && (fewest == 0 || n < fewest) {
+			fewest = n
+		}
+	}
+	return fewest
+}
+
+// Cell returns this instance's cell.
+func (l *Loads) Cell() cell.Cell {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ledger.Keep(live)
-	l.queue.Keep(live)
-	l.peers = len(live) - 1
+	return l.cell
 }
 
 // Dump implements auburnmoor.Dumper.
 func (l *Loads) Dump() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Dump{Totals: l.ledger.Totals(), Own: l.ledger.All()}
+	return Dump{Cell: l.cell.Index, Cells: l.cell.Count, Mates: l.cell.Mates, Totals: l.ledger.Totals(), Own: l.ledger.All()}
 }
 
-// Dump is the work placed on backend servers.
+// Dump is this instance's cell and the work placed on backend servers.
 type Dump struct {
+	Cell   int                    `json:"cell"`
+	Cells  int                    `json:"cells"`
+	Mates  []string               `json:"mates,omitempty"`
 	Totals map[string]spread.Load `json:"totals"`
 	Own    map[string]spread.Load `json:"own"`
 }
--- /dev/null
+++ b/control/loads/loads_test.go
@@ -0,0 +1,60 @@
+package loads
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/cell"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+func TestLoads(t *testing.T) { testkit.Suite(t, "loads") }
+
+var _ = Describe("reports of work", func() {
+	var l *Loads
+	report := func(calls int64) *peerpb.Envelope {
+		return &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: &peerpb.LoadReport{
+			Complete: true, Servers: []*peerpb.ServerLoad{{Server: "s", Calls: calls}},
+		}}}
+	}
+	BeforeEach(func() {
+		l = &Loads{
+			log: zap.NewNop(), now: func() time.Duration { return time.Second }, ledger: spread.NewLedger(), queue: spread.NewQueue(),
+			dirty: make(chan struct{}, 1), heard: map[string]bool{}, cell: cell.Cell{Count: 2, Mates: []string{"a", "b"}}, mates: map[string]bool{"a": true, "b": true},
+		}
+	})
+
+	// An engine stands idle for as long as an instance lives: one of another cell, whose
+	// list of members was another one for a moment, told of work there and never of its end.
+	It("count for mates only", func() {
+		l.receive("a", report(2))
+		l.receive("stranger", report(5))
+		Expect(l.Of("s").Calls).To(Equal(int64(2)))
+	})
+
+	It("are awaited from all mates after a start", func() {
+		Expect(l.Blind()).To(BeTrue())
+		l.receive("a", report(1))
+		l.receive("stranger", report(1))
+		Expect(l.Blind()).To(BeTrue())
+		l.receive("b", report(0))
+		Expect(l.Blind()).To(BeFalse())
+	})
+
+	It("count with what this instance placed itself", func() {
+		l.receive("a", report(2))
+		_, v := l.Place(func(load func(string) spread.Load, _ *spread.Queue) (spread.Plan, spread.Verdict) {
+			Expect(load("s").Calls).To(Equal(int64(2)))
+			return spread.Plan{Parts: []spread.Part{{Server: backends.Server{ID: "s"}, Load: spread.Load{Calls: 1}}}}, spread.Placed
+		})
+		Expect(v).To(Equal(spread.Placed))
+		Expect(l.Of("s").Calls).To(Equal(int64(3)))
+	})
+})
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -106,6 +106,9 @@
 	return nil
 }
 
+// Self is the name of this instance.
+func (l *Link) Self() string { return l.self.Name }
+
 // SetResolver tells the link how to find an instance's peer address. It must
 // be called before Start.
 func (l *Link) SetResolver(f func(string) (string, bool)) { l.resolve = f }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -214,10 +214,19 @@
 
 func (x *exchange) left() time.Duration { return x.time - time.Since(x.req.Arrived) }
 
-// place chooses servers for the next attempt.
+// place chooses servers for the next attempt: those of the own cell, or of all cells for
+// a prompt that the own one could never hold.
 func (x *exchange) place(patience time.Duration) (spread.Plan, spread.Verdict) {
+	p, v := x.placeOn(patience, false)
+	if v == spread.TooLarge && x.relay.loads.Cell().Count > 1 {
+		return x.placeOn(patience, true)
+	}
+	return p, v
+}
+
+func (x *exchange) placeOn(patience time.Duration, whole bool) (spread.Plan, spread.Verdict) {
 	r := x.relay
-	servers, fleet := r.usable(x.service.Name)
+	servers, fleet := r.usable(x.service, whole)
 	req := spread.Request{
 		Instance: r.name, DataCentre: r.dataCentre, Fleet: fleet, Avoid: x.avoid, Alone: x.state.Sent() > 0,
 		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/health"
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/decide/route"
@@ -86,6 +87,8 @@
 	// suspended are servers that just turned work away or could not be reached,
 	// until when.
 	suspended map[string]time.Duration
+	// share is the last share of the servers that was worked out.
+	share share
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -227,23 +230,56 @@
 	return p
 }
 
-// usable returns the servers of a service that may get new work, ready ones that
-// are not out of rotation, and the number of all ready ones.
-func (r *Relay) usable(service string) (out []backends.Server, fleet int) {
-	ready := r.catalog.Servers().Ready(service)
+// usable returns the servers of a service on which this instance places: the ready ones
+// of its cell's share that are not out of rotation, and the number of all ready ones of
+// the share. A cell that has none left, or not the memory for a prompt, places on the
+// servers of all cells (whole).
+func (r *Relay) usable(service *route.Service, whole bool) (out []backends.Server, fleet int) {
+	snap := r.catalog.Servers()
+	ready := snap.Ready(service.Name)
+	c := r.loads.Cell()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.pool(service)
+	p := r.pool(service.Name)
 	p.follow(ready)
-	for _, s := range ready {
+	share := ready
+	if !whole {
+		share = p.shareOf(snap, c, ready, service.Engine == nil)
+	}
+	if out = r.inRotation(p, share); len(out) == 0 {
+		share = ready
+		out = r.inRotation(p, ready)
+	}
+	if len(out) == 0 {
+		out = ready
+	}
+	return out, len(share)
+}
+
+// inRotation returns those of servers that are not passed over; r.mu is held.
+func (r *Relay) inRotation(p *pool, servers []backends.Server) (out []backends.Server) {
+	for _, s := range servers {
 		if p.tracker.Usable(r.now(), s.ID) && r.now() >= p.suspended[s.ID] {
 			out = append(out, s)
 		}
 	}
-	if len(out) == 0 {
-		out = ready
+	return out
+}
+
+// share is the part of a list of servers that belongs to a cell.
+type share struct {
+	snap         *backends.Snapshot
+	index, count int
+	servers      []backends.Server
+}
+
+// shareOf returns the cell's share of the ready servers. It is worked out once for each
+// list: sorting 172 engines takes as long as placing a request.
+func (p *pool) shareOf(snap *backends.Snapshot, c cell.Cell, ready []backends.Server, plain bool) []backends.Server {
+	if p.share.snap != snap || p.share.index != c.Index || p.share.count != c.Count {
+		p.share = share{snap, c.Index, c.Count, c.Share(ready, plain)}
 	}
-	return out, len(ready)
+	return p.share.servers
 }
 
 // follow makes the tracker forget servers that left, and what it learned of a former
