--- a/e2e/watch_test.go
+++ b/e2e/watch_test.go
@@ -7,7 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"syscall"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
