--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -17,7 +17,11 @@
 
 // content is a configuration as it is passed on between instances.
 type content struct {
-	version  uint64
+	version uint64
+	// revision is the one of the store at which it was the newest. It goes with the
+	// content: a later one, at which another version may have come, would have whoever
+	// takes this content over watch from behind that version.
+	revision int64
 	deflated []byte
 }
 
@@ -101,7 +105,7 @@
 			break
 		}
 	}
-	f.raw.Store(&content{version: next.Version, deflated: deflated})
+	f.raw.Store(&content{version: next.Version, revision: c.Revision, deflated: deflated})
 	f.log.Info("configuration in force", zap.Uint64("version", next.Version), zap.String("from", from),
 		zap.Int64("revision", c.Revision), zap.Int("routes", len(next.Routes)), zap.Int("customers", len(next.Customers)), zap.Int("bytes", len(c.Raw)))
 	f.changed()
@@ -110,19 +114,22 @@
 
 // passConfig sends what is in force to peers.
 func (f *Follower) passConfig(to []string) {
-	raw := f.raw.Load()
-	if raw == nil {
+	reply := f.configReply()
+	if reply == nil {
 		return
 	}
-	f.mu.Lock()
-	revision := f.configRevision
-	f.mu.Unlock()
-	env := &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: &peerpb.ConfigReply{
-		Version: raw.version, Content: raw.deflated, Revision: revision,
-	}}}
 	for _, peer := range to {
-		f.link.Send(peer, env)
+		f.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: reply}})
+	}
+}
+
+// configReply is what is in force as it is passed on, nil before any is known.
+func (f *Follower) configReply() *peerpb.ConfigReply {
+	raw := f.raw.Load()
+	if raw == nil {
+		return nil
 	}
+	return &peerpb.ConfigReply{Version: raw.version, Content: raw.deflated, Revision: raw.revision}
 }
 
 // adoptFromPeer takes over what a peer passed on and passes it on in turn.
