--- a/control/follow/fleet_test.go
+++ b/control/follow/fleet_test.go
@@ -79,19 +79,9 @@
 var _ = Describe("a fleet before one store", func() {
 	const n = 9
 	var srv *storeserver.Server
-	put := func(version int) {
-		Expect(srv.Put("config", "main", map[string]any{"version": version})).To(Succeed())
-	}
-	server := func(id, state string) {
-		Expect(srv.Put("servers", id, map[string]any{"service": "s", "address": "127.0.0.1:9", "zone": "z", "slots": 2, "state": state})).To(Succeed())
-	}
-	BeforeEach(func() {
-		srv = storeserver.New("127.0.0.1:0")
-		Expect(srv.Start()).To(Succeed())
-		DeferCleanup(srv.Close)
-		put(3)
-		server("a", "ready")
-	})
+	put := func(version int) { putConfig(srv, version) }
+	server := func(id, state string) { putServer(srv, id, state) }
+	BeforeEach(func() { srv = startStore() })
 
 	// Two thirds of what callers were worth went to calls to the store: each of 22
 	// instances asked it after every pause of two seconds and every change.
--- a/control/follow/follow_test.go
+++ b/control/follow/follow_test.go
@@ -78,21 +78,29 @@
 	return p.Module(follow.ID).(*follow.Follower)
 }
 
+// startStore runs a store that holds a configuration of version 3 and a ready server.
+func startStore() *storeserver.Server {
+	srv := storeserver.New("127.0.0.1:0")
+	Expect(srv.Start()).To(Succeed())
+	DeferCleanup(srv.Close)
+	putConfig(srv, 3)
+	putServer(srv, "a", "ready")
+	return srv
+}
+
+func putConfig(srv *storeserver.Server, version int) {
+	Expect(srv.Put("config", "main", map[string]any{"version": version})).To(Succeed())
+}
+
+func putServer(srv *storeserver.Server, id, state string) {
+	Expect(srv.Put("servers", id, map[string]any{"service": "s", "address": "127.0.0.1:9", "zone": "z", "slots": 2, "state": state})).To(Succeed())
+}
+
 var _ = Describe("following the store", func() {
 	var srv *storeserver.Server
-	put := func(version int) {
-		Expect(srv.Put("config", "main", map[string]any{"version": version})).To(Succeed())
-	}
-	server := func(id, state string) {
-		Expect(srv.Put("servers", id, map[string]any{"service": "s", "address": "127.0.0.1:9", "zone": "z", "slots": 2, "state": state})).To(Succeed())
-	}
-	BeforeEach(func() {
-		srv = storeserver.New("127.0.0.1:0")
-		Expect(srv.Start()).To(Succeed())
-		DeferCleanup(srv.Close)
-		put(3)
-		server("a", "ready")
-	})
+	put := func(version int) { putConfig(srv, version) }
+	server := func(id, state string) { putServer(srv, id, state) }
+	BeforeEach(func() { srv = startStore() })
 	version := func(f *follow.Follower) func() uint64 {
 		return func() uint64 {
 			if t := f.Table(); t != nil {
