One time to settle for the list and the watch, one order of names, one builder of e2e fleets

Behaviour stays. The time in which an instance that starts learns who else lives stood in control/members and control/follow; the view sorted names ten times a second that the table keeps sorted; the program was built for e2e in three places, one of them new. A type and a variable of serve/relay had one name.

--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -24,9 +24,6 @@
 	firstPause, longestPause = 50 * time.Millisecond, time.Second
 	// othersPause is the longest pause of an instance that others tell what it needs.
 	othersPause = 3 * time.Second
-	// settleFor is how long an instance that starts lives on what it read first. Gossip
-	// tells it meanwhile who else lives; before that each takes itself for the only one.
-	settleFor = 1500 * time.Millisecond
 	// dutyEvery is how often an instance looks whether it is to watch.
 	dutyEvery = 100 * time.Millisecond
 	// Changes that follow a change are gathered into one call for gatherFor, and longer
@@ -140,12 +137,13 @@
 	return revision, nil
 }
 
-// due reports whether this instance watches the store now.
+// due reports whether this instance watches the store now. One that starts lives on what
+// it read first until it knows who else lives.
 func (f *Follower) due() bool {
-	now := f.now()
-	if now < settleFor {
+	if !f.members.Settled() {
 		return false
 	}
+	now := f.now()
 	st := f.members.Standing()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/control/members/list.go
+++ b/control/members/list.go
@@ -20,17 +20,21 @@
 	// Pauses between vain attempts to register.
 	firstPause, longestPause = 200 * time.Millisecond, 5 * time.Second
 	// settleFor is how long gossip gets to tell an instance that starts of the others.
-	// Without it all instances that start together put themselves into the list.
+	// Without it all instances that start together take themselves for the only ones,
+	// put themselves into the list and watch the store.
 	settleFor = 1500 * time.Millisecond
 	// dutyEvery is how often an instance looks whether the list is its duty.
 	dutyEvery = 500 * time.Millisecond
 )
 
+// Settled reports whether this instance has run for long enough to know who else lives.
+func (m *Members) Settled() bool { return m.now() >= settleFor }
+
 // listed reports whether this instance belongs into the instance list. With few listed
 // those that watch the store are enough for others to find the fleet by when the seeds
 // of their settings are gone; one that knows no peer may be the only one.
 func (m *Members) listed() bool {
-	return !m.FewListed || (m.now() >= settleFor && (m.lonely() || m.Standing().Primary()))
+	return !m.FewListed || (m.Settled() && (m.lonely() || m.Standing().Primary()))
 }
 
 func (m *Members) lonely() bool { return len(m.View().Alive) <= 1 }
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -411,24 +411,26 @@
 }
 
 func (t *Table) forget(now time.Duration) {
-	for name, e := range t.entries {
-		if !e.contact && now-e.heard > t.cfg.Forget {
+	t.order = slices.DeleteFunc(t.order, func(name string) bool {
+		e := t.entries[name]
+		gone := !e.contact && now-e.heard > t.cfg.Forget
+		if gone {
 			delete(t.entries, name)
 		}
-	}
-	t.order = slices.DeleteFunc(t.order, func(name string) bool { return t.entries[name] == nil })
+		return gone
+	})
 }
 
 // Alive returns the live members with self, sorted by name.
 func (t *Table) Alive(now time.Duration) []*peerpb.MemberState {
-	out := []*peerpb.MemberState{cloneState(t.self)}
-	for _, e := range t.entries {
-		if t.alive(now, e) {
+	var out []*peerpb.MemberState
+	for _, name := range t.order {
+		if e := t.entries[name]; t.alive(now, e) {
 			out = append(out, e.state)
 		}
 	}
-	slices.SortFunc(out, func(a, b *peerpb.MemberState) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	at, _ := slices.BinarySearchFunc(out, t.self.Name, func(s *peerpb.MemberState, name string) int { return cmp.Compare(s.Name, name) })
+	return slices.Insert(out, at, cloneState(t.self))
 }
 
 // Addr returns the peer address of a known instance.
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -42,10 +41,7 @@
 )
 
 func newEstate() *estate {
-	s := &estate{fleet: &fleet{dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}, store: storeserver.New(estateAddr(1))}
-	s.bin = filepath.Join(s.dir, "auburnmoor")
-	out, err := exec.Command("go", "build", "-o", s.bin, "../cmd/auburnmoor").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
+	s := &estate{fleet: builtFleet(), store: storeserver.New(estateAddr(1))}
 	Expect(s.store.Start()).To(Succeed())
 	for i := range 3 {
 		s.engines = append(s.engines, s.server(fmt.Sprint("e", i), "model", workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory}))
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -76,18 +76,24 @@
 	f.start(name, "serve", "--config", path)
 }
 
-func newFleet() *fleet {
+// builtFleet returns a fleet without processes, with the program built.
+func builtFleet() *fleet {
 	f := &fleet{dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}
 	f.bin = filepath.Join(f.dir, "auburnmoor")
 	out, err := exec.Command("go", "build", "-o", f.bin, "../cmd/auburnmoor").CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
+	return f
+}
+
+func newFleet() *fleet {
+	f := builtFleet()
 	f.start("platform", "standin", "platform", "--addr", addr(1))
 	Eventually(func() int { return call("GET", "http://"+addr(1)+"/counts", "").status }, "10s", "50ms").Should(Equal(200))
 	for i := 1; i <= 2; i++ {
 		f.start(fmt.Sprint("engine-", i), "standin", "engine", "--name", fmt.Sprint("engine-", i), "--addr", addr(10+i), "--platform", addr(1), "--step-factor", "2.5")
 	}
 	f.start("service", "standin", "service", "--name", "enrolment-1", "--service", "enrolment", "--addr", addr(50), "--platform", addr(1))
-	out, err = exec.Command(f.bin, "apply", "../examples/te-puna.toml", "--object-api", addr(1)).CombinedOutput()
+	out, err := exec.Command(f.bin, "apply", "../examples/te-puna.toml", "--object-api", addr(1)).CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
 	for i := 1; i <= 3; i++ {
 		f.entry(i)
--- a/e2e/watch_test.go
+++ b/e2e/watch_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"syscall"
 
@@ -31,10 +30,7 @@
 func watchAddr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", watchBase+offset) }
 
 func newWatchedFleet() *watchedFleet {
-	s := &watchedFleet{fleet: &fleet{dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}, store: storeserver.New(watchAddr(1))}
-	s.bin = filepath.Join(s.dir, "auburnmoor")
-	out, err := exec.Command("go", "build", "-o", s.bin, "../cmd/auburnmoor").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
+	s := &watchedFleet{fleet: builtFleet(), store: storeserver.New(watchAddr(1))}
 	Expect(s.store.Start()).To(Succeed())
 	s.configure(3)
 	s.server("a", "ready")
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -88,7 +88,7 @@
 	// until when.
 	suspended map[string]time.Duration
 	// share is the last share of the servers that was worked out.
-	share share
+	share cellShare
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -266,8 +266,8 @@
 	return out
 }
 
-// share is the part of a list of servers that belongs to a cell.
-type share struct {
+// cellShare is the part of a list of servers that belongs to a cell.
+type cellShare struct {
 	snap         *backends.Snapshot
 	index, count int
 	servers      []backends.Server
@@ -277,7 +277,7 @@
 // list: sorting 172 engines takes as long as placing a request.
 func (p *pool) shareOf(snap *backends.Snapshot, c cell.Cell, ready []backends.Server, plain bool) []backends.Server {
 	if p.share.snap != snap || p.share.index != c.Index || p.share.count != c.Count {
-		p.share = share{snap, c.Index, c.Count, c.Share(ready, plain)}
+		p.share = cellShare{snap, c.Index, c.Count, c.Share(ready, plain)}
 	}
 	return p.share.servers
 }
