Lines of failed attempts tell the request's identity and whether the server ended

The lines could not tell one request that comes again from many of one length, nor a server that ended from a connection that was reset (both: unexpected EOF).

--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -108,4 +108,7 @@
 	Reserve(ctx context.Context, r Reservation) (bool, error)
 	// Release gives memory back.
 	Release(ctx context.Context, r Reservation) error
+	// Refuses reports whether nothing listens at an address any more, as after the end
+	// of a server's process. It is false while that is not known.
+	Refuses(ctx context.Context, addr string) bool
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -152,7 +152,9 @@
 func (x *exchange) next(plan spread.Plan, o attempt.Outcome, err error) bool {
 	action := x.state.Next(o, func() bool { return x.left() > leastLeft && x.relay.mayRetry(x.service.Name) })
 	x.relay.count("attempts_failed_total", "outcome", o.String())
+	crashed := o == attempt.Broken && x.relay.crashes.confirm(plan.Writer())
 	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
+		zap.Stringer("identity", x.req.key(x.customer)), zap.Bool("crashed", crashed),
 		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.left()),
 		zap.Duration("servers_age", x.relay.catalog.Age()), eventlog.Error(err))
 	switch action {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -66,6 +66,7 @@
 	loads            *loads.Loads
 	members          *members.Members
 	client           backend.Client
+	crashes          *crashes
 
 	// active counts the requests that are being served, held those of them that
 	// are held back, and heldDeep the deep ones of these.
@@ -122,6 +123,7 @@
 	}
 	r.log, r.now, r.scope, r.client, r.dataCentre = c.Log, c.Now, c.Scope, src.Backends(), c.Self.DataCentre
 	r.name = c.Self.Name
+	r.crashes = &crashes{refuses: r.client.Refuses, count: r.scope.Counter("server_crashes_total")}
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
 	return nil
 }
--- a/serve/relay/request.go
+++ b/serve/relay/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/poison"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 	"github.com/auburnmoor/auburnmoor/result"
 )
@@ -34,6 +35,11 @@
 	ResumeAfter string
 }
 
+// key identifies the request among those of a customer.
+func (r *Request) key(customer string) poison.Key {
+	return poison.Identity{Customer: customer, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Key()
+}
+
 // Sink takes the answer to the client. Exactly one of Refuse, Whole, or Begin
 // followed by End or Abort is called.
 type Sink interface {
