--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -41,10 +41,17 @@
 )
 
 func newEstate() *estate {
+	return newEstateOf(3, workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory})
+}
+
+// newEstateOf starts a site with so many engines of one kind.
+func newEstateOf(engines int, engine workerserver.Config) *estate {
 	s := &estate{fleet: builtFleet(), store: storeserver.New(estateAddr(1))}
 	Expect(s.store.Start()).To(Succeed())
+	for i := range engines {
+		s.engines = append(s.engines, s.server(fmt.Sprint("e", i), "model", engine))
+	}
 	for i := range 3 {
-		s.engines = append(s.engines, s.server(fmt.Sprint("e", i), "model", workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory}))
 		s.plain = append(s.plain, s.server(fmt.Sprint("p", i), "registry", workerserver.Config{}))
 	}
 	s.configure("k1")
@@ -139,7 +146,17 @@
 	body          string
 }
 
-func (a attempt) send(entry int) (*http.Response, string) {
+// try sends an attempt whose fate does not matter.
+func (a attempt) try(entry int) {
+	resp, err := http.DefaultClient.Do(a.request(entry))
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
+
+func (a attempt) request(entry int) *http.Request {
 	req, err := http.NewRequest(http.MethodPost, "http://"+estateAddr(100+entry)+a.path, strings.NewReader(a.body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "h.example"
@@ -150,7 +167,11 @@
 	if a.tokens > 0 {
 		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,100", a.tokens))
 	}
-	resp, err := http.DefaultClient.Do(req)
+	return req
+}
+
+func (a attempt) send(entry int) (*http.Response, string) {
+	resp, err := http.DefaultClient.Do(a.request(entry))
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -57,6 +57,11 @@
 	EventPause time.Duration
 	// Memory is the KV memory in tokens.
 	Memory int64
+	// CrashOn ends the server, with all that it runs, while it runs a request whose body
+	// contains the text; empty never does. It is back under its ID and address after
+	// BackAfter.
+	CrashOn   string
+	BackAfter time.Duration
 }
 
 // Server is a backend server on one address.
@@ -74,6 +79,8 @@
 	// doubleUse counts tickets that two requests used at once.
 	doubleUse int
 	left      int
+	crashes   int
+	closed    bool
 }
 
 // Seen is a request as it arrived.
@@ -95,16 +102,49 @@
 		return errors.Wrap(err, "backend server")
 	}
 	s.cfg.Addr = lis.Addr().String()
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, ConnState: nil}
-	go func() { _ = s.http.Serve(lis) }()
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
+	s.mu.Lock()
+	s.http = srv
+	s.mu.Unlock()
+	go func() { _ = srv.Serve(lis) }()
 	return nil
 }
 
 // Addr returns the address it listens on.
 func (s *Server) Addr() string { return s.cfg.Addr }
 
-// Close stops the server at once.
-func (s *Server) Close() { _ = s.http.Close() }
+// Close stops the server at once and for good.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	srv := s.http
+	s.mu.Unlock()
+	_ = srv.Close()
+}
+
+// crash ends the server with all that it runs and starts it again later.
+func (s *Server) crash() {
+	s.mu.Lock()
+	s.crashes++
+	srv := s.http
+	s.mu.Unlock()
+	_ = srv.Close()
+	time.AfterFunc(s.cfg.BackAfter, func() {
+		s.mu.Lock()
+		closed := s.closed
+		s.mu.Unlock()
+		if !closed {
+			_ = s.Start()
+		}
+	})
+}
+
+// Crashes counts the requests that ended the server.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
 
 // Inject makes the next answers wrong, one each.
 func (s *Server) Inject(f ...Fault) {
@@ -196,6 +236,10 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
+	if s.cfg.CrashOn != "" && strings.Contains(string(body), s.cfg.CrashOn) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	switch f {
 	case Failed:
 		s.seal(w, id)
