Requests that crash the servers that run them are known to all instances and not run again

Callers saw most short prompts fail: one request ended each engine that ran it, with some 12 others in progress, and came again at any instance. What happened to a request was forgotten at the end of each client attempt; nothing was shared.

Evidence is kept by the request's identity (decide/poison) and shared by all instances (control/quarantine). An instance that sees an attempt break asks whether the server refuses connections; only then it counts. After three the request is refused at once (2012 quarantined, 503) with the time until it may be tried once more.

Ruled out: an overload (engines of the test have nothing else to do), and a retry budget that is counted wrongly (each client attempt stays within it).

--- /dev/null
+++ b/control/quarantine/wire.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/poison"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+// encode tells times as ages, because instances have no common clock.
+func encode(now time.Duration, records []poison.Record) *peerpb.SuspectRequests {
+	out := &peerpb.SuspectRequests{}
+	for _, r := range records {
+		p := &peerpb.SuspectRequest{Key: r.Key[:], Round: r.Round, ChangedAgoUs: (now - r.Changed).Microseconds()}
+		for _, c := range r.Crashes {
+			p.Crashes = append(p.Crashes, &peerpb.ServerCrash{
+				Server: c.Server, EndedAgoUs: (now - c.Ended).Microseconds(), RanUs: (c.Ended - c.Began).Microseconds(),
+			})
+		}
+		out.Requests = append(out.Requests, p)
+	}
+	return out
+}
+
+// decode reports whether a record makes sense.
+func decode(now time.Duration, p *peerpb.SuspectRequest) (r poison.Record, ok bool) {
+	if len(p.Key) != len(r.Key) {
+		return r, false
+	}
+	r = poison.Record{Key: poison.Key(p.Key), Round: p.Round, Changed: now - micros(p.ChangedAgoUs)}
+	for _, c := range p.Crashes {
+		ended := now - micros(c.EndedAgoUs)
+		r.Crashes = append(r.Crashes, poison.Crash{Server: c.Server, Began: ended - micros(c.RanUs), Ended: ended})
+	}
+	return r, true
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/e2e/poison_test.go
+++ b/e2e/poison_test.go
@@ -44,7 +44,8 @@
 // Engines end one after the other, and most short prompts of all customers fail with
 // them. One request ends each engine that runs it; its caller sends it again, at any
 // instance. Each client attempt was sent to a second engine, and nothing was known of the
-// request at the next one, there or at another instance.
+// request at the next one, there or at another instance: lines of failed attempts have one
+// identity, at all instances and every engine that ended.
 var _ = Describe("a request that crashes the servers that run it", Ordered, func() {
 	var s *estate
 	BeforeAll(func() {
@@ -74,6 +75,7 @@
 		after := s.reached(poisonBody)
 		close(stop)
 		wg.Wait()
+		GinkgoWriter.Printf("%d engines ended\n", s.crashes())
 		Expect(after-before).To(BeNumerically("<=", mayFollow), "%d engines ended", s.crashes())
 	})
 
--- a/modules/modules.go
+++ b/modules/modules.go
@@ -11,6 +11,7 @@
 	_ "github.com/auburnmoor/auburnmoor/control/members"
 	_ "github.com/auburnmoor/auburnmoor/control/orders"
 	_ "github.com/auburnmoor/auburnmoor/control/platformapi"
+	_ "github.com/auburnmoor/auburnmoor/control/quarantine"
 	_ "github.com/auburnmoor/auburnmoor/control/reaper"
 	_ "github.com/auburnmoor/auburnmoor/peerlink"
 	_ "github.com/auburnmoor/auburnmoor/platform"
--- a/result/result.go
+++ b/result/result.go
@@ -41,6 +41,7 @@
 	ClaimRunning       Code = 2009
 	DeadlineNotRun     Code = 2010
 	RingFull           Code = 2011
+	Quarantined        Code = 2012
 	DeadlinePassed     Code = 3001
 	BackendFailed      Code = 3002
 	OutcomeUnknown     Code = 3003
@@ -86,6 +87,7 @@
 	{ClaimRunning, "claim_running", http.StatusConflict, true, "The same key is running already; this call ran nothing, ask again for its answer."},
 	{DeadlineNotRun, "deadline_not_run", http.StatusGatewayTimeout, true, "The time limit passed before the request was handed to a backend server."},
 	{RingFull, "ring_full", http.StatusServiceUnavailable, true, "An internal queue is full."},
+	{Quarantined, "quarantined", http.StatusServiceUnavailable, true, "Servers that ran this request crashed, one after the other; it is not run again for a while."},
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, false, "The time limit passed while the request was at a backend server."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, false, "The backend server failed and no retry was possible in time."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it will not be run again under this key."},
--- a/serve/relay/crash.go
+++ b/serve/relay/crash.go
@@ -4,9 +4,16 @@
 	"context"
 
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/poison"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+	"github.com/auburnmoor/auburnmoor/result"
 )
 
 // crashes tells servers that ended from connections that broke. Both break the
@@ -29,3 +36,64 @@
 	})
 	return ended.(bool)
 }
+
+// identity is worked out once and only if it is needed.
+func (x *exchange) identity() poison.Key {
+	if x.key == nil {
+		k := x.req.key(x.customer)
+		x.key = &k
+	}
+	return *x.key
+}
+
+// admit ends a request that is known to crash the servers that run it, before another
+// one is lost with it and with all that it runs. One that may be the cause of a crash
+// that just happened waits until others can have told what they saw.
+func (x *exchange) admit(ctx context.Context) bool {
+	q := x.relay.quarantine
+	for !q.Empty() {
+		ruling := q.Judge(x.identity())
+		if ruling.Verdict == poison.Poisonous {
+			x.relay.log.Warn("request is not run, servers crashed with it", zap.String("request", x.req.ID), zap.Stringer("identity", x.identity()),
+				zap.Int("crashes", ruling.Crashes), zap.Duration("retry_after", ruling.RetryAfter))
+			x.end(result.New(result.Quarantined, "%d servers that ran this request crashed, one after the other", ruling.Crashes).After(ruling.RetryAfter))
+			return false
+		}
+		if ruling.Wait == 0 {
+			return true
+		}
+		if !wait.For(ctx, ruling.Wait) {
+			x.timeUp(ctx, backend.ErrNotSent)
+			return false
+		}
+	}
+	return true
+}
+
+// investigate notes that the server of a failed attempt ended while it ran the request. A
+// server that leaves ends as well, with whatever it still runs; that is no sign against
+// it.
+func (x *exchange) investigate(plan spread.Plan, o attempt.Outcome) {
+	x.crashed = false
+	if o != attempt.Broken {
+		return
+	}
+	ended := x.relay.now()
+	s, listed := x.relay.catalog.Servers().Get(plan.Writer().ID)
+	if !listed || s.Leaving || !x.relay.crashes.confirm(plan.Writer()) {
+		return
+	}
+	x.crashed, x.anyCrash = true, true
+	x.relay.quarantine.Crashed(x.identity(), s.ID, x.sent, ended)
+}
+
+// closeCase notes how the request ended.
+func (x *exchange) closeCase() {
+	q := x.relay.quarantine
+	switch {
+	case x.answered && !q.Empty():
+		q.Answered(x.identity())
+	case x.anyCrash:
+		q.Failed(x.identity())
+	}
+}
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/health"
+	"github.com/auburnmoor/auburnmoor/decide/poison"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/eventlog"
@@ -89,6 +90,14 @@
 	// last is the newest answer of a server's own that may be passed on.
 	last     backend.Head
 	lastBody []byte
+	// key is the request's identity once it was needed.
+	key *poison.Key
+	// sent is when the present attempt was sent, crashed tells that its server ended, and
+	// anyCrash that the server of some attempt did.
+	sent              time.Duration
+	crashed, anyCrash bool
+	// answered tells that a server's whole answer is out.
+	answered bool
 	// waited is how long the request was held back before its first attempt.
 	waited time.Duration
 	// waitedFor is why it was last held back.
@@ -120,7 +129,11 @@
 	x.started = x.relay.now()
 	x.heard.Store(int64(x.started))
 	x.relay.arrived(x.service.Name)
+	defer x.closeCase()
 	for {
+		if !x.admit(ctx) {
+			return
+		}
 		plan, verdict := x.placeInTurn(ctx)
 		if verdict == spread.Hold {
 			x.timeUp(ctx, backend.ErrNotSent)
@@ -134,6 +147,7 @@
 		outcome, err := x.attempt(ctx, plan)
 		x.settle(plan, err == nil)
 		if err == nil {
+			x.answered = true
 			x.finished(plan)
 			return
 		}
@@ -142,6 +156,7 @@
 			return
 		}
 		x.avoid = append(x.avoid, plan.Writer().ID)
+		x.investigate(plan, outcome)
 		if !x.next(plan, outcome, err) {
 			return
 		}
@@ -152,9 +167,8 @@
 func (x *exchange) next(plan spread.Plan, o attempt.Outcome, err error) bool {
 	action := x.state.Next(o, func() bool { return x.left() > leastLeft && x.relay.mayRetry(x.service.Name) })
 	x.relay.count("attempts_failed_total", "outcome", o.String())
-	crashed := o == attempt.Broken && x.relay.crashes.confirm(plan.Writer())
 	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
-		zap.Stringer("identity", x.req.key(x.customer)), zap.Bool("crashed", crashed),
+		zap.Stringer("identity", x.identity()), zap.Bool("crashed", x.crashed),
 		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.left()),
 		zap.Duration("servers_age", x.relay.catalog.Age()), eventlog.Error(err))
 	switch action {
@@ -276,9 +290,9 @@
 		return attempt.NotSent, err
 	}
 	defer res.release()
-	sent := x.relay.now()
+	x.sent = x.relay.now()
 	answer, err := x.relay.client.Do(ctx, x.call(plan, res))
-	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - sent)
+	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - x.sent)
 	if err != nil {
 		return x.broken(ctx, plan, err)
 	}
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/control/loads"
 	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
@@ -65,6 +66,7 @@
 	catalog          *follow.Follower
 	loads            *loads.Loads
 	members          *members.Members
+	quarantine       *quarantine.Quarantine
 	client           backend.Client
 	crashes          *crashes
 
@@ -95,7 +97,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Relay) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, backend.Port}, OnRequest: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, backend.Port}, OnRequest: true,
 		New: func() auburnmoor.Module { return new(Relay) },
 	}
 }
@@ -111,6 +113,9 @@
 	if r.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
 		return err
 	}
+	if r.quarantine, err = auburnmoor.Require[*quarantine.Quarantine](c, quarantine.ID); err != nil {
+		return err
+	}
 	src, err := auburnmoor.Find[backend.Source](c)
 	if err != nil {
 		return err
