Positions in the store are an era and a revision; nothing is believed that the store lost

Callers would have seen a leaving server get requests and a key that was taken away work on: when the store comes back from an older copy its revisions go back, and the instances that watch it believed themselves newer than all that it told from then on.

An era goes with every position: answers, messages between instances, dumps, log lines. A later era heard from the store or a peer ends watches and confirmations; answers of an earlier one, or without one once it was told, are asked for again. The configuration in force stays until a higher version comes, or the same one with other content of a later era. Listed instances put themselves into the list again within a second of each other.

--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -6,9 +6,11 @@
 	"context"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -18,13 +20,36 @@
 // content is a configuration as it is passed on between instances.
 type content struct {
 	version uint64
-	// revision is the one of the store at which it was the newest. It goes with the
+	// at is the position of the store at which it was the newest. It goes with the
 	// content: a later one, at which another version may have come, would have whoever
 	// takes this content over watch from behind that version.
-	revision int64
+	at       position.Position
+	digest   uint64
 	deflated []byte
 }
 
+// configID tells configurations apart.
+type configID struct {
+	version, era, digest uint64
+}
+
+// older reports whether another configuration is to be in force rather than this one: a
+// higher version or, of one version, another content that the store took in a later era.
+// The store lost the content of the earlier one, so the later is the newest that was
+// accepted.
+func (id configID) older(o configID) bool {
+	return o.version > id.version || o.version == id.version && o.era > id.era && o.digest != id.digest
+}
+
+// configID is that of the configuration in force.
+func (f *Follower) configID() configID {
+	c := f.raw.Load()
+	if c == nil {
+		return configID{}
+	}
+	return configID{c.version, c.at.Era, c.digest}
+}
+
 // configFrom is a configuration that a peer passed on.
 type configFrom struct {
 	peer  string
@@ -38,76 +63,102 @@
 func (f *Follower) followConfig(ctx context.Context) {
 	f.follow(ctx, source{
 		name: whatConfig,
-		held: func() (int64, bool) {
+		held: func() (position.Position, bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			return f.configRevision, f.configRead
+			return f.configAt, f.configRead
 		},
-		read: func(ctx context.Context, staleOK bool) (int64, error) {
+		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
 			c, err := f.catalog.Config(ctx, staleOK)
 			if errors.Is(err, catalog.ErrNone) {
 				f.log.Info("the store holds no configuration yet")
-				f.configAt(c.Revision)
-				return c.Revision, nil
+				f.noteConfigAt(c.At)
+				return c.At, nil
 			}
-			return f.takeConfig(&c, c.Revision, err)
+			return f.takeConfig(&c, c.At, err)
 		},
-		watch: func(ctx context.Context, after int64) (int64, error) {
+		watch: func(ctx context.Context, after position.Position) (position.Position, error) {
 			return f.takeConfig(f.catalog.WatchConfig(ctx, after, f.Wait.Std()))
 		},
 	})
 }
 
-// configAt notes that what is held is the newest up to a revision.
-func (f *Follower) configAt(revision int64) {
+// noteConfigAt notes that what is held is the newest up to a position.
+func (f *Follower) noteConfigAt(at position.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.configRevision, f.configRead = max(f.configRevision, revision), true
+	f.configAt, f.configRead = position.Later(f.configAt, at), true
 }
 
 // takeConfig takes over what the store tells, nil if nothing changed, and returns the
-// revision to watch from. While the newest configuration cannot be read the one in
+// position to watch from. While the newest configuration cannot be read the one in
 // force stays, and the next change is waited for: asking again brings the same.
-func (f *Follower) takeConfig(c *catalog.Config, revision int64, err error) (int64, error) {
+func (f *Follower) takeConfig(c *catalog.Config, at position.Position, err error) (position.Position, error) {
 	if errors.Is(err, catalog.ErrUnreadable) {
-		f.notAdopted(revision, err)
-		f.configAt(revision)
-		return revision, nil
+		f.notAdopted(at, err)
+		f.noteConfigAt(at)
+		return at, nil
 	}
 	if err != nil {
-		return 0, err
+		return at, err
+	}
+	f.noteConfigAt(at)
+	if c != nil {
+		f.compareWithStore(c.Config.Version, at)
 	}
-	f.configAt(revision)
 	if c != nil && f.adopt(*c, "store", deflate(c.Raw)) {
 		f.passConfig(f.members.Standing().First())
 		f.members.SpreadNow()
 	}
-	return revision, nil
+	return at, nil
+}
+
+// compareWithStore says when the store holds an older configuration than the one in
+// force, and when it no longer does. What was accepted is never back: the version in
+// force stays until a higher one comes, or the same one with another content. If none
+// does, it stays for as long as an instance lives that knows it.
+func (f *Follower) compareWithStore(stored uint64, at position.Position) {
+	inForce := f.version()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := f.behind
+	f.behind = 0
+	if stored < inForce {
+		f.behind = stored
+	}
+	switch {
+	case f.behind != 0 && f.behind != was:
+		f.log.Warn("the store holds an older configuration than the one in force, which stays", zap.Uint64("stored", stored), zap.Uint64("version", inForce), zap.Stringer("at", at))
+	case f.behind == 0 && was != 0:
+		f.log.Info("the store holds no older configuration any more", zap.Uint64("stored", stored), zap.Stringer("at", at))
+	}
 }
 
 // notAdopted says that the newest configuration cannot be read.
-func (f *Follower) notAdopted(revision int64, err error) {
+func (f *Follower) notAdopted(at position.Position, err error) {
 	f.scope.Tagged(map[string]string{"kind": "configuration"}).Counter("entries_unreadable_total").Inc(1)
-	f.log.Error("the newest configuration cannot be read, the last one stays in force", zap.Uint64("version", f.version()), zap.Int64("revision", revision), eventlog.Error(err))
+	f.log.Error("the newest configuration cannot be read, the last one stays in force", zap.Uint64("version", f.version()), zap.Stringer("at", at), eventlog.Error(err))
 }
 
 // adopt takes over a version only if it is newer than the one in force, and reports
 // whether it is. Versions come from reads, watches and peers in any order; an older one
 // that arrives late must not bring back what operators took away.
 func (f *Follower) adopt(c catalog.Config, from string, deflated []byte) bool {
-	next := route.NewTable(c.Config)
-	for {
-		held := f.table.Load()
-		if held != nil && held.Version >= next.Version {
-			return false
-		}
-		if f.table.CompareAndSwap(held, next) {
-			break
+	f.adopting.Lock()
+	defer f.adopting.Unlock()
+	held := f.configID()
+	next := &content{version: c.Config.Version, at: c.At, digest: xxhash.Sum64(c.Raw), deflated: deflated}
+	if f.table.Load() != nil && !held.older(configID{next.version, next.at.Era, next.digest}) {
+		if next.version == held.version && next.digest == held.digest && next.at.Era > held.era {
+			// Written again after the store lost it.
+			f.raw.Store(next)
 		}
+		return false
 	}
-	f.raw.Store(&content{version: next.Version, revision: c.Revision, deflated: deflated})
-	f.log.Info("configuration in force", zap.Uint64("version", next.Version), zap.String("from", from),
-		zap.Int64("revision", c.Revision), zap.Int("routes", len(next.Routes)), zap.Int("customers", len(next.Customers)), zap.Int("bytes", len(c.Raw)))
+	f.table.Store(route.NewTable(c.Config))
+	f.raw.Store(next)
+	f.log.Info("configuration in force", zap.Uint64("version", next.version), zap.String("from", from),
+		zap.Stringer("at", c.At), zap.Int("routes", len(c.Config.Routes)), zap.Int("customers", len(c.Config.Customers)), zap.Int("bytes", len(c.Raw)))
 	f.changed()
 	return true
 }
@@ -129,15 +180,16 @@
 	if raw == nil {
 		return nil
 	}
-	return &peerpb.ConfigReply{Version: raw.version, Content: raw.deflated, Revision: raw.revision}
+	return &peerpb.ConfigReply{Version: raw.version, Content: raw.deflated, Revision: raw.at.Revision, Era: raw.at.Era}
 }
 
 // adoptFromPeer takes over what a peer passed on and passes it on in turn.
 func (f *Follower) adoptFromPeer(from configFrom) {
 	r := from.reply
-	if r.Version <= f.version() {
+	if r.Version < f.version() || r.Version == f.version() && r.Era <= f.configID().era {
 		return
 	}
+	f.learnEra(r.Era)
 	c, err := f.decode(r)
 	if err != nil {
 		f.log.Warn("configuration from a peer cannot be read", zap.String("peer", from.peer), eventlog.Error(err))
@@ -147,7 +199,7 @@
 	if !f.adopt(c, "peer", r.Content) {
 		return
 	}
-	f.configAt(r.Revision)
+	f.noteConfigAt(c.At)
 	if !first {
 		f.passConfig(f.members.Standing().Next())
 	}
@@ -159,7 +211,7 @@
 		return catalog.Config{}, err
 	}
 	c, err := f.catalog.Decode(raw)
-	c.Revision = r.Revision
+	c.At = position.Position{Era: r.Era, Revision: r.Revision}
 	return c, err
 }
 
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -16,8 +16,10 @@
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/watch"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 	"github.com/auburnmoor/auburnmoor/ring"
@@ -49,6 +51,9 @@
 	// watches in place of those that are silent.
 	stepFor   = time.Second
 	inboxSize = 64
+	// settleEvery is how often servers are looked through that hold for a while after
+	// the store came back from an older copy.
+	settleEvery = 100 * time.Millisecond
 )
 
 // Follower is the module "control.catalog".
@@ -79,17 +84,24 @@
 	storeFailing atomic.Bool
 	inbox        *ring.Ring[configFrom]
 	newer        *ring.Ring[offer]
+	// adopting lets one goroutine at a time decide which configuration is in force.
+	adopting sync.Mutex
 
 	// mu guards what follows, which reads of the store and word of peers change.
 	mu  sync.Mutex
 	set *backends.Set
 	bad unreadable
-	// configRevision is the revision of the store up to which the configuration held
-	// is the newest, configRead whether any was read or came from a peer.
-	configRevision int64
-	configRead     bool
-	news           *watch.News
-	direct         map[string]time.Duration
+	// configAt is the position of the store up to which the configuration held is the
+	// newest, configRead whether any was read or came from a peer.
+	configAt   position.Position
+	configRead bool
+	news       *watch.News
+	direct     map[string]time.Duration
+	// era is the era of the store that news and direct belong to.
+	era uint64
+	// behind is the version of the configuration that the store holds while it is older
+	// than the one in force.
+	behind uint64
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -143,6 +155,7 @@
 	go f.followServers(ctx)
 	go f.askPeers(ctx)
 	go f.askServers(ctx)
+	go wait.Every(ctx, settleEvery, f.settle)
 	return nil
 }
 
@@ -172,27 +185,38 @@
 // Dump implements auburnmoor.Dumper.
 func (f *Follower) Dump() any {
 	st, now := f.members.Standing(), f.now()
-	d := Dump{ConfigVersion: f.version(), AgeMS: f.Age().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.due()}
+	d := Dump{Era: f.catalog.Era(), ConfigVersion: f.version(), AgeMS: f.Age().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.due()}
 	if s := f.Servers(); s != nil {
-		d.ServersRevision, d.Servers = s.Revision, s.Len()
+		d.ServersAt, d.Servers = s.At.String(), s.Len()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range f.news.Newest(now, mostTold) {
 		d.Heard = append(d.Heard, DumpHeard{By: h.By, AgeMS: (now - h.At).Milliseconds()})
 	}
-	d.ConfigRevision, d.Unreadable = f.configRevision, maps.Clone(f.bad)
+	d.Kept, d.Doubted = f.set.Kept(), f.set.Doubted()
+	d.ConfigAt, d.ConfigBehind, d.Unreadable = f.configAt.String(), f.behind, maps.Clone(f.bad)
 	return d
 }
 
 // Dump is what an instance believes of the store's content, how old it is, and whether
 // it watches the store itself.
 type Dump struct {
-	ConfigVersion   uint64 `json:"config_version"`
-	ConfigRevision  int64  `json:"config_revision"`
-	Servers         int    `json:"servers"`
-	ServersRevision int64  `json:"servers_revision"`
-	AgeMS           int64  `json:"age_ms"`
+	// Era is the newest era of the store that is known of.
+	Era           uint64 `json:"era"`
+	ConfigVersion uint64 `json:"config_version"`
+	// ConfigAt and ServersAt are positions of the store: era/revision.
+	ConfigAt string `json:"config_at"`
+	// ConfigBehind is the version that the store holds while it is older than the one in
+	// force, zero if it is not.
+	ConfigBehind uint64 `json:"config_behind,omitempty"`
+	Servers      int    `json:"servers"`
+	ServersAt    string `json:"servers_at"`
+	// Kept servers are used though the store lost their entries, Doubted ones are listed
+	// and not used, both for seconds after the store came back from a copy.
+	Kept    int   `json:"kept,omitempty"`
+	Doubted int   `json:"doubted,omitempty"`
+	AgeMS   int64 `json:"age_ms"`
 	// Rank is the place of the instance among those of its data centre, of which the
 	// first Watchers watch.
 	Rank     int  `json:"rank"`
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -23,17 +24,19 @@
 
 // offer is something newer that a peer holds.
 type offer struct {
-	peer     string
-	version  uint64
-	revision int64
-	digest   uint64
+	peer    string
+	config  configID
+	servers position.Position
+	digest  uint64
 }
 
 // tell adds to a round of gossip what this instance holds and knows of those that watch.
 func (f *Follower) tell(g *peerpb.Gossip) {
-	g.ConfigVersion = f.version()
+	g.StoreEra = f.catalog.Era()
+	id := f.configID()
+	g.ConfigVersion, g.ConfigEra, g.ConfigDigest = id.version, id.era, id.digest
 	if s := f.Servers(); s != nil {
-		g.ServersRevision, g.ServersDigest = s.Revision, s.Digest
+		g.ServersRevision, g.ServersEra, g.ServersDigest = s.At.Revision, s.At.Era, s.Digest
 	}
 	now := f.now()
 	f.mu.Lock()
@@ -45,11 +48,20 @@
 
 // hear takes over what a peer's gossip says of the store.
 func (f *Follower) hear(from string, g *peerpb.Gossip) {
-	o := offer{peer: from, version: g.ConfigVersion, revision: g.ServersRevision, digest: g.ServersDigest}
+	o := offer{
+		peer: from, config: configID{g.ConfigVersion, g.ConfigEra, g.ConfigDigest},
+		servers: position.Position{Era: g.ServersEra, Revision: g.ServersRevision}, digest: g.ServersDigest,
+	}
+	f.learnEra(g.StoreEra)
 	f.mu.Lock()
 	now := f.now()
 	newest := time.Duration(0)
-	for _, c := range g.Confirmed {
+	confirmed := g.Confirmed
+	if g.StoreEra < f.era {
+		// The store may have lost what was confirmed then.
+		confirmed = nil
+	}
+	for _, c := range confirmed {
 		at := now - time.Duration(c.AgeMs)*time.Millisecond
 		f.news.Note(watch.Heard{By: c.By, At: at})
 		newest = max(newest, at)
@@ -63,11 +75,14 @@
 }
 
 // lacks reports whether a peer holds something newer.
-func (f *Follower) lacks(o offer) bool { return o.version > f.version() || f.lacksServers(o) }
+func (f *Follower) lacks(o offer) bool { return f.configID().older(o.config) || f.lacksServers(o) }
 
 func (f *Follower) lacksServers(o offer) bool {
 	s := f.Servers()
-	return o.revision > 0 && (s == nil || o.revision > s.Revision && o.digest != s.Digest)
+	if o.servers.Revision <= 0 {
+		return false
+	}
+	return s == nil || s.At.Before(o.servers) && (o.digest != s.Digest || o.servers.Era != s.At.Era)
 }
 
 // confirm notes that what is held was the newest at a time.
@@ -119,9 +134,9 @@
 		wait.For(ctx, askPeerAfter)
 	}
 	f.drainInbox()
-	if o.version > f.version() {
+	if held := f.configID(); held.older(o.config) {
 		f.scope.Counter("config_asked_total").Inc(1)
-		f.link.Send(o.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: f.version()}}})
+		f.link.Send(o.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: held.version, HaveEra: held.era}}})
 	}
 	if f.lacksServers(o) {
 		f.askForServers(o.peer)
@@ -145,13 +160,14 @@
 	case env.GetGossip() != nil:
 		f.hear(from, env.GetGossip())
 	case env.GetConfigRequest() != nil:
-		if f.version() > env.GetConfigRequest().HaveVersion {
+		r := env.GetConfigRequest()
+		if held := f.configID(); held.version > r.HaveVersion || held.version == r.HaveVersion && held.era > r.HaveEra {
 			f.passConfig([]string{from})
 		}
 	case env.GetConfigReply() != nil:
 		f.inbox.Offer(configFrom{from, env.GetConfigReply()})
 	case env.GetServersRequest() != nil:
-		f.tellServers(from, env.GetServersRequest().HaveRevision)
+		f.tellServers(from, position.Position{Era: env.GetServersRequest().HaveEra, Revision: env.GetServersRequest().HaveRevision})
 	case env.GetServersReply() != nil:
 		f.adoptServers(from, env.GetServersReply())
 	}
@@ -171,14 +187,15 @@
 
 func (f *Follower) askForServers(peer string) {
 	f.scope.Counter("servers_asked_total").Inc(1)
+	at := f.serversAt()
 	f.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_ServersRequest{
-		ServersRequest: &peerpb.ServersRequest{HaveRevision: f.serversRevision()},
+		ServersRequest: &peerpb.ServersRequest{HaveRevision: at.Revision, HaveEra: at.Era},
 	}})
 }
 
-func (f *Follower) tellServers(to string, have int64) {
+func (f *Follower) tellServers(to string, have position.Position) {
 	snap := f.Servers()
-	if snap == nil || snap.Revision <= have {
+	if snap == nil || !have.Before(snap.At) {
 		return
 	}
 	f.passServers([]string{to}, wholeList(snap, f.Age()))
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
@@ -15,22 +16,22 @@
 func (f *Follower) followServers(ctx context.Context) {
 	f.follow(ctx, source{
 		name: whatServers,
-		held: func() (int64, bool) { return f.serversRevision(), f.Servers() != nil },
-		read: func(ctx context.Context, staleOK bool) (int64, error) {
+		held: func() (position.Position, bool) { return f.serversAt(), f.Servers() != nil },
+		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
 			l, err := f.catalog.Servers(ctx, staleOK)
 			if err != nil {
-				return 0, err
+				return position.Position{}, err
 			}
 			f.takeServers(l)
-			return l.Revision, nil
+			return l.At, nil
 		},
-		watch: func(ctx context.Context, after int64) (int64, error) {
+		watch: func(ctx context.Context, after position.Position) (position.Position, error) {
 			l, err := f.catalog.WatchServers(ctx, after, f.Wait.Std())
 			if err != nil {
-				return 0, err
+				return position.Position{}, err
 			}
 			f.takeChanges(l)
-			return l.Revision, nil
+			return l.At, nil
 		},
 	})
 }
@@ -40,9 +41,9 @@
 	before := f.Servers()
 	changed := f.update("store", func(now time.Duration) bool {
 		f.noteUnreadable(func(string) bool { return true }, l.Unreadable)
-		return f.set.Replace(now, l.Servers, l.Revision)
+		return f.set.Replace(now, l.Servers, l.At)
 	})
-	if changed && before != nil {
+	if before != nil && (changed || before.At.Era < l.At.Era) {
 		f.passServers(f.members.Standing().First(), wholeList(f.Servers(), f.Age()))
 	}
 }
@@ -55,7 +56,7 @@
 	before := f.Servers()
 	changed := f.update("store", func(now time.Duration) bool {
 		f.noteUnreadable(changedIn(l.Changes), l.Unreadable)
-		return f.set.Apply(now, l.Changes, l.Revision)
+		return f.set.Apply(now, l.Changes, l.At)
 	})
 	if changed {
 		f.passServers(f.members.Standing().First(), changedList(before, l))
@@ -82,17 +83,32 @@
 	if before != nil && before.Digest == snap.Digest {
 		return false
 	}
-	f.log.Info("backend servers changed", zap.String("from", from), zap.Int64("revision", snap.Revision), zap.Int("servers", snap.Len()))
+	f.log.Info("backend servers changed", zap.String("from", from), zap.Stringer("at", snap.At), zap.Int("servers", snap.Len()))
 	f.changed()
 	return true
 }
 
-// serversRevision is that of the list held, or -1.
-func (f *Follower) serversRevision() int64 {
+// nothingHeld is before any position.
+var nothingHeld = position.Position{Revision: -1}
+
+// serversAt is the position of the list held.
+func (f *Follower) serversAt() position.Position {
 	if s := f.Servers(); s != nil {
-		return s.Revision
+		return s.At
+	}
+	return nothingHeld
+}
+
+// settle ends what held for a while after the store came back from a copy.
+func (f *Follower) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.set.Settle(f.now()) {
+		return
 	}
-	return -1
+	snap := f.set.Snapshot()
+	f.servers.Store(snap)
+	f.log.Info("backend servers settled after the store lost writes", zap.Stringer("at", snap.At), zap.Int("servers", snap.Len()))
 }
 
 // passServers sends a list, or changes, to peers.
@@ -108,27 +124,42 @@
 // held lead to the same list, since each tells the last state of a server.
 func (f *Follower) adoptServers(from string, r *peerpb.ServersReply) {
 	held := f.Servers()
-	if held != nil && r.Revision <= held.Revision {
+	at := position.Position{Era: r.Era, Revision: r.Revision}
+	if held != nil && !held.At.Before(at) {
 		return
 	}
-	if r.Changes && (held == nil || held.Revision < r.After && held.Digest != r.AfterDigest) {
+	f.learnEra(r.Era)
+	if r.Changes && !follows(held, r) {
 		f.scope.Counter("servers_gaps_total").Inc(1)
 		f.askForServers(from)
 		return
 	}
 	taken := f.update(from, func(now time.Duration) bool {
 		if r.Changes {
-			return f.set.Apply(now, changesOf(r), r.Revision)
+			return f.set.Apply(now, changesOf(r), at)
 		}
-		return f.set.Replace(now, serversOf(r), r.Revision)
+		return f.set.Replace(now, serversOf(r), at)
 	})
-	if taken && held != nil {
+	if held != nil && (taken || held.At.Era < at.Era) {
 		f.passServers(f.members.Standing().Next(), r)
 	}
 }
 
+// follows reports whether changes lead on from what is held. Those of a later era than
+// that of what is held do only if the content is the same.
+func follows(held *backends.Snapshot, r *peerpb.ServersReply) bool {
+	if held == nil {
+		return false
+	}
+	after := position.Position{Era: r.AfterEra, Revision: r.After}
+	if held.Digest == r.AfterDigest {
+		return held.At.Era == r.Era
+	}
+	return held.At.Era == r.Era && after.Era == r.Era && !held.At.Before(after)
+}
+
 func wholeList(snap *backends.Snapshot, age time.Duration) *peerpb.ServersReply {
-	out := &peerpb.ServersReply{Revision: snap.Revision, AgeUs: age.Microseconds()}
+	out := &peerpb.ServersReply{Revision: snap.At.Revision, Era: snap.At.Era, AgeUs: age.Microseconds()}
 	for _, s := range snap.All() {
 		out.Servers = append(out.Servers, listed(s))
 	}
@@ -136,7 +167,9 @@
 }
 
 func changedList(before *backends.Snapshot, l catalog.ServerChanges) *peerpb.ServersReply {
-	out := &peerpb.ServersReply{Revision: l.Revision, Changes: true, After: before.Revision, AfterDigest: before.Digest}
+	out := &peerpb.ServersReply{
+		Revision: l.At.Revision, Era: l.At.Era, Changes: true, After: before.At.Revision, AfterEra: before.At.Era, AfterDigest: before.Digest,
+	}
 	for _, c := range l.Changes {
 		if c.Server == nil {
 			out.Gone = append(out.Gone, c.ID)
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
@@ -42,23 +43,23 @@
 // source is one of the two, as its loop sees it.
 type source struct {
 	name string
-	// held returns the revision up to which the content held is the newest, and whether
+	// held returns the position up to which the content held is the newest, and whether
 	// any is held.
-	held func() (int64, bool)
-	// read takes over the whole and returns its revision; what it was some seconds ago
+	held func() (position.Position, bool)
+	// read takes over the whole and returns its position; what it was some seconds ago
 	// will do if staleOK.
-	read func(ctx context.Context, staleOK bool) (int64, error)
-	// watch takes over what changed after a revision.
-	watch func(context.Context, int64) (int64, error)
+	read func(ctx context.Context, staleOK bool) (position.Position, error)
+	// watch takes over what changed after a position.
+	watch func(context.Context, position.Position) (position.Position, error)
 }
 
 // watcher is the state of one source's loop.
 type watcher struct {
 	source
 	rand *rand.Rand
-	// revision is the last one at which the store answered this instance.
-	revision int64
-	// gap tells that the history after revision is gone and the whole must be read.
+	// at is the last position at which the store answered this instance.
+	at position.Position
+	// gap tells that the history after it is gone and the whole must be read.
 	gap, watching bool
 	failures      int
 	// gather is how long the next changes are gathered, zero after a watch without any.
@@ -73,19 +74,19 @@
 	for ctx.Err() == nil {
 		due := f.due()
 		f.noteDuty(w, due)
-		began := w.revision
+		began := w.at
 		err := f.turn(ctx, w, due)
 		switch {
 		case err == nil:
 			f.regained(s.name, w.failures)
 			w.failures = 0
 			if due {
-				w.pace(ctx, w.revision > began)
+				w.pace(ctx, began.Before(w.at))
 			}
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, catalog.ErrHistoryGone):
-			f.log.Info("history of changes is gone, reading the whole again", zap.String("what", s.name), zap.Int64("revision", w.revision))
+			f.log.Info("history of changes is gone, reading the whole again", zap.String("what", s.name), zap.Stringer("at", w.at))
 			w.gap = true
 		default:
 			f.lost(s.name, w.failures, err)
@@ -108,33 +109,34 @@
 // turn makes the call that is due, or pauses if none is.
 func (f *Follower) turn(ctx context.Context, w *watcher, due bool) (err error) {
 	held, known := w.held()
-	w.revision = max(w.revision, held)
+	w.at = position.Later(w.at, held)
 	switch {
 	case !known:
-		w.revision, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (int64, error) { return w.read(ctx, true) })
+		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, true) })
 	case !due || w.name == whatConfig && f.storeFailing.Load():
 		// While the store fails one of the two loops asks whether it is back.
 		wait.For(ctx, dutyEvery)
 	case w.gap:
-		w.revision, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (int64, error) { return w.read(ctx, false) })
+		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
 		w.gap = err != nil
 		f.heardFromStore(w.name, err)
 	default:
-		w.revision, err = f.call(ctx, w, f.Wait.Std()+watchSlack, func(ctx context.Context) (int64, error) { return w.watch(ctx, w.revision) })
+		w.at, err = f.call(ctx, w, f.Wait.Std()+watchSlack, func(ctx context.Context) (position.Position, error) { return w.watch(ctx, w.at) })
 		f.heardFromStore(w.name, err)
 	}
 	return err
 }
 
-// call makes one call and returns the revision of its answer, or the last one known.
-func (f *Follower) call(ctx context.Context, w *watcher, timeout time.Duration, fn func(context.Context) (int64, error)) (int64, error) {
+// call makes one call and returns the position of its answer, or the last one known.
+func (f *Follower) call(ctx context.Context, w *watcher, timeout time.Duration, fn func(context.Context) (position.Position, error)) (position.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	revision, err := fn(ctx)
+	at, err := fn(ctx)
+	f.noteEra()
 	if err != nil {
-		return w.revision, err
+		return w.at, err
 	}
-	return revision, nil
+	return at, nil
 }
 
 // due reports whether this instance watches the store now. One that starts lives on what
--- a/control/members/list.go
+++ b/control/members/list.go
@@ -23,6 +23,9 @@
 	// Without it all instances that start together take themselves for the only ones,
 	// put themselves into the list and watch the store.
 	settleFor = 1500 * time.Millisecond
+	// relistWithin is the time over which instances put themselves into the list again
+	// after the platform lost entries, so that they do not all call at the same moment.
+	relistWithin = time.Second
 	// dutyEvery is how often an instance looks whether the list is its duty.
 	dutyEvery = 500 * time.Millisecond
 )
@@ -39,7 +42,28 @@
 
 func (m *Members) lonely() bool { return len(m.View().Alive) <= 1 }
 
-// register puts this instance into the list once it belongs there.
+// keepListed puts this instance into the list once it belongs there, and again when the
+// platform lost its entry.
+func (m *Members) keepListed(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.register(ctx)
+		select {
+		case <-ctx.Done():
+		case <-m.lost:
+			wait.For(ctx, rand.N(relistWithin))
+		}
+	}
+}
+
+// EntriesLost tells that the platform may have lost the entry of this instance.
+func (m *Members) EntriesLost() {
+	select {
+	case m.lost <- struct{}{}:
+	default:
+	}
+}
+
+// register tries until this instance is in the list.
 func (m *Members) register(ctx context.Context) {
 	r := rand.New(rand.NewPCG(rand.Uint64(), 2))
 	for n := 0; ctx.Err() == nil; {
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -56,6 +56,8 @@
 	self      instances.Instance
 	inbox     *ring.Ring[*peerpb.Gossip]
 	spread    chan struct{}
+	// lost tells that the entry of this instance may be gone.
+	lost chan struct{}
 	// entered tells that this instance may be in the list.
 	entered atomic.Bool
 
@@ -136,7 +138,7 @@
 	m.log, m.now, m.list = c.Log, c.Now, p.Lister()
 	m.table = member.NewTable(self, cfg, rand.New(rand.NewPCG(c.Seed, 1)))
 	m.inbox = ring.New[*peerpb.Gossip]("members.inbox", inboxSize)
-	m.spread = make(chan struct{}, 1)
+	m.spread, m.lost = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.registrar, _ = p.(instances.Registrar)
 	m.self = instances.Instance{Name: self.Name, Role: instances.RoleEntry, Addr: self.CallerAddr, PeerAddr: self.PeerAddr, DataCentre: self.DataCentre, Region: self.Region}
 	m.link.SetResolver(m.resolve)
@@ -157,7 +159,7 @@
 	go m.run(ctx)
 	go m.pollList(ctx)
 	if m.registrar != nil {
-		go m.register(ctx)
+		go m.keepListed(ctx)
 	}
 	return nil
 }
--- a/decide/backends/backends_test.go
+++ b/decide/backends/backends_test.go
@@ -8,9 +8,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 )
 
+// at is a position of the first era.
+func at(revision int64) position.Position { return position.Position{Era: 1, Revision: revision} }
+
 func TestBackends(t *testing.T) { testkit.Suite(t, "backends") }
 
 var _ = Describe("set", func() {
@@ -21,8 +25,8 @@
 
 	It("follows changes", func() {
 		set := backends.NewSet()
-		Expect(set.Replace(0, []backends.Server{a, b}, 5)).To(BeTrue())
-		Expect(set.Apply(0, []backends.Change{{ID: "b"}}, 6)).To(BeTrue())
+		Expect(set.Replace(0, []backends.Server{a, b}, at(5))).To(BeTrue())
+		Expect(set.Apply(0, []backends.Change{{ID: "b"}}, at(6))).To(BeTrue())
 		Expect(set.Snapshot().Ready("s")).To(Equal([]backends.Server{a}))
 	})
 
@@ -30,10 +34,10 @@
 	// then a stale read, seconds behind, showed it ready again.
 	It("never takes a leaving server back", func() {
 		set := backends.NewSet()
-		set.Replace(0, []backends.Server{a}, 5)
-		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &leaving}}, 9)
-		Expect(set.Replace(2*time.Second, []backends.Server{a}, 7)).To(BeFalse())
-		set.Replace(2*time.Second, []backends.Server{a}, 9)
+		set.Replace(0, []backends.Server{a}, at(5))
+		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &leaving}}, at(9))
+		Expect(set.Replace(2*time.Second, []backends.Server{a}, at(7))).To(BeFalse())
+		set.Replace(2*time.Second, []backends.Server{a}, at(9))
 		Expect(set.Snapshot().Ready("s")).To(BeEmpty())
 		_, known := set.Snapshot().Get("a")
 		Expect(known).To(BeTrue())
@@ -45,8 +49,8 @@
 		old, next := leaving, a
 		old.Life, next.Life = left, came
 		set := backends.NewSet()
-		set.Replace(0, []backends.Server{old}, 5)
-		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &next}}, 6)
+		set.Replace(0, []backends.Server{old}, at(5))
+		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &next}}, at(6))
 		Expect(set.Snapshot().Ready("s")).To(HaveLen(map[bool]int{true: 1}[ready]))
 	},
 		Entry("later", backends.Life(1000), backends.Life(2000), true),
@@ -60,10 +64,10 @@
 		first, second := leaving, a
 		first.Life, second.Life = 1000, 2000
 		set := backends.NewSet()
-		set.Replace(0, []backends.Server{second}, 5)
-		set.Apply(0, []backends.Change{{ID: "a", Server: &first}}, 6)
+		set.Replace(0, []backends.Server{second}, at(5))
+		set.Apply(0, []backends.Change{{ID: "a", Server: &first}}, at(6))
 		Expect(set.Snapshot().Ready("s")).To(BeEmpty())
-		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &second}}, 7)
+		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &second}}, at(7))
 		Expect(set.Snapshot().Ready("s")).To(HaveLen(1))
 	})
 })
--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -1,17 +1,19 @@
 // Package storeserver stands in for the users' platform's metadata store:
 // objects by kind and name, one revision counter, lists, watches with a bounded
 // history, and conditional writes. It can be down, silent or slow, lose answers
-// after a write, and drop its history.
+// after a write, drop its history, and come back from an older copy of itself.
 package storeserver
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +57,19 @@
 	DelayMS int64 `json:"delayMs"`
 	// ForgetHistory drops what happened so far, once.
 	ForgetHistory bool `json:"forgetHistory"`
+	// NoEra leaves the era out of the answers.
+	NoEra bool `json:"noEra"`
+}
+
+// hdrEra tells in each answer how often the store came back from a copy.
+const hdrEra = "Store-Era"
+
+// backup is a copy of the content.
+type backup struct {
+	objects  map[string]map[string]Object
+	revision int64
+	history  []Event
+	oldest   int64
 }
 
 // historySize bounds the events that a watch can go back to.
@@ -74,11 +89,17 @@
 	changed chan struct{}
 	faults  Faults
 	counts  map[string]int
+	backup  backup
+
+	era   atomic.Uint64
+	noEra atomic.Bool
 }
 
 // New returns a stopped store.
 func New(addr string) *Server {
-	return &Server{addr: addr, objects: map[string]map[string]Object{}, changed: make(chan struct{}), counts: map[string]int{}}
+	s := &Server{addr: addr, objects: map[string]map[string]Object{}, changed: make(chan struct{}), counts: map[string]int{}}
+	s.era.Store(1)
+	return s
 }
 
 // Start listens.
@@ -114,6 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.noEra.Store(f.NoEra)
 	if f.ForgetHistory {
 		s.history, s.oldest = nil, s.revision+1
 		s.announce()
@@ -141,6 +163,7 @@
 		f := s.faults
 		s.counts[c.Request().Method+" "+c.Param("kind")]++
 		s.mu.Unlock()
+		c.Response().Before(func() { s.tellEra(c.Response().Header()) })
 		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		switch {
 		case f.Silent:
@@ -153,6 +176,39 @@
 	}
 }
 
+// tellEra names the era unless that of the answer's content is named already.
+func (s *Server) tellEra(h http.Header) {
+	if h.Get(hdrEra) == "" && !s.noEra.Load() {
+		h.Set(hdrEra, strconv.FormatUint(s.era.Load(), 10))
+	}
+}
+
+// Copy keeps a copy of the content.
+func (s *Server) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup = backup{objects: clone(s.objects), revision: s.revision, history: slices.Clone(s.history), oldest: s.oldest}
+}
+
+// Restore brings the copy back and begins a new era. What was written since is gone, and
+// its revisions are given out again.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backup
+	s.objects, s.revision, s.history, s.oldest = clone(b.objects), b.revision, slices.Clone(b.history), b.oldest
+	s.era.Add(1)
+	s.announce()
+}
+
+func clone(objects map[string]map[string]Object) map[string]map[string]Object {
+	out := make(map[string]map[string]Object, len(objects))
+	for kind, byName := range objects {
+		out[kind] = maps.Clone(byName)
+	}
+	return out
+}
+
 // Calls counts the calls to a kind that the store answered or turned away.
 func (s *Server) Calls(kind string) (n int) {
 	s.mu.Lock()
@@ -209,6 +265,7 @@
 	for {
 		s.mu.Lock()
 		out, gone := s.since(kind, from)
+		s.tellEra(c.Response().Header())
 		changed, mute := s.changed, s.faults.Mute
 		s.mu.Unlock()
 		if mute && len(out.Events) > 0 {
@@ -221,9 +278,15 @@
 		if len(out.Events) > 0 {
 			return c.JSON(http.StatusOK, out)
 		}
+		c.Response().Header().Del(hdrEra)
 		select {
 		case <-changed:
 		case <-timeout.C:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if out, gone = s.since(kind, from); gone {
+				return c.NoContent(http.StatusGone)
+			}
 			return c.JSON(http.StatusOK, out)
 		case <-c.Request().Context().Done():
 			return nil
@@ -232,7 +295,7 @@
 }
 
 func (s *Server) since(kind string, from int64) (out events, gone bool) {
-	if from+1 < s.oldest {
+	if from+1 < s.oldest || from > s.revision {
 		return out, true
 	}
 	out = events{Events: []Event{}, StoreRevision: s.revision}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -55,5 +55,6 @@
 run watch holds
 run watch violated -DIGNORE_GAPS
 run watch violated -DANY_ORDER
+run watch violated -DNO_ERA
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/spec/watch.pml
+++ b/spec/watch.pml
@@ -2,48 +2,83 @@
  * The list of backend servers on its way from the instances that watch the store to
  * one that does not.
  *
- * The store's revision rises with every change: of one of two servers, or of something
- * else. Two instances watch from revisions of their own, each as often as it likes, and
- * may start again with a state that is some revisions old. They pass on what changed
- * between two revisions; messages are lost and overtake each other. A follower takes
- * changes over only if they follow on what it holds, by revision or by content, and
- * takes the whole list of a watching instance otherwise.
+ * The store goes through states. Most are changes of one of two servers, or of something
+ * else, and raise its revision. Once it comes back from an older copy: the content and
+ * the revision are those of an earlier state, and a new era begins, in which revisions are
+ * given out again. Two instances watch from states of their own, each as often as it
+ * likes, and may start again with a state that is some changes old. They pass on what
+ * changed between two states of one era, or the whole list; messages are lost and
+ * overtake each other. A follower takes changes over only if they follow on what it
+ * holds, by era and revision or by content, and takes the whole list of a watching
+ * instance otherwise.
  *
- * Checked: what the follower holds is always the list at the revision that it names,
- * so no change is ever left out, and that revision never goes back.
+ * Checked: what the follower holds is always the list at the position that it names,
+ * so no change is ever left out, and that position never goes back.
  *
  * Mutants: -DIGNORE_GAPS takes over changes that do not follow; -DANY_ORDER takes over
- * older ones.
+ * older ones; -DNO_ERA compares revisions alone.
  *
- * Bounds: MAXV revisions, one restart of each watching instance, MAIL messages on the way.
+ * Bounds: MAXV states, one restart of each watching instance, MAIL messages on the way.
  */
 #define MAXV 3
 #define MAIL 2
+#define WHOLE 15
 
-byte revision = 0;        /* of the store */
-byte first[MAXV + 1];     /* revision of the last change of each server, */
-byte second[MAXV + 1];    /* as of each revision of the store */
+byte state = 0;           /* of the store */
+byte rev[MAXV + 1];       /* revision and era of each state */
+byte era[MAXV + 1];
+byte first[MAXV + 1];     /* state of the last change of each server, as of each state */
+byte second[MAXV + 1];
 byte at[2];               /* up to which each watching instance knows the list */
 bool restarted[2];
 chan mail = [MAIL] of { byte, byte };
 
-byte have = 0;            /* the follower's revision and what it holds */
+byte have = 0;            /* the follower's state and what it holds */
 byte have1 = 0;
 byte have2 = 0;
 
+/* A position is later by its era, then by its revision. */
+#ifdef NO_ERA
+#define LATER(a, b) (rev[a] > rev[b])
+#define SAME_ERA(a, b) (true)
+#else
+#define LATER(a, b) (era[a] > era[b] || (era[a] == era[b] && rev[a] > rev[b]))
+#define SAME_ERA(a, b) (era[a] == era[b])
+#endif
+#define SAME(a) (have1 == first[a] && have2 == second[a])
+
 proctype Store() {
+  byte copy;
+  bool back = false;
   do
-  :: revision == MAXV -> break
-  :: revision < MAXV ->
+  :: state == MAXV -> break
+  :: state < MAXV ->
      atomic {
-       first[revision + 1] = first[revision];
-       second[revision + 1] = second[revision];
+       rev[state + 1] = rev[state] + 1;
+       era[state + 1] = era[state];
+       first[state + 1] = first[state];
+       second[state + 1] = second[state];
        if
-       :: first[revision + 1] = revision + 1
-       :: second[revision + 1] = revision + 1
+       :: first[state + 1] = state + 1
+       :: second[state + 1] = state + 1
        :: skip /* something else */
        fi;
-       revision++
+       state++
+     }
+  :: state < MAXV && state > 0 && !back ->
+     atomic {
+       back = true;
+       copy = 0;
+       do
+       :: copy < state -> copy++
+       :: break
+       od;
+       rev[state + 1] = rev[copy];
+       era[state + 1] = era[state] + 1;
+       first[state + 1] = first[copy];
+       second[state + 1] = second[copy];
+       state++;
+       copy = 0
      }
   od
 }
@@ -52,14 +87,18 @@
   byte after;
   do
   :: at[me] == MAXV -> break
-  :: at[me] < revision ->
+  :: at[me] < state ->
      atomic {
        after = at[me];
        do
-       :: at[me] < revision -> at[me]++
+       :: at[me] < state -> at[me]++
        :: at[me] > after -> break
        od;
        if
+       :: era[after] != era[at[me]] -> after = WHOLE
+       :: else -> skip
+       fi;
+       if
        :: nfull(mail) -> mail!after, at[me]
        :: skip /* lost */
        fi;
@@ -76,7 +115,7 @@
   od
 }
 
-/* take moves the follower to a revision by the changes since another one. */
+/* take moves the follower to a state by the changes since another one of its era. */
 inline take(from, to) {
   if
   :: first[to] > from -> have1 = first[to]
@@ -89,6 +128,14 @@
   have = to
 }
 
+inline takeWhole(to) {
+  have1 = first[to];
+  have2 = second[to];
+  have = to
+}
+
+#define FOLLOWS(a, u) (SAME_ERA(have, u) && (!LATER(a, have) || SAME(a)))
+
 proctype Follower() {
   byte after;
   byte upto;
@@ -99,31 +146,25 @@
        mail??after, upto;
        before = have;
        if
-#ifndef ANY_ORDER
-       :: upto <= have -> skip
-#endif
-#ifndef IGNORE_GAPS
-       :: upto > have && after > have && (have1 != first[after] || have2 != second[after]) -> skip /* asks for the whole */
-       :: upto > have && !(after > have && (have1 != first[after] || have2 != second[after])) -> take(after, upto)
+#ifdef ANY_ORDER
+       :: !LATER(upto, have) && after != WHOLE -> take(after, upto)
 #else
-       :: upto > have -> take(after, upto)
+       :: !LATER(upto, have) -> skip
 #endif
-#ifdef ANY_ORDER
-       :: upto <= have -> take(0, upto)
+       :: LATER(upto, have) && after == WHOLE -> takeWhole(upto)
+#ifdef IGNORE_GAPS
+       :: LATER(upto, have) && after != WHOLE -> take(after, upto)
+#else
+       :: LATER(upto, have) && after != WHOLE && FOLLOWS(after, upto) -> take(after, upto)
+       :: LATER(upto, have) && after != WHOLE && !FOLLOWS(after, upto) -> skip /* asks for the whole */
 #endif
        fi;
        assert(have >= before);
-       assert(have1 == first[have] && have2 == second[have]);
+       assert(SAME(have));
        after = 0; upto = 0; before = 0
      }
-  :: atomic {
-       at[0] > have -> take(0, at[0]);
-       assert(have1 == first[have] && have2 == second[have])
-     }
-  :: atomic {
-       at[1] > have -> take(0, at[1]);
-       assert(have1 == first[have] && have2 == second[have])
-     }
+  :: atomic { LATER(at[0], have) -> takeWhole(at[0]); assert(SAME(have)) }
+  :: atomic { LATER(at[1], have) -> takeWhole(at[1]); assert(SAME(have)) }
   od
 }
 
