Own interface: claims, lease and configuration when the object API comes back older

A key ran twice, and the lease for orders was never taken again: versions went back, and what had been committed was gone.

An owner writes the keys that its ledger lost again, instances tell of the claims that were granted to them, and keys that a ledger lacks are granted only three seconds after that. A lease holder goes on while its time is not over, others wait. Numbers of the configuration are passed over for each lost era.

--- a/cli/faults.go
+++ b/cli/faults.go
@@ -14,7 +14,7 @@
 	Duration   time.Duration `default:"5m" help:"Virtual time of a trial."`
 	FaultEvery time.Duration `default:"4s" help:"Mean time between faults; 0 for none."`
 	ClaimEvery time.Duration `default:"200ms" help:"Mean time between requests that may not be repeated."`
-	Mutant     string        `help:"Guard to take out, to see the trial fail." enum:",no-fence,no-pause-check,adopt-any,blind-retry" default:""`
+	Mutant     string        `help:"Guard to take out, to see the trial fail." enum:",no-fence,no-pause-check,adopt-any,blind-retry,no-reclaim" default:""`
 }
 
 // Run injects faults into the state machines and counts violations.
--- a/control/claims/claims.go
+++ b/control/claims/claims.go
@@ -39,7 +39,7 @@
 	self   string
 	log    *zap.Logger
 	now    func() time.Duration
-	store  objectapi.Store
+	store  *objectapi.Client
 	link   *peerlink.Link
 	events *ring.Ring[claim.Event]
 	calls  *ring.Ring[claim.Action]
@@ -47,6 +47,7 @@
 
 	mu      sync.Mutex
 	owners  []string
+	granted claim.Granted
 	waiting map[string]chan *peerpb.ClaimReply
 }
 
@@ -87,6 +88,7 @@
 	c.dumps = make(chan chan claim.Dump)
 	c.waiting = map[string]chan *peerpb.ClaimReply{}
 	c.link.Handle(c.receive)
+	mem.Carry(func(g *peerpb.Gossip) { g.StoreEra = c.store.Era() })
 	mem.OnView(c.replaceView)
 	return nil
 }
@@ -126,6 +128,10 @@
 			return
 		case ev = <-c.events.C():
 		case <-t.C:
+			c.retell()
+			ev = claim.EraBegan{Era: c.store.Era()}
+			c.carryOut(m.Step(c.now(), time.Now().Unix(), ev))
+			ev = claim.Tick{}
 		case out := <-c.dumps:
 			out <- m.Dump()
 			continue
@@ -179,11 +185,32 @@
 	}
 }
 
+// retell tells the owners of ledgers of the claims that were granted here, when the store
+// may have lost them.
+func (c *Claims) retell() {
+	c.mu.Lock()
+	due := c.granted.Due(c.now(), c.store.Era())
+	c.mu.Unlock()
+	remote := map[string][]*peerpb.Reclaim{}
+	for _, r := range due {
+		owner := c.ownerOf(r.Customer, r.Key)
+		if owner == c.self {
+			c.events.Offer(claim.Reclaimed{Claim: r})
+			continue
+		}
+		remote[owner] = append(remote[owner], r)
+	}
+	for owner, claims := range remote {
+		c.link.Send(owner, &peerpb.Envelope{Body: &peerpb.Envelope_Reclaims{Reclaims: &peerpb.Reclaims{Claims: claims}}})
+	}
+}
+
 func (c *Claims) carryOutCall(ctx context.Context, a claim.Action) {
 	switch a := a.(type) {
 	case claim.List:
+		era := c.store.Era()
 		objects, err := c.store.List(ctx, a.Prefix)
-		c.events.Offer(claim.Listed{Shard: a.Shard, Objects: objects, Err: err})
+		c.events.Offer(claim.Listed{Shard: a.Shard, Objects: objects, Err: err, Era: era})
 	case claim.Write:
 		version, err := c.store.Put(ctx, a.Key, a.Value, a.Expect)
 		c.events.Offer(claim.Written{Shard: a.Shard, ID: a.ID, Version: version, Err: err})
@@ -194,6 +221,12 @@
 
 func (c *Claims) receive(from string, env *peerpb.Envelope) {
 	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Gossip:
+		c.store.EraKnown(b.Gossip.StoreEra)
+	case *peerpb.Envelope_Reclaims:
+		for _, r := range b.Reclaims.Claims {
+			c.events.Offer(claim.Reclaimed{Claim: r})
+		}
 	case *peerpb.Envelope_Claim:
 		c.events.Offer(claim.Claimed{From: from, Claim: b.Claim})
 	case *peerpb.Envelope_ClaimResult:
@@ -257,6 +290,11 @@
 		c.toOwner(req.Customer, req.Key, claim.Claimed{From: c.self, Claim: req}, &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: req}})
 		select {
 		case r := <-ch:
+			if r.State == peerpb.ClaimState_CLAIM_GRANTED {
+				c.mu.Lock()
+				c.granted.Add(c.now(), req)
+				c.mu.Unlock()
+			}
 			return r, nil
 		case <-t.C:
 		case <-ctx.Done():
--- a/control/orders/orders.go
+++ b/control/orders/orders.go
@@ -141,13 +141,14 @@
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var ev lease.Event
+	era := o.store.Era()
 	switch a := a.(type) {
 	case lease.Get:
 		obj, err := o.store.Get(cctx, leaseKey)
-		ev = lease.Read{Object: obj, Err: err}
+		ev = lease.Read{Object: obj, Err: err, Era: era}
 	case lease.Put:
 		version, err := o.store.Put(cctx, leaseKey, a.Value, a.Expect)
-		ev = lease.Wrote{WriteID: a.WriteID, Version: version, Err: err}
+		ev = lease.Wrote{WriteID: a.WriteID, Version: version, Err: err, Era: era}
 	}
 	select {
 	case o.results <- ev:
--- a/control/platformapi/platformapi.go
+++ b/control/platformapi/platformapi.go
@@ -60,7 +60,7 @@
 }
 
 // Store returns the client of the object API.
-func (p *Platform) Store() objectapi.Store { return p.store }
+func (p *Platform) Store() *objectapi.Client { return p.store }
 
 // Weights returns the client of the weight store.
 func (p *Platform) Weights() *weights.Client { return p.weights }
--- a/decide/claim/claim.go
+++ b/decide/claim/claim.go
@@ -113,6 +113,8 @@
 	Shard   int
 	Objects []objectapi.Object
 	Err     error
+	// Era is the store's era before the call.
+	Era uint64
 }
 
 // Written answers a Write.
@@ -123,15 +125,24 @@
 	Err     error
 }
 
+// EraBegan tells that the store came back from an older copy, as of this era.
+type EraBegan struct{ Era uint64 }
+
+// Reclaimed tells of a claim that was granted to the instance that sends it, which may
+// run the request or have answered it. The store may have lost it.
+type Reclaimed struct{ Claim *peerpb.Reclaim }
+
 // Tick lets time pass.
 type Tick struct{}
 
-func (Claimed) event()  {}
-func (Resulted) event() {}
-func (Owned) event()    {}
-func (Listed) event()   {}
-func (Written) event()  {}
-func (Tick) event()     {}
+func (EraBegan) event()  {}
+func (Reclaimed) event() {}
+func (Claimed) event()   {}
+func (Resulted) event()  {}
+func (Owned) event()     {}
+func (Listed) event()    {}
+func (Written) event()   {}
+func (Tick) event()      {}
 
 // Action is an output of a Machine.
 type Action interface{ action() }
@@ -174,8 +185,10 @@
 	self   string
 	cfg    Config
 	shards [Shards]*shard
-	unix   int64
-	out    []Action
+	// era is the newest era of the store that is known of.
+	era  uint64
+	unix int64
+	out  []Action
 }
 
 // New returns a machine that owns nothing.
@@ -192,6 +205,10 @@
 func (m *Machine) Step(now time.Duration, unix int64, ev Event) []Action {
 	m.out, m.unix = m.out[:0], unix
 	switch ev := ev.(type) {
+	case EraBegan:
+		m.beginEra(now, ev.Era)
+	case Reclaimed:
+		m.shards[KeyOf(ev.Claim.Customer, ev.Claim.Key).Shard()].reclaim(now, ev.Claim)
 	case Claimed:
 		m.shards[KeyOf(ev.Claim.Customer, ev.Claim.Key).Shard()].claim(now, ev)
 	case Resulted:
@@ -201,6 +218,7 @@
 			s.setOwned(now, ev.Shards[i])
 		}
 	case Listed:
+		m.beginEra(now, ev.Era)
 		m.shards[ev.Shard].listed(now, ev)
 	case Written:
 		m.shards[ev.Shard].written(now, ev)
@@ -212,6 +230,21 @@
 	return m.out
 }
 
+// beginEra has all ledgers read again when the store came back from an older copy.
+func (m *Machine) beginEra(now time.Duration, era uint64) {
+	if era <= m.era {
+		return
+	}
+	first := m.era == 0
+	m.era = era
+	if first {
+		return
+	}
+	for _, s := range m.shards {
+		s.beginEra(now)
+	}
+}
+
 func (m *Machine) act(a Action) { m.out = append(m.out, a) }
 
 // Dump describes the ledgers.
--- a/decide/claim/recovery.go
+++ b/decide/claim/recovery.go
@@ -22,7 +22,7 @@
 	if !s.owned || s.state != listing {
 		return
 	}
-	if ev.Err != nil {
+	if ev.Err != nil || ev.Era < s.m.era {
 		s.pause(now, retryPause)
 		return
 	}
@@ -87,6 +87,9 @@
 		}
 	}
 	s.restore(old)
+	if last == nil && s.m.era > firstEra || last != nil && last.seg.Era < s.m.era {
+		s.grantFrom = max(s.grantFrom, now+reclaimFor)
+	}
 	s.state = fencing
 	if last == nil || last.seg.Sealed {
 		number := 1
@@ -101,12 +104,50 @@
 	s.write(now, last.key, s.nextSegment(), last.version)
 }
 
+// firstEra is that of a store that never came back from a copy.
+const firstEra = 1
+
+// reclaimFor is the time after the store came back from an older copy in which no key is
+// granted that the ledger does not hold. Claims that the copy lacks are lost; whoever they
+// were granted to tells of them within that time, and a claim that its holder does not
+// tell of any more is of an instance that ended too.
+const reclaimFor = 3 * time.Second
+
+// beginEra reads the ledger again.
+func (s *shard) beginEra(now time.Duration) {
+	s.grantFrom = now + reclaimFor
+	if s.owned {
+		s.pending = nil
+		s.recover(now)
+	}
+}
+
+// reclaim takes over a claim that was granted in an earlier era of the store.
+func (s *shard) reclaim(now time.Duration, c *peerpb.Reclaim) {
+	k := KeyOf(c.Customer, c.Key)
+	if !s.owned || s.keys[k] != nil {
+		return
+	}
+	e := &peerpb.LedgerEntry{
+		KeyHi: k.Hi, KeyLo: k.Lo, BodyHash: c.BodyHash, RequestId: c.RequestId, State: peerpb.LedgerState_LEDGER_CLAIMED,
+	}
+	s.keys[k] = &record{entry: e, segment: s.tailKey}
+	s.dirty = append(s.dirty, e)
+	s.advance(now)
+}
+
 // restore keeps what only this process knows over its own recovery: answers in
-// memory, grants never offered and results not committed yet.
+// memory, grants never offered and results not committed yet, and claims that the store
+// lost when it came back from an older copy.
 func (s *shard) restore(old map[Key]*record) {
 	for k, o := range old {
 		r := s.keys[k]
-		if r == nil || r.entry.RequestId != o.entry.RequestId {
+		if r == nil {
+			s.keys[k] = o
+			s.dirty = append(s.dirty, o.entry)
+			continue
+		}
+		if r.entry.RequestId != o.entry.RequestId {
 			continue
 		}
 		r.unoffered = o.unoffered
--- a/decide/claim/shard.go
+++ b/decide/claim/shard.go
@@ -80,6 +80,10 @@
 	pendingKey   string
 	pendingState shardState
 
+	// grantFrom is when keys that the ledger does not hold may be granted again after the
+	// store came back from an older copy.
+	grantFrom time.Duration
+
 	answers                            int
 	commits, granted, deposed, unknown uint64
 }
@@ -142,6 +146,9 @@
 		return
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiter) bool { return s.settle(w) })
+	if now < s.grantFrom && len(s.dirty) == 0 {
+		return
+	}
 	if now < s.nextAt || (len(s.waiting) == 0 && len(s.dirty) == 0) {
 		return
 	}
@@ -202,7 +209,11 @@
 	s.batch = s.dirty
 	s.dirty = nil
 	claimed := map[Key]bool{}
-	for _, w := range s.waiting {
+	waiting := s.waiting
+	if now < s.grantFrom {
+		waiting = nil
+	}
+	for _, w := range waiting {
 		k := KeyOf(w.claim.Customer, w.claim.Key)
 		if claimed[k] {
 			continue
@@ -212,6 +223,9 @@
 	}
 	next := s.nextSegment()
 	next.Entries = append(slices.Clone(s.tail.Entries), s.batch...)
+	if now >= s.grantFrom {
+		next.Era = s.m.era
+	}
 	s.state = committing
 	s.write(now, s.tailKey, next, s.version)
 }
@@ -221,7 +235,7 @@
 	s.writes++
 	return &peerpb.LedgerSegment{
 		Epoch: s.epoch, Owner: s.m.self, WriteId: fmt.Sprintf("%s/%d/%d", s.m.self, s.epoch, s.writes),
-		Entries: s.tail.Entries, OpenedUnix: s.tail.OpenedUnix,
+		Entries: s.tail.Entries, OpenedUnix: s.tail.OpenedUnix, Era: s.tail.Era,
 	}
 }
 
@@ -286,7 +300,11 @@
 // applyBatch makes the committed entries known and grants their claims.
 func (s *shard) applyBatch() {
 	for _, e := range s.batch {
-		s.apply(e, s.tailKey).unoffered = e.State == peerpb.LedgerState_LEDGER_CLAIMED && e.Stream == ""
+		before := s.keys[Key{Hi: e.KeyHi, Lo: e.KeyLo}]
+		isNew := before == nil || before.entry.RequestId != e.RequestId
+		if r := s.apply(e, s.tailKey); isNew {
+			r.unoffered = e.State == peerpb.LedgerState_LEDGER_CLAIMED && e.Stream == ""
+		}
 	}
 	s.batch = nil
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiter) bool { return s.settle(w) })
--- a/decide/confver/confver.go
+++ b/decide/confver/confver.go
@@ -20,6 +20,8 @@
 	// Digest names the immutable parts of the content.
 	Digest string `json:"digest"`
 	Parts  int    `json:"parts"`
+	// Era is the store's era in which the version was accepted.
+	Era uint64 `json:"era,omitempty"`
 	// Recent holds the write ids of the last accepted versions.
 	Recent []Accepted `json:"recent"`
 }
@@ -42,9 +44,20 @@
 // Encode renders the pointer.
 func (p Pointer) Encode() ([]byte, error) { return json.Marshal(p) }
 
-// Next returns the pointer that follows p.
-func (p Pointer) Next(writeID, digest string, parts int) Pointer {
-	next := Pointer{Version: p.Version + 1, WriteID: writeID, Digest: digest, Parts: parts}
+// firstEra is that of a store that never came back from a copy, or tells no eras.
+const firstEra = 1
+
+// eraStep is above the number of versions that can be accepted in the seconds that a
+// store loses when it comes back from an older copy.
+const eraStep = 1 << 20
+
+// Next returns the pointer that follows p in an era of the store. In a later era than that
+// of p the store may have lost versions that followed p and are in force. A number is
+// never given to a second content, so those that may have been given out are passed over.
+func (p Pointer) Next(era uint64, writeID, digest string, parts int) Pointer {
+	from := max(p.Era, firstEra)
+	next := Pointer{Version: p.Version + 1, Era: max(era, from), WriteID: writeID, Digest: digest, Parts: parts}
+	next.Version += eraStep * (next.Era - from)
 	next.Recent = append(slices.Clone(p.Recent), Accepted{WriteID: writeID, Version: next.Version})
 	if over := len(next.Recent) - maxRecent; over > 0 {
 		next.Recent = next.Recent[over:]
--- a/decide/confver/confver_test.go
+++ b/decide/confver/confver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 type fakeStore struct {
 	objects   map[string]objectapi.Object
 	version   uint64
+	era       uint64
 	lose      int
 	beforePut func(key string)
 }
@@ -35,6 +37,8 @@
 	return o, nil
 }
 
+func (s *fakeStore) Era() uint64 { return s.era }
+
 func (s *fakeStore) List(context.Context, string) ([]objectapi.Object, error) { return nil, nil }
 func (s *fakeStore) Delete(context.Context, string, uint64) error             { return nil }
 func (s *fakeStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (objectapi.Object, error) {
@@ -68,6 +72,25 @@
 		return confver.Accept(ctx, store, []byte(content), base, id)
 	}
 
+	// A change that was accepted is in force nowhere: the store came back without the last
+	// versions, and their numbers were given out again.
+	It("never gives a number out twice, though the store lost the versions that had it", func() {
+		store.era = 1
+		Expect(accept("one", 0, "w1")).To(Equal(uint64(1)))
+		copied := maps.Clone(store.objects)
+		given := map[uint64]bool{1: true}
+		for i := range 5 {
+			cur, err := confver.ReadPointer(ctx, store)
+			Expect(err).NotTo(HaveOccurred())
+			v, err := accept("next", cur.Pointer.Version, fmt.Sprint("w-", i))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(given).NotTo(HaveKey(v))
+			given[v] = true
+			store.objects = maps.Clone(copied)
+			store.era++
+		}
+	})
+
 	It("gives rising versions and reads them back", func() {
 		Expect(accept("one", 0, "w1")).To(Equal(uint64(1)))
 		Expect(accept("two", 1, "w2")).To(Equal(uint64(2)))
--- a/decide/confver/store.go
+++ b/decide/confver/store.go
@@ -101,7 +101,7 @@
 	if cur.Pointer.Version != base {
 		return 0, false, result.New(result.ConfigConflict, "version %d is in force, the change was made against %d", cur.Pointer.Version, base)
 	}
-	next := cur.Pointer.Next(writeID, digest, parts)
+	next := cur.Pointer.Next(s.Era(), writeID, digest, parts)
 	raw, err := next.Encode()
 	if err != nil {
 		return 0, false, err
--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -53,6 +53,8 @@
 type Read struct {
 	Object objectapi.Object
 	Err    error
+	// Era is that of the store's answer.
+	Era uint64
 }
 
 // Wrote answers a Put.
@@ -60,6 +62,8 @@
 	WriteID uint64
 	Version uint64
 	Err     error
+	// Era is that of the store's answer.
+	Era uint64
 }
 
 func (Tick) event()  {}
@@ -89,10 +93,14 @@
 	self   string
 	wanted bool
 
+	// era is that of version.
+	era     uint64
 	version uint64
-	value   Value
-	seenAt  time.Duration
-	known   bool
+	// fence is the highest number that was seen. The store may come back without it.
+	fence  uint64
+	value  Value
+	seenAt time.Duration
+	known  bool
 
 	holding  bool
 	validTil time.Duration
@@ -123,7 +131,7 @@
 }
 
 // Fence returns the fencing number of the lease held.
-func (l *Lease) Fence() uint64 { return l.value.Fence }
+func (l *Lease) Fence() uint64 { return l.fence }
 
 // Deposed tells the lease that an engine refused its number.
 func (l *Lease) Deposed() { l.holding = false }
@@ -161,17 +169,38 @@
 	}
 	// A stale read must not restart the wait, nor end it: an older version than
 	// the one known says nothing.
-	if l.known && ev.Object.Version <= l.version {
+	if ev.Era < l.era || l.known && ev.Era == l.era && ev.Object.Version <= l.version {
 		return
 	}
-	l.observe(now, ev.Object.Version, v)
+	if l.known && ev.Era > l.era {
+		l.beginEra(now, ev.Era, ev.Object.Version, v)
+		return
+	}
+	l.observe(now, ev.Era, ev.Object.Version, v)
 	if v.Holder == l.self && v.WriteID == l.writeID && v == l.writing {
 		l.extend()
 	}
 }
 
-func (l *Lease) observe(now time.Duration, version uint64, v Value) {
-	l.known, l.version, l.value, l.seenAt = true, version, v, now
+// beginEra takes over what a store holds that came back from an older copy. What it says
+// of the holder is old: the last one may give orders until its time is over, and whom the
+// copy names may have been deposed since. So a holder whose time is not over goes on and
+// renews; all others wait as for a silent holder, from now on.
+func (l *Lease) beginEra(now time.Duration, era, version uint64, v Value) {
+	goesOn := l.MayOrder(now)
+	l.observe(now, era, version, v)
+	l.holding = goesOn
+	if !goesOn && l.value.Holder == "" {
+		l.value.Holder = lostHolder
+	}
+}
+
+// lostHolder stands for a holder that the store lost.
+const lostHolder = "lost with the store's last era"
+
+func (l *Lease) observe(now time.Duration, era, version uint64, v Value) {
+	l.known, l.era, l.version, l.value, l.seenAt = true, era, version, v, now
+	l.fence = max(l.fence, v.Fence)
 	if v.Holder != l.self {
 		l.holding = false
 	}
@@ -192,7 +221,13 @@
 		l.nextAt = now
 		return
 	}
-	l.observe(now, ev.Version, l.writing)
+	if ev.Era != l.era {
+		// Written in a later era than the version that it was compared with: only
+		// reading back tells what it replaced.
+		l.unsure, l.nextAt = true, now
+		return
+	}
+	l.observe(now, ev.Era, ev.Version, l.writing)
 	l.extend()
 }
 
@@ -223,7 +258,7 @@
 
 func (l *Lease) put() Put {
 	l.writeID++
-	l.writing = Value{Holder: l.self, Fence: l.value.Fence, WriteID: l.writeID}
+	l.writing = Value{Holder: l.self, Fence: l.fence, WriteID: l.writeID}
 	if !l.holding {
 		l.writing.Fence++
 	}
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -21,6 +21,7 @@
 	writes int
 	lose   bool
 	down   bool
+	era    uint64
 }
 
 func (s *fakeStore) answer(a lease.Action) lease.Event {
@@ -29,10 +30,10 @@
 		if s.down {
 			return lease.Read{Err: objectapi.ErrUnavailable}
 		}
-		return lease.Read{Object: s.obj}
+		return lease.Read{Object: s.obj, Era: s.era}
 	}
 	s.writes++
-	out := lease.Wrote{WriteID: put.WriteID}
+	out := lease.Wrote{WriteID: put.WriteID, Era: s.era}
 	switch {
 	case s.down:
 		out.Err = objectapi.ErrUnknown
@@ -70,6 +71,56 @@
 		b.Want(true)
 	})
 
+	// Models are not loaded any more for minutes, or two instances load them against each
+	// other: the store came back with an older lease. Its version was taken for a stale
+	// read by all, and whom it named took itself for the holder.
+	Context("when the store comes back from an older copy", func() {
+		both := func(from, d time.Duration) (together bool) {
+			for now := from; now < from+d; now += 100 * time.Millisecond {
+				pass(a, store, now, 100*time.Millisecond)
+				pass(b, store, now, 100*time.Millisecond)
+				together = together || a.MayOrder(now) && b.MayOrder(now)
+			}
+			return together
+		}
+		back := func(to objectapi.Object) {
+			store.obj = to
+			store.era++
+		}
+
+		It("goes on with its holder and a higher number than any before", func() {
+			pass(a, store, 0, time.Second)
+			copied := store.obj
+			both(time.Second, 10*time.Second)
+			fence := a.Fence()
+			back(copied)
+			Expect(both(11*time.Second, 30*time.Second)).To(BeFalse())
+			Expect(a.MayOrder(41 * time.Second)).To(BeTrue())
+			Expect(a.Fence()).To(BeNumerically(">=", fence))
+		})
+
+		It("is not given to a former holder that the copy names", func() {
+			pass(a, store, 0, time.Second)
+			copied := store.obj
+			pass(b, store, time.Second, 30*time.Second)
+			Expect(b.MayOrder(31 * time.Second)).To(BeTrue())
+			back(copied)
+			Expect(both(31*time.Second, 30*time.Second)).To(BeFalse())
+			Expect(b.MayOrder(61 * time.Second)).To(BeTrue())
+		})
+
+		It("is taken over in the end if its holder ended too, and not before its time is over", func() {
+			pass(a, store, 0, 10*time.Second)
+			pass(b, store, 9*time.Second, time.Second)
+			back(objectapi.Object{})
+			pass(b, store, 10*time.Second, 10*time.Second)
+			Expect(b.MayOrder(20 * time.Second)).To(BeFalse())
+			pass(b, store, 20*time.Second, 5*time.Second)
+			Expect(b.MayOrder(25 * time.Second)).To(BeTrue())
+			Expect(b.Fence()).To(BeNumerically(">", a.Fence()))
+		})
+	})
+
 	It("is held while it is renewed and has a rising fencing number", func() {
 		pass(a, store, 0, 30*time.Second)
 		Expect(a.MayOrder(30 * time.Second)).To(BeTrue())
--- a/lab/standin/platformserver/server.go
+++ b/lab/standin/platformserver/server.go
@@ -1,18 +1,21 @@
 // Package platformserver stands in for the platform: the object API with
 // versions, conditional updates and watches, and the instance list. It can be
-// down, slow, lose replies after a write, answer stale reads and lag.
+// down, slow, lose replies after a write, answer stale reads, lag, and come back from an
+// older copy of the objects.
 package platformserver
 
 import (
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +52,30 @@
 	counts   map[string]uint64
 	watching int
 	weights  *rate.Limiter
+	era      atomic.Uint64
+	backup   backup
+}
+
+// backup is a copy of the objects.
+type backup struct {
+	objects map[string]objectapi.Object
+	version uint64
+}
+
+// Copy keeps a copy of the objects.
+func (s *Server) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup = backup{maps.Clone(s.objects), s.version}
+}
+
+// Restore brings the copy back and begins a new era.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.version = maps.Clone(s.backup.objects), s.backup.version
+	s.era.Add(1)
+	s.announce()
 }
 
 type listed struct {
@@ -58,11 +85,13 @@
 
 // New returns a stopped platform whose instance list lags.
 func New(addr string, lag time.Duration) *Server {
-	return &Server{
+	s := &Server{
 		addr: addr, lag: lag, objects: map[string]objectapi.Object{}, changed: make(chan struct{}),
 		list: map[string]instances.Instance{}, counts: map[string]uint64{},
 		weights: rate.NewLimiter(weightRate, weightBurst),
 	}
+	s.era.Store(1)
+	return s
 }
 
 // Start listens.
@@ -107,6 +136,7 @@
 		s.counts[c.Request().Method]++
 		s.mu.Unlock()
 		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		c.Response().Before(func() { c.Response().Header().Set(objectapi.HeaderEra, strconv.FormatUint(s.era.Load(), 10)) })
 		if f.Down {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
--- a/lab/trial/faults.go
+++ b/lab/trial/faults.go
@@ -18,6 +18,7 @@
 	{name: "store down", begin: (*Trial).storeDown, lasts: 10 * time.Second},
 	{name: "replies of writes lost", begin: (*Trial).loseReplies, lasts: 8 * time.Second},
 	{name: "stale reads", begin: (*Trial).staleReads, lasts: 8 * time.Second},
+	{name: "store back from an older copy", begin: (*Trial).storeBackOlder, lasts: 2 * time.Second},
 	{name: "link cut", begin: (*Trial).cutLink, lasts: 8 * time.Second},
 	{name: "data centre cut off", begin: (*Trial).cutDataCentre, lasts: 10 * time.Second},
 	{name: "wall clock jumps", begin: (*Trial).jumpClock, lasts: 5 * time.Second},
@@ -110,6 +111,20 @@
 	return func() { t.store.Down = false }
 }
 
+// mostCopyAge is the most that a copy is old when the store comes back from it.
+const mostCopyAge = 5 * time.Second
+
+// storeBackOlder takes a copy now, and after some seconds the store is away for a moment
+// and comes back from it.
+func (t *Trial) storeBackOlder() func() {
+	t.store.Copy()
+	t.after(time.Duration(t.rand.Int64N(int64(mostCopyAge))), func() { t.store.Down = true })
+	return func() {
+		t.store.Down = false
+		t.store.Restore()
+	}
+}
+
 func (t *Trial) loseReplies() func() {
 	t.store.LoseReply = 0.5
 	return func() { t.store.LoseReply = 0 }
--- a/lab/trial/requests.go
+++ b/lab/trial/requests.go
@@ -91,6 +91,23 @@
 	}
 }
 
+// retell tells the owners of ledgers of the claims that were granted here.
+func (in *instance) retell() {
+	due := in.granted.Due(in.now(), in.era)
+	if in.t.o.Mutant == NoReclaim {
+		return
+	}
+	owners := member.Owners(in.table.Alive(in.now()))
+	for _, r := range due {
+		owner := claim.OwnerOf(r.Customer, r.Key, owners)
+		if owner == in.name {
+			in.claim(claim.Reclaimed{Claim: r})
+			continue
+		}
+		in.send(owner, &peerpb.Envelope{Body: &peerpb.Envelope_Reclaims{Reclaims: &peerpb.Reclaims{Claims: []*peerpb.Reclaim{r}}}})
+	}
+}
+
 func (in *instance) claimReply(r *peerpb.ClaimReply) {
 	t := in.t
 	a := t.Report.attempts[r.RequestId]
@@ -117,6 +134,7 @@
 		t.Report.violate("runs at most once", "%s ran %d times", a.key.key, a.key.runs)
 	}
 	in := a.at
+	in.granted.Add(in.now(), a.req)
 	t.after(t.jitter(time.Second), func() {
 		in.do(func() {
 			in.toOwner(a.req, &peerpb.ClaimResult{Customer: a.req.Customer, Key: a.req.Key, RequestId: a.req.RequestId, Status: 200, Answer: []byte("ok")})
--- a/lab/trial/store.go
+++ b/lab/trial/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -23,11 +24,37 @@
 	StaleRead float64
 
 	Reads, Writes int
+
+	era    uint64
+	backup backup
+}
+
+// backup is a copy of the content.
+type backup struct {
+	objects, older map[string]objectapi.Object
+	version        uint64
+}
+
+// Copy keeps a copy of the content.
+func (s *Store) Copy() {
+	s.backup = backup{maps.Clone(s.objects), maps.Clone(s.older), s.version}
+}
+
+// Restore brings the copy back and begins a new era: what was written since is gone, and
+// its versions are given out again.
+func (s *Store) Restore() {
+	s.objects, s.older, s.version = maps.Clone(s.backup.objects), maps.Clone(s.backup.older), s.backup.version
+	s.era++
 }
 
+// Era implements objectapi.Store.
+func (s *Store) Era() uint64 { return s.era }
+
 // NewStore returns an empty store.
 func NewStore(r *rand.Rand) *Store {
-	return &Store{rand: r, objects: map[string]objectapi.Object{}, older: map[string]objectapi.Object{}}
+	s := &Store{rand: r, objects: map[string]objectapi.Object{}, older: map[string]objectapi.Object{}, era: 1}
+	s.Copy()
+	return s
 }
 
 var _ objectapi.Store = (*Store)(nil)
--- a/lab/trial/trial.go
+++ b/lab/trial/trial.go
@@ -47,6 +47,8 @@
 	AdoptAny Mutant = "adopt-any"
 	// BlindRetry runs a claimed request again when its claim's reply is lost.
 	BlindRetry Mutant = "blind-retry"
+	// NoReclaim has instances not tell of their claims when the store lost some.
+	NoReclaim Mutant = "no-reclaim"
 )
 
 // Periods of the loop.
@@ -143,6 +145,9 @@
 	holder  confver.Holder
 	orderAt time.Duration
 	looked  bool
+	// era is the store's newest era that the instance knows of.
+	era     uint64
+	granted claim.Granted
 }
 
 func (t *Trial) newInstance(i int, incarnation uint64) *instance {
@@ -197,13 +202,15 @@
 
 func (in *instance) tick() {
 	for _, m := range in.table.Tick(in.now()) {
-		m.Gossip.ConfigVersion = in.holder.Version()
+		m.Gossip.ConfigVersion, m.Gossip.StoreEra = in.holder.Version(), in.era
 		in.send(m.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: m.Gossip}})
 	}
 	owners := member.Owners(in.table.Alive(in.now()))
 	if in.now() > settle {
 		in.claim(claim.OwnedBy(in.name, owners))
 	}
+	in.claim(claim.EraBegan{Era: in.era})
+	in.retell()
 	in.claim(claim.Tick{})
 	in.lease.Want(true)
 	in.leaseStep(lease.Tick{})
@@ -228,7 +235,12 @@
 
 func (in *instance) receive(env *peerpb.Envelope) {
 	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Reclaims:
+		for _, r := range b.Reclaims.Claims {
+			in.claim(claim.Reclaimed{Claim: r})
+		}
 	case *peerpb.Envelope_Gossip:
+		in.era = max(in.era, b.Gossip.StoreEra)
 		in.table.Receive(in.now(), b.Gossip)
 		if b.Gossip.ConfigVersion > in.holder.Version() {
 			in.send(env.From, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: in.holder.Version()}}})
@@ -251,21 +263,29 @@
 func (in *instance) call(f func() func()) {
 	t := in.t
 	t.after(storeDelay+t.jitter(storeDelay), func() {
-		done := f()
-		t.after(storeDelay, func() { in.do(done) })
+		done, era, down := f(), t.store.Era(), t.store.Down
+		t.after(storeDelay, func() {
+			in.do(func() {
+				if !down {
+					in.era = max(in.era, era)
+				}
+				done()
+			})
+		})
 	})
 }
 
 func (in *instance) leaseStep(ev lease.Event) {
 	for _, a := range in.lease.Step(in.now(), ev) {
 		in.call(func() func() {
+			era := in.t.store.Era()
 			switch a := a.(type) {
 			case lease.Put:
 				v, err := in.t.store.Put(context.Background(), leaseKey, a.Value, a.Expect)
-				return func() { in.leaseStep(lease.Wrote{WriteID: a.WriteID, Version: v, Err: err}) }
+				return func() { in.leaseStep(lease.Wrote{WriteID: a.WriteID, Version: v, Err: err, Era: era}) }
 			default:
 				obj, err := in.t.store.Get(context.Background(), leaseKey)
-				return func() { in.leaseStep(lease.Read{Object: obj, Err: err}) }
+				return func() { in.leaseStep(lease.Read{Object: obj, Err: err, Era: era}) }
 			}
 		})
 	}
@@ -315,8 +335,9 @@
 			in.send(a.To, &peerpb.Envelope{Body: &peerpb.Envelope_ClaimReply{ClaimReply: a.Reply}})
 		case claim.List:
 			in.call(func() func() {
+				era := in.t.store.Era()
 				objs, err := in.t.store.List(context.Background(), a.Prefix)
-				return func() { in.claim(claim.Listed{Shard: a.Shard, Objects: objs, Err: err}) }
+				return func() { in.claim(claim.Listed{Shard: a.Shard, Objects: objs, Err: err, Era: era}) }
 			})
 		case claim.Write:
 			in.call(func() func() { return in.write(a) })
--- a/lab/trial/trial_test.go
+++ b/lab/trial/trial_test.go
@@ -71,6 +71,7 @@
 		Entry("the fencing write of a ledger", trial.NoFence, "runs at most once"),
 		Entry("the look at the clock before an order", trial.NoPauseCheck, "orders from one holder at a time"),
 		Entry("adopting only newer versions", trial.AdoptAny, "accepted configuration never reverts"),
+		Entry("telling of claims that the store lost", trial.NoReclaim, "runs at most once"),
 		Entry("ignoring a grant that comes after giving up", trial.BlindRetry, "runs at most once"),
 	)
 })
--- a/port/objectapi/objectapi.go
+++ b/port/objectapi/objectapi.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,12 +47,17 @@
 	Delete(ctx context.Context, key string, expect uint64) error
 	// Watch waits until key's version differs from have or wait passes.
 	Watch(ctx context.Context, key string, have uint64, wait time.Duration) (Object, error)
+	// Era is the newest era that an answer told. It rises when the platform comes back
+	// from an older copy of its objects; versions read in an earlier one name nothing.
+	// Asked before a call, it is the earliest that the call's answer can be of.
+	Era() uint64
 }
 
 // Headers of the HTTP protocol.
 const (
 	HeaderVersion = "X-Object-Version"
 	HeaderExpect  = "X-Object-Expect"
+	HeaderEra     = "X-Object-Era"
 )
 
 // Client speaks the platform's HTTP protocol.
@@ -60,6 +66,36 @@
 	http *http.Client
 	// Calls counts requests by method, as the platform does.
 	Count func(method string)
+	era   atomic.Uint64
+}
+
+// Era implements Store.
+func (c *Client) Era() uint64 { return c.era.Load() }
+
+// EraKnown notes an era that another instance told of.
+func (c *Client) EraKnown(era uint64) {
+	for {
+		old := c.era.Load()
+		if era <= old || c.era.CompareAndSwap(old, era) {
+			return
+		}
+	}
+}
+
+var errOldEra = errors.New("answer of an earlier era")
+
+// checkEra notes the era of an answer. One of an earlier era comes late and says nothing.
+func (c *Client) checkEra(resp *http.Response) error {
+	era, err := strconv.ParseUint(resp.Header.Get(HeaderEra), 10, 64)
+	known := c.era.Load()
+	if err != nil && known == 0 {
+		return nil
+	}
+	if err != nil || era < known {
+		return errors.Wrapf(errOldEra, "era %q, the newest known is %d", resp.Header.Get(HeaderEra), known)
+	}
+	c.EraKnown(era)
+	return nil
 }
 
 // NewClient returns a client of the object API at addr (host:port).
@@ -119,6 +155,7 @@
 	if len(value) > MaxValue {
 		return 0, ErrTooLarge
 	}
+	era := c.Era()
 	resp, err := c.do(ctx, "put", http.MethodPut, c.base+"/"+url.PathEscape(key), value, &expect)
 	if err != nil {
 		return 0, errors.Mark(err, ErrUnknown)
@@ -127,6 +164,10 @@
 	if err := statusError(resp.StatusCode); err != nil {
 		return version(resp), err
 	}
+	if c.Era() != era && era != 0 {
+		// expect was read in another era, where it named other content.
+		return 0, errors.Wrap(ErrUnknown, "the platform's era ended meanwhile")
+	}
 	return version(resp), nil
 }
 
@@ -149,7 +190,15 @@
 	if expect != nil {
 		req.Header.Set(HeaderExpect, strconv.FormatUint(*expect, 10))
 	}
-	return c.http.Do(req)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkEra(resp); err != nil {
+		drain(resp.Body)
+		return nil, err
+	}
+	return resp, nil
 }
 
 func statusError(status int) error {
