--- a/e2e/watch_test.go
+++ b/e2e/watch_test.go
@@ -154,6 +154,53 @@
 		Entry("frozen", syscall.SIGSTOP, true),
 	)
 
+	// The instances that watch the store freeze; it comes back from an older copy, and the
+	// next ones follow its new era. Those that wake hold higher revisions of the old era and
+	// told the others that they were newer.
+	It("follows the store's new era on both sides of a freeze", func() {
+		s := newWatchedFleet()
+		DeferCleanup(func() {
+			s.stop()
+			s.store.Close()
+		})
+		watching, others := s.split()
+		s.store.Copy()
+		for v := 4; v < 10; v++ {
+			s.configure(v)
+		}
+		s.server("b", "ready")
+		Eventually(s.versions(watching), "5s", "20ms").Should(Equal(same(len(watching), 9)))
+		Eventually(s.versions(others), "5s", "20ms").Should(Equal(same(len(others), 9)))
+		for _, i := range watching {
+			s.signal(entryOf(i), syscall.SIGSTOP)
+		}
+		s.store.Restore()
+		s.server("c", "ready")
+		eras := func(of []int) func() []uint64 {
+			return func() (out []uint64) {
+				for _, i := range of {
+					out = append(out, s.believes(i).Era)
+				}
+				return out
+			}
+		}
+		Eventually(eras(others), "5s", "20ms").Should(Equal(same(len(others), 2)))
+		for _, i := range watching {
+			s.signal(entryOf(i), syscall.SIGCONT)
+		}
+		Eventually(eras(watching), "4s", "20ms").Should(Equal(same(len(watching), 2)))
+		s.server("a", "draining")
+		s.configure(11)
+		everyone := append(watching, others...)
+		Eventually(s.versions(everyone), "4s", "20ms").Should(Equal(same(len(everyone), 11)))
+		Eventually(func() (listed []int) {
+			for _, i := range everyone {
+				listed = append(listed, s.believes(i).Servers)
+			}
+			return listed
+		}, "6s", "20ms").Should(HaveEach(2), "a, which leaves, and c")
+	})
+
 	// Callers of a new instance are refused until the store is back: it was killed and
 	// started while the store was away, and asked nobody else.
 	It("has a restarted instance serve while the store is down", func() {
