Operators list and clear requests that are refused because servers crashed with them

auburnmoor clear ADDR IDENTITY, the list in the state dump, off = true in [control.quarantine]. e2e: cleared at one instance it runs again at all, and is known again.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -35,6 +35,7 @@
 	Load     loadCmd     `cmd:"" help:"Send a load to real addresses and check every answer."`
 	Faults   faultsCmd   `cmd:"" help:"Inject faults into the state machines in virtual time."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of an instance."`
+	Clear    clearCmd    `cmd:"" help:"Have a request run again that is refused because servers crashed with it."`
 	Explain  explainCmd  `cmd:"" help:"Tell the story of one request from the logs of all instances."`
 	Losses   lossesCmd   `cmd:"" help:"Tell from the logs of all instances which requests were lost, and why."`
 	Suspects suspectsCmd `cmd:"" help:"Play requests that crash servers among others, in virtual time."`
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"runtime/debug"
 	"strings"
@@ -117,6 +118,35 @@
 	return io.ReadAll(io.LimitReader(resp.Body, maxDump))
 }
 
+type clearCmd struct {
+	Addr     string `arg:"" help:"Operators' address of any instance."`
+	Identity string `arg:"" help:"Identity of the request, from its log line or the state dump."`
+}
+
+// operateTimeout bounds what an operator asks of an instance.
+const operateTimeout = 10 * time.Second
+
+// Run clears a request at all instances.
+func (c *clearCmd) Run(e *env) error {
+	ctx, cancel := context.WithTimeout(e.ctx, operateTimeout)
+	defer cancel()
+	target := "http://" + c.Addr + "/admin/operate/control.quarantine/clear?subject=" + url.QueryEscape(c.Identity)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return usage(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		why, _ := io.ReadAll(io.LimitReader(resp.Body, maxDump))
+		return errors.Newf("%s answered %d: %s", c.Addr, resp.StatusCode, strings.TrimSpace(string(why)))
+	}
+	return nil
+}
+
 type statusCmd struct {
 	Addrs []string `arg:"" optional:"" help:"Operators' addresses of instances; those of \"dev\" by default."`
 }
--- a/control/quarantine/quarantine.go
+++ b/control/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -37,6 +38,9 @@
 
 // Quarantine is the module "control.quarantine".
 type Quarantine struct {
+	// Off refuses no request, whatever servers crash with it.
+	Off bool `toml:"off"`
+
 	log     *zap.Logger
 	now     func() time.Duration
 	link    *peerlink.Link
@@ -88,6 +92,9 @@
 
 // Judge rules on a request that is about to be sent to one of so many servers.
 func (q *Quarantine) Judge(k poison.Key, servers int) (r poison.Ruling) {
+	if q.Off {
+		return r
+	}
 	q.on(func(t *poison.Table) { r = t.Judge(q.now(), k, servers) })
 	return r
 }
@@ -211,6 +218,21 @@
 	})
 }
 
+// Operate implements auburnmoor.Operable: "clear" ends what is known against a request, at
+// all instances, as an answer to it does.
+func (q *Quarantine) Operate(action, subject string) error {
+	if action != "clear" {
+		return errors.Newf("unknown action %q, there is \"clear\"", action)
+	}
+	k, err := poison.ParseKey(subject)
+	if err != nil {
+		return err
+	}
+	q.log.Info("an operator cleared a request", zap.Stringer("identity", k))
+	q.Answered(k)
+	return nil
+}
+
 // Dump implements auburnmoor.Dumper.
 func (q *Quarantine) Dump() any {
 	d := Dump{}
--- a/decide/poison/key.go
+++ b/decide/poison/key.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"hash"
 	"io"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Key identifies a request whoever sends it again and wherever it arrives: the first half
@@ -44,5 +46,14 @@
 	_, _ = io.WriteString(h, s)
 }
 
+// ParseKey reads what String writes.
+func ParseKey(text string) (k Key, err error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(k) {
+		return k, errors.Newf("%q is no identity of a request, which has %d hexadecimal digits", text, 2*len(k))
+	}
+	return Key(raw), nil
+}
+
 // String implements fmt.Stringer.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
--- a/e2e/poison_test.go
+++ b/e2e/poison_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
@@ -79,6 +81,23 @@
 		Expect(after-before).To(BeNumerically("<=", mayFollow), "%d engines ended", s.crashes())
 	})
 
+	It("is run again once an operator cleared it, and known again after it crashed as many", func() {
+		var d struct {
+			Quarantine quarantine.Dump `json:"control.quarantine"`
+		}
+		Expect(json.Unmarshal([]byte(call("GET", "http://"+estateAddr(501)+"/admin/dump", "").body), &d)).To(Succeed())
+		Expect(d.Quarantine.Requests).To(HaveLen(1))
+		Expect(d.Quarantine.Requests[0].Refused).To(BeTrue())
+		ended := s.crashes()
+		clear := "http://" + estateAddr(501) + "/admin/operate/control.quarantine/clear?subject="
+		Expect(call("POST", clear+"nothing", "").status).To(Equal(400))
+		Expect(call("POST", clear+d.Quarantine.Requests[0].Identity, "").status).To(Equal(204))
+		for n := range 12 {
+			attempt{path: "/ask/poison", id: fmt.Sprint("cleared-", n), key: "k1", tokens: 900, body: poisonBody}.try(n % 3)
+		}
+		Expect(s.crashes() - ended).To(And(BeNumerically(">=", 1), BeNumerically("<=", crashesKnown+mayFollow)))
+	})
+
 	It("is the only one refused and learns when to come back", func() {
 		began := time.Now()
 		resp, _ := attempt{path: "/ask/poison", id: "poison-last", key: "k1", tokens: 900, body: poisonBody}.send(0)
--- a/kernel.go
+++ b/kernel.go
@@ -214,6 +214,15 @@
 // DumpAll lets a module serve the state dump of the whole process.
 func (c *Context) DumpAll() map[ModuleID]any { return c.kernel.Dump() }
 
+// Operate has a module of this process carry out what an operator asks for.
+func (c *Context) Operate(id ModuleID, action, subject string) error {
+	o, ok := c.kernel.Module(id).(Operable)
+	if !ok {
+		return errors.Newf("module %q has nothing to operate", id)
+	}
+	return o.Operate(action, subject)
+}
+
 // Select returns the modules that a process with these settings loads, in the
 // order in which they start.
 func Select(load []ModuleID) ([]ModuleInfo, error) {
--- a/module.go
+++ b/module.go
@@ -32,7 +32,7 @@
 }
 
 // Module is a feature that the kernel can load. A module may also implement
-// Provisioner, Validator, Starter, Drainer, Cleaner and Dumper.
+// Provisioner, Validator, Starter, Drainer, Cleaner, Dumper and Operable.
 type Module interface {
 	ModuleInfo() ModuleInfo
 }
@@ -77,6 +77,12 @@
 	Dump() any
 }
 
+// Operable carries out what operators ask of a running process.
+type Operable interface {
+	// Operate carries an action out on a subject, which may be empty.
+	Operate(action, subject string) error
+}
+
 var (
 	registryMu sync.RWMutex
 	registry   = map[ModuleID]ModuleInfo{}
--- a/serve/admin/admin.go
+++ b/serve/admin/admin.go
@@ -44,6 +44,12 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.GET("/admin/dump", func(ec echo.Context) error { return ec.JSONPretty(http.StatusOK, a.dump(), "  ") })
+	e.POST("/admin/operate/:module/:action", func(ec echo.Context) error {
+		if err := c.Operate(auburnmoor.ModuleID(ec.Param("module")), ec.Param("action"), ec.QueryParam("subject")); err != nil {
+			return ec.String(http.StatusBadRequest, err.Error()+"\n")
+		}
+		return ec.NoContent(http.StatusNoContent)
+	})
 	e.GET("/metrics", echo.WrapHandler(metricsHandler(c)))
 	if a.Profiles {
 		e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
