Signs of life by datagrams; gossip within the cell and with eight distant members; idle links end

295 instances kept a connection each way to every other one, some 0.1 MB each: 11.8 GB before traffic began. Instances of other cells need no connection for a sign of life, nor most of them for gossip.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -14,6 +14,7 @@
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
+	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -32,6 +33,9 @@
 	// completeEvery bounds how long a lost report leaves others with a wrong
 	// figure.
 	completeEvery = time.Second
+	// greetEvery lets three datagrams in a row be lost before a member is given up after
+	// 2.2 s of silence.
+	greetEvery = 700 * time.Millisecond
 	// silentAfter is how long the last report of a peer is believed: the one
 	// complete report of each second may be lost once, and be a little late.
 	silentAfter = 2500 * time.Millisecond
@@ -185,8 +189,9 @@
 }
 
 func (l *Loads) run(ctx context.Context) {
-	complete := time.NewTicker(completeEvery)
+	complete, greetings := time.NewTicker(completeEvery), time.NewTicker(greetEvery)
 	defer complete.Stop()
+	defer greetings.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -194,8 +199,9 @@
 		case <-complete.C:
 			l.divide(l.members.View())
 			l.report(true)
-			l.greet()
 			l.expire()
+		case <-greetings.C:
+			l.greet()
 		case <-l.dirty:
 			time.Sleep(gatherFor)
 			l.report(false)
@@ -237,14 +243,15 @@
 	}
 }
 
-// greet sends instances of other cells the sign of life that reports are to mates.
+// greet sends instances of other cells the sign of life that reports are to mates. It goes
+// by datagrams: no connection is needed for it.
 func (l *Loads) greet() {
 	l.mu.Lock()
 	mates := l.mates
 	l.mu.Unlock()
 	for _, peer := range l.members.Peers() {
 		if !mates[peer] {
-			l.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
+			l.link.Tell(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
 		}
 	}
 }
@@ -313,6 +320,7 @@
 		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count), zap.Int("mates", len(mates)), zap.Int("instances", len(live)))
 	}
 	l.cell, l.mates = next, mates
+	l.members.SetNeighbours(neighboursOf(l.link.Self(), next, live))
 	l.ledger.Keep(mates)
 	l.queue.Keep(mates)
 	for peer := range l.heard {
@@ -322,6 +330,14 @@
 	}
 }
 
+// neighboursOf are none in a fleet of one cell, where all gossip with all.
+func neighboursOf(self string, c cell.Cell, live []string) member.Neighbours {
+	if c.Count <= 1 {
+		return member.Neighbours{}
+	}
+	return member.NeighboursOf(self, c.Mates, live)
+}
+
 // fewestEngines is the number of ready servers of the model service that has fewest, zero
 // while nothing is known.
 func (l *Loads) fewestEngines() int {
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -70,6 +70,8 @@
 	onView     []func(View)
 	standing   watch.Standing
 	carry      []func(*peerpb.Gossip)
+	// neighbours are those with whom this instance gossips, none if it does with all.
+	neighbours map[string]bool
 	// key is the digest of the view that the listeners were told last.
 	key     uint64
 	leaving bool
@@ -212,10 +214,14 @@
 func (m *Members) gossip(atOnce bool) {
 	m.mu.Lock()
 	msgs := m.table.Tick(m.now())
-	if atOnce {
-		msgs = append(msgs, m.news()...)
+	leaving := m.leaving
+	if atOnce && !leaving {
+		msgs = append(msgs, m.table.Spread(m.now())...)
 	}
 	m.mu.Unlock()
+	if atOnce && leaving {
+		m.announce()
+	}
 	m.send(msgs)
 }
 
@@ -236,12 +242,43 @@
 	}
 }
 
-// news are the messages that do not wait for the next round; m.mu is held.
-func (m *Members) news() []member.Message {
-	if m.leaving {
-		return m.table.Announce(m.now())
+// announce tells all members that this instance leaves. A datagram may be lost: it is told
+// to the neighbours over their connections as well, and gossip tells it to the others.
+func (m *Members) announce() {
+	m.mu.Lock()
+	msgs := m.table.Announce(m.now())
+	near := m.neighbours
+	m.mu.Unlock()
+	for _, msg := range msgs {
+		env := &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}}
+		if len(near) == 0 || near[msg.To] {
+			m.link.Send(msg.To, env)
+			continue
+		}
+		m.link.Tell(msg.To, env)
+	}
+}
+
+// SetNeighbours tells with whom this instance gossips; the zero value is all.
+func (m *Members) SetNeighbours(n member.Neighbours) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetNeighbours(n)
+	m.neighbours = map[string]bool{}
+	for _, name := range n.All() {
+		m.neighbours[name] = true
+	}
+}
+
+// Neighbours returns the names of the live instances with which this one gossips.
+func (m *Members) Neighbours() []string {
+	m.mu.Lock()
+	near := m.neighbours
+	m.mu.Unlock()
+	if len(near) == 0 {
+		return m.Peers()
 	}
-	return m.table.Spread(m.now())
+	return slices.DeleteFunc(m.Peers(), func(name string) bool { return !near[name] })
 }
 
 // SpreadNow gossips without waiting for the next period.
--- a/control/quarantine/quarantine.go
+++ b/control/quarantine/quarantine.go
@@ -157,7 +157,7 @@
 
 // spread passes changes on.
 func (q *Quarantine) spread() {
-	peers := q.members.Peers()
+	peers := q.members.Neighbours()
 	q.mu.Lock()
 	changes := q.table.TakeChanged()
 	next := q.share.Next(len(peers))
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -58,8 +58,9 @@
 	entries map[string]*entry
 	// order is the names of the entries, sorted: what is drawn depends on the seed alone.
 	// Sorting them for each message took most of a round of gossip among 300.
-	order []string
-	next  time.Duration
+	order      []string
+	next       time.Duration
+	neighbours Neighbours
 	// strangers are members that spoke to this instance before it knew them.
 	strangers []string
 }
@@ -306,8 +307,7 @@
 			rest = append(rest, name)
 		}
 	}
-	t.shuffle(live)
-	out := live[:min(t.cfg.Fanout+t.extra(now), len(live))]
+	out := t.draw(live, t.cfg.Fanout+t.extra(now))
 	if len(rest) > 0 {
 		out = append(out, rest[t.rand.IntN(len(rest))])
 	}
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -19,7 +19,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/tcpopt"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/ring"
 )
@@ -35,6 +37,10 @@
 	// Of 4,096 places, 74 peers took 2.1 MB of an instance at rest (heap profile).
 	defaultRing = 512
 	maxMessage  = 64 << 20
+	// idleFor is how long a connection is kept that nothing is sent on, and sweepEvery how
+	// often such ones are looked for.
+	idleFor    = 10 * time.Second
+	sweepEvery = 2 * time.Second
 	// ioBuffer is the size of the buffers of a connection between instances, in bytes.
 	// Most messages have some 200 bytes; larger ones go in several reads. gRPC's own
 	// 32 KB twice are allocated for each of hundreds of connections.
@@ -76,6 +82,8 @@
 	forward  Forwarder
 	ctx      context.Context
 
+	datagrams datagrams
+
 	mu    sync.Mutex
 	peers map[string]*peer
 
@@ -89,6 +97,13 @@
 	ring *ring.Ring[*peerpb.Envelope]
 	conn *grpc.ClientConn
 	stop context.CancelFunc
+	// used is when something was last sent.
+	used time.Time
+}
+
+func (p *peer) close() {
+	p.stop()
+	_ = p.conn.Close()
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -131,16 +146,35 @@
 		grpc.ReadBufferSize(ioBuffer), grpc.WriteBufferSize(ioBuffer))
 	peerpb.RegisterPeerServer(l.server, &server{link: l})
 	go func() { _ = l.server.Serve(lis) }()
+	if err := l.listenDatagrams(); err != nil {
+		// Everything goes over connections then, at the cost of their memory.
+		l.log.Warn("no datagrams to other instances", eventlog.Error(err))
+	}
+	go wait.Every(ctx, sweepEvery, func() { l.sweep(time.Now()) })
 	return nil
 }
 
+// sweep closes connections to instances to which this one has nothing more to say.
+func (l *Link) sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, p := range l.peers {
+		if now.Sub(p.used) > idleFor {
+			p.close()
+			delete(l.peers, name)
+		}
+	}
+}
+
 // Cleanup implements auburnmoor.Cleaner.
 func (l *Link) Cleanup() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.peers {
-		p.stop()
-		_ = p.conn.Close()
+		p.close()
+	}
+	if l.datagrams.conn != nil {
+		_ = l.datagrams.conn.Close()
 	}
 	if l.server != nil {
 		l.server.Stop()
@@ -184,11 +218,11 @@
 	defer l.mu.Unlock()
 	p := l.peers[name]
 	if p != nil && p.addr == addr {
+		p.used = time.Now()
 		return p, nil
 	}
 	if p != nil {
-		p.stop()
-		_ = p.conn.Close()
+		p.close()
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -203,7 +237,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(l.ctx)
-	p = &peer{name: name, addr: addr, conn: conn, stop: stop, ring: ring.New[*peerpb.Envelope]("peer."+name, l.RingSize)}
+	p = &peer{name: name, addr: addr, conn: conn, stop: stop, used: time.Now(), ring: ring.New[*peerpb.Envelope]("peer."+name, l.RingSize)}
 	l.peers[name] = p
 	go l.pump(ctx, p)
 	return p, nil
@@ -256,7 +290,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d := Dump{
-		Sent: l.sent.Load(), Received: l.received.Load(), Dropped: l.dropped.Load(),
+		Peers: len(l.peers),
+		Sent:  l.sent.Load(), Received: l.received.Load(), Dropped: l.dropped.Load(),
 		SentBytes: l.sentBytes.Load(), ReceivedBytes: l.receivedBytes.Load(),
 	}
 	for _, p := range l.peers {
@@ -267,6 +302,8 @@
 
 // Dump is the state of the link.
 type Dump struct {
+	// Peers is the number of instances to which a connection is kept.
+	Peers         int          `json:"peers"`
 	Sent          uint64       `json:"sent"`
 	Received      uint64       `json:"received"`
 	Dropped       uint64       `json:"dropped"`
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -23,17 +23,7 @@
 		if err != nil {
 			return err
 		}
-		// An instance that took over an address gets messages meant for its
-		// predecessor; acting on them would answer for another.
-		if env.To != sv.link.self.Name && env.To != AtAddr(sv.link.self.PeerAddr) {
-			sv.link.dropped.Add(1)
-			continue
-		}
-		sv.link.received.Add(1)
-		sv.link.receivedBytes.Add(uint64(proto.Size(env)))
-		for _, h := range sv.link.handlers {
-			h(env.From, env)
-		}
+		sv.link.deliver(env, proto.Size(env))
 	}
 }
 
