--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -56,12 +57,20 @@
 	mu     sync.Mutex
 	ledger *spread.Ledger
 	queue  *spread.Queue
+	// last is the work that changed with the last report, reported the number of reports.
+	last     map[string]spread.Load
+	reported uint64
+	// newest tells the newest report of each mate.
+	newest map[string]reportID
 	// heard are the mates that reported all of their work.
 	heard map[string]bool
 	cell  cell.Cell
 	mates map[string]bool
 }
 
+// reportID orders the reports of one instance.
+type reportID struct{ incarnation, sequence uint64 }
+
 // ModuleInfo implements auburnmoor.Module.
 func (*Loads) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
@@ -83,7 +92,7 @@
 	}
 	l.log, l.now, l.ledger, l.queue = c.Log, c.Now, spread.NewLedger(), spread.NewQueue()
 	l.cell.Count = 1
-	l.dirty, l.heard = make(chan struct{}, 1), map[string]bool{}
+	l.dirty, l.heard, l.newest = make(chan struct{}, 1), map[string]bool{}, map[string]reportID{}
 	l.link.Handle(l.receive)
 	l.members.OnView(l.divide)
 	return nil
@@ -222,14 +231,20 @@
 func (l *Loads) report(complete bool) {
 	l.mu.Lock()
 	changed := l.ledger.TakeChanged()
+	latest := changed
 	if complete {
 		changed = l.ledger.All()
+	} else {
+		changed = l.withLast(changed)
 	}
+	l.last = latest
+	l.reported++
+	sequence := l.reported
 	now := l.now()
 	waiting := l.queue.Tell(now)
 	mates := l.cell.Mates
 	l.mu.Unlock()
-	msg := &peerpb.LoadReport{Complete: complete, ForSlot: int32(waiting.ForSlot)}
+	msg := &peerpb.LoadReport{Complete: complete, Sequence: sequence, ForSlot: int32(waiting.ForSlot)}
 	if waiting.Held {
 		msg.Held = heldPrompt(now, waiting.First)
 	}
@@ -239,10 +254,23 @@
 		})
 	}
 	for _, mate := range mates {
-		l.link.Send(mate, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
+		l.link.Tell(mate, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
 	}
 }
 
+// withLast adds what the last report told, as it is now: a report may be lost, and while
+// much changes the next one follows within milliseconds. l.mu is held.
+func (l *Loads) withLast(changed map[string]spread.Load) map[string]spread.Load {
+	out := maps.Clone(changed)
+	if out == nil {
+		out = map[string]spread.Load{}
+	}
+	for server := range l.last {
+		out[server] = l.ledger.Own(server)
+	}
+	return out
+}
+
 // greet sends instances of other cells the sign of life that reports are to mates. It goes
 // by datagrams: no connection is needed for it.
 func (l *Loads) greet() {
@@ -275,6 +303,11 @@
 		// here is not known while that lasts.
 		return
 	}
+	id := reportID{env.Incarnation, r.Sequence}
+	if last := l.newest[from]; last.incarnation == id.incarnation && id.sequence <= last.sequence && id.sequence > 0 {
+		return
+	}
+	l.newest[from] = id
 	l.ledger.Report(l.now(), from, r.Complete, loads)
 	l.queue.Report(l.now(), from, waitingOf(l.now(), r))
 	if r.Complete {
@@ -326,6 +359,7 @@
 	for peer := range l.heard {
 		if !mates[peer] {
 			delete(l.heard, peer)
+			delete(l.newest, peer)
 		}
 	}
 }
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -233,15 +233,34 @@
 	m.send(msgs)
 }
 
+// send gossips. Instances that are no neighbours get what fits into a datagram: when all of
+// a large fleet start at once, each would otherwise open a connection to most others
+// before it knows its cell, and the memory of that stays taken.
 func (m *Members) send(msgs []member.Message) {
+	m.mu.Lock()
+	near := m.neighbours
+	known := len(m.view.Alive)
+	m.mu.Unlock()
 	for _, msg := range msgs {
 		for _, add := range m.carry {
 			add(msg.Gossip)
 		}
-		m.link.Send(msg.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}})
+		env := &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}}
+		if near[msg.To] || len(near) == 0 && known <= mostConnected {
+			m.link.Send(msg.To, env)
+			continue
+		}
+		for n := len(msg.Gossip.Members); n > 0 && !m.link.Fits(env); n-- {
+			msg.Gossip.Members = msg.Gossip.Members[:n-1]
+		}
+		m.link.Tell(msg.To, env)
 	}
 }
 
+// mostConnected is the size of a fleet up to which gossip uses connections while the
+// neighbours are not known: one cell.
+const mostConnected = 56
+
 // announce tells all members that this instance leaves. A datagram may be lost: it is told
 // to the neighbours over their connections as well, and gossip tells it to the others.
 func (m *Members) announce() {
--- a/decide/spread/ledger.go
+++ b/decide/spread/ledger.go
@@ -55,6 +55,9 @@
 // Of returns the work of all instances on a server.
 func (l *Ledger) Of(server string) Load { return l.total[server] }
 
+// Own returns the work of this instance on a server.
+func (l *Ledger) Own(server string) Load { return l.own[server] }
+
 // Add notes work of this instance.
 func (l *Ledger) Add(server string, v Load) { l.setOwn(server, l.own[server].plus(v)) }
 
--- a/peerlink/datagram.go
+++ b/peerlink/datagram.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// Fits reports whether an envelope can be sent as a datagram.
+func (l *Link) Fits(env *peerpb.Envelope) bool { return proto.Size(env)+addressing <= maxDatagram }
+
+// addressing is the most that the names of sender and receiver take of an envelope, in
+// bytes.
+const addressing = 200
+
 // Tell sends an envelope that may be lost, without a connection if it is small. Packets
 // are lost now and then, and are not sent again.
 func (l *Link) Tell(to string, env *peerpb.Envelope) bool {
