--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -271,16 +271,10 @@
 	return out
 }
 
-// greet sends instances of other cells the sign of life that reports are to mates. It goes
-// by datagrams: no connection is needed for it.
+// greet sends all instances a sign of life, by datagrams: no connection is needed for it.
 func (l *Loads) greet() {
-	l.mu.Lock()
-	mates := l.mates
-	l.mu.Unlock()
 	for _, peer := range l.members.Peers() {
-		if !mates[peer] {
-			l.link.Tell(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
-		}
+		l.link.Tell(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
 	}
 }
 
--- a/control/loads/loads_test.go
+++ b/control/loads/loads_test.go
@@ -31,6 +31,21 @@
 		}
 	})
 
+	// Prompts go to an engine that is full, for up to a second: two reports overtook each
+	// other, and the older one told that the engine had no work.
+	It("are not taken when a newer one came before", func() {
+		told := func(sequence uint64, incarnation uint64, calls int64) {
+			env := report(calls)
+			env.Incarnation, env.GetLoadReport().Sequence = incarnation, sequence
+			l.receive("a", env)
+		}
+		told(2, 7, 3)
+		told(1, 7, 0)
+		Expect(l.Of("s").Calls).To(Equal(int64(3)))
+		told(1, 8, 5)
+		Expect(l.Of("s").Calls).To(Equal(int64(5)), "another process of that name counts anew")
+	})
+
 	// An engine stands idle for as long as an instance lives: one of another cell, whose
 	// list of members was another one for a moment, told of work there and never of its end.
 	It("count for mates only", func() {
--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -11,11 +11,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
-// talk is a fleet whose members gossip and send each other a message a second.
+// talk is a fleet whose members gossip within their neighbourhoods and send each other
+// signs of life, by datagrams that are not sent again.
 type talk struct {
 	names  []string
 	tables []*member.Table
@@ -30,8 +32,13 @@
 
 const (
 	step = 50 * time.Millisecond
-	// resend is the time after which a lost packet is sent again, at the second try.
+	// resend is the time after which a lost packet of gossip is sent again, at the second
+	// try.
 	resend = 600 * time.Millisecond
+	// signEvery is the period of signs of life, rounded to steps.
+	signEvery = 700 * time.Millisecond
+	// engines are enough for as many cells as a fleet is divided into.
+	engines = 1000
 )
 
 func newTalk(n int, seed uint64, most time.Duration, late float64) *talk {
@@ -67,23 +74,41 @@
 	}
 }
 
-// speak sends what a member has to send: gossip, and to all once a second.
+// speak sends what a member has to send: gossip, and signs of life to all.
 func (f *talk) speak(i int) {
+	f.divide(i)
 	for _, m := range append(f.tables[i].Answers(f.now), f.tables[i].Tick(f.now)...) {
 		if to := slices.Index(f.names, m.To); to >= 0 && to != f.gone {
 			f.send(func() { f.tables[to].Receive(f.now, m.Gossip) })
 		}
 	}
-	if int(f.now/step)%int(time.Second/step) != i%int(time.Second/step) {
+	if int(f.now/step)%int(signEvery/step) != i%int(signEvery/step) {
 		return
 	}
 	for to, t := range f.tables {
-		if to != i && to != f.gone {
-			f.send(func() { t.Heard(f.now, f.names[i]) })
+		if to != i && to != f.gone && f.rand.Float64() >= f.late {
+			t.Heard(f.now, f.names[i])
 		}
 	}
 }
 
+// divideEvery is how often a member looks at its cell in these tests.
+const divideEvery = 500 * time.Millisecond
+
+// divide finds the neighbours of a member in the cells of its own view.
+func (f *talk) divide(i int) {
+	if f.now%divideEvery != 0 {
+		return
+	}
+	var live []string
+	for _, s := range f.tables[i].Alive(f.now) {
+		live = append(live, s.Name)
+	}
+	if c := cell.Of(f.names[i], live, engines); c.Count > 1 {
+		f.tables[i].SetNeighbours(member.NeighboursOf(f.names[i], c.Mates, live))
+	}
+}
+
 // send delivers a message at once, or late if its packet is lost.
 func (f *talk) send(arrive func()) {
 	if f.rand.Float64() >= f.late {
