The heap is collected towards a limit from the machine's memory

A machine of 184 MB ends a process whose heap doubles between two collections; the platform tells the memory, and seven tenths are the heap's.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -34,6 +35,11 @@
 	if err != nil {
 		return err
 	}
+	if limit := f.Instance.HeapLimit(); limit > 0 {
+		// A heap that doubles between two collections has a small machine end the process,
+		// with all that it answers, though half of it is garbage.
+		debug.SetMemoryLimit(limit)
+	}
 	p, err := process.New(f, log)
 	if err != nil {
 		return usage(err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,9 @@
 	// Cores is the processor time that the process may use; zero does not tell. Larger
 	// instances do more of the fleet's common duties.
 	Cores float64 `toml:"cores" validate:"min=0,max=1024"`
+	// MemoryMB is the memory in megabytes beyond which the process is ended; zero does not
+	// tell.
+	MemoryMB float64 `toml:"memory_mb" validate:"min=0,max=1048576"`
 	// LogFormat is json or console.
 	LogFormat string `toml:"log_format" validate:"omitempty,oneof=json console"`
 	// DrainTimeout bounds a graceful shutdown; zero waits for every stream.
@@ -47,6 +50,17 @@
 	return uint32(i.Cores * perCore)
 }
 
+// memoryShare of the memory is given to the heap; the rest is stacks, buffers of the
+// kernel that count as the process's, and what is used between two collections.
+const memoryShare = 0.7
+
+// HeapLimit is the size in bytes towards which the heap is collected more often rather
+// than grow; zero for none.
+func (i Instance) HeapLimit() int64 {
+	const megabyte = 1 << 20
+	return int64(memoryShare * i.MemoryMB * megabyte)
+}
+
 // Duration reads "1.5s" and similar.
 type Duration time.Duration
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -35,6 +35,11 @@
 		Expect(f.CheckAll()).To(Succeed())
 	})
 
+	It("gives the heap a part of the machine's memory, if that is told", func() {
+		Expect(settings.Instance{MemoryMB: 184}.HeapLimit()).To(BeNumerically("~", 129<<20, 1<<20))
+		Expect(settings.Instance{}.HeapLimit()).To(BeZero())
+	})
+
 	It("reports every problem at once, with file, table and key", func() {
 		bad := strings.Replace(good, `name = "entry-1"`, `nmae = "entry-1"`, 1) + `
 [http.api]
