Other cells hear from an instance every 2.1 s, and from its cell when it falls silent

Mates hear from each other as before; four of them tell the others when one falls silent, and two of these are believed by mates that late packets misled.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -34,9 +34,11 @@
 	// completeEvery bounds how long a lost report leaves others with a wrong
 	// figure.
 	completeEvery = time.Second
-	// greetEvery lets three datagrams in a row be lost before a member is given up after
-	// 2.2 s of silence.
-	greetEvery = 700 * time.Millisecond
+	// greetEvery lets three datagrams in a row be lost before a mate is given up after
+	// 2.2 s of silence. Every greetDistant-th one goes to the other cells too, which give a
+	// member up after 5 s, or on the word of its mates.
+	greetEvery   = 700 * time.Millisecond
+	greetDistant = 3
 	// silentAfter is how long the last report of a peer is believed: the one
 	// complete report of each second may be lost once, and be a little late.
 	silentAfter = 2500 * time.Millisecond
@@ -201,7 +203,7 @@
 	complete, greetings := time.NewTicker(completeEvery), time.NewTicker(greetEvery)
 	defer complete.Stop()
 	defer greetings.Stop()
-	for {
+	for n := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -210,7 +212,8 @@
 			l.report(true)
 			l.expire()
 		case <-greetings.C:
-			l.greet()
+			n++
+			l.greet(n%greetDistant == 0)
 		case <-l.dirty:
 			time.Sleep(gatherFor)
 			l.report(false)
@@ -271,9 +274,16 @@
 	return out
 }
 
-// greet sends all instances a sign of life, by datagrams: no connection is needed for it.
-func (l *Loads) greet() {
+// greet sends a sign of life to mates, or to all instances, by datagrams: no connection is
+// needed for it.
+func (l *Loads) greet(all bool) {
+	l.mu.Lock()
+	mates := l.mates
+	l.mu.Unlock()
 	for _, peer := range l.members.Peers() {
+		if !all && !mates[peer] {
+			continue
+		}
 		l.link.Tell(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
 	}
 }
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -43,6 +43,9 @@
 	// FailBase is the silence after which a member of a fleet of two is
 	// suspected; it grows with the logarithm of the fleet's size.
 	FailBase settings.Duration `toml:"fail_base"`
+	// FailDistant is the silence after which a member of another cell is suspected, if
+	// its own does not tell before that it fell silent.
+	FailDistant settings.Duration `toml:"fail_distant"`
 	// FailMost bounds it in large fleets, where instances hear from each other
 	// directly; zero does not.
 	FailMost settings.Duration `toml:"fail_most"`
@@ -128,7 +131,7 @@
 	if m.FailBase > 0 {
 		cfg.FailBase = m.FailBase.Std()
 	}
-	cfg.FailMost = m.FailMost.Std()
+	cfg.FailMost, cfg.FailDistant = m.FailMost.Std(), m.FailDistant.Std()
 	if m.PollList == 0 {
 		m.PollList = settings.Duration(defaultPollList)
 	}
@@ -176,8 +179,25 @@
 	m.mu.Lock()
 	m.table.Heard(m.now(), from)
 	m.mu.Unlock()
-	if g := env.GetGossip(); g != nil {
-		m.inbox.Offer(g)
+	switch {
+	case env.GetGossip() != nil:
+		m.inbox.Offer(env.GetGossip())
+	case env.GetMemberSilent() != nil:
+		m.mu.Lock()
+		m.table.FellSilent(m.now(), from, env.GetMemberSilent())
+		m.mu.Unlock()
+	}
+}
+
+// tellOfSilence tells the other cells of mates that fell silent.
+func (m *Members) tellOfSilence() {
+	m.mu.Lock()
+	silent := m.table.Silent(m.now())
+	m.mu.Unlock()
+	for _, s := range silent {
+		for _, peer := range m.Peers() {
+			m.link.Tell(peer, &peerpb.Envelope{Body: &peerpb.Envelope_MemberSilent{MemberSilent: s}})
+		}
 	}
 }
 
@@ -197,6 +217,7 @@
 				m.publish()
 			}
 		case <-t.C:
+			m.tellOfSilence()
 			m.gossip(false)
 			m.publish()
 		case <-m.spread:
--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -25,7 +25,9 @@
 	gone   int
 	// late is the share of messages whose packet was lost: they come after it was sent
 	// again.
-	late    float64
+	late float64
+	// mates are those of each member once it knows its cell.
+	mates   map[int]map[*member.Table]bool
 	delayed map[time.Duration][]func()
 	now     time.Duration
 }
@@ -37,14 +39,17 @@
 	resend = 600 * time.Millisecond
 	// signEvery is the period of signs of life, rounded to steps.
 	signEvery = 700 * time.Millisecond
+	// distantEvery is how many of them go to mates before one goes to all.
+	distantEvery = 3
+	failDistant  = 5 * time.Second
 	// engines are enough for as many cells as a fleet is divided into.
 	engines = 1000
 )
 
 func newTalk(n int, seed uint64, most time.Duration, late float64) *talk {
 	cfg := member.DefaultConfig()
-	cfg.Period, cfg.FailBase, cfg.FailMost = 400*time.Millisecond, 700*time.Millisecond, most
-	f := &talk{rand: rand.New(rand.NewPCG(seed, 1)), gone: -1, late: late, delayed: map[time.Duration][]func(){}}
+	cfg.Period, cfg.FailBase, cfg.FailMost, cfg.FailDistant = 400*time.Millisecond, 700*time.Millisecond, most, failDistant
+	f := &talk{rand: rand.New(rand.NewPCG(seed, 1)), gone: -1, late: late, delayed: map[time.Duration][]func(){}, mates: map[int]map[*member.Table]bool{}}
 	var contacts []member.Contact
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("i%03d", i))
@@ -82,13 +87,26 @@
 			f.send(func() { f.tables[to].Receive(f.now, m.Gossip) })
 		}
 	}
+	for _, s := range f.tables[i].Silent(f.now) {
+		f.tell(i, func(t *member.Table) { t.FellSilent(f.now, f.names[i], s) })
+	}
 	if int(f.now/step)%int(signEvery/step) != i%int(signEvery/step) {
 		return
 	}
-	for to, t := range f.tables {
-		if to != i && to != f.gone && f.rand.Float64() >= f.late {
+	all := int(f.now/signEvery)%distantEvery == i%distantEvery
+	f.tell(i, func(t *member.Table) {
+		if all || f.mates[i] == nil || f.mates[i][t] {
 			t.Heard(f.now, f.names[i])
 		}
+	})
+}
+
+// tell sends all others a datagram, which may be lost.
+func (f *talk) tell(from int, arrive func(*member.Table)) {
+	for to, t := range f.tables {
+		if to != from && to != f.gone && f.rand.Float64() >= f.late {
+			arrive(t)
+		}
 	}
 }
 
@@ -106,6 +124,10 @@
 	}
 	if c := cell.Of(f.names[i], live, engines); c.Count > 1 {
 		f.tables[i].SetNeighbours(member.NeighboursOf(f.names[i], c.Mates, live))
+		f.mates[i] = map[*member.Table]bool{}
+		for _, name := range c.Mates {
+			f.mates[i][f.tables[slices.Index(f.names, name)]] = true
+		}
 	}
 }
 
@@ -217,7 +239,7 @@
 	DescribeTable("knows all of itself within three seconds of 300, a round more of 350", func(n int, seed uint64, within time.Duration) {
 		f := newTalk(n, seed, 2200*time.Millisecond, 0)
 		cfg := member.DefaultConfig()
-		cfg.Period, cfg.FailBase, cfg.FailMost = 400*time.Millisecond, 700*time.Millisecond, 2200*time.Millisecond
+		cfg.Period, cfg.FailBase, cfg.FailMost, cfg.FailDistant = 400*time.Millisecond, 700*time.Millisecond, 2200*time.Millisecond, failDistant
 		var seeds []member.Contact
 		for _, name := range f.names[:min(3, n)] {
 			seeds = append(seeds, member.Contact{Name: name})
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -30,6 +30,9 @@
 	// FailMost bounds that time in large fleets; zero does not. It needs direct signs
 	// of life (Heard) in half of it, since gossip takes longer to reach everyone.
 	FailMost time.Duration
+	// FailDistant is the silence after which a member of another cell is suspected if none
+	// of its mates tells that it fell silent; zero is as for all.
+	FailDistant time.Duration
 	// Forget removes a silent member from the table.
 	Forget time.Duration
 }
@@ -46,6 +49,12 @@
 	changedAt time.Duration
 	// told counts the messages that carried it since.
 	told int
+	// silentSince is up to when signs of life are void, by the word of the member's mates.
+	silentSince time.Duration
+	// word is the last word of a mate of the member that it fell silent.
+	word word
+	// spoke tells whether the member was alive when Silent last looked.
+	spoke bool
 	// contact marks a name known only from the instance list or the settings.
 	contact bool
 }
@@ -61,6 +70,8 @@
 	order      []string
 	next       time.Duration
 	neighbours Neighbours
+	// mates are the members of the own cell, none if all are.
+	mates map[string]bool
 	// strangers are members that spoke to this instance before it knew them.
 	strangers []string
 }
@@ -253,8 +264,16 @@
 	return after
 }
 
+// failAfter is the silence after which a member of a name is suspected.
+func (t *Table) failAfter(name string) time.Duration {
+	if t.distant(name) {
+		return max(t.FailAfter(), t.cfg.FailDistant)
+	}
+	return t.FailAfter()
+}
+
 func (t *Table) alive(now time.Duration, e *entry) bool {
-	return !e.contact && now-e.heard < t.FailAfter()
+	return !e.contact && now-e.heard < t.failAfter(e.state.Name) && (e.silentSince == 0 || e.heard > e.silentSince)
 }
 
 // Message is gossip to one instance.
