A copy that lists a former life of a server, or servers that all ended, brings none back

Found by a property test that draws what servers write, copies and reads: new work could have gone to a server that leaves. Only the last life that left was remembered of an ID, so the copy's former life was taken for ready, and the next life answers at its address; an instance that knew of no server took the copy at its word; and a server that was doubted and left stayed in use as one that is kept.

--- a/decide/backends/era_test.go
+++ b/decide/backends/era_test.go
@@ -23,6 +23,8 @@
 	leavingA := a
 	leavingA.Leaving = true
 	reborn := server("a", 2000)
+	leavingReborn := reborn
+	leavingReborn.Leaving = true
 	var set *backends.Set
 	ready := func() (ids []string) {
 		for _, s := range set.Snapshot().Ready("s") {
@@ -106,10 +108,22 @@
 			[]backends.Change{{ID: "a"}}, []backends.Server{reborn, b}, nil, true),
 		Entry("that starts again in the era",
 			[]backends.Change{{ID: "a", Server: &leavingA}}, []backends.Server{a, b}, []backends.Change{{ID: "a", Server: &reborn}}, true),
+		// Its next life listens at its address, and leaves: two lives were seen to leave.
+		Entry("not whose former life the copy has",
+			[]backends.Change{{ID: "a", Server: &leavingA}, {ID: "a", Server: &reborn}, {ID: "a", Server: &leavingReborn}}, []backends.Server{a, b}, nil, false),
+		Entry("in its next life, though the copy has the former one",
+			[]backends.Change{{ID: "a", Server: &reborn}}, []backends.Server{a, b}, []backends.Change{{ID: "a", Server: &reborn}}, true),
 		Entry("not that left in the era", nil, []backends.Server{a, b}, []backends.Change{{ID: "a", Server: &leavingA}}, false),
 		Entry("not that left before, unheard, and that the copy lacks", nil, []backends.Server{b}, nil, false),
 	)
 
+	// All servers had ended before the copy came back.
+	It("brings no server back to an instance that knew of none", func() {
+		set.Apply(time.Second, []backends.Change{{ID: "a"}, {ID: "b"}}, at(91))
+		set.Replace(era, []backends.Server{a, b}, later(5))
+		Expect(ready()).To(BeEmpty())
+	})
+
 	It("believes at last a server that the store goes on listing", func() {
 		set.Apply(time.Second, []backends.Change{{ID: "a"}}, at(91))
 		set.Replace(era, []backends.Server{a, b}, later(5))
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -26,13 +26,14 @@
 // When the store comes back from an older copy, its list lacks servers that registered
 // since the copy, and shows again those that left. Neither is taken at its word. A
 // server that is missing stays in use until it has had the time to write again: all work
-// would otherwise go to the few that the copy knows. A server that was seen to leave or
-// end, and that the copy lists, gets no work until it writes again, or until the store
-// itself would have dropped it.
+// would otherwise go to the few that the copy knows. A server that was seen to end, or to
+// have started again, and that the copy lists in its former life, gets no work until it
+// writes again, or until the store itself would have dropped it: what listens at its
+// address may be the next life, which leaves.
 type Set struct {
 	at       position.Position
 	byID     map[string]Server
-	leaving  map[string]departure
+	leaving  map[string][]departure
 	gone     map[string]departure
 	kept     map[string]Server
 	doubted  map[string]bool
@@ -50,7 +51,7 @@
 // NewSet returns an empty set.
 func NewSet() *Set {
 	return &Set{
-		byID: map[string]Server{}, leaving: map[string]departure{}, gone: map[string]departure{},
+		byID: map[string]Server{}, leaving: map[string][]departure{}, gone: map[string]departure{},
 		kept: map[string]Server{}, doubted: map[string]bool{},
 	}
 }
@@ -62,7 +63,7 @@
 		return false
 	}
 	before := s.byID
-	newEra := at.Era > s.at.Era && len(before) > 0
+	newEra := at.Era > s.at.Era && s.at != position.Position{}
 	if newEra {
 		s.beginEra(now, servers)
 	}
@@ -90,16 +91,34 @@
 	}
 	s.keepTill, s.doubtTill = now+rewrittenWithin, now+lapsesWithin
 	for _, v := range servers {
-		if d, known := s.gone[v.ID]; known && d.life.Same(v.Life) && now-d.at <= departedFor {
+		d, ended := s.gone[v.ID]
+		ended = ended && now-d.at <= departedFor && (d.life.Same(v.Life) || v.Life < d.life)
+		held, known := s.byID[v.ID]
+		if ended || known && !held.Life.Same(v.Life) && v.Life < held.Life {
 			s.doubted[v.ID] = true
 		}
 	}
 }
 
 func (s *Set) forget(now time.Duration) {
-	old := func(_ string, d departure) bool { return now-d.at > departedFor }
-	maps.DeleteFunc(s.leaving, old)
-	maps.DeleteFunc(s.gone, old)
+	old := func(d departure) bool { return now-d.at > departedFor }
+	for id, list := range s.leaving {
+		if s.leaving[id] = slices.DeleteFunc(list, old); len(s.leaving[id]) == 0 {
+			delete(s.leaving, id)
+		}
+	}
+	maps.DeleteFunc(s.gone, func(_ string, d departure) bool { return old(d) })
+}
+
+// noteLeaving remembers that a life of a server leaves.
+func (s *Set) noteLeaving(now time.Duration, v Server) {
+	for i, d := range s.leaving[v.ID] {
+		if d.life == v.Life {
+			s.leaving[v.ID][i].at = now
+			return
+		}
+	}
+	s.leaving[v.ID] = append(s.leaving[v.ID], departure{now, v.Life})
 }
 
 // Apply takes over changes that lead to a position of the same era.
@@ -129,13 +148,13 @@
 // wrote late can take the new one out until its next heartbeat, which costs a second
 // of one server and sends nothing to a server that leaves.
 func (s *Set) put(now time.Duration, v Server) {
-	if d, known := s.leaving[v.ID]; known && d.life.Same(v.Life) {
-		v.Leaving = true
-	}
+	v.Leaving = v.Leaving || slices.ContainsFunc(s.leaving[v.ID], func(d departure) bool { return d.life.Same(v.Life) })
 	if v.Leaving {
-		s.leaving[v.ID] = departure{now, v.Life}
+		s.noteLeaving(now, v)
+	}
+	if v.Leaving || !s.doubted[v.ID] {
+		delete(s.kept, v.ID)
 	}
-	delete(s.kept, v.ID)
 	s.byID[v.ID] = v
 }
 
