--- a/serve/relay/crash.go
+++ b/serve/relay/crash.go
@@ -72,6 +72,12 @@
 	return true
 }
 
+// poisonous reports whether the request is known to crash servers by now.
+func (x *exchange) poisonous() bool {
+	q := x.relay.quarantine
+	return !q.Empty() && q.Judge(x.identity(), x.relay.ready(x.service.Name)).Verdict == poison.Poisonous
+}
+
 // investigate notes that the server of a failed attempt ended while it ran the request. A
 // server that leaves ends as well, with whatever it still runs; that is no sign against
 // it.
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -142,7 +142,9 @@
 			return
 		}
 		if verdict != spread.Placed {
-			x.end(notPlaced(plan, verdict))
+			if x.admit(ctx) {
+				x.end(notPlaced(plan, verdict))
+			}
 			return
 		}
 		x.placed(plan)
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -55,6 +55,10 @@
 		}
 		x.waited = r.now() - began
 		x.waitedFor = plan.Reason
+		if x.poisonous() {
+			// Servers crashed with the same request while this one waited.
+			return plan, spread.NoServer
+		}
 		plan, verdict = x.place(x.holdPatience())
 	}
 	r.scope.Histogram("held_seconds", buckets.Durations).RecordDuration(x.waited)
