A departure of a known life ends that of an unknown one

Since several lives that left are remembered, one that had not told its start kept every later life of its ID out for 30 s.

--- a/decide/backends/backends_test.go
+++ b/decide/backends/backends_test.go
@@ -60,6 +60,18 @@
 		Entry("nor one after a life that is not known", backends.Life(0), backends.Life(1000), false),
 	)
 
+	// A server stays out for half a minute after it left and started again twice: once it
+	// did not tell its life.
+	It("takes a life for another one once a known life left after one that was not known", func() {
+		first, second, third := leaving, leaving, a
+		second.Life, third.Life = 1000, 2000
+		set := backends.NewSet()
+		set.Replace(0, []backends.Server{first}, at(5))
+		set.Apply(time.Second, []backends.Change{{ID: "a", Server: &second}}, at(6))
+		set.Apply(2*time.Second, []backends.Change{{ID: "a", Server: &third}}, at(7))
+		Expect(set.Snapshot().Ready("s")).To(HaveLen(1))
+	})
+
 	It("loses a new life to a late entry of the old one only until the next heartbeat", func() {
 		first, second := leaving, a
 		first.Life, second.Life = 1000, 2000
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -110,8 +110,12 @@
 	maps.DeleteFunc(s.gone, func(_ string, d departure) bool { return old(d) })
 }
 
-// noteLeaving remembers that a life of a server leaves.
+// noteLeaving remembers that a life of a server leaves. A life that was not known when it
+// left was this one or an earlier one; it stands for all lives no longer.
 func (s *Set) noteLeaving(now time.Duration, v Server) {
+	if v.Life != 0 {
+		s.leaving[v.ID] = slices.DeleteFunc(s.leaving[v.ID], func(d departure) bool { return d.life == 0 })
+	}
 	for i, d := range s.leaving[v.ID] {
 		if d.life == v.Life {
 			s.leaving[v.ID][i].at = now
