--- a/decide/member/neighbours.go
+++ b/decide/member/neighbours.go
@@ -66,9 +66,9 @@
 // tell the other cells.
 func (t *Table) Silent(now time.Duration) []*peerpb.MemberSilent {
 	var out []*peerpb.MemberSilent
-	for name := range t.mates {
+	for _, name := range t.order {
 		e := t.entries[name]
-		if e == nil || e.contact {
+		if !t.mates[name] || e.contact {
 			continue
 		}
 		alive := t.alive(now, e)
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -240,8 +240,8 @@
 
 // Heard notes a message that came from a member itself. In a fleet of 75 gossip
 // brings some heartbeats only after two to three seconds, and each instance would have
-// to believe a silence of four. Messages that members send each other anyway, at least
-// one a second, let it be as short as in a fleet of eight.
+// to believe a silence of four. Signs of life that mates send each other let it be as
+// short as in a fleet of eight.
 func (t *Table) Heard(now time.Duration, name string) {
 	if e := t.entries[name]; e != nil && !e.contact {
 		e.heard = max(e.heard, now)
