--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -27,7 +27,9 @@
 	// again.
 	late float64
 	// mates are those of each member once it knows its cell.
-	mates   map[int]map[*member.Table]bool
+	mates map[int]map[*member.Table]bool
+	// views are the names by which each member last divided the fleet.
+	views   map[int][]string
 	delayed map[time.Duration][]func()
 	now     time.Duration
 }
@@ -49,7 +51,7 @@
 func newTalk(n int, seed uint64, most time.Duration, late float64) *talk {
 	cfg := member.DefaultConfig()
 	cfg.Period, cfg.FailBase, cfg.FailMost, cfg.FailDistant = 400*time.Millisecond, 700*time.Millisecond, most, failDistant
-	f := &talk{rand: rand.New(rand.NewPCG(seed, 1)), gone: -1, late: late, delayed: map[time.Duration][]func(){}, mates: map[int]map[*member.Table]bool{}}
+	f := &talk{rand: rand.New(rand.NewPCG(seed, 1)), gone: -1, late: late, delayed: map[time.Duration][]func(){}, mates: map[int]map[*member.Table]bool{}, views: map[int][]string{}}
 	var contacts []member.Contact
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("i%03d", i))
@@ -122,6 +124,10 @@
 	for _, s := range f.tables[i].Alive(f.now) {
 		live = append(live, s.Name)
 	}
+	if slices.Equal(live, f.views[i]) {
+		return
+	}
+	f.views[i] = live
 	if c := cell.Of(f.names[i], live, engines); c.Count > 1 {
 		f.tables[i].SetNeighbours(member.NeighboursOf(f.names[i], c.Mates, live))
 		f.mates[i] = map[*member.Table]bool{}
--- a/decide/member/neighbours.go
+++ b/decide/member/neighbours.go
@@ -53,6 +53,9 @@
 	for _, name := range n.Mates {
 		t.mates[name] = true
 	}
+	for name, e := range t.entries {
+		e.distant = t.distant(name)
+	}
 }
 
 // distant reports whether a member is of another cell.
@@ -116,7 +119,7 @@
 	}
 	first := e.word
 	e.word = word{by, now}
-	if !t.distant(s.Name) && (first.by == "" || first.by == by || now-first.at > wordFor) {
+	if !e.distant && (first.by == "" || first.by == by || now-first.at > wordFor) {
 		return
 	}
 	e.silentSince = now - silentBefore
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -49,6 +49,8 @@
 	changedAt time.Duration
 	// told counts the messages that carried it since.
 	told int
+	// distant tells that the member is of another cell.
+	distant bool
 	// silentSince is up to when signs of life are void, by the word of the member's mates.
 	silentSince time.Duration
 	// word is the last word of a mate of the member that it fell silent.
@@ -101,6 +103,7 @@
 }
 
 func (t *Table) add(name string, e *entry) {
+	e.distant = t.distant(name)
 	t.entries[name] = e
 	at, _ := slices.BinarySearch(t.order, name)
 	t.order = slices.Insert(t.order, at, name)
@@ -264,16 +267,16 @@
 	return after
 }
 
-// failAfter is the silence after which a member of a name is suspected.
-func (t *Table) failAfter(name string) time.Duration {
-	if t.distant(name) {
+// failAfter is the silence after which a member is suspected.
+func (t *Table) failAfter(e *entry) time.Duration {
+	if e.distant {
 		return max(t.FailAfter(), t.cfg.FailDistant)
 	}
 	return t.FailAfter()
 }
 
 func (t *Table) alive(now time.Duration, e *entry) bool {
-	return !e.contact && now-e.heard < t.failAfter(e.state.Name) && (e.silentSince == 0 || e.heard > e.silentSince)
+	return !e.contact && now-e.heard < t.failAfter(e) && (e.silentSince == 0 || e.heard > e.silentSince)
 }
 
 // Message is gossip to one instance.
