--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -296,8 +296,8 @@
 	loads := make(map[string]spread.Load, len(r.Servers))
 	for _, s := range r.Servers {
 		loads[s.Server] = spread.Load{
-			Calls: s.Calls, LongCalls: s.LongCalls, HeldTokens: s.HeldTokens, Read: micros(s.ReadUs),
-			Unread: micros(s.UnreadUs), Parts: s.Parts,
+			Calls: s.Calls, LongCalls: s.LongCalls, HeldTokens: s.HeldTokens, Read: peerpb.Micros(s.ReadUs),
+			Unread: peerpb.Micros(s.UnreadUs), Parts: s.Parts,
 		}
 	}
 	l.mu.Lock()
@@ -332,14 +332,12 @@
 	w := spread.Waiting{ForSlot: int(r.ForSlot)}
 	if h := r.Held; h != nil {
 		w.First, w.Held = spread.Turn{
-			Request: h.Request, Weight: h.Weight, Since: now - micros(h.WaitedUs), Useful: micros(h.UsefulUs), LateAfter: micros(h.LateAfterUs),
+			Request: h.Request, Weight: h.Weight, Since: now - peerpb.Micros(h.WaitedUs), Useful: peerpb.Micros(h.UsefulUs), LateAfter: peerpb.Micros(h.LateAfterUs),
 		}, true
 	}
 	return w
 }
 
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // divide finds this instance's cell among the live instances.
 func (l *Loads) divide(v members.View) {
 	var live []string
--- a/control/quarantine/quarantine.go
+++ b/control/quarantine/quarantine.go
@@ -213,7 +213,7 @@
 			}
 		}
 		for _, e := range in.Ends {
-			t.MergeEnd(now, poison.End{Server: e.Server, At: now - micros(e.AgoUs)})
+			t.MergeEnd(now, poison.End{Server: e.Server, At: now - peerpb.Micros(e.AgoUs)})
 		}
 	})
 }
--- a/control/quarantine/wire.go
+++ b/control/quarantine/wire.go
@@ -30,12 +30,10 @@
 	if len(p.Key) != len(r.Key) {
 		return r, false
 	}
-	r = poison.Record{Key: poison.Key(p.Key), Round: p.Round, Changed: now - micros(p.ChangedAgoUs)}
+	r = poison.Record{Key: poison.Key(p.Key), Round: p.Round, Changed: now - peerpb.Micros(p.ChangedAgoUs)}
 	for _, c := range p.Crashes {
-		ended := now - micros(c.EndedAgoUs)
-		r.Crashes = append(r.Crashes, poison.Crash{Server: c.Server, Began: ended - micros(c.RanUs), Ended: ended})
+		ended := now - peerpb.Micros(c.EndedAgoUs)
+		r.Crashes = append(r.Crashes, poison.Crash{Server: c.Server, Began: ended - peerpb.Micros(c.RanUs), Ended: ended})
 	}
 	return r, true
 }
-
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/decide/claim/recovery.go
+++ b/decide/claim/recovery.go
@@ -87,7 +87,7 @@
 		}
 	}
 	s.restore(old)
-	if last == nil && s.m.era > firstEra || last != nil && last.seg.Era < s.m.era {
+	if last == nil && s.m.era > objectapi.FirstEra || last != nil && last.seg.Era < s.m.era {
 		s.grantFrom = max(s.grantFrom, now+reclaimFor)
 	}
 	s.state = fencing
@@ -104,9 +104,6 @@
 	s.write(now, last.key, s.nextSegment(), last.version)
 }
 
-// firstEra is that of a store that never came back from a copy.
-const firstEra = 1
-
 // reclaimFor is the time after the store came back from an older copy in which no key is
 // granted that the ledger does not hold. Claims that the copy lacks are lost; whoever they
 // were granted to tells of them within that time, and a claim that its holder does not
--- a/decide/confver/confver.go
+++ b/decide/confver/confver.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/port/objectapi"
 )
 
 // maxRecent bounds the write ids kept in the pointer object. A writer whose
@@ -44,9 +46,6 @@
 // Encode renders the pointer.
 func (p Pointer) Encode() ([]byte, error) { return json.Marshal(p) }
 
-// firstEra is that of a store that never came back from a copy, or tells no eras.
-const firstEra = 1
-
 // eraStep is above the number of versions that can be accepted in the seconds that a
 // store loses when it comes back from an older copy.
 const eraStep = 1 << 20
@@ -55,7 +54,7 @@
 // of p the store may have lost versions that followed p and are in force. A number is
 // never given to a second content, so those that may have been given out are passed over.
 func (p Pointer) Next(era uint64, writeID, digest string, parts int) Pointer {
-	from := max(p.Era, firstEra)
+	from := max(p.Era, objectapi.FirstEra)
 	next := Pointer{Version: p.Version + 1, Era: max(era, from), WriteID: writeID, Digest: digest, Parts: parts}
 	next.Version += eraStep * (next.Era - from)
 	next.Recent = append(slices.Clone(p.Recent), Accepted{WriteID: writeID, Version: next.Version})
--- a/decide/poison/crash.go
+++ b/decide/poison/crash.go
@@ -31,13 +31,16 @@
 // ServerHash is the hash by which a crash names its server.
 func ServerHash(id string) uint64 { return xxhash.Sum64String(id) }
 
-func (c Crash) same(o Crash) bool { return c.Server == o.Server && (c.Ended-o.Ended).Abs() < sameCrash }
+func (c Crash) end() End { return End{Server: c.Server, At: c.Ended} }
 
-func contains(crashes []Crash, c Crash) bool { return slices.ContainsFunc(crashes, c.same) }
+// contains reports whether one of crashes is the end of a server.
+func contains(crashes []Crash, e End) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.end().same(e) })
+}
 
 // add returns crashes, which are in the order of their ends, with another one.
 func add(crashes []Crash, c Crash) (out []Crash, isNew bool) {
-	if len(crashes) >= maxCrashes || contains(crashes, c) {
+	if len(crashes) >= maxCrashes || contains(crashes, c.end()) {
 		return crashes, false
 	}
 	at, _ := slices.BinarySearchFunc(crashes, c, func(a, b Crash) int {
--- a/decide/poison/table.go
+++ b/decide/poison/table.go
@@ -127,7 +127,7 @@
 
 // Note adds a crash that this instance saw.
 func (t *Table) Note(now time.Duration, k Key, c Crash) {
-	t.MergeEnd(now, End{Server: c.Server, At: c.Ended})
+	t.MergeEnd(now, c.end())
 	r := t.records[k]
 	if r == nil {
 		r = &record{Record: Record{Key: k}, private: true}
@@ -303,9 +303,9 @@
 		own, others := successive(r.Crashes), successive(o.Crashes)
 		switch {
 		case others > own:
-			crashes = slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return contains(o.Crashes, c) })
+			crashes = slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return contains(o.Crashes, c.end()) })
 		case others == own:
-			rival = rival || !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !contains(o.Crashes, c) })
+			rival = rival || !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !contains(o.Crashes, c.end()) })
 		}
 	}
 	return crashes, rival
@@ -317,7 +317,7 @@
 	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool {
 		others := 0
 		for _, e := range t.ends {
-			if (e.At-c.Ended).Abs() < sameMoment && !contains(crashes, Crash{Server: e.Server, Ended: e.At}) {
+			if (e.At-c.Ended).Abs() < sameMoment && !contains(crashes, e) {
 				others++
 			}
 		}
@@ -337,7 +337,7 @@
 		ran += (c.Ended - c.Began) / time.Duration(len(crashes))
 	}
 	for _, e := range t.ends {
-		if e.At > last-baseSpan && e.At < last+sameMoment && !contains(crashes, Crash{Server: e.Server, Ended: e.At}) {
+		if e.At > last-baseSpan && e.At < last+sameMoment && !contains(crashes, e) {
 			others++
 		}
 	}
--- a/port/objectapi/objectapi.go
+++ b/port/objectapi/objectapi.go
@@ -38,6 +38,9 @@
 	ErrTooLarge    = errors.New("value exceeds the platform's limit")
 )
 
+// FirstEra is the era of a platform that never came back from an older copy.
+const FirstEra = 1
+
 // Store is what the system asks of the platform.
 type Store interface {
 	Get(ctx context.Context, key string) (Object, error)
