Lines of a store regained tell how long calls hung, how long the loop paused and how long it made none

A turn without a call no longer counts as a success: the configuration's loop logged the store regained while it was silent.

--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -10,7 +10,6 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/retry"
-	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
@@ -61,7 +60,7 @@
 	at position.Position
 	// gap tells that the history after it is gone and the whole must be read.
 	gap, watching bool
-	failures      int
+	outage        outage
 	// gather is how long the next changes are gathered, zero after a watch without any.
 	gather time.Duration
 }
@@ -75,11 +74,11 @@
 		due := f.due()
 		f.noteDuty(w, due)
 		began := w.at
-		err := f.turn(ctx, w, due)
+		called, err := f.turn(ctx, w, due)
 		switch {
+		case err == nil && !called:
 		case err == nil:
-			f.regained(s.name, w.failures)
-			w.failures = 0
+			f.regained(w)
 			if due {
 				w.pace(ctx, began.Before(w.at))
 			}
@@ -89,9 +88,10 @@
 			f.log.Info("history of changes is gone, reading the whole again", zap.String("what", s.name), zap.Stringer("at", w.at))
 			w.gap = true
 		default:
-			f.lost(s.name, w.failures, err)
-			w.failures++
-			wait.For(ctx, retry.Backoff(w.rand, firstPause, f.longestPause(), w.failures))
+			f.lost(w, err)
+			pause := retry.Backoff(w.rand, firstPause, f.longestPause(), w.outage.failures)
+			w.outage.paused += pause
+			wait.For(ctx, pause)
 		}
 	}
 }
@@ -106,16 +106,22 @@
 	wait.For(ctx, w.gather)
 }
 
-// turn makes the call that is due, or pauses if none is.
-func (f *Follower) turn(ctx context.Context, w *watcher, due bool) (err error) {
+// turn makes the call that is due, or pauses if none is, and reports whether it made one.
+func (f *Follower) turn(ctx context.Context, w *watcher, due bool) (called bool, err error) {
 	held, known := w.held()
 	w.at = position.Later(w.at, held)
 	switch {
 	case !known:
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, true) })
-	case !due || w.name == whatConfig && f.storeFailing.Load():
+	case !due:
+		wait.For(ctx, dutyEvery)
+		return false, nil
+	case w.name == whatConfig && f.storeFailing.Load():
 		// While the store fails one of the two loops asks whether it is back.
+		w.outage.begin(f.now())
+		w.outage.idle += dutyEvery
 		wait.For(ctx, dutyEvery)
+		return false, nil
 	case w.gap:
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
 		w.gap = err != nil
@@ -124,14 +130,16 @@
 		w.at, err = f.call(ctx, w, f.Wait.Std()+watchSlack, func(ctx context.Context) (position.Position, error) { return w.watch(ctx, w.at) })
 		f.heardFromStore(w.name, err)
 	}
-	return err
+	return true, err
 }
 
 // call makes one call and returns the position of its answer, or the last one known.
 func (f *Follower) call(ctx context.Context, w *watcher, timeout time.Duration, fn func(context.Context) (position.Position, error)) (position.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := f.now()
 	at, err := fn(ctx)
+	w.outage.call = f.now() - began
 	f.noteEra()
 	if err != nil {
 		return w.at, err
@@ -174,22 +182,3 @@
 	}
 	return longestPause
 }
-
-func (f *Follower) lost(what string, failures int, err error) {
-	if what == whatServers {
-		f.storeFailing.Store(true)
-	}
-	f.scope.Tagged(map[string]string{"what": what}).Counter("store_failures_total").Inc(1)
-	if failures == 0 {
-		f.log.Warn("store lost", zap.String("what", what), eventlog.Error(err))
-	}
-}
-
-func (f *Follower) regained(what string, failures int) {
-	if what == whatServers {
-		f.storeFailing.Store(false)
-	}
-	if failures > 0 {
-		f.log.Info("store regained", zap.String("what", what), zap.Int("failed_calls", failures))
-	}
-}
