A store that failed is asked briefly, and its answer to one loop ends the waiting of the other

What callers saw: after an outage of the store, requests on routes that a version had added got 404 and new keys 401, more than two seconds after that version was acknowledged.

Cause: after a failed call an instance watched for servers again with the usual wait of 2.1 s and did not ask for the configuration before that was answered; a call begun in the silence hung for 2.7 s first. Ruled out: loss on the way between instances (all six had the version within 0.26 s of the first).

--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -77,8 +78,8 @@
 			}
 			return f.takeConfig(&c, c.At, err)
 		},
-		watch: func(ctx context.Context, after position.Position) (position.Position, error) {
-			return f.takeConfig(f.catalog.WatchConfig(ctx, after, f.Wait.Std()))
+		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
+			return f.takeConfig(f.catalog.WatchConfig(ctx, after, wait))
 		},
 	})
 }
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -82,6 +82,7 @@
 	confirmed atomic.Int64
 	// storeFailing tells that the last call for the list of servers failed.
 	storeFailing atomic.Bool
+	recovery     recovery
 	inbox        *ring.Ring[configFrom]
 	newer        *ring.Ring[offer]
 	// adopting lets one goroutine at a time decide which configuration is in force.
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -25,8 +25,8 @@
 			f.takeServers(l)
 			return l.At, nil
 		},
-		watch: func(ctx context.Context, after position.Position) (position.Position, error) {
-			l, err := f.catalog.WatchServers(ctx, after, f.Wait.Std())
+		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
+			l, err := f.catalog.WatchServers(ctx, after, wait)
 			if err != nil {
 				return position.Position{}, err
 			}
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
-	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
@@ -18,12 +17,6 @@
 const (
 	// readTimeout bounds a read of the whole.
 	readTimeout = 1500 * time.Millisecond
-	// Pauses after a failed call; drawn, so that the instances do not return to
-	// a store that was down all at once. Servers whose entries lapsed meanwhile are
-	// back two seconds after the store.
-	firstPause, longestPause = 50 * time.Millisecond, time.Second
-	// othersPause is the longest pause of an instance that others tell what it needs.
-	othersPause = 3 * time.Second
 	// dutyEvery is how often an instance looks whether it is to watch.
 	dutyEvery = 100 * time.Millisecond
 	// Changes that follow a change are gathered into one call for gatherFor, and longer
@@ -48,8 +41,8 @@
 	// read takes over the whole and returns its position; what it was some seconds ago
 	// will do if staleOK.
 	read func(ctx context.Context, staleOK bool) (position.Position, error)
-	// watch takes over what changed after a position.
-	watch func(context.Context, position.Position) (position.Position, error)
+	// watch takes over what changed after a position, or will have changed after a wait.
+	watch func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error)
 }
 
 // watcher is the state of one source's loop.
@@ -67,7 +60,8 @@
 
 // follow reads the whole once, then watches from there as long as that is this
 // instance's duty. After a gap in the history it reads the whole again. A watch that
-// failed or went silent is asked again from the same revision, over another connection.
+// failed or went silent is asked again from the same revision, over another connection,
+// and does not wait for changes until the store has answered.
 func (f *Follower) follow(ctx context.Context, s source) {
 	w := &watcher{source: s, rand: rand.New(rand.NewPCG(rand.Uint64(), 1))}
 	for ctx.Err() == nil {
@@ -84,14 +78,13 @@
 			}
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errRegained):
 		case errors.Is(err, catalog.ErrHistoryGone):
 			f.log.Info("history of changes is gone, reading the whole again", zap.String("what", s.name), zap.Stringer("at", w.at))
 			w.gap = true
 		default:
 			f.lost(w, err)
-			pause := retry.Backoff(w.rand, firstPause, f.longestPause(), w.outage.failures)
-			w.outage.paused += pause
-			wait.For(ctx, pause)
+			f.pause(ctx, w)
 		}
 	}
 }
@@ -119,15 +112,18 @@
 	case w.name == whatConfig && f.storeFailing.Load():
 		// While the store fails one of the two loops asks whether it is back.
 		w.outage.begin(f.now())
-		w.outage.idle += dutyEvery
-		wait.For(ctx, dutyEvery)
+		w.outage.idle += f.untilRegained(ctx, dutyEvery)
 		return false, nil
 	case w.gap:
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
 		w.gap = err != nil
 		f.heardFromStore(w.name, err)
 	default:
-		w.at, err = f.call(ctx, w, f.Wait.Std()+watchSlack, func(ctx context.Context) (position.Position, error) { return w.watch(ctx, w.at) })
+		wait, slack := f.Wait.Std(), watchSlack
+		if w.outage.failures > 0 {
+			wait, slack = probeWait, probeSlack
+		}
+		w.at, err = f.call(ctx, w, wait+slack, func(ctx context.Context) (position.Position, error) { return w.watch(ctx, w.at, wait) })
 		f.heardFromStore(w.name, err)
 	}
 	return true, err
@@ -137,14 +133,20 @@
 func (f *Follower) call(ctx context.Context, w *watcher, timeout time.Duration, fn func(context.Context) (position.Position, error)) (position.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	back := f.recovery.next()
+	defer context.AfterFunc(back, cancel)()
 	began := f.now()
 	at, err := fn(ctx)
 	w.outage.call = f.now() - began
 	f.noteEra()
-	if err != nil {
+	switch {
+	case err == nil:
+		return at, nil
+	case back.Err() != nil:
+		return w.at, errRegained
+	default:
 		return w.at, err
 	}
-	return at, nil
 }
 
 // due reports whether this instance watches the store now. One that starts lives on what
@@ -174,11 +176,3 @@
 	f.log.Info("duty to watch the store changed", zap.String("what", w.name), zap.Bool("watching", due), zap.Int("rank", st.Rank), zap.Int("watchers", st.Watchers),
 		zap.Int("instances", len(st.Order)), zap.Duration("age", f.Age()))
 }
-
-// longestPause is the longest pause after failed calls.
-func (f *Follower) longestPause() time.Duration {
-	if f.Ready() && !f.members.Standing().Primary() {
-		return othersPause
-	}
-	return longestPause
-}
