Own interface: an outage of the object API does not hold up a manifest accepted after it

What operators saw: a manifest accepted just after the object API had been silent was in force up to 35 s later, after refusals up to 19 s. Cause: the class of the incident, a call that waits for a change used to learn whether the store is back, here of 30 s with a timeout of 35 s, and pauses that double six times.

--- a/control/config/config.go
+++ b/control/config/config.go
@@ -18,6 +18,8 @@
 	"github.com/auburnmoor/auburnmoor/decide/confver"
 	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/decide/place"
+	"github.com/auburnmoor/auburnmoor/decide/retry"
+	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/manifest"
 	"github.com/auburnmoor/auburnmoor/peerlink"
@@ -70,11 +72,16 @@
 
 // Defaults of the settings.
 const (
-	defaultWatchers  = 2
-	defaultWatchWait = 30 * time.Second
+	defaultWatchers = 2
+	// defaultWatchWait bounds with storeTimeout how long a watch that hears of no change,
+	// since the store fell silent meanwhile, is believed.
+	defaultWatchWait = 2 * time.Second
 	defaultPollStore = 60 * time.Second
-	firstRetry       = 200 * time.Millisecond
-	storeTimeout     = 5 * time.Second
+	storeTimeout     = time.Second
+	// contentTimeout bounds the calls for the parts of one content.
+	contentTimeout = 5 * time.Second
+	// Pauses after failed calls.
+	firstPause, longestPause = 100 * time.Millisecond, time.Second
 )
 
 // Provision implements auburnmoor.Provisioner.
@@ -201,29 +208,33 @@
 }
 
 // follow reads the store: by a watch if this instance is one of the watchers,
-// else rarely.
+// else rarely. A store that failed is asked without waiting for a change, so that its
+// return is noticed at once.
 func (c *Config) follow(ctx context.Context) {
+	r := rand.New(rand.NewPCG(rand.Uint64(), 4))
 	failures := 0
 	for ctx.Err() == nil {
-		err := c.readStore(ctx)
+		err := c.readStore(ctx, failures > 0)
 		if err == nil {
 			failures = 0
 			continue
 		}
 		c.failures.Add(1)
-		failures = min(failures+1, 6)
-		// Jitter keeps the instances from returning to a recovered store together.
-		wait.For(ctx, firstRetry<<failures/2+rand.N(firstRetry<<failures))
+		if failures == 0 {
+			c.log.Warn("configuration cannot be read from the store", eventlog.Error(err))
+		}
+		failures++
+		wait.For(ctx, retry.Backoff(r, firstPause, longestPause, failures))
 	}
 }
 
-func (c *Config) readStore(ctx context.Context) error {
+func (c *Config) readStore(ctx context.Context, failed bool) error {
 	watcher := c.watcher()
 	if !watcher && c.version.Load() > 0 {
 		wait.For(ctx, c.PollStore.Std()/2+rand.N(c.PollStore.Std()))
 	}
 	wait := time.Duration(0)
-	if watcher && c.version.Load() > 0 {
+	if watcher && c.version.Load() > 0 && !failed {
 		wait = c.WatchWait.Std()
 	}
 	cctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
@@ -237,7 +248,9 @@
 	if err != nil || p.Version <= c.version.Load() {
 		return err
 	}
-	content, err := confver.ReadContent(cctx, c.store, p)
+	parts, cancel := context.WithTimeout(ctx, contentTimeout)
+	defer cancel()
+	content, err := confver.ReadContent(parts, c.store, p)
 	if err != nil {
 		return err
 	}
--- a/lab/standin/platformserver/server.go
+++ b/lab/standin/platformserver/server.go
@@ -30,6 +30,8 @@
 type Faults struct {
 	// Down refuses every call.
 	Down bool `json:"down"`
+	// Silent never answers the calls that it takes, nor those that wait already.
+	Silent bool `json:"silent"`
 	// LoseReplies drops the replies of the next writes after they took effect.
 	LoseReplies int `json:"lose_replies"`
 	// DelayMS slows every call.
@@ -54,6 +56,8 @@
 	weights  *rate.Limiter
 	era      atomic.Uint64
 	backup   backup
+	// silences counts how often the platform fell silent.
+	silences atomic.Uint64
 }
 
 // backup is a copy of the objects.
@@ -137,7 +141,11 @@
 		s.mu.Unlock()
 		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		c.Response().Before(func() { c.Response().Header().Set(objectapi.HeaderEra, strconv.FormatUint(s.era.Load(), 10)) })
-		if f.Down {
+		switch {
+		case f.Silent:
+			<-c.Request().Context().Done()
+			return nil
+		case f.Down:
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
 		return next(c)
@@ -162,7 +170,12 @@
 	key := keyOf(c)
 	if have, err := strconv.ParseUint(c.QueryParam("watch"), 10, 64); err == nil {
 		wait, _ := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+		silences := s.silences.Load()
 		s.wait(c.Request().Context(), key, have, time.Duration(wait)*time.Millisecond)
+		if s.silences.Load() > silences {
+			<-c.Request().Context().Done()
+			return nil
+		}
 	}
 	s.mu.Lock()
 	o, ok := s.objects[key]
@@ -336,6 +349,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	if f.Silent {
+		s.silences.Add(1)
+	}
 }
 
 // Counts is how the platform was used.
