A soak: real processes under drawn faults, promises checked from what callers and servers see

Instances run as processes, the store and the backend servers as stand-ins of the same command; links to the store, the servers and callers go through proxies. A plan of timed faults follows from a seed, is written as a file when a promise breaks, replayed and shrunk. Checked: whole and own answers, once-only, true refusals, time limits, no false 401 or 404, configuration in force and never back, leaving servers, shutdown, memory released, recovery, memory and descriptors, lines in the logs.

Left: links between instances, clocks, the own interface, mutants for never-back, bounded and explained.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -38,6 +38,7 @@
 	Clear    clearCmd    `cmd:"" help:"Have a request run again that is refused because servers crashed with it."`
 	Explain  explainCmd  `cmd:"" help:"Tell the story of one request from the logs of all instances."`
 	Losses   lossesCmd   `cmd:"" help:"Tell from the logs of all instances which requests were lost, and why."`
+	Soak     soakCmd     `cmd:"" help:"Run real processes under faults drawn from seeds and check what callers get."`
 	Suspects suspectsCmd `cmd:"" help:"Play requests that crash servers among others, in virtual time."`
 	Standin  standinCmd  `cmd:"" help:"Run one stand-in of an outside system."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,81 @@
+package soak_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/lab/soak"
+)
+
+func TestSoak(t *testing.T) { testkit.Suite(t, "soak") }
+
+const length = 24 * time.Second
+
+func draw(seed uint64) soak.Plan {
+	p, err := soak.Draw(seed, 4, length)
+	Expect(err).NotTo(HaveOccurred())
+	return p
+}
+
+var _ = Describe("a plan", func() {
+	It("is the same for a seed, and another for another", func() {
+		Expect(draw(7)).To(Equal(draw(7)))
+		Expect(draw(7)).NotTo(Equal(draw(8)))
+	})
+
+	It("comes out of its file as it was", func() {
+		raw, err := draw(7).Format()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(soak.ParsePlan(raw)).To(Equal(draw(7)))
+	})
+
+	It("loses just the fault that is left out", func() {
+		p := draw(7)
+		less := p.Without(0)
+		Expect(less.Faults).To(Equal(p.Faults[1:]))
+		Expect(p).To(Equal(draw(7)))
+	})
+
+	DescribeTable("is refused", func(raw, why string) {
+		_, err := soak.ParsePlan([]byte(raw))
+		Expect(err).To(MatchError(ContainSubstring(why)))
+	},
+		Entry("without instances", `length = "30s"`, "instances"),
+		Entry("with too many", "instances = 1000\nlength = \"30s\"", "instances"),
+		Entry("when it is too short", "instances = 3\nlength = \"1s\"", "length"),
+		Entry("with an unknown field", "instances = 3\nlength = \"30s\"\nspeed = 2", "plan"),
+		Entry("with an unknown kind", "instances = 3\nlength = \"30s\"\n[[fault]]\nkind = \"flood\"", "kind"),
+		Entry("with a fault beyond its end", "instances = 3\nlength = \"30s\"\n[[fault]]\nkind = \"kill\"\nat = \"31s\"", "out of range"),
+	)
+})
+
+var _ = Describe("a run of real processes", Ordered, func() {
+	var bin string
+	BeforeAll(func() {
+		bin = filepath.Join(GinkgoT().TempDir(), "auburnmoor")
+		out, err := exec.Command("go", "build", "-o", bin, "../../cmd/auburnmoor").CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	})
+	play := func(p soak.Plan, m soak.Mutant) soak.Result {
+		r, err := soak.Play(context.Background(), p, soak.Options{Binary: bin, Dir: GinkgoT().TempDir(), Mutant: m})
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+
+	It("keeps all promises under the faults of a seed", func() {
+		r := play(draw(3), "")
+		Expect(r.Violations).To(BeEmpty())
+		Expect(r.Served).To(BeNumerically(">", 500))
+	})
+
+	It("shows a configuration that comes into force too late", func() {
+		Expect(play(draw(3), soak.LateConfig).Broke(soak.InForce)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/lab/standin/caller/caller.go
@@ -0,0 +1,115 @@
+// Package caller stands in for the callers on the users' platform: it asks which
+// addresses to use and sends requests as they do.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Request is one client attempt.
+type Request struct {
+	// ID is the attempt's own.
+	ID, Host, Path, Key, Body string
+	// PromptTokens is the length of a model prompt, zero for a plain service.
+	PromptTokens int
+	Deadline     time.Duration
+}
+
+// Answer is what a caller got. Err tells that the answer is not whole.
+type Answer struct {
+	Status     int
+	Body, Seal string
+	Err        error
+	Took       time.Duration
+}
+
+// answerTokens is the most that callers let a model write.
+const answerTokens = 100
+
+// Caller sends requests over connections that it keeps.
+type Caller struct{ http *http.Client }
+
+// New returns a caller that keeps its connections open until the other end closes them.
+func New() *Caller {
+	return &Caller{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+}
+
+// Close drops the connections that are idle.
+func (c *Caller) Close() { c.http.CloseIdleConnections() }
+
+// Send makes one attempt at an instance.
+func (c *Caller) Send(ctx context.Context, addr string, r Request) (a Answer) {
+	began := time.Now()
+	defer func() { a.Took = time.Since(began) }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+r.Path, strings.NewReader(r.Body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	// Without it the transport sends an attempt again whose connection closed.
+	req.GetBody = nil
+	req.Host = r.Host
+	req.Header.Set("X-Request-Id", r.ID)
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Bearer "+r.Key)
+	if r.PromptTokens > 0 {
+		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", r.PromptTokens, answerTokens))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Body: string(raw), Seal: resp.Header.Get("X-Response-Seal"), Err: err}
+}
+
+// Addresses asks an instance for the addresses to use.
+func (c *Caller) Addresses(ctx context.Context, directory, host, dataCentre string) ([]string, error) {
+	q := url.Values{"name": {host}, "zone": {dataCentre}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/resolve?"+q.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var out struct {
+		Addresses []string `json:"addresses"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&out)
+	return out.Addresses, err
+}
+
+// Ready reports whether an instance says that it can serve.
+func (c *Caller) Ready(ctx context.Context, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/readiness", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// NotRun reports whether a status promises that the request has not run.
+func NotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/lab/standin/storeserver/site.go
@@ -0,0 +1,66 @@
+package storeserver
+
+// Site is a configuration as operators write it.
+type Site struct {
+	Version int
+	Routes  []Route
+	// Models and Plain are the names of the services of either sort.
+	Models, Plain []string
+	// EngineMemory is that of one engine, in tokens.
+	EngineMemory int
+	// Keys are those of the one customer.
+	Keys []string
+}
+
+// Route is one route of a Site.
+type Route struct {
+	Name, Host, Prefix, Service string
+	// Kind is "safe", "unsafe" or "streaming".
+	Kind string
+	// TimeoutMS is the longest time that a request is kept waiting.
+	TimeoutMS int
+}
+
+// PutSite writes a configuration.
+func (s *Server) PutSite(c Site) error {
+	var routes, services []any
+	for _, r := range c.Routes {
+		routes = append(routes, map[string]any{
+			"name": r.Name, "hostname": r.Host, "pathPrefix": r.Prefix, "kind": r.Kind, "service": r.Service, "timeoutMs": r.TimeoutMS,
+			"targetLatencyMs": 300, "maxAttempts": 2, "resumable": r.Kind == "streaming", "gapTargetMs": 250,
+		})
+	}
+	for _, name := range c.Models {
+		services = append(services, map[string]any{"name": name, "engine": map[string]any{
+			"slots": 4, "kvCapacity": c.EngineMemory, "step_ms": 0.5, "read_per_s": 1e6, "pairs_per_m": 0.01, "chunk": 2048, "stride": 10,
+			"usual": map[string]any{"prompt": 1000, "answer": 100},
+		}})
+	}
+	for _, name := range c.Plain {
+		services = append(services, map[string]any{"name": name})
+	}
+	return s.Put("config", "main", map[string]any{
+		"version": c.Version, "routes": routes, "services": services,
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "school", "apiKeys": c.Keys}},
+	})
+}
+
+// Entry is what a backend server writes of itself.
+type Entry struct {
+	ID, Service, Addr, DataCentre string
+	Slots                         int
+	Leaving                       bool
+}
+
+// PutEntry writes the entry of a backend server.
+func (s *Server) PutEntry(e Entry) error {
+	state := "ready"
+	if e.Leaving {
+		state = "draining"
+	}
+	return s.Put("servers", e.ID, map[string]any{"service": e.Service, "address": e.Addr, "zone": e.DataCentre, "slots": e.Slots, "state": state})
+}
+
+// RemoveEntry removes the entry of a backend server.
+func (s *Server) RemoveEntry(id string) { s.Delete("servers", id) }
--- a/lab/standin/workerserver/orders.go
+++ b/lab/standin/workerserver/orders.go
@@ -53,7 +53,7 @@
 // reserved is the memory set aside under other names than id; s.mu is held.
 func (s *Server) reserved(id string) (sum int64) {
 	for name, r := range s.held {
-		if time.Now().After(r.until) {
+		if time.Now().After(r.until) && !s.cfg.KeepReserved {
 			delete(s.held, name)
 		} else if name != id {
 			sum += r.tokens
@@ -94,7 +94,9 @@
 	others := s.reserved(o.ID)
 	switch {
 	case o.Op == "release":
-		delete(s.held, o.ID)
+		if !s.cfg.KeepReserved {
+			delete(s.held, o.ID)
+		}
 	case o.Op != "reserve" || o.Tokens > s.cfg.Memory:
 		return http.StatusBadRequest, 0
 	case others+o.Tokens > s.cfg.Memory:
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -10,8 +10,10 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +48,10 @@
 	Busy Fault = "busy"
 	// Mute runs the request and never answers.
 	Mute Fault = "mute"
+	// Half answers with half of the answer as if it were whole.
+	Half Fault = "half"
+	// Denied runs the request and says that it did not run.
+	Denied Fault = "denied"
 )
 
 // Config describes one server.
@@ -62,6 +68,10 @@
 	// BackAfter.
 	CrashOn   string
 	BackAfter time.Duration
+	// Always is how each answer is wrong that is not injected; empty for right ones.
+	Always Fault
+	// KeepReserved ignores orders to release memory and the end of reservations.
+	KeepReserved bool
 }
 
 // Server is a backend server on one address.
@@ -88,6 +98,7 @@
 	ID, Method, Target, Tenant, Body, ResumeAfter, Helpers string
 	DeadlineMS                                             int64
 	Authorization                                          string
+	At                                                     time.Time
 }
 
 // New returns a stopped server.
@@ -174,6 +185,13 @@
 	return s.runs[id]
 }
 
+// RunIDs returns the requests that ran here.
+func (s *Server) RunIDs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.runs))
+}
+
 // Seen returns the requests that arrived, refused ones included.
 func (s *Server) Seen() []Seen {
 	s.mu.Lock()
@@ -217,6 +235,9 @@
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	f := next(&s.mu, &s.faults)
+	if f == "" {
+		f = s.cfg.Always
+	}
 	if f == Early {
 		s.early(w, r)
 		return
@@ -241,6 +262,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch f {
+	case Denied:
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case Failed:
 		s.seal(w, id)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -266,6 +290,7 @@
 	s.seen = append(s.seen, Seen{
 		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, Tenant: r.Header.Get("X-Tenant"), Body: string(body),
 		ResumeAfter: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Helpers"), DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"),
+		At: time.Now(),
 	})
 }
 
@@ -288,6 +313,10 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, f Fault) {
 	id := r.Header.Get("X-Request-Id")
 	s.seal(w, id)
+	if f == Half {
+		_, _ = io.WriteString(w, Body(id)[:len(Body(id))/2])
+		return
+	}
 	if s.cfg.Events == 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(Body(id))))
 		if f == Cut {
