An instance that cannot know whether its configuration is in force refuses for now, not for good

What callers saw: 404 and 401, after which nobody asks again, from instances whose store was away or whose peers held something newer. One place (decide/knowledge) derives unknown, old and confirmed from when the configuration was confirmed, for how long that holds, and whether a peer was heard to hold a newer one; by an old one a request that is not allowed gets 503 (code 2013) with the time to come back, what is allowed is served as before.

Confirmations are not passed on by an instance that lacks what they confirm. The first watch after a start does not wait, so that a new instance is confirmed once it watches.

e2e 'an instance that cannot know whether its configuration is in force' failed before (404 for ten seconds of an outage). The estate of the e2e tests waits until its instances are confirmed, since they refuse for now until then; its checks are the same.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -16,6 +16,7 @@
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/knowledge"
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/watch"
@@ -78,8 +79,11 @@
 	raw     atomic.Pointer[content]
 	servers atomic.Pointer[backends.Snapshot]
 	// confirmed is when an instance that watches last heard from the store of what is
-	// held here, in nanoseconds since the start.
+	// held here, in nanoseconds since the start; zero before it did.
 	confirmed atomic.Int64
+	// replacing is the newest configuration that another instance was heard to hold.
+	replacing atomic.Pointer[configID]
+	holds     knowledge.Policy
 	// storeFailing tells that the last call for the list of servers failed.
 	storeFailing atomic.Bool
 	recovery     recovery
@@ -127,6 +131,7 @@
 	}
 	f.Wait = settings.Duration(f.wait())
 	f.policy = watch.Policy{StaleAfter: f.Wait.Std() + watchSlack + spreadFor, Step: stepFor}
+	f.holds = knowledge.Policy{HoldsFor: f.policy.StaleAfter}
 	f.log, f.now, f.name, f.scope, f.catalog = c.Log, c.Now, c.Self.Name, c.Scope, src.Catalog()
 	f.set, f.bad = backends.NewSet(), unreadable{}
 	f.news, f.direct = watch.NewNews(), map[string]time.Duration{}
@@ -173,6 +178,18 @@
 // configuration and the list of servers that are held.
 func (f *Follower) Age() time.Duration { return f.now() - time.Duration(f.confirmed.Load()) }
 
+// ConfigState is how far the configuration in force can be relied on.
+func (f *Follower) ConfigState() knowledge.State {
+	at := time.Duration(f.confirmed.Load())
+	return f.holds.State(f.now(), knowledge.Held{Any: f.Table() != nil, Replaced: f.replaced(), Ever: at > 0, ConfirmedAt: at})
+}
+
+// replaced reports whether another instance was heard to hold a newer configuration.
+func (f *Follower) replaced() bool {
+	newest := f.replacing.Load()
+	return newest != nil && f.configID().older(*newest)
+}
+
 func (f *Follower) version() uint64 {
 	if t := f.table.Load(); t != nil {
 		return t.Version
@@ -186,7 +203,7 @@
 // Dump implements auburnmoor.Dumper.
 func (f *Follower) Dump() any {
 	st, now := f.members.Standing(), f.now()
-	d := Dump{Era: f.catalog.Era(), ConfigVersion: f.version(), AgeMS: f.Age().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.due()}
+	d := Dump{Era: f.catalog.Era(), ConfigVersion: f.version(), ConfigState: f.ConfigState(), AgeMS: f.Age().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.due()}
 	if s := f.Servers(); s != nil {
 		d.ServersAt, d.Servers = s.At.String(), s.Len()
 	}
@@ -206,6 +223,8 @@
 	// Era is the newest era of the store that is known of.
 	Era           uint64 `json:"era"`
 	ConfigVersion uint64 `json:"config_version"`
+	// ConfigState is how far the configuration can be relied on.
+	ConfigState knowledge.State `json:"config_state"`
 	// ConfigAt and ServersAt are positions of the store: era/revision.
 	ConfigAt string `json:"config_at"`
 	// ConfigBehind is the version that the store holds while it is older than the one in
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -38,6 +38,11 @@
 	if s := f.Servers(); s != nil {
 		g.ServersRevision, g.ServersEra, g.ServersDigest = s.At.Revision, s.At.Era, s.Digest
 	}
+	if f.replaced() {
+		// The confirmations are of something newer than what is held here; whoever holds
+		// the same would take them for its own.
+		return
+	}
 	now := f.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,12 +73,23 @@
 	}
 	f.mu.Unlock()
 	if f.lacks(o) {
+		f.noteReplacing(o.config)
 		f.newer.Offer(o)
 		return
 	}
 	f.confirm(newest)
 }
 
+// noteReplacing notes a configuration that another instance holds.
+func (f *Follower) noteReplacing(id configID) {
+	for {
+		known := f.replacing.Load()
+		if known != nil && !known.older(id) || f.replacing.CompareAndSwap(known, &id) {
+			return
+		}
+	}
+}
+
 // lacks reports whether a peer holds something newer.
 func (f *Follower) lacks(o offer) bool { return f.configID().older(o.config) || f.lacksServers(o) }
 
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -53,15 +53,18 @@
 	at position.Position
 	// gap tells that the history after it is gone and the whole must be read.
 	gap, watching bool
-	outage        outage
+	// answered tells that a watch was answered: what is held is no older than that.
+	answered bool
+	outage   outage
 	// gather is how long the next changes are gathered, zero after a watch without any.
 	gather time.Duration
 }
 
 // follow reads the whole once, then watches from there as long as that is this
 // instance's duty. After a gap in the history it reads the whole again. A watch that
-// failed or went silent is asked again from the same revision, over another connection,
-// and does not wait for changes until the store has answered.
+// failed or went silent is asked again from the same revision, over another connection.
+// The first watch, and those after a failed one, do not wait for changes: what is held may
+// be old, and the store's word is wanted at once.
 func (f *Follower) follow(ctx context.Context, s source) {
 	w := &watcher{source: s, rand: rand.New(rand.NewPCG(rand.Uint64(), 1))}
 	for ctx.Err() == nil {
@@ -120,10 +123,11 @@
 		f.heardFromStore(w.name, err)
 	default:
 		wait, slack := f.Wait.Std(), watchSlack
-		if w.outage.failures > 0 {
+		if w.outage.failures > 0 || !w.answered {
 			wait, slack = probeWait, probeSlack
 		}
 		w.at, err = f.call(ctx, w, wait+slack, func(ctx context.Context) (position.Position, error) { return w.watch(ctx, w.at, wait) })
+		w.answered = w.answered || err == nil
 		f.heardFromStore(w.name, err)
 	}
 	return true, err
--- /dev/null
+++ b/decide/knowledge/knowledge_test.go
@@ -0,0 +1,38 @@
+package knowledge_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/knowledge"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+)
+
+func TestKnowledge(t *testing.T) { testkit.Suite(t, "knowledge") }
+
+var _ = Describe("what is held of the store", func() {
+	p := knowledge.Policy{HoldsFor: 4 * time.Second}
+	DescribeTable("is", func(now time.Duration, h knowledge.Held, want knowledge.State) {
+		Expect(p.State(now, h)).To(Equal(want))
+	},
+		Entry("unknown before there is any", time.Second, knowledge.Held{}, knowledge.Unknown),
+		Entry("old if nobody confirmed it", time.Second, knowledge.Held{Any: true}, knowledge.Old),
+		Entry("confirmed", 14*time.Second, knowledge.Held{Any: true, Ever: true, ConfirmedAt: 10 * time.Second}, knowledge.Confirmed),
+		Entry("old after the confirmation ends", 14*time.Second+1, knowledge.Held{Any: true, Ever: true, ConfirmedAt: 10 * time.Second}, knowledge.Old),
+		Entry("old once another instance holds something newer", 11*time.Second, knowledge.Held{Any: true, Replaced: true, Ever: true, ConfirmedAt: 10 * time.Second}, knowledge.Old),
+	)
+
+	It("is written as a word and read again", func() {
+		for _, s := range []knowledge.State{knowledge.Unknown, knowledge.Old, knowledge.Confirmed} {
+			raw, err := s.MarshalText()
+			Expect(err).NotTo(HaveOccurred())
+			var back knowledge.State
+			Expect(back.UnmarshalText(raw)).To(Succeed())
+			Expect(back).To(Equal(s))
+		}
+		Expect(new(knowledge.State).UnmarshalText([]byte("new"))).NotTo(Succeed())
+	})
+})
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -62,6 +62,8 @@
 		Eventually(func() int { return call("GET", "http://"+estateAddr(300+i)+"/readiness", "").status }, "15s", "50ms").Should(Equal(200))
 		Eventually(func() string { return call("GET", "http://"+estateAddr(200+i)+"/resolve?name=h&zone=dc-1", "").body }, "15s", "50ms").
 			Should(And(ContainSubstring(estateAddr(100)), ContainSubstring(estateAddr(101)), ContainSubstring(estateAddr(102))))
+		Eventually(func() string { return call("GET", "http://"+estateAddr(500+i)+"/admin/dump", "").body }, "15s", "50ms").
+			Should(MatchRegexp(`"config_state":\s*"confirmed"`))
 	}
 	return s
 }
--- a/e2e/watch_test.go
+++ b/e2e/watch_test.go
@@ -218,3 +218,35 @@
 		Expect(s.believes(others[0]).Servers).To(Equal(1))
 	})
 })
+
+var _ = Describe("an instance that cannot know whether its configuration is in force", Ordered, func() {
+	var s *estate
+	BeforeAll(func() { s = newEstate() })
+	AfterAll(func() { s.close() })
+
+	ask := func(path, key string) int {
+		resp, _ := attempt{path: path, id: "final" + path + key, key: key}.send(0)
+		return resp.StatusCode
+	}
+
+	It("says for good that there is no such route or key while it is confirmed", func() {
+		Eventually(func() int { return ask("/new/1", "k1") }, "10s", "100ms").Should(Equal(404))
+		Expect(ask("/look/1", "k2")).To(Equal(401))
+	})
+
+	// Guards against callers that give up because an instance which the store does not
+	// answer says for good that a route or key does not exist.
+	It("refuses for now what it does not know, and serves what it does", func() {
+		s.store.SetFaults(storeserver.Faults{Down: true})
+		Eventually(func() int { return ask("/new/1", "k1") }, "10s", "100ms").Should(Equal(503))
+		Expect(ask("/look/1", "k2")).To(Equal(503))
+		resp, _ := attempt{path: "/new/1", id: "final-when", key: "k1"}.send(0)
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(ask("/look/1", "k1")).To(Equal(200))
+	})
+
+	It("says so again once the store is back", func() {
+		s.store.SetFaults(storeserver.Faults{})
+		Eventually(func() int { return ask("/new/1", "k1") }, "5s", "100ms").Should(Equal(404))
+	})
+})
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -75,6 +76,19 @@
 		Expect(r.Served).To(BeNumerically(">", 500))
 	})
 
+	It("keeps all promises under each plan that a check once failed", func() {
+		plans, err := filepath.Glob("regressions/*.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(plans).NotTo(BeEmpty())
+		for _, path := range plans {
+			raw, err := os.ReadFile(path)
+			Expect(err).NotTo(HaveOccurred())
+			p, err := soak.ParsePlan(raw)
+			Expect(err).NotTo(HaveOccurred(), path)
+			Expect(play(p, "").Violations).To(BeEmpty(), path)
+		}
+	})
+
 	It("shows a configuration that comes into force too late", func() {
 		Expect(play(draw(3), soak.LateConfig).Broke(soak.InForce)).To(BeTrue())
 	})
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/health"
+	"github.com/auburnmoor/auburnmoor/decide/knowledge"
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
@@ -162,19 +163,9 @@
 	if table == nil || r.catalog.Servers() == nil {
 		return nil, result.New(result.NoConfiguration, "no configuration known yet").After(pauseWithoutConfig)
 	}
-	rt, ok := table.Lookup(req.Host, req.Path)
-	if !ok {
-		return nil, result.New(result.NotFound, "no route matches")
-	}
-	customer, ok := table.Customer(req.Key)
-	if !ok && !rt.Public && len(table.Customers) > 0 {
-		return nil, result.New(result.UnknownKey, "unknown key")
-	}
-	if max := table.Limits.HeaderBytes; max > 0 && req.HeaderBytes > max {
-		return nil, result.New(result.HeaderTooLarge, "headers exceed the limit of %d bytes", max)
-	}
-	if max := table.Limits.BodyBytes; max > 0 && len(req.Body) > max {
-		return nil, result.New(result.BodyTooLarge, "body exceeds the limit of %d bytes", max)
+	rt, customer, refusal := allowed(table, req)
+	if refusal != nil {
+		return nil, r.unlessOld(refusal)
 	}
 	name, rank := "", rt.Rank
 	if customer != nil {
@@ -193,6 +184,39 @@
 	}, nil
 }
 
+// allowed finds the route and the customer of a request, or says why a configuration does
+// not allow it. Routes that are public have no customer.
+func allowed(table *route.Table, req *Request) (*route.Route, *route.Customer, *result.Error) {
+	rt, ok := table.Lookup(req.Host, req.Path)
+	if !ok {
+		return nil, nil, result.New(result.NotFound, "no route matches")
+	}
+	customer, ok := table.Customer(req.Key)
+	if !ok && !rt.Public && len(table.Customers) > 0 {
+		return nil, nil, result.New(result.UnknownKey, "unknown key")
+	}
+	if max := table.Limits.HeaderBytes; max > 0 && req.HeaderBytes > max {
+		return nil, nil, result.New(result.HeaderTooLarge, "headers exceed the limit of %d bytes", max)
+	}
+	if max := table.Limits.BodyBytes; max > 0 && len(req.Body) > max {
+		return nil, nil, result.New(result.BodyTooLarge, "body exceeds the limit of %d bytes", max)
+	}
+	return rt, customer, nil
+}
+
+// pauseUnconfirmed is when a caller may come back whom an instance with an old
+// configuration refused: about what it takes to hear of the present one.
+const pauseUnconfirmed = time.Second
+
+// unlessOld is a refusal for good while the configuration is confirmed. One that may have
+// been replaced since refuses for now only.
+func (r *Relay) unlessOld(refusal *result.Error) *result.Error {
+	if r.catalog.ConfigState() == knowledge.Confirmed {
+		return refusal
+	}
+	return result.New(result.Unconfirmed, "%s, by a configuration that may be old", refusal.Message).After(pauseUnconfirmed)
+}
+
 func timeLeft(rt *route.Route, req *Request) time.Duration {
 	if req.Deadline > 0 && (rt.Timeout == 0 || req.Deadline < rt.Timeout) {
 		return req.Deadline
