A model of an outage and the two loops that follow the store, with the cause of the incident as a mutant

With waits after failed calls as long as others it is not, nor if an answer to one loop leaves the other in its call.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -56,5 +56,8 @@
 run watch violated -DIGNORE_GAPS
 run watch violated -DANY_ORDER
 run watch violated -DNO_ERA
+run outage holds
+run outage violated -DWAIT_AFTER_FAILURE
+run outage violated -DNO_RECOVERY
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
