--- a/cli/operate.go
+++ b/cli/operate.go
@@ -10,7 +10,6 @@
 	"os"
 	"runtime/debug"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -147,47 +146,6 @@
 	return nil
 }
 
-type statusCmd struct {
-	Addrs []string `arg:"" optional:"" help:"Operators' addresses of instances; those of \"dev\" by default."`
-}
-
-// Run prints a line per instance.
-func (c *statusCmd) Run(e *env) error {
-	if len(c.Addrs) == 0 {
-		c.Addrs = []string{"127.0.0.1:7301", "127.0.0.1:7302", "127.0.0.1:7303"}
-	}
-	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
-	var failed []string
-	for _, addr := range c.Addrs {
-		if err := statusLine(e.ctx, w, addr); err != nil {
-			failed = append(failed, fmt.Sprintf("%s: %v", addr, err))
-		}
-	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	if len(failed) > 0 {
-		return errors.New(strings.Join(failed, "; "))
-	}
-	return nil
-}
-
-func statusLine(ctx context.Context, w io.Writer, addr string) error {
-	raw, err := fetchDump(ctx, addr)
-	if err != nil {
-		return err
-	}
-	var d dumpSummary
-	if err := json.Unmarshal(raw, &d); err != nil {
-		return err
-	}
-	n := d.Dispatch.Node
-	_, err = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", n.Self, d.Config.Version, len(d.Members.Alive),
-		n.Engines, len(n.Owned), n.Requests, n.Counts.Answered, n.Counts.Refused, n.Counts.Failed)
-	return err
-}
-
 type versionCmd struct{}
 
 // Run prints the version that the build recorded.
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/decide/knowledge"
+)
+
+type statusCmd struct {
+	Addrs []string `arg:"" optional:"" help:"Operators' addresses of instances; those of \"dev\" by default."`
+}
+
+// Run prints a line per instance and, of instances that follow a store, one of the fleet.
+func (c *statusCmd) Run(e *env) error {
+	if len(c.Addrs) == 0 {
+		c.Addrs = []string{"127.0.0.1:7301", "127.0.0.1:7302", "127.0.0.1:7303"}
+	}
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
+	var failed []string
+	var fleet spread
+	for _, addr := range c.Addrs {
+		d, err := statusOf(e.ctx, addr)
+		if err != nil {
+			failed = append(failed, fmt.Sprintf("%s: %v", addr, err))
+			continue
+		}
+		d.line(w, addr)
+		if d.Catalog != nil {
+			fleet.add(*d.Catalog)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if fleet.instances > 0 {
+		fmt.Fprintln(e.out, fleet)
+	}
+	if len(failed) > 0 {
+		return errors.New(strings.Join(failed, "; "))
+	}
+	return nil
+}
+
+func statusOf(ctx context.Context, addr string) (d dumpSummary, err error) {
+	raw, err := fetchDump(ctx, addr)
+	if err != nil {
+		return d, err
+	}
+	return d, json.Unmarshal(raw, &d)
+}
+
+// line writes the line of one instance.
+func (d dumpSummary) line(w io.Writer, addr string) {
+	n := d.Dispatch.Node
+	name, version := n.Self, d.Config.Version
+	if d.Catalog != nil {
+		name, version = addr, d.Catalog.ConfigVersion
+	}
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, version, len(d.Members.Alive),
+		n.Engines, len(n.Owned), n.Requests, n.Counts.Answered, n.Counts.Refused, n.Counts.Failed)
+}
+
+// spread is how far the instances of a fleet are apart in what they know of the store.
+type spread struct {
+	instances, unconfirmed int
+	oldest, newest         uint64
+	age                    time.Duration
+}
+
+func (s *spread) add(d follow.Dump) {
+	if s.instances == 0 || d.ConfigVersion < s.oldest {
+		s.oldest = d.ConfigVersion
+	}
+	s.newest = max(s.newest, d.ConfigVersion)
+	s.age = max(s.age, time.Duration(d.AgeMS)*time.Millisecond)
+	if d.ConfigState != knowledge.Confirmed {
+		s.unconfirmed++
+	}
+	s.instances++
+}
+
+// String is the line of the fleet.
+func (s spread) String() string {
+	return fmt.Sprintf("%d instances: versions %d to %d, %d not confirmed, the oldest word of the store %s old",
+		s.instances, s.oldest, s.newest, s.unconfirmed, s.age)
+}
--- /dev/null
+++ b/cli/status_test.go
@@ -0,0 +1,19 @@
+package cli
+
+import (
+	"testing"
+
+	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/decide/knowledge"
+)
+
+func TestSpreadOfAFleet(t *testing.T) {
+	var s spread
+	s.add(follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 400})
+	s.add(follow.Dump{ConfigVersion: 7, ConfigState: knowledge.Old, AgeMS: 5200})
+	s.add(follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 100})
+	const want = "3 instances: versions 7 to 9, 1 not confirmed, the oldest word of the store 5.2s old"
+	if got := s.String(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/cli/summary.go
+++ b/cli/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/auburnmoor/auburnmoor/control/config"
+	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
 )
@@ -11,4 +12,6 @@
 	Config   config.Dump     `json:"control.config"`
 	Members  members.Dump    `json:"control.members"`
 	Dispatch dispatcher.Dump `json:"serve.dispatch"`
+	// Catalog is nil at instances that do not follow a store.
+	Catalog *follow.Dump `json:"control.catalog"`
 }
