--- a/cli/soak.go
+++ b/cli/soak.go
@@ -19,6 +19,7 @@
 	Replay    string        `type:"existingfile" help:"Play the plan of this file instead of drawn ones."`
 	Shrink    bool          `help:"Drop faults from a plan that breaks a promise, as long as it does, and print what is left."`
 	Mutant    string        `help:"Promise to break on purpose, to see the checks fail."`
+	Binary    string        `type:"existingfile" help:"Program to run; this one by default."`
 	Dir       string        `help:"Folder for settings, logs and plans; a temporary one by default."`
 }
 
@@ -99,11 +100,15 @@
 }
 
 func (c *soakCmd) once(e *env, p soak.Plan, dir string) (soak.Result, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return soak.Result{}, errors.Wrap(err, "soak")
+	bin := c.Binary
+	if bin == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return soak.Result{}, errors.Wrap(err, "soak")
+		}
+		bin = self
 	}
-	return soak.Play(e.ctx, p, soak.Options{Binary: self, Dir: dir, Mutant: soak.Mutant(c.Mutant)})
+	return soak.Play(e.ctx, p, soak.Options{Binary: bin, Dir: dir, Mutant: soak.Mutant(c.Mutant)})
 }
 
 // shrink drops one fault after the other while the same promise breaks.
