--- a/control/members/members.go
+++ b/control/members/members.go
@@ -480,13 +480,6 @@
 	return out
 }
 
-// OthersServe reports whether another live instance can serve and does not leave.
-func (m *Members) OthersServe() bool {
-	return slices.ContainsFunc(m.View().Alive, func(s *peerpb.MemberState) bool {
-		return s.Name != m.self.Name && s.Serving && !s.Leaving
-	})
-}
-
 // Leaving reports whether this instance has announced its departure.
 func (m *Members) Leaving() bool {
 	m.mu.Lock()
--- a/serve/entries/entries.go
+++ b/serve/entries/entries.go
@@ -51,15 +51,12 @@
 }
 
 // Choose returns the addresses of serving instances. Beyond the most that a
-// caller uses, those of its own data centre come first. Instances that leave are named
-// only if there are no others: they take requests as long as they can.
+// caller uses, those of its own data centre come first.
 func Choose(alive []*peerpb.MemberState, dataCentre string, shuffle func(int, func(i, j int))) []string {
-	var near, far, leaving []string
+	var near, far []string
 	for _, m := range alive {
 		switch {
-		case !m.Serving:
-		case m.Leaving:
-			leaving = append(leaving, m.CallerAddr)
+		case m.Leaving || !m.Serving:
 		case m.DataCentre == dataCentre:
 			near = append(near, m.CallerAddr)
 		default:
@@ -69,8 +66,5 @@
 	shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	all := slices.Concat(near, far)
-	if len(all) == 0 {
-		all = leaving
-	}
 	return all[:min(most, len(all))]
 }
