--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -144,8 +144,7 @@
 	defer r.active.Add(-1)
 	x, refusal := r.accept(req, sink)
 	if refusal != nil {
-		r.refused(req, refusal)
-		sink.Refuse(refusal)
+		r.Refuse(req, sink, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Arrived.Add(x.time))
@@ -153,6 +152,12 @@
 	x.run(ctx)
 }
 
+// Refuse gives a request its final answer, that it does not run here, and logs it.
+func (r *Relay) Refuse(req *Request, sink Sink, why *result.Error) {
+	r.refused(req, why)
+	sink.Refuse(why)
+}
+
 // pauseWithoutConfig is when a client that was refused for want of a
 // configuration may come back: about what a start takes until the store answers.
 const pauseWithoutConfig = 500 * time.Millisecond
