A newer configuration that no live instance holds any more does not keep others from relying on theirs

Found by reading: what a peer was once heard to hold counted as newer for good. Had that instance been lost before it passed the content on, all others would have refused for now and passed on no confirmation, so that one after the other asked the store. It counts as long as it is heard within the time that a confirmation holds.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -81,8 +81,9 @@
 	// confirmed is when an instance that watches last heard from the store of what is
 	// held here, in nanoseconds since the start; zero before it did.
 	confirmed atomic.Int64
-	// replacing is the newest configuration that another instance was heard to hold.
-	replacing atomic.Pointer[configID]
+	// replacing is the newest configuration that another instance was heard to hold while
+	// it was not held here.
+	replacing atomic.Pointer[heardConfig]
 	holds     knowledge.Policy
 	// storeFailing tells that the last call for the list of servers failed.
 	storeFailing atomic.Bool
@@ -184,10 +185,11 @@
 	return f.holds.State(f.now(), knowledge.Held{Any: f.Table() != nil, Replaced: f.replaced(), Ever: at > 0, ConfirmedAt: at})
 }
 
-// replaced reports whether another instance was heard to hold a newer configuration.
+// replaced reports whether another live instance holds a newer configuration. What none was
+// heard to hold for a while is lost with the one that did.
 func (f *Follower) replaced() bool {
 	newest := f.replacing.Load()
-	return newest != nil && f.configID().older(*newest)
+	return newest != nil && f.now()-newest.at <= f.holds.HoldsFor && f.configID().older(newest.id)
 }
 
 func (f *Follower) version() uint64 {
--- a/control/follow/outage.go
+++ b/control/follow/outage.go
@@ -13,9 +13,9 @@
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 )
 
-// Times of the calls by which an instance learns that the store is back. What changed
-// while it was away must be in force within the time that defaultWait and StableAfter
-// are about, so a call that hangs, the longest pause and the answer must fit into it.
+// Times of the calls by which an instance learns that the store is back. A call that
+// hangs, the longest pause and the answer fit into StableAfter, by the end of which what
+// changed meanwhile must be in force.
 const (
 	// probeWait is how long the store waits for a change before it answers a call after a
 	// failed one.
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -73,18 +73,28 @@
 	}
 	f.mu.Unlock()
 	if f.lacks(o) {
-		f.noteReplacing(o.config)
+		if f.configID().older(o.config) {
+			f.noteReplacing(o.config)
+		}
 		f.newer.Offer(o)
 		return
 	}
 	f.confirm(newest)
 }
 
-// noteReplacing notes a configuration that another instance holds.
+// heardConfig is a configuration that another instance was heard to hold, and when.
+type heardConfig struct {
+	id configID
+	at time.Duration
+}
+
+// noteReplacing notes a configuration that another instance holds, unless a newer one is
+// known of.
 func (f *Follower) noteReplacing(id configID) {
+	next := &heardConfig{id, f.now()}
 	for {
 		known := f.replacing.Load()
-		if known != nil && !known.older(id) || f.replacing.CompareAndSwap(known, &id) {
+		if known != nil && id.older(known.id) && next.at-known.at <= f.holds.HoldsFor || f.replacing.CompareAndSwap(known, next) {
 			return
 		}
 	}
