Soak: a request that crashes engines; times without processor are passed over; no process is left behind

Proxies refuse connections while their server is down: on the way eleven engines ended behind one that did not, since an end is told from a reset by that refusal.

--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -45,6 +45,7 @@
 // fleet is the processes of a run.
 type fleet struct {
 	dir, bin  string
+	mutant    Mutant
 	instances []*instance
 	ended     sync.WaitGroup
 	closing   chan struct{}
@@ -60,8 +61,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid/(250*250)%250, 1+pid/250%250, 1+pid%250)
 }
 
-func newFleet(bin, dir string, n int, store string) (*fleet, error) {
-	f := &fleet{dir: dir, bin: bin, closing: make(chan struct{})}
+func newFleet(o Options, n int, store string) (*fleet, error) {
+	f := &fleet{dir: o.Dir, bin: o.Binary, mutant: o.Mutant, closing: make(chan struct{})}
 	ip, port := loopback(), firstPort
 	for i := range n {
 		in := &instance{name: fmt.Sprintf("i%03d", i), dataCentre: fmt.Sprintf("dc-%d", i%dataCentres), toldOf: map[int]time.Time{}}
@@ -128,7 +129,9 @@
 retry_ratio = 0.2
 retry_extra = 100
 retry_window = "10s"
-`, in.name, in.dataCentre, in.caller, in.peer, in.admin, in.store.addr(), strings.Join(peers, ","), in.directory, in.ready), 0o600)
+[control.quarantine]
+off = %t
+`, in.name, in.dataCentre, in.caller, in.peer, in.admin, in.store.addr(), strings.Join(peers, ","), in.directory, in.ready, f.mutant == ForgetsCrashes), 0o600)
 }
 
 func (f *fleet) settings(in *instance) string { return filepath.Join(f.dir, in.name+".toml") }
@@ -144,6 +147,8 @@
 	}
 	cmd := exec.Command(f.bin, "serve", "--config", f.settings(in))
 	cmd.Stdout, cmd.Stderr = log, log
+	// No process is left behind where the soak itself is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if err := cmd.Start(); err != nil {
@@ -254,6 +259,13 @@
 	c.begun++
 }
 
+// note adds a disturbance that is over.
+func (c *calm) note(s span) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history = append(c.history, s)
+}
+
 // strike notes a disturbance of a moment.
 func (c *calm) strike() {
 	c.begin()
--- a/lab/soak/mutant.go
+++ b/lab/soak/mutant.go
@@ -28,12 +28,14 @@
 	LateAnswers Mutant = "late-answers"
 	// KeepsMemory has engines keep memory that was released.
 	KeepsMemory Mutant = "keeps-memory"
+	// ForgetsCrashes has instances run requests that crash engines as often as they come.
+	ForgetsCrashes Mutant = "forgets-crashes"
 	// StaysDown has the links to all servers silent to the end.
 	StaysDown Mutant = "stays-down"
 )
 
 // Mutants are all of them.
-var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, StaysDown}
+var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, ForgetsCrashes, StaysDown}
 
 // Known reports whether there is such a mutant.
 func (m Mutant) Known() bool { return slices.Contains(Mutants, m) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -47,6 +47,8 @@
 	ResetCallers Kind = "reset-callers"
 	// Misanswer has backend servers answer wrongly.
 	Misanswer Kind = "misanswer"
+	// Deadly has a caller repeat a request that crashes the engines that run it.
+	Deadly Kind = "deadly"
 	// Replace has backend servers leave and others come in their place.
 	Replace Kind = "replace"
 	// Change adds a route, Changes several in a row.
@@ -93,7 +95,7 @@
 // lasting are the kinds inside which others strike, striking the others.
 var (
 	lasting  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
-	striking = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Replace, Change, Changes}
+	striking = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
 
 // Draw returns the plan of a seed: scenes in which some faults strike while another lasts.
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -11,9 +11,10 @@
 
 // proxy passes connections on to one address, and can harm them.
 type proxy struct {
-	lis  net.Listener
-	to   atomic.Pointer[string]
+	at   string
+	to   string
 	mu   sync.Mutex
+	lis  net.Listener
 	open map[net.Conn]net.Conn
 	// silent connections pass nothing on from then, delay holds each piece back.
 	silent atomic.Bool
@@ -31,17 +32,35 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
-	p := &proxy{lis: lis, open: map[net.Conn]net.Conn{}}
-	p.to.Store(&to)
-	go p.accept()
+	p := &proxy{at: lis.Addr().String(), to: to, lis: lis, open: map[net.Conn]net.Conn{}}
+	go p.accept(lis)
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.lis.Addr().String() }
+func (p *proxy) addr() string { return p.at }
+
+// refuse has the proxy refuse connections, as the address of a process that ended does.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.lis.Close()
+}
 
-func (p *proxy) accept() {
+// listen ends that. An error of it shows as a server that is not back.
+func (p *proxy) listen() {
+	lis, err := net.Listen("tcp", p.at)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.lis = lis
+	p.mu.Unlock()
+	go p.accept(lis)
+}
+
+func (p *proxy) accept(lis net.Listener) {
 	for {
-		c, err := p.lis.Accept()
+		c, err := lis.Accept()
 		if err != nil {
 			return
 		}
@@ -52,7 +71,7 @@
 func (p *proxy) serve(near net.Conn) {
 	defer near.Close()
 	p.wait()
-	far, err := net.Dial("tcp", *p.to.Load())
+	far, err := net.Dial("tcp", p.to)
 	if err != nil {
 		return
 	}
@@ -113,7 +132,7 @@
 }
 
 func (p *proxy) close() {
-	_ = p.lis.Close()
+	p.refuse()
 	p.silent.Store(false)
 	p.reset()
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -56,6 +56,7 @@
 	fleet   *fleet
 	traffic *traffic
 	faults  sync.WaitGroup
+	machine calm
 	mu      sync.Mutex
 	// problem is of the stand-ins, and says nothing of the program.
 	problem error
@@ -74,7 +75,7 @@
 		return Result{}, err
 	}
 	defer s.close()
-	f, err := newFleet(o.Binary, o.Dir, p.Instances, s.store.Addr())
+	f, err := newFleet(o, p.Instances, s.store.Addr())
 	if err != nil {
 		return Result{}, err
 	}
@@ -112,6 +113,7 @@
 		close(done)
 	}()
 	go r.copies(ctx)
+	go r.watchMachine(ctx)
 	if r.options.Mutant == LateAnswers {
 		for _, in := range r.fleet.instances {
 			in.front.delay.Store(int64(mutantDelay))
@@ -139,7 +141,7 @@
 	if interrupted != nil {
 		return Result{}, errors.Wrapf(interrupted, "seed %d", r.plan.Seed)
 	}
-	j := &judge{site: r.site, fleet: r.fleet, began: began, end: end, got: r.traffic.got}
+	j := &judge{site: r.site, fleet: r.fleet, began: began, end: end, got: r.traffic.got, machine: &r.machine}
 	j.released()
 	if err := j.bounded(); err != nil {
 		return Result{}, err
@@ -167,6 +169,24 @@
 	}
 }
 
+// A timer that is late by more than stalled shows that the machine had no processor time
+// for the run, whose bounds say nothing then.
+const (
+	tick    = 20 * time.Millisecond
+	stalled = 150 * time.Millisecond
+)
+
+// watchMachine notes when the machine stood still.
+func (r *run) watchMachine(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		time.Sleep(tick)
+		if now := time.Now(); now.Sub(began) > tick+stalled {
+			r.machine.note(span{began, now})
+		}
+	}
+}
+
 // strike plays one fault to its end.
 func (r *run) strike(f Fault) {
 	switch f.Kind {
@@ -200,6 +220,8 @@
 		r.servers(f, func(v *server) {
 			v.stand.Inject(workerserver.Shed, workerserver.Cut, workerserver.Lost, workerserver.Failed, workerserver.Extra, workerserver.Garbage)
 		}, func(v *server) { v.stand.ClearFaults() })
+	case Deadly:
+		r.deadly(f)
 	case Replace:
 		r.replace(f)
 	case Change:
@@ -262,6 +284,19 @@
 	}
 }
 
+// deadly lasts until the engines that it ends are back.
+func (r *run) deadly(f Fault) {
+	all := r.site.all()
+	for _, v := range all {
+		v.calm.begin()
+	}
+	r.traffic.deadly(f)
+	time.Sleep(crashedFor)
+	for _, v := range all {
+		v.calm.end()
+	}
+}
+
 func (r *run) replace(f Fault) {
 	all := r.site.all()
 	for _, i := range f.picked(len(all)) {
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -29,6 +29,12 @@
 	printPath, addedPrefix = "/print/", "/added-"
 )
 
+// deadlyBody crashes the engine that runs it, with all else that it runs, for crashedFor.
+const (
+	deadlyBody = "deadly"
+	crashedFor = 1500 * time.Millisecond
+)
+
 // server is a backend server and the link to it.
 type server struct {
 	id, service, dataCentre string
@@ -86,6 +92,8 @@
 	cfg := workerserver.Config{ID: v.id, Addr: "127.0.0.1:0", Always: s.mutant.answers()}
 	if service == modelService {
 		cfg.Events, cfg.EventPause, cfg.Memory, cfg.KeepReserved = events, eventPause, engineMemory, s.mutant == KeepsMemory
+		cfg.CrashOn, cfg.BackAfter = deadlyBody, crashedFor
+		cfg.OnCrash, cfg.OnBack = func() { v.link.refuse() }, func() { v.link.listen() }
 	}
 	v.stand = workerserver.New(cfg)
 	if err := v.stand.Start(); err != nil {
--- a/lab/soak/traffic.go
+++ b/lab/soak/traffic.go
@@ -169,3 +169,22 @@
 	defer t.mu.Unlock()
 	t.got = append(t.got, rec)
 }
+
+// deadlyPause is the time between two tries of a request that crashes engines.
+const deadlyPause = 100 * time.Millisecond
+
+// deadly repeats one request that crashes engines, at any instance, for a while.
+func (t *traffic) deadly(f Fault) {
+	r := rand.New(rand.NewPCG(f.Pick, 6))
+	c := caller.New()
+	defer c.Close()
+	for until := time.Now().Add(f.For.Std()); time.Now().Before(until); time.Sleep(deadlyPause) {
+		ctx, cancel := context.WithTimeout(context.Background(), deadline)
+		in := t.fleet.instances[r.IntN(len(t.fleet.instances))]
+		c.Send(ctx, in.front.addr(), caller.Request{
+			ID: fmt.Sprintf("d%d-%d", t.seed, t.sent.Add(1)), Host: host, Path: askPath + "deadly", Key: key, Body: deadlyBody,
+			PromptTokens: usualPrompt, Deadline: deadline,
+		})
+		cancel()
+	}
+}
