--- a/cli/dev.go
+++ b/cli/dev.go
@@ -58,7 +58,12 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, readyTimeout)
 	defer cancel()
-	if err := site.Ready(ctx); err != nil {
+	err = site.Ready(ctx)
+	if e.ctx.Err() != nil {
+		fmt.Fprintln(e.out, "told to stop before the site was ready")
+		return site.Stop(context.Background())
+	}
+	if err != nil {
 		site.Close()
 		return errors.Wrap(err, "starting the site")
 	}
