Soak: an instance whose threads had no processor is not held to its bounds meanwhile

The kernel counts how long threads that could run waited: 35 s in 20 s of such a process, at less than one second of work.

--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -114,6 +114,7 @@
 	}()
 	go r.copies(ctx)
 	go r.watchMachine(ctx)
+	go r.fleet.watchStarved(ctx)
 	if r.options.Mutant == LateAnswers {
 		for _, in := range r.fleet.instances {
 			in.front.delay.Store(int64(mutantDelay))
