--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -68,7 +68,8 @@
 	// mostCrashes is how many engines one request may end: three, and three retries more.
 	mostCrashes = 6
 	// released is within which memory must be free once nothing uses it.
-	released = 10 * time.Second
+	released     = 10 * time.Second
+	releasedPoll = 50 * time.Millisecond
 	// Limits of the machine of an instance.
 	mostMemoryKB, mostFiles = 284 << 10, 4200
 )
@@ -284,7 +285,7 @@
 // released waits until no engine has memory set aside.
 func (j *judge) released() {
 	var kept int64
-	for until := time.Now().Add(released); time.Now().Before(until); time.Sleep(silentPoll) {
+	for until := time.Now().Add(released); time.Now().Before(until); time.Sleep(releasedPoll) {
 		kept = 0
 		for _, v := range j.site.all() {
 			kept += v.stand.Reserved()
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,8 @@
 	instances []*instance
 	ended     sync.WaitGroup
 	closing   chan struct{}
+	// problem is why an instance could not be started again.
+	problem atomic.Pointer[error]
 }
 
 // firstPort is that of the first listener of a run; the others' follow.
@@ -151,6 +154,9 @@
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if f.isClosing() {
+		return log.Close()
+	}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, in.name)
 	}
@@ -174,7 +180,18 @@
 	select {
 	case <-f.closing:
 	case <-time.After(backAfter):
-		_ = f.start(in)
+		if err := f.start(in); err != nil {
+			f.problem.Store(&err)
+		}
+	}
+}
+
+func (f *fleet) isClosing() bool {
+	select {
+	case <-f.closing:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -238,60 +255,3 @@
 		in.store.close()
 	}
 }
-
-// calm tells since when something has been without disturbance.
-type calm struct {
-	mu      sync.Mutex
-	begun   int
-	last    time.Time
-	history []span
-}
-
-// span is a disturbance that is over.
-type span struct{ from, to time.Time }
-
-func (c *calm) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.begun == 0 {
-		c.last = time.Now()
-	}
-	c.begun++
-}
-
-// note adds a disturbance that is over.
-func (c *calm) note(s span) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.history = append(c.history, s)
-}
-
-// strike notes a disturbance of a moment.
-func (c *calm) strike() {
-	c.begin()
-	c.end()
-}
-
-func (c *calm) end() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.begun--
-	if c.begun == 0 {
-		c.history = append(c.history, span{c.last, time.Now()})
-	}
-}
-
-// during reports whether nothing disturbed from one time to another.
-func (c *calm) during(from, to time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.begun > 0 && c.last.Before(to) {
-		return false
-	}
-	for _, s := range c.history {
-		if s.from.Before(to) && from.Before(s.to) {
-			return false
-		}
-	}
-	return true
-}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -149,6 +149,9 @@
 	}
 	stop()
 	j.all()
+	if p := r.fleet.problem.Load(); p != nil {
+		return Result{}, *p
+	}
 	return j.result(), r.problem
 }
 
