Evacuated data centres: their servers get no new requests

Operators may evacuate a data centre by an object in the store. The code knew nothing of it: an instance went on placing requests there. The instances that watch the store watch this kind too where the settings say that operators use it (one more watch each); a change goes along the tree of decide/watch and in each message of gossip, as a whole, with its position of the store, so a lost message is repaired by the next round. An instance that starts reads it once.

--- /dev/null
+++ b/control/follow/evacuations.go
@@ -0,0 +1,126 @@
+package follow
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/catalog"
+)
+
+func (f *Follower) followEvacuations(ctx context.Context) {
+	f.follow(ctx, source{
+		name: sourceEvacuations,
+		held: f.evacuationsAt,
+		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
+			e, err := f.catalog.Evacuations(ctx, staleOK)
+			if err != nil {
+				return position.Position{}, err
+			}
+			f.applyStoreEvacuations(e)
+			return e.At, nil
+		},
+		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
+			c, err := f.catalog.WatchEvacuations(ctx, after, wait)
+			if err != nil {
+				return position.Position{}, err
+			}
+			f.applyStoreEvacuations(f.withEvacuationChanges(c))
+			return c.At, nil
+		},
+	})
+}
+
+// evacuationsAt returns the position of the newest known state, and whether there is any.
+func (f *Follower) evacuationsAt() (position.Position, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evacuations == nil {
+		return noPosition, false
+	}
+	return f.evacuations.At, true
+}
+
+// withEvacuationChanges returns the state after changes. Changes that the local state already
+// contains are idempotent, since they carry the last state of a data centre.
+func (f *Follower) withEvacuationChanges(c catalog.EvacuationChanges) catalog.Evacuations {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	evacuated := map[string]bool{}
+	if f.evacuations != nil {
+		for _, name := range f.evacuations.DataCentres {
+			evacuated[name] = true
+		}
+	}
+	for _, change := range c.Changes {
+		if change.Evacuated {
+			evacuated[change.DataCentre] = true
+		} else {
+			delete(evacuated, change.DataCentre)
+		}
+	}
+	return catalog.Evacuations{DataCentres: slices.Sorted(maps.Keys(evacuated)), At: c.At}
+}
+
+// applyStoreEvacuations adopts a state from the store and informs the other instances of
+// changes.
+func (f *Follower) applyStoreEvacuations(e catalog.Evacuations) {
+	if f.setEvacuations("store", e) {
+		f.sendEvacuations(f.members.Standing().FirstTargets())
+		f.members.GossipNow()
+	}
+}
+
+// adoptEvacuations adopts a state from a peer, which may be nil, and forwards changes.
+func (f *Follower) adoptEvacuations(from string, e *peerpb.Evacuations) {
+	if e == nil {
+		return
+	}
+	f.learnEra(e.Era)
+	if f.setEvacuations(from, catalog.Evacuations{DataCentres: e.DataCentres, At: position.Position{Era: e.Era, Revision: e.Revision}}) {
+		f.sendEvacuations(f.members.Standing().Children())
+	}
+}
+
+// setEvacuations adopts a state if it is newer than the local one, and reports whether it
+// evacuates other data centres.
+func (f *Follower) setEvacuations(from string, e catalog.Evacuations) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	previous := f.evacuations
+	if previous != nil && !previous.At.Before(e.At) {
+		return false
+	}
+	f.evacuations = &e
+	if previous == nil && len(e.DataCentres) == 0 || previous != nil && slices.Equal(previous.DataCentres, e.DataCentres) {
+		return false
+	}
+	f.serverSet.SetEvacuated(e.DataCentres)
+	if f.servers.Load() != nil {
+		f.servers.Store(f.serverSet.Snapshot())
+	}
+	f.log.Info("evacuated data centres changed", zap.String("from", from), zap.Stringer("at", e.At), zap.Strings("data_centres", e.DataCentres))
+	return true
+}
+
+func (f *Follower) sendEvacuations(to []string) {
+	msg := f.evacuationsMessage()
+	for _, peer := range to {
+		f.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_Evacuations{Evacuations: msg}})
+	}
+}
+
+// evacuationsMessage returns the newest known state, or nil if there is none.
+func (f *Follower) evacuationsMessage() *peerpb.Evacuations {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evacuations == nil {
+		return nil
+	}
+	return &peerpb.Evacuations{Era: f.evacuations.At.Era, Revision: f.evacuations.At.Revision, DataCentres: f.evacuations.DataCentres}
+}
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -65,6 +65,8 @@
 	// StableAfter is the time after the end of a disturbance of the store, or of connections
 	// to it, within which all instances must apply the changes made before.
 	StableAfter settings.Duration `toml:"stable_after"`
+	// Evacuations says that operators may evacuate data centres, which costs one more watch.
+	Evacuations bool `toml:"evacuations"`
 
 	log         *zap.Logger
 	now         func() time.Duration
@@ -102,7 +104,9 @@
 	configAt      position.Position
 	configKnown   bool
 	confirmations *watch.Confirmations
-	answeredAt    map[string]time.Duration
+	// evacuations is the newest known state, nil if there is none yet.
+	evacuations *catalog.Evacuations
+	answeredAt  map[string]time.Duration
 	// era is the store era that confirmations and answeredAt belong to.
 	era uint64
 	// olderStoreVersion is the version of the configuration in the store while it is older
@@ -160,6 +164,9 @@
 func (f *Follower) Start(ctx context.Context) error {
 	go f.followConfig(ctx)
 	go f.followServers(ctx)
+	if f.Evacuations {
+		go f.followEvacuations(ctx)
+	}
 	go f.syncWithPeers(ctx)
 	go f.bootstrapServers(ctx)
 	go wait.Every(ctx, graceCheckInterval, f.endGracePeriods)
@@ -216,6 +223,9 @@
 	for _, h := range f.confirmations.Newest(now, maxConfirmations) {
 		d.Confirmations = append(d.Confirmations, DumpConfirmation{By: h.By, AgeMS: (now - h.At).Milliseconds()})
 	}
+	if f.evacuations != nil {
+		d.Evacuated = f.evacuations.DataCentres
+	}
 	d.Retained, d.PresumedStale = f.serverSet.Retained(), f.serverSet.PresumedStale()
 	d.ConfigAt, d.OlderStoreVersion, d.Unreadable = f.configAt.String(), f.olderStoreVersion, maps.Clone(f.unreadableServers)
 	return d
@@ -241,6 +251,8 @@
 	Retained      int   `json:"kept,omitempty"`
 	PresumedStale int   `json:"doubted,omitempty"`
 	AgeMS         int64 `json:"age_ms"`
+	// Evacuated are the data centres whose servers get no new requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Rank is the position of the instance among those of its data centre, of which the
 	// first Watchers watch the store.
 	Rank     int  `json:"rank"`
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -38,6 +38,7 @@
 	if s := f.Servers(); s != nil {
 		g.ServersRevision, g.ServersEra, g.ServersDigest = s.At.Revision, s.At.Era, s.Digest
 	}
+	g.Evacuations = f.evacuationsMessage()
 	if f.superseded() {
 		// The confirmations are for a newer configuration than the local one. A peer with
 		// the same old configuration would apply them to it.
@@ -58,6 +59,7 @@
 		servers: position.Position{Era: g.ServersEra, Revision: g.ServersRevision}, digest: g.ServersDigest,
 	}
 	f.learnEra(g.StoreEra)
+	f.adoptEvacuations(from, g.Evacuations)
 	f.mu.Lock()
 	now := f.now()
 	newest := time.Duration(0)
@@ -199,6 +201,8 @@
 		f.sendServersIfNewer(from, position.Position{Era: env.GetServersRequest().HaveEra, Revision: env.GetServersRequest().HaveRevision})
 	case env.GetServersReply() != nil:
 		f.adoptServers(from, env.GetServersReply())
+	case env.GetEvacuations() != nil:
+		f.adoptEvacuations(from, env.GetEvacuations())
 	}
 }
 
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -25,13 +25,14 @@
 	minBatchDelay, maxBatchDelay = 100 * time.Millisecond, 500 * time.Millisecond
 )
 
-// Names of the two sources in logs and metrics.
+// Names of the sources in logs and metrics.
 const (
-	sourceServers = "servers"
-	sourceConfig  = "configuration"
+	sourceServers     = "servers"
+	sourceConfig      = "configuration"
+	sourceEvacuations = "evacuations"
 )
 
-// source is the configuration or the list of servers, as seen by the loop that follows it.
+// source is something in the store that a loop follows.
 type source struct {
 	name string
 	// held returns the position up to which the local content is the newest, and whether
@@ -112,7 +113,7 @@
 	case !onDuty:
 		wait.For(ctx, dutyCheckInterval)
 		return false, nil
-	case w.name == sourceConfig && f.storeFailing.Load():
+	case w.name != sourceServers && f.storeFailing.Load():
 		// While the store fails only the loop of the servers probes it.
 		w.outage.begin(f.now())
 		w.outage.idle += f.awaitRecovery(ctx, dutyCheckInterval)
--- a/decide/backends/backends_test.go
+++ b/decide/backends/backends_test.go
@@ -43,6 +43,19 @@
 		Expect(known).To(BeTrue())
 	})
 
+	// Guards against requests to servers of an evacuated data centre, registered before or after.
+	It("uses no server of an evacuated data centre until the evacuation ends", func() {
+		near, far := a, b
+		near.DataCentre, far.DataCentre = "dc-1", "dc-2"
+		set := backends.NewSet()
+		set.Replace(0, []backends.Server{near}, at(5))
+		set.SetEvacuated([]string{"dc-1"})
+		set.Apply(0, []backends.Change{{ID: "b", Server: &far}}, at(6))
+		Expect(set.Snapshot().Ready("s")).To(Equal([]backends.Server{far}))
+		set.SetEvacuated(nil)
+		Expect(set.Snapshot().Ready("s")).To(Equal([]backends.Server{near, far}))
+	})
+
 	// Guards against losing a service's only server for 30 seconds: it was drained, crashed
 	// and restarted under its ID, and the record of its departure hid the new life.
 	DescribeTable("treats another life of the ID as another server", func(left, started backends.Life, ready bool) {
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -41,6 +41,8 @@
 	retained map[string]Server
 	// presumedStale holds the listed servers that are not used until distrustUntil.
 	presumedStale map[string]bool
+	// evacuated holds the data centres whose servers get no new requests.
+	evacuated     map[string]bool
 	retainUntil   time.Duration
 	distrustUntil time.Duration
 }
@@ -181,6 +183,14 @@
 	return changed
 }
 
+// SetEvacuated sets the data centres whose servers get no new requests.
+func (s *Set) SetEvacuated(dataCentres []string) {
+	s.evacuated = make(map[string]bool, len(dataCentres))
+	for _, name := range dataCentres {
+		s.evacuated[name] = true
+	}
+}
+
 // Retained counts the servers that are used although the store does not list them.
 func (s *Set) Retained() int { return len(s.retained) }
 
@@ -194,13 +204,15 @@
 	for id, v := range s.byID {
 		out.byID[id] = v
 		out.Digest += v.digest()
-		if !v.Leaving && !s.presumedStale[id] {
+		if !v.Leaving && !s.presumedStale[id] && !s.evacuated[v.DataCentre] {
 			out.services[v.Service] = append(out.services[v.Service], v)
 		}
 	}
 	for id, v := range s.retained {
 		out.byID[id] = v
-		out.services[v.Service] = append(out.services[v.Service], v)
+		if !s.evacuated[v.DataCentre] {
+			out.services[v.Service] = append(out.services[v.Service], v)
+		}
 	}
 	for _, list := range out.services {
 		slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
--- a/port/catalog/catalog.go
+++ b/port/catalog/catalog.go
@@ -60,6 +60,25 @@
 	Unreadable []Unreadable
 }
 
+// Evacuations is the full list of evacuated data centres, whose servers get no new requests.
+type Evacuations struct {
+	// DataCentres is sorted by name.
+	DataCentres []string
+	At          position.Position
+}
+
+// EvacuationChange is the beginning or the end of the evacuation of a data centre.
+type EvacuationChange struct {
+	DataCentre string
+	Evacuated  bool
+}
+
+// EvacuationChanges holds the changes from one position to a later one of the same era.
+type EvacuationChanges struct {
+	Changes []EvacuationChange
+	At      position.Position
+}
+
 // Config is a configuration with the position at which it was read.
 type Config struct {
 	Config route.Config
@@ -77,6 +96,9 @@
 	Config(ctx context.Context, staleOK bool) (Config, error)
 	// WatchConfig returns a nil Config when nothing changed within wait.
 	WatchConfig(ctx context.Context, after position.Position, wait time.Duration) (*Config, position.Position, error)
+	// Evacuations and WatchEvacuations are Servers and WatchServers for evacuated data centres.
+	Evacuations(ctx context.Context, staleOK bool) (Evacuations, error)
+	WatchEvacuations(ctx context.Context, after position.Position, wait time.Duration) (EvacuationChanges, error)
 	// Decode decodes a configuration received from another instance.
 	Decode(raw []byte) (Config, error)
 	// ObserveEra records an era of the store that another instance reported. It ends
