Members: messages and views at a cost linear in the fleet, views at a bounded rate

One instance of 985 sorted all members twice for each message of gossip (five and more every 400 ms), hashed each pair of names anew for each comparison of two sorts for each view, and built a view for each message that brought a new member. Selections are partial now (internal/partial, also for the ranking of decide/place, which the choice of neighbours and of reporters uses in place of its own), hashes are worked out once, a cell is worked out again only if the names or the engines changed, and gossip changes the view at most every 100 ms. The order of neighbours changes with it: highest hashes instead of lowest.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -83,6 +83,19 @@
 	synced    map[string]bool
 	cell      cell.Cell
 	cellPeers map[string]bool
+	// cellOf is what cell was computed from.
+	cellOf cellInput
+}
+
+// cellInput is what determines the cell of an instance: the names of the live instances and the
+// number of engines.
+type cellInput struct {
+	live    []string
+	engines int
+}
+
+func (a cellInput) equal(b cellInput) bool {
+	return a.engines == b.engines && slices.Equal(a.live, b.live)
 }
 
 // reportID identifies a report of an instance: sequence restarts with each incarnation.
@@ -388,13 +401,20 @@
 	return w
 }
 
-// updateCell recomputes this instance's cell from the live instances.
+// updateCell recomputes this instance's cell if the live instances or the number of engines
+// changed.
 func (l *Loads) updateCell(v members.View) {
-	var live []string
-	for _, m := range v.Alive {
-		live = append(live, m.Name)
+	in := cellInput{live: make([]string, len(v.Alive)), engines: l.minReadyServers()}
+	for i, m := range v.Alive {
+		in.live[i] = m.Name
+	}
+	l.mu.Lock()
+	unchanged := in.equal(l.cellOf)
+	l.mu.Unlock()
+	if unchanged {
+		return
 	}
-	next := cell.Of(l.link.Self(), live, l.minReadyServers())
+	next := cell.Of(l.link.Self(), in.live, in.engines)
 	peers := make(map[string]bool, len(next.Peers))
 	for _, m := range next.Peers {
 		peers[m] = true
@@ -402,10 +422,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if next.Count != l.cell.Count || next.Index != l.cell.Index {
-		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count), zap.Int("mates", len(peers)), zap.Int("instances", len(live)))
+		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count), zap.Int("mates", len(peers)), zap.Int("instances", len(in.live)))
 	}
-	l.cell, l.cellPeers = next, peers
-	l.members.SetNeighbours(gossipNeighbours(l.link.Self(), next, live))
+	l.cell, l.cellPeers, l.cellOf = next, peers, in
+	l.members.SetNeighbours(gossipNeighbours(l.link.Self(), next, in.live))
 	l.ledger.RetainPeers(peers)
 	l.queue.RetainPeers(peers)
 	for peer := range l.synced {
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -201,22 +201,30 @@
 	}
 }
 
-// checkInterval is the interval of checks for silent members and due gossip.
+// checkInterval is the interval of checks for silent members, due gossip and a changed view.
+// Received gossip changes the view at most once in it: while a large fleet starts, every message
+// brings new members.
 const checkInterval = 100 * time.Millisecond
 
 func (m *Members) run(ctx context.Context) {
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
+	published := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case g := <-m.inbox.C():
-			if m.merge(g) {
-				m.answerUnknown()
+			if !m.merge(g) {
+				continue
+			}
+			m.answerUnknown()
+			if !published {
 				m.publish()
+				published = true
 			}
 		case <-t.C:
+			published = false
 			m.reportSilence()
 			m.gossip(false)
 			m.publish()
--- a/decide/cell/cell.go
+++ b/decide/cell/cell.go
@@ -49,7 +49,7 @@
 // Of returns the cell of self; live are all live instances, self included. engines is the
 // number of servers of the model service with the fewest, zero if there is none.
 func Of(self string, live []string, engines int) Cell {
-	order := slices.SortedFunc(slices.Values(live), byHash)
+	order := sortedByHash(live, func(name string) string { return name })
 	c := Cell{Count: min(floorPowerOfTwo(len(order)/minInstances), floorPowerOfTwo(engines/minEngines))}
 	rank := slices.Index(order, self)
 	if rank < 0 {
@@ -80,7 +80,7 @@
 	if shares <= 1 {
 		return servers
 	}
-	order := slices.SortedFunc(slices.Values(servers), func(a, b backends.Server) int { return byHash(a.ID, b.ID) })
+	order := sortedByHash(servers, func(s backends.Server) string { return s.ID })
 	from, to := bounds(len(order), shares, c.Index*shares/c.Count)
 	out := order[from:to]
 	slices.SortFunc(out, func(a, b backends.Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -100,7 +100,22 @@
 	return 1 << (bits.Len(uint(n)) - 1)
 }
 
-// byHash orders names by hash, equal hashes by name.
-func byHash(a, b string) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+// sortedByHash returns items ordered by the hash of their names, equal hashes by name.
+func sortedByHash[T any](items []T, name func(T) string) []T {
+	type hashed struct {
+		hash uint64
+		item T
+	}
+	all := make([]hashed, len(items))
+	for i, item := range items {
+		all[i] = hashed{xxhash.Sum64String(name(item)), item}
+	}
+	slices.SortFunc(all, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(name(a.item), name(b.item)))
+	})
+	out := make([]T, len(all))
+	for i, h := range all {
+		out[i] = h.item
+	}
+	return out
 }
--- a/decide/member/neighbours.go
+++ b/decide/member/neighbours.go
@@ -1,12 +1,10 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
@@ -30,16 +28,13 @@
 // NeighboursOf chooses the neighbours of self among the live members; cellPeers are those of its
 // cell. The choice hashes names, so a member that joins or leaves changes at most one neighbour.
 func NeighboursOf(self string, cellPeers, live []string) Neighbours {
-	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return name == self || slices.Contains(cellPeers, name) })
-	return Neighbours{CellPeers: cellPeers, Near: lowestHashes(self, cellPeers, maxNear), Far: lowestHashes(self, others, maxFar)}
-}
-
-// lowestHashes returns the n names with the lowest hashes of self and the name.
-func lowestHashes(self string, names []string, n int) []string {
-	ordered := slices.SortedFunc(slices.Values(names), func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(self+"\x00"+a), xxhash.Sum64String(self+"\x00"+b)), cmp.Compare(a, b))
-	})
-	return ordered[:min(n, len(ordered))]
+	near := make(map[string]bool, len(cellPeers)+1)
+	near[self] = true
+	for _, name := range cellPeers {
+		near[name] = true
+	}
+	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return near[name] })
+	return Neighbours{CellPeers: cellPeers, Near: place.Rank(self, cellPeers, maxNear), Far: place.Rank(self, others, maxFar)}
 }
 
 // All returns all neighbours.
@@ -69,9 +64,9 @@
 // member reports to the other cells.
 func (t *Table) NewlySilent(now time.Duration) []*peerpb.MemberSilent {
 	var out []*peerpb.MemberSilent
-	for _, name := range t.order {
+	for _, name := range t.neighbours.CellPeers {
 		e := t.entries[name]
-		if !t.cellPeers[name] || e.contact {
+		if e == nil || e.contact {
 			continue
 		}
 		alive := t.alive(now, e)
@@ -85,13 +80,13 @@
 
 // reportsSilence reports whether this member is among the silenceReporters of a silent one.
 func (t *Table) reportsSilence(now time.Duration, silent string) bool {
-	ownHash, lower := xxhash.Sum64String(silent+"\x00"+t.self.Name), 0
+	witnesses := []string{t.self.Name}
 	for name := range t.cellPeers {
-		if e := t.entries[name]; name != silent && e != nil && t.alive(now, e) && xxhash.Sum64String(silent+"\x00"+name) < ownHash {
-			lower++
+		if e := t.entries[name]; name != silent && e != nil && t.alive(now, e) {
+			witnesses = append(witnesses, name)
 		}
 	}
-	return lower < silenceReporters
+	return place.InTop(t.self.Name, silent, witnesses, silenceReporters)
 }
 
 // A silence report voids all signs of life older than silenceMargin, so that those which arrive
@@ -126,26 +121,34 @@
 	e.silentSince = now - silenceMargin
 }
 
-// drawTargets returns the live members for one round of gossip. At least one is in another
-// cell if possible; otherwise updates would stay within the cell for a while.
-func (t *Table) drawTargets(live []string, n int) []string {
+// drawTargets returns the names of the live members for one round of gossip. At least one is in
+// another cell if possible; otherwise updates would stay within the cell for a while.
+func (t *Table) drawTargets(now time.Duration, live []*entry, n int) []string {
 	if len(t.neighbours.Far) == 0 {
 		t.shuffle(live)
-		return live[:min(n, len(live))]
+		return namesOf(live[:min(n, len(live))])
 	}
-	nearLive, distantLive := t.drawFrom(live, t.neighbours.Near), t.drawFrom(live, t.neighbours.Far)
+	nearLive, distantLive := t.drawFrom(now, t.neighbours.Near), t.drawFrom(now, t.neighbours.Far)
 	out := distantLive[:min(max(1, n/2), len(distantLive))]
-	return append(out, nearLive[:min(n-len(out), len(nearLive))]...)
+	return namesOf(append(out, nearLive[:min(n-len(out), len(nearLive))]...))
 }
 
-// drawFrom returns the names that are also in live, in random order.
-func (t *Table) drawFrom(live, names []string) []string {
-	var out []string
+// drawFrom returns the live ones of the named members in random order.
+func (t *Table) drawFrom(now time.Duration, names []string) []*entry {
+	var out []*entry
 	for _, name := range names {
-		if _, found := slices.BinarySearch(live, name); found {
-			out = append(out, name)
+		if e := t.entries[name]; e != nil && t.alive(now, e) {
+			out = append(out, e)
 		}
 	}
 	t.shuffle(out)
 	return out
 }
+
+func namesOf(entries []*entry) []string {
+	out := make([]string, len(entries))
+	for i, e := range entries {
+		out[i] = e.name
+	}
+	return out
+}
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/internal/partial"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
@@ -44,6 +45,7 @@
 }
 
 type entry struct {
+	name  string
 	state *peerpb.MemberState
 	heard time.Duration
 	// changedAt is when the static part last changed; it counts as an update for updateWindow.
@@ -69,9 +71,10 @@
 	self    *peerpb.MemberState
 	rand    *rand.Rand
 	entries map[string]*entry
-	// order holds the names of the entries, sorted, so that random choices depend on the seed
-	// alone. Sorting them for each message would dominate a gossip round in large fleets.
-	order      []string
+	// order holds the entries sorted by name, so that random choices depend on the seed alone.
+	order []*entry
+	// failAfter is the result of FailAfter, which changes with the number of entries only.
+	failAfter  time.Duration
 	next       time.Duration
 	neighbours Neighbours
 	// cellPeers are the other members of the same cell, empty if the fleet is one cell.
@@ -82,7 +85,9 @@
 
 // NewTable returns a table that knows only self.
 func NewTable(self *peerpb.MemberState, cfg Config, r *rand.Rand) *Table {
-	return &Table{cfg: cfg, self: self, rand: r, entries: map[string]*entry{}}
+	t := &Table{cfg: cfg, self: self, rand: r, entries: map[string]*entry{}}
+	t.updateFailAfter()
+	return t
 }
 
 // Contact is an instance that is known by name only and not yet confirmed by gossip.
@@ -105,10 +110,11 @@
 }
 
 func (t *Table) add(name string, e *entry) {
-	e.distant = t.distant(name)
+	e.name, e.distant = name, t.distant(name)
 	t.entries[name] = e
-	at, _ := slices.BinarySearch(t.order, name)
-	t.order = slices.Insert(t.order, at, name)
+	at, _ := slices.BinarySearchFunc(t.order, name, func(e *entry, name string) int { return cmp.Compare(e.name, name) })
+	t.order = slices.Insert(t.order, at, e)
+	t.updateFailAfter()
 }
 
 // SetLeaving announces that self is shutting down.
@@ -260,25 +266,26 @@
 }
 
 // FailAfter returns the silence after which a member is considered dead.
-func (t *Table) FailAfter() time.Duration {
+func (t *Table) FailAfter() time.Duration { return t.failAfter }
+
+func (t *Table) updateFailAfter() {
 	n := float64(max(2, len(t.entries)+1))
-	after := time.Duration(float64(t.cfg.FailBase) * math.Log2(n))
+	t.failAfter = time.Duration(float64(t.cfg.FailBase) * math.Log2(n))
 	if t.cfg.MaxFailAfter > 0 {
-		after = min(after, t.cfg.MaxFailAfter)
+		t.failAfter = min(t.failAfter, t.cfg.MaxFailAfter)
 	}
-	return after
 }
 
-// failAfter is FailAfter for one member: longer for those of other cells.
-func (t *Table) failAfter(e *entry) time.Duration {
+// failAfterOf is FailAfter for one member: longer for those of other cells.
+func (t *Table) failAfterOf(e *entry) time.Duration {
 	if e.distant {
-		return max(t.FailAfter(), t.cfg.FailDistant)
+		return max(t.failAfter, t.cfg.FailDistant)
 	}
-	return t.FailAfter()
+	return t.failAfter
 }
 
 func (t *Table) alive(now time.Duration, e *entry) bool {
-	return !e.contact && now-e.heard < t.failAfter(e) && (e.silentSince == 0 || e.heard > e.silentSince)
+	return !e.contact && now-e.heard < t.failAfterOf(e) && (e.silentSince == 0 || e.heard > e.silentSince)
 }
 
 // Message is gossip addressed to one instance.
@@ -324,17 +331,17 @@
 // targets picks random live members and one that is not known to be alive, so that
 // instances rediscover each other after a long partition.
 func (t *Table) targets(now time.Duration) []string {
-	var live, rest []string
-	for _, name := range t.order {
-		if t.alive(now, t.entries[name]) {
-			live = append(live, name)
+	var live, rest []*entry
+	for _, e := range t.order {
+		if t.alive(now, e) {
+			live = append(live, e)
 		} else {
-			rest = append(rest, name)
+			rest = append(rest, e)
 		}
 	}
-	out := t.drawTargets(live, t.cfg.Fanout+t.extraTargets(now))
+	out := t.drawTargets(now, live, t.cfg.Fanout+t.extraTargets(now))
 	if len(rest) > 0 {
-		out = append(out, rest[t.rand.IntN(len(rest))])
+		out = append(out, rest[t.rand.IntN(len(rest))].name)
 	}
 	return out
 }
@@ -343,7 +350,7 @@
 // updates than a message usually carries: after a full start, or the loss of half the fleet.
 func (t *Table) extraTargets(now time.Duration) int {
 	updates := 0
-	for _, e := range t.entries {
+	for _, e := range t.order {
 		if t.pendingUpdate(now, e) {
 			updates++
 		}
@@ -365,34 +372,34 @@
 // each other after three seconds, and some after 30 s. With the others chosen at random, a
 // live member of 100 is sometimes not heard of for 16 s.
 func (t *Table) sample(now time.Duration) []*peerpb.MemberState {
-	var updates, rest []string
-	for _, name := range t.order {
-		e := t.entries[name]
+	var updates, rest []*entry
+	for _, e := range t.order {
 		switch {
 		case t.pendingUpdate(now, e):
-			updates = append(updates, name)
+			updates = append(updates, e)
 		case t.alive(now, e):
-			rest = append(rest, name)
+			rest = append(rest, e)
 		}
 	}
-	t.shuffle(updates)
-	t.shuffle(rest)
-	slices.SortStableFunc(updates, func(a, b string) int { return cmp.Compare(t.entries[a].sends, t.entries[b].sends) })
-	slices.SortStableFunc(rest, func(a, b string) int { return cmp.Compare(t.entries[b].heard, t.entries[a].heard) })
-	updates = updates[:min(max(maxUpdates, t.cfg.Sample), len(updates))]
-	rest = rest[:min(max(0, t.cfg.Sample-len(updates)), len(rest))]
+	updates = t.chooseFirst(updates, max(maxUpdates, t.cfg.Sample), func(a, b *entry) bool { return a.sends < b.sends })
+	rest = t.chooseFirst(rest, t.cfg.Sample-len(updates), func(a, b *entry) bool { return a.heard > b.heard })
 	out := []*peerpb.MemberState{cloneState(t.self)}
-	for _, name := range slices.Concat(updates, rest) {
-		e := t.entries[name]
+	for _, e := range slices.Concat(updates, rest) {
 		e.sends++
 		out = append(out, t.render(now, e))
 	}
 	return out
 }
 
-// shuffle permutes names; as they come in sorted, the result depends on the seed alone.
-func (t *Table) shuffle(names []string) {
-	t.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+// chooseFirst returns the first n entries in the order of less, equal ones in random order.
+func (t *Table) chooseFirst(entries []*entry, n int, less func(a, b *entry) bool) []*entry {
+	t.shuffle(entries)
+	return partial.First(entries, n, less)
+}
+
+// shuffle permutes entries; as they come in sorted, the result depends on the seed alone.
+func (t *Table) shuffle(entries []*entry) {
+	t.rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 }
 
 // Limits on how often changed entries are sent, and in what form.
@@ -438,21 +445,21 @@
 
 // forget removes the members that have been silent for longer than ForgetAfter.
 func (t *Table) forget(now time.Duration) {
-	t.order = slices.DeleteFunc(t.order, func(name string) bool {
-		e := t.entries[name]
+	t.order = slices.DeleteFunc(t.order, func(e *entry) bool {
 		gone := !e.contact && now-e.heard > t.cfg.ForgetAfter
 		if gone {
-			delete(t.entries, name)
+			delete(t.entries, e.name)
 		}
 		return gone
 	})
+	t.updateFailAfter()
 }
 
 // Alive returns the live members and self, sorted by name.
 func (t *Table) Alive(now time.Duration) []*peerpb.MemberState {
-	var out []*peerpb.MemberState
-	for _, name := range t.order {
-		if e := t.entries[name]; t.alive(now, e) {
+	out := make([]*peerpb.MemberState, 0, len(t.order)+1)
+	for _, e := range t.order {
+		if t.alive(now, e) {
 			out = append(out, e.state)
 		}
 	}
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -8,6 +8,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburnmoor/auburnmoor/internal/partial"
 )
 
 // Owner returns the owner of key by rendezvous hashing: when a member leaves, only
@@ -24,14 +26,20 @@
 
 // Rank returns the n members with the highest scores for key, in that order.
 func Rank(key string, members []string, n int) []string {
-	out := slices.Clone(members)
-	slices.SortFunc(out, func(a, b string) int {
-		if c := cmp.Compare(score(key, b), score(key, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-	return out[:min(n, len(out))]
+	type scored struct {
+		name  string
+		score uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{m, score(key, m)}
+	}
+	first := partial.First(all, n, func(a, b scored) bool { return a.score > b.score || a.score == b.score && a.name < b.name })
+	out := make([]string, len(first))
+	for i, s := range first {
+		out[i] = s.name
+	}
+	return out
 }
 
 // defaultWeight is the weight of a member that does not report one.
