Cells before any engine is known: as many as the instances make

Until the operators' first configuration is known no engine is, and cell.Of made one cell of any fleet. So before its traffic each of 985 instances sent its complete report every 0.7 s to all 984 others, 1.4 million datagrams a second over the fleet, and would do so again whenever all start without a configuration. The number of engines limits the cells only once it is known.

--- a/decide/cell/cell.go
+++ b/decide/cell/cell.go
@@ -47,10 +47,15 @@
 }
 
 // Of returns the cell of self; live are all live instances, self included. engines is the
-// number of servers of the model service with the fewest, zero if there is none.
+// number of servers of the model service with the fewest, zero if there is none or if it is not
+// known yet, which does not limit the number of cells: as one cell, a large fleet that starts
+// without a configuration would exchange reports between all of its instances.
 func Of(self string, live []string, engines int) Cell {
 	order := sortedByHash(live, func(name string) string { return name })
-	c := Cell{Count: min(floorPowerOfTwo(len(order)/minInstances), floorPowerOfTwo(engines/minEngines))}
+	c := Cell{Count: floorPowerOfTwo(len(order) / minInstances)}
+	if engines > 0 {
+		c.Count = min(c.Count, floorPowerOfTwo(engines/minEngines))
+	}
 	rank := slices.Index(order, self)
 	if rank < 0 {
 		// An instance that is missing from the list gets a cell without others.
