Membership of a large fleet: digests of cells, gossip by datagrams, bounded copies

Each instance sent a sign of life to every instance of other cells every 2.1 s; gossip sent each change in 24 messages from each instance; and until an instance knew its cell it gossiped over connections to whom it met, whose memory is never given back.

Now two members of a cell report it to each other instance by a digest of its live members (name and incarnation), every 2 s, sooner after a change. Who derives another digest asks for the list and the entries that it lacks: 2 x cells messages instead of one an instance, and the tail that gossip left is repaired. In a cell six monitors hear a member every 0.7 s and report its silence; idle members send the others a complete report every 2.1 s. Who never heard a peer itself does not report it. Gossip of more than 56 members, and of the first 1.5 s, goes by datagrams, divided where it must be; a change is sent in 8 messages, and entries known only in brief are asked for. A report of silence is one datagram for all that fell silent.

Tests, virtual time with the real tables: "the start of a large fleet" (985 know each other within 5 s; the code before 12.7 entries a pair in 5 s and 68 pairs missing), "a large fleet at rest", and the detection of a failed instance among 8 to 300 (1.95 s, unchanged bounds). Digests that counted as signs of life at their arrival revived members reported silent by another (150 and 300: over the bound); they count as one second old. A report by a cell peer that had never heard the member itself was false while views differ. Instances of the former version and this one do not read each other's signs of life while both run.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -40,12 +40,13 @@
 	repeatWindow = 50 * time.Millisecond
 	// completeInterval is the interval of complete reports. It bounds how long a lost report
 	// leaves cell peers with a wrong load. Complete reports are also the heartbeats of a
-	// cell: a peer is suspected after 2.2 s of silence, so two in a row may be lost even
-	// if no other message arrives in between.
+	// cell: a monitored peer is suspected after 2.2 s of silence, so two in a row may be lost
+	// even if no other message arrives in between.
 	completeInterval = 700 * time.Millisecond
-	// heartbeatEvery is the interval of heartbeats to other cells, in complete reports. Other
-	// cells suspect a member after 5 s, or when its cell reports it silent.
-	heartbeatEvery = 3
+	// idleInterval is the interval, in complete reports, in which an instance without work sends
+	// one to all cell peers; the others go to its monitors only. Two in a row may not be lost:
+	// members that are not monitored are suspected after 5 s.
+	idleInterval = 3
 	// peerTimeout is how long a peer's last report stays valid: two complete reports in a
 	// row may be lost.
 	peerTimeout = 2500 * time.Millisecond
@@ -83,6 +84,10 @@
 	synced    map[string]bool
 	cell      cell.Cell
 	cellPeers map[string]bool
+	// monitors are the cell peers that monitor this instance, empty for all; idleReports counts
+	// the complete reports since it last had work or other cell peers.
+	monitors    []string
+	idleReports int
 	// cellOf is what cell was computed from.
 	cellOf cellInput
 }
@@ -266,7 +271,7 @@
 func (l *Loads) run(ctx context.Context) {
 	complete := time.NewTicker(completeInterval)
 	defer complete.Stop()
-	for n := 1; ; {
+	for {
 		select {
 		case <-ctx.Done():
 			return
@@ -274,9 +279,6 @@
 			l.updateCell(l.members.View())
 			l.report(true)
 			l.expire()
-			if n++; n%heartbeatEvery == 0 {
-				l.sendHeartbeats()
-			}
 		case <-l.dirty:
 			time.Sleep(batchDelay)
 			l.report(false)
@@ -312,6 +314,10 @@
 	waiting := l.queue.TakeState(now)
 	rejected := l.away.Observed(now)
 	peers := l.cell.Peers
+	if complete {
+		idle := len(changed) == 0 && len(rejected) == 0 && !waiting.HasFirst && waiting.ForSlot == 0
+		peers = l.completeReceivers(idle)
+	}
 	l.mu.Unlock()
 	msg := &peerpb.LoadReport{Complete: complete, Sequence: sequence, ForSlot: int32(waiting.ForSlot)}
 	if waiting.HasFirst {
@@ -322,6 +328,19 @@
 	l.link.SendDatagrams(peers, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
 }
 
+// completeReceivers returns the cell peers that get this complete report. l.mu must be held.
+func (l *Loads) completeReceivers(idle bool) []string {
+	if !idle {
+		l.idleReports = 0
+		return l.cell.Peers
+	}
+	l.idleReports++
+	if len(l.monitors) == 0 || l.idleReports < idleInterval || l.idleReports%idleInterval == 0 {
+		return l.cell.Peers
+	}
+	return l.monitors
+}
+
 // withLastChanged adds the current state of the servers in the last report if that was sent within
 // repeatWindow, in case it was lost. Under load, reports follow each other within
 // milliseconds. l.mu must be held.
@@ -339,16 +358,6 @@
 	return out
 }
 
-// sendHeartbeats sends heartbeats to the instances of other cells, as datagrams, which need no
-// connection.
-func (l *Loads) sendHeartbeats() {
-	l.mu.Lock()
-	peers := l.cellPeers
-	l.mu.Unlock()
-	distant := slices.DeleteFunc(slices.Clone(l.members.Peers()), func(peer string) bool { return peers[peer] })
-	l.link.SendDatagrams(distant, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
-}
-
 func (l *Loads) receive(from string, env *peerpb.Envelope) {
 	r := env.GetLoadReport()
 	if r == nil {
@@ -424,8 +433,12 @@
 	if next.Count != l.cell.Count || next.Index != l.cell.Index {
 		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count), zap.Int("mates", len(peers)), zap.Int("instances", len(in.live)))
 	}
-	l.cell, l.cellPeers, l.cellOf = next, peers, in
-	l.members.SetNeighbours(gossipNeighbours(l.link.Self(), next, in.live))
+	if !maps.Equal(peers, l.cellPeers) {
+		l.idleReports = 0
+	}
+	neighbours := member.NeighboursOf(l.link.Self(), next, in.live)
+	l.cell, l.cellPeers, l.cellOf, l.monitors = next, peers, in, neighbours.Monitors
+	l.members.SetNeighbours(neighbours)
 	l.ledger.RetainPeers(peers)
 	l.queue.RetainPeers(peers)
 	for peer := range l.synced {
@@ -436,15 +449,6 @@
 	}
 }
 
-// gossipNeighbours returns the gossip neighbours, or the zero value in a fleet of one cell, where
-// every instance gossips with all others.
-func gossipNeighbours(self string, c cell.Cell, live []string) member.Neighbours {
-	if c.Count <= 1 {
-		return member.Neighbours{}
-	}
-	return member.NeighboursOf(self, c.Peers, live)
-}
-
 // minReadyServers returns the minimum number of ready servers over all model services, or zero
 // while the catalog is unknown.
 func (l *Loads) minReadyServers() int {
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -57,7 +57,7 @@
 	// registrar is nil where the platform itself keeps the list.
 	registrar instances.Registrar
 	self      instances.Instance
-	inbox     *ring.Ring[*peerpb.Gossip]
+	inbox     *ring.Ring[*peerpb.Envelope]
 	gossipNow chan struct{}
 	// entryLost signals that this instance's entry in the list may be gone.
 	entryLost chan struct{}
@@ -74,7 +74,7 @@
 	standing    watch.Standing
 	gossipHooks []func(*peerpb.Gossip)
 	// neighbours holds the gossip partners of this instance, empty if all instances are.
-	neighbours map[string]bool
+	neighbours []string
 	// viewDigest is the digest of the view that listeners received last.
 	viewDigest uint64
 	leaving    bool
@@ -142,7 +142,7 @@
 	m.states = map[string]*peerpb.EngineState{}
 	m.log, m.now, m.list = c.Log, c.Now, p.Lister()
 	m.table = member.NewTable(self, cfg, rand.New(rand.NewPCG(c.Seed, 1)))
-	m.inbox = ring.New[*peerpb.Gossip]("members.inbox", inboxSize)
+	m.inbox = ring.New[*peerpb.Envelope]("members.inbox", inboxSize)
 	m.gossipNow, m.entryLost = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.registrar, _ = p.(instances.Registrar)
 	m.self = instances.Instance{Name: self.Name, Role: instances.RoleEntry, Addr: self.CallerAddr, PeerAddr: self.PeerAddr, DataCentre: self.DataCentre, Region: self.Region}
@@ -180,24 +180,10 @@
 	m.table.Heard(m.now(), from)
 	m.mu.Unlock()
 	switch {
-	case env.GetGossip() != nil:
-		m.inbox.Offer(env.GetGossip())
-	case env.GetMemberSilent() != nil:
-		m.mu.Lock()
-		m.table.RecordSilence(m.now(), from, env.GetMemberSilent())
-		m.mu.Unlock()
-	}
-}
-
-// reportSilence reports cell peers that fell silent to all instances, other cells included.
-func (m *Members) reportSilence() {
-	m.mu.Lock()
-	silent := m.table.NewlySilent(m.now())
-	m.mu.Unlock()
-	for _, s := range silent {
-		for _, peer := range m.Peers() {
-			m.link.SendDatagram(peer, &peerpb.Envelope{Body: &peerpb.Envelope_MemberSilent{MemberSilent: s}})
-		}
+	case env.GetGossip() != nil, env.GetMemberStates() != nil:
+		m.inbox.Offer(env)
+	default:
+		m.receiveCellReport(from, env)
 	}
 }
 
@@ -214,18 +200,17 @@
 		select {
 		case <-ctx.Done():
 			return
-		case g := <-m.inbox.C():
-			if !m.merge(g) {
-				continue
-			}
-			m.answerUnknown()
-			if !published {
+		case env := <-m.inbox.C():
+			changed := m.merge(env)
+			m.sendReplies()
+			if changed && !published {
 				m.publish()
 				published = true
 			}
 		case <-t.C:
 			published = false
 			m.reportSilence()
+			m.sendCellDigests()
 			m.gossip(false)
 			m.publish()
 		case <-m.gossipNow:
@@ -234,10 +219,13 @@
 	}
 }
 
-func (m *Members) merge(g *peerpb.Gossip) (changed bool) {
+func (m *Members) merge(env *peerpb.Envelope) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.Receive(m.now(), g)
+	if g := env.GetGossip(); g != nil {
+		return m.table.Receive(m.now(), g)
+	}
+	return m.table.ReceiveMore(m.now(), env.From, env.GetMemberStates().Members)
 }
 
 func (m *Members) gossip(immediate bool) {
@@ -254,68 +242,20 @@
 	m.send(msgs)
 }
 
-// answerUnknown sends gossip to members that sent messages to this instance before it knew them.
-func (m *Members) answerUnknown() {
+// sendReplies sends what received gossip asks for.
+func (m *Members) sendReplies() {
 	m.mu.Lock()
 	msgs := m.table.Replies(m.now())
 	m.mu.Unlock()
 	m.send(msgs)
 }
 
-// send sends gossip. Instances that are not neighbours get what fits into a datagram.
-// Otherwise, when all of a large fleet start at once, each would open connections to most
-// others before it knows its cell, and the memory of those is never freed.
-func (m *Members) send(msgs []member.Message) {
-	m.mu.Lock()
-	partners := m.neighbours
-	known := len(m.view.Alive)
-	m.mu.Unlock()
-	for _, msg := range msgs {
-		for _, add := range m.gossipHooks {
-			add(msg.Gossip)
-		}
-		env := &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}}
-		if partners[msg.To] || len(partners) == 0 && known <= maxConnectedFleet {
-			m.link.Send(msg.To, env)
-			continue
-		}
-		for n := len(msg.Gossip.Members); n > 0 && !m.link.FitsDatagram(env); n-- {
-			msg.Gossip.Members = msg.Gossip.Members[:n-1]
-		}
-		m.link.SendDatagram(msg.To, env)
-	}
-}
-
-// maxConnectedFleet is the fleet size up to which gossip uses connections while the neighbours
-// are unknown. Such a fleet is one cell.
-const maxConnectedFleet = 56
-
-// announceLeaving informs all members that this instance leaves: neighbours over connections, the
-// others by datagram. Gossip repeats it where a datagram is lost.
-func (m *Members) announceLeaving() {
-	m.mu.Lock()
-	msgs := m.table.Announce(m.now())
-	partners := m.neighbours
-	m.mu.Unlock()
-	for _, msg := range msgs {
-		env := &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}}
-		if len(partners) == 0 || partners[msg.To] {
-			m.link.Send(msg.To, env)
-			continue
-		}
-		m.link.SendDatagram(msg.To, env)
-	}
-}
-
 // SetNeighbours sets the gossip partners of this instance; the zero value means all.
 func (m *Members) SetNeighbours(n member.Neighbours) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.SetNeighbours(n)
-	m.neighbours = map[string]bool{}
-	for _, name := range n.All() {
-		m.neighbours[name] = true
-	}
+	m.neighbours = n.All()
 }
 
 // Neighbours returns the names of the live gossip partners of this instance.
@@ -326,7 +266,7 @@
 	if len(partners) == 0 {
 		return m.Peers()
 	}
-	return slices.DeleteFunc(m.Peers(), func(name string) bool { return !partners[name] })
+	return slices.DeleteFunc(m.Peers(), func(name string) bool { return !slices.Contains(partners, name) })
 }
 
 // GossipNow triggers gossip without waiting for the next round.
--- a/decide/cell/cell.go
+++ b/decide/cell/cell.go
@@ -44,8 +44,22 @@
 	Index, Count int
 	// Peers are the other instances of the cell.
 	Peers []string
+	// Range contains the hashes of the names of the cell's instances and of no others.
+	Range HashRange
 }
 
+// HashRange is a range of hashes of names, from From up to Until, exclusive; zero for Until
+// stands for no limit.
+type HashRange struct{ From, Until uint64 }
+
+// Contains reports whether a hash is in the range.
+func (r HashRange) Contains(hash uint64) bool {
+	return hash >= r.From && (r.Until == 0 || hash < r.Until)
+}
+
+// HashOf returns the hash that determines the cell of the instance with a name.
+func HashOf(name string) uint64 { return xxhash.Sum64String(name) }
+
 // Of returns the cell of self; live are all live instances, self included. engines is the
 // number of servers of the model service with the fewest, zero if there is none or if it is not
 // known yet, which does not limit the number of cells: as one cell, a large fleet that starts
@@ -68,6 +82,7 @@
 			continue
 		}
 		c.Index = i
+		c.Range = rangeOf(order, from, to)
 		c.Peers = slices.DeleteFunc(slices.Clone(order[from:to]), func(name string) bool { return name == self })
 	}
 	return c
@@ -92,6 +107,17 @@
 	return out
 }
 
+// rangeOf returns the range of the hashes of order[from:to]; order is sorted by hash.
+func rangeOf(order []string, from, to int) (r HashRange) {
+	if from > 0 {
+		r.From = HashOf(order[from])
+	}
+	if to < len(order) {
+		r.Until = HashOf(order[to])
+	}
+	return r
+}
+
 // bounds returns the range of part i when n items are divided into equal parts. When an item
 // is added or removed, each bound moves by at most one.
 func bounds(n, parts, i int) (from, to int) { return i * n / parts, (i + 1) * n / parts }
@@ -113,7 +139,7 @@
 	}
 	all := make([]hashed, len(items))
 	for i, item := range items {
-		all[i] = hashed{xxhash.Sum64String(name(item)), item}
+		all[i] = hashed{HashOf(name(item)), item}
 	}
 	slices.SortFunc(all, func(a, b hashed) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(name(a.item), name(b.item)))
--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -26,12 +26,14 @@
 	// lossRate is the share of lost packets. Gossip then arrives after a retransmission, a
 	// datagram not at all.
 	lossRate float64
-	// cellPeers are the cell peers of each member, once it knows its cell.
-	cellPeers map[int]map[*member.Table]bool
+	// cellPeers and monitors are those of each member, once it knows its cell.
+	cellPeers, monitors map[int]map[*member.Table]bool
 	// views are the live members from which each member last derived its cell.
 	views   map[int][]string
 	delayed map[time.Duration][]func()
 	now     time.Duration
+	// entriesSent counts the entries of all gossip, digestsSent the digests of cells.
+	entriesSent, digestsSent int
 }
 
 const (
@@ -41,9 +43,9 @@
 	retransmitAfter = 600 * time.Millisecond
 	// heartbeatEvery is the period of signs of life, rounded to steps.
 	heartbeatEvery = 700 * time.Millisecond
-	// distantRatio is the number of periods in which a sign of life goes to all members once;
-	// in the others it goes to cell peers only.
-	distantRatio = 3
+	// idleInterval is the number of periods in which a sign of life goes to all cell peers once;
+	// in the others it goes to the monitors only.
+	idleInterval = 3
 	failDistant  = 5 * time.Second
 	// engines is large enough not to limit the number of cells.
 	engines = 1000
@@ -52,7 +54,7 @@
 func newNetwork(n int, seed uint64, maxFailAfter time.Duration, lossRate float64) *network {
 	cfg := member.DefaultConfig()
 	cfg.Period, cfg.FailBase, cfg.MaxFailAfter, cfg.FailDistant = 400*time.Millisecond, 700*time.Millisecond, maxFailAfter, failDistant
-	f := &network{rand: rand.New(rand.NewPCG(seed, 1)), failedMember: -1, lossRate: lossRate, delayed: map[time.Duration][]func(){}, cellPeers: map[int]map[*member.Table]bool{}, views: map[int][]string{}}
+	f := &network{rand: rand.New(rand.NewPCG(seed, 1)), failedMember: -1, lossRate: lossRate, delayed: map[time.Duration][]func(){}, cellPeers: map[int]map[*member.Table]bool{}, monitors: map[int]map[*member.Table]bool{}, views: map[int][]string{}}
 	var contacts []member.Contact
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("i%03d", i))
@@ -88,23 +90,52 @@
 	f.updateCell(i)
 	for _, m := range append(f.tables[i].Replies(f.now), f.tables[i].Tick(f.now)...) {
 		if to := slices.Index(f.names, m.To); to >= 0 && to != f.failedMember {
+			f.entriesSent += len(m.Gossip.Members)
 			f.send(func() { f.tables[to].Receive(f.now, m.Gossip) })
 		}
 	}
 	for _, s := range f.tables[i].NewlySilent(f.now) {
 		f.broadcast(i, func(t *member.Table) { t.RecordSilence(f.now, f.names[i], s) })
 	}
+	f.sendCellDigests(i)
 	if int(f.now/step)%int(heartbeatEvery/step) != i%int(heartbeatEvery/step) {
 		return
 	}
-	all := int(f.now/heartbeatEvery)%distantRatio == i%distantRatio
+	all := int(f.now/heartbeatEvery)%idleInterval == i%idleInterval
 	f.broadcast(i, func(t *member.Table) {
-		if all || f.cellPeers[i] == nil || f.cellPeers[i][t] {
+		if f.cellPeers[i] == nil || f.monitors[i][t] || all && f.cellPeers[i][t] {
 			t.Heard(f.now, f.names[i])
 		}
 	})
 }
 
+// sendCellDigests sends what a member reports of its cell, and the requests and answers that
+// follow, each of which may be lost.
+func (f *network) sendCellDigests(i int) {
+	to, digest := f.tables[i].CellDigests(f.now)
+	for _, name := range to {
+		f.digestsSent++
+		peer := slices.Index(f.names, name)
+		if peer == f.failedMember || f.lost() {
+			continue
+		}
+		request := f.tables[peer].ReceiveCellDigest(f.now, digest)
+		if request == nil || f.lost() {
+			continue
+		}
+		roster, states := f.tables[i].AnswerCellRequest(f.now, request)
+		f.entriesSent += len(states)
+		if !f.lost() {
+			f.tables[peer].ReceiveMore(f.now, f.names[i], states)
+		}
+		if !f.lost() {
+			f.tables[peer].ReceiveCellRoster(f.now, roster)
+		}
+	}
+}
+
+func (f *network) lost() bool { return f.rand.Float64() < f.lossRate }
+
 // broadcast sends all others a datagram, which may be lost.
 func (f *network) broadcast(from int, arrive func(*member.Table)) {
 	for to, t := range f.tables {
@@ -131,12 +162,18 @@
 	}
 	f.views[i] = live
 	if c := cell.Of(f.names[i], live, engines); c.Count > 1 {
-		f.tables[i].SetNeighbours(member.NeighboursOf(f.names[i], c.Peers, live))
-		f.cellPeers[i] = map[*member.Table]bool{}
-		for _, name := range c.Peers {
-			f.cellPeers[i][f.tables[slices.Index(f.names, name)]] = true
-		}
+		neighbours := member.NeighboursOf(f.names[i], c, live)
+		f.tables[i].SetNeighbours(neighbours)
+		f.cellPeers[i], f.monitors[i] = f.tablesOf(c.Peers), f.tablesOf(neighbours.Monitors)
+	}
+}
+
+func (f *network) tablesOf(names []string) map[*member.Table]bool {
+	out := map[*member.Table]bool{}
+	for _, name := range names {
+		out[f.tables[slices.Index(f.names, name)]] = true
 	}
+	return out
 }
 
 // send delivers a message at once, or late if its packet is lost.
@@ -242,23 +279,9 @@
 // a part of the fleet only, and more instances than needed watch the store.
 var _ = Describe("a fleet that starts together", func() {
 	DescribeTable("discovers all members within three seconds with up to 300, one round more with 350", func(n int, seed uint64, within time.Duration) {
-		f := newNetwork(n, seed, 2200*time.Millisecond, 0)
-		cfg := member.DefaultConfig()
-		cfg.Period, cfg.FailBase, cfg.MaxFailAfter, cfg.FailDistant = 400*time.Millisecond, 700*time.Millisecond, 2200*time.Millisecond, failDistant
-		var seeds []member.Contact
-		for _, name := range f.names[:min(3, n)] {
-			seeds = append(seeds, member.Contact{Name: name})
-		}
-		for i, name := range f.names {
-			f.tables[i] = member.NewTable(&peerpb.MemberState{Name: name, Incarnation: 10}, cfg, rand.New(rand.NewPCG(seed, uint64(i+2))))
-			f.tables[i].SetContacts(seeds)
-		}
+		f := startFromSeeds(n, seed)
 		f.runFor(within, func() {})
-		missing := 0
-		for _, t := range f.tables {
-			missing += n - len(t.Alive(f.now))
-		}
-		Expect(missing).To(BeZero())
+		Expect(f.missing()).To(BeZero())
 	},
 		Entry("8", 8, uint64(1), 3*time.Second),
 		Entry("74", 74, uint64(1), 3*time.Second),
--- a/decide/member/neighbours.go
+++ b/decide/member/neighbours.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/place"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
@@ -21,20 +22,45 @@
 	// CellPeers are the other members of the same cell. They send each other signs of life more
 	// often than members of other cells do, and report when one of them falls silent.
 	CellPeers []string
+	// Monitors are the cell peers that get signs of life of this instance most often and report
+	// its silence; Monitored are those whose silence this instance reports.
+	Monitors, Monitored []string
+	// Range contains the name hashes of the cell's members.
+	Range cell.HashRange
 	// Near are gossip partners in the same cell, Far in other cells.
 	Near, Far []string
 }
 
-// NeighboursOf chooses the neighbours of self among the live members; cellPeers are those of its
-// cell. The choice hashes names, so a member that joins or leaves changes at most one neighbour.
-func NeighboursOf(self string, cellPeers, live []string) Neighbours {
-	near := make(map[string]bool, len(cellPeers)+1)
+// NeighboursOf chooses the neighbours of self among the live members; c is its cell. The choice
+// hashes names, so a member that joins or leaves changes at most one neighbour. In a fleet of one
+// cell it returns the zero value: every instance gossips with all others.
+func NeighboursOf(self string, c cell.Cell, live []string) Neighbours {
+	if c.Count <= 1 {
+		return Neighbours{}
+	}
+	near := make(map[string]bool, len(c.Peers)+1)
 	near[self] = true
-	for _, name := range cellPeers {
+	for _, name := range c.Peers {
 		near[name] = true
 	}
 	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return near[name] })
-	return Neighbours{CellPeers: cellPeers, Near: place.Rank(self, cellPeers, maxNear), Far: place.Rank(self, others, maxFar)}
+	return Neighbours{CellPeers: c.Peers, Range: c.Range, Monitors: place.Rank(self, c.Peers, monitorCount), Monitored: monitoredBy(self, c.Peers), Near: place.Rank(self, c.Peers, maxNear), Far: place.Rank(self, others, maxFar)}
+}
+
+// monitorCount is the number of monitors of a member. All of them are among six tenths of a fleet
+// that fail at once in one case of twenty; the other cell peers notice it some seconds later.
+const monitorCount = 6
+
+// monitoredBy returns the cell peers of which self is a monitor.
+func monitoredBy(self string, cellPeers []string) (out []string) {
+	members := append(slices.Clone(cellPeers), self)
+	for _, name := range cellPeers {
+		others := slices.DeleteFunc(slices.Clone(members), func(other string) bool { return other == name })
+		if place.InTop(self, name, others, monitorCount) {
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // All returns all neighbours.
@@ -44,33 +70,39 @@
 // Until it is called, all members count as one cell.
 func (t *Table) SetNeighbours(n Neighbours) {
 	t.neighbours = n
-	t.cellPeers = map[string]bool{}
-	for _, name := range n.CellPeers {
-		t.cellPeers[name] = true
-	}
+	t.cellPeers, t.monitored = setOf(n.CellPeers), setOf(n.Monitored)
 	for name, e := range t.entries {
 		e.distant = t.distant(name)
 	}
 }
 
-// distant reports whether a member belongs to another cell.
-func (t *Table) distant(name string) bool { return len(t.cellPeers) > 0 && !t.cellPeers[name] }
+func setOf(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
+}
+
+// distant reports whether a member is monitored by others: in another cell, or in the same one.
+func (t *Table) distant(name string) bool { return len(t.cellPeers) > 0 && !t.monitored[name] }
 
 // silenceReporters is the number of cell peers that report a member's silence to the other
 // cells. One is not enough: it may fail at the same moment, and datagrams get lost.
 const silenceReporters = 4
 
-// NewlySilent returns the cell peers that fell silent since the last call and whose silence this
-// member reports to the other cells.
+// NewlySilent returns the monitored members that fell silent since the last call and whose silence this
+// member reports to the other cells. It does not report peers that it heard of through others only:
+// by their own view of the fleet they may belong to another cell.
 func (t *Table) NewlySilent(now time.Duration) []*peerpb.MemberSilent {
 	var out []*peerpb.MemberSilent
-	for _, name := range t.neighbours.CellPeers {
+	for _, name := range t.neighbours.Monitored {
 		e := t.entries[name]
 		if e == nil || e.contact {
 			continue
 		}
 		alive := t.alive(now, e)
-		if e.aliveAtCheck && !alive && t.reportsSilence(now, name) {
+		if e.aliveAtCheck && !alive && t.heardLately(now, e) && t.reportsSilence(now, name) {
 			out = append(out, &peerpb.MemberSilent{Name: name, Incarnation: e.state.Incarnation})
 		}
 		e.aliveAtCheck = alive
@@ -78,6 +110,11 @@
 	return out
 }
 
+// heardLately reports whether the last message of a member itself is no older than silentWindow.
+func (t *Table) heardLately(now time.Duration, e *entry) bool {
+	return e.heardDirectly > 0 && now-e.heardDirectly < silentWindow
+}
+
 // reportsSilence reports whether this member is among the silenceReporters of a silent one.
 func (t *Table) reportsSilence(now time.Duration, silent string) bool {
 	witnesses := []string{t.self.Name}
@@ -104,9 +141,9 @@
 }
 
 // RecordSilence records a report that a member fell silent, sent by one of its cell peers. A
-// later sign of life revives the member. For a member of another cell one report is enough.
-// For a peer in the same cell, whose signs of life arrive here directly, two reporters must
-// agree within reportWindow: one may itself have lost several packets in a row. More than two
+// later sign of life revives the member. For a distant member one report is enough. For a
+// monitored one, whose signs of life arrive here directly, two reporters must agree
+// within reportWindow: one may itself have lost several packets in a row. More than two
 // are not required, since late packets may make a reporter miss the silence.
 func (t *Table) RecordSilence(now time.Duration, by string, s *peerpb.MemberSilent) {
 	e := t.entries[s.Name]
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/internal/partial"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
@@ -32,8 +33,8 @@
 	// signs of life (Heard) at least every half of it, since gossip takes longer to reach
 	// everyone.
 	MaxFailAfter time.Duration
-	// FailDistant is the silence after which a member of another cell is considered dead
-	// if none of its cell peers reports its silence; zero applies the general timeout.
+	// FailDistant is the silence after which a member that others monitor is considered dead
+	// if none of them reports its silence; zero applies the general timeout.
 	FailDistant time.Duration
 	// ForgetAfter is the silence after which a member is removed from the table.
 	ForgetAfter time.Duration
@@ -47,12 +48,16 @@
 type entry struct {
 	name  string
 	state *peerpb.MemberState
-	heard time.Duration
+	// nameHash orders members into cells; life is the hash of the name and the incarnation.
+	nameHash, life uint64
+	heard          time.Duration
+	// heardDirectly is when the last message of the member itself arrived, zero if none did.
+	heardDirectly time.Duration
 	// changedAt is when the static part last changed; it counts as an update for updateWindow.
 	changedAt time.Duration
 	// sends counts the messages that carried the entry since changedAt.
 	sends int
-	// distant marks a member of another cell.
+	// distant marks a member that others monitor.
 	distant bool
 	// silentSince is the time up to which signs of life are void, as reported by the member's
 	// cell peers.
@@ -77,10 +82,16 @@
 	failAfter  time.Duration
 	next       time.Duration
 	neighbours Neighbours
-	// cellPeers are the other members of the same cell, empty if the fleet is one cell.
-	cellPeers map[string]bool
+	// cellPeers are the other members of the same cell, empty if the fleet is one cell;
+	// monitored are those of them whose silence this instance reports.
+	cellPeers, monitored map[string]bool
 	// newSenders are members that sent gossip before this instance knew them.
 	newSenders []string
+	// nextDigests is when cell digests are due, lastDigest the last one sent.
+	nextDigests time.Duration
+	lastDigest  uint64
+	// requests are full entries that others asked for, unknown those to ask others for.
+	requests, unknown []entryRequest
 }
 
 // NewTable returns a table that knows only self.
@@ -90,6 +101,12 @@
 	return t
 }
 
+// entryRequest is a request for the full entries of some members.
+type entryRequest struct {
+	peer  string
+	names []string
+}
+
 // Contact is an instance that is known by name only and not yet confirmed by gossip.
 type Contact struct {
 	Name     string
@@ -110,7 +127,7 @@
 }
 
 func (t *Table) add(name string, e *entry) {
-	e.name, e.distant = name, t.distant(name)
+	e.name, e.nameHash, e.distant = name, cell.HashOf(name), t.distant(name)
 	t.entries[name] = e
 	at, _ := slices.BinarySearchFunc(t.order, name, func(e *entry, name string) int { return cmp.Compare(e.name, name) })
 	t.order = slices.Insert(t.order, at, e)
@@ -154,23 +171,89 @@
 			t.newSenders = append(t.newSenders, s.Name)
 		}
 	}
+	if len(g.Members) > 0 {
+		from := g.Members[0].Name
+		t.requestUnknown(from, g.Members)
+		t.addRequest(from, g.Unknown)
+	}
+	return changed
+}
+
+// ReceiveMore merges further entries of a gossip message of a member, as Receive does.
+func (t *Table) ReceiveMore(now time.Duration, from string, states []*peerpb.MemberState) bool {
+	changed := false
+	for _, s := range states {
+		if s.Name != t.self.Name {
+			changed = t.merge(now, s) || changed
+		}
+	}
+	t.requestUnknown(from, states)
 	return changed
 }
 
+// maxRequested bounds the entries of one request.
+const maxRequested = 64
+
+// requestUnknown prepares a request for members of which only brief entries arrived. The
+// sender has sent each full entry as often as it does by itself.
+func (t *Table) requestUnknown(from string, states []*peerpb.MemberState) {
+	var names []string
+	for _, s := range states {
+		if s.Brief && t.unknownLife(s) && len(names) < maxRequested {
+			names = append(names, s.Name)
+		}
+	}
+	if len(names) > 0 {
+		t.unknown = append(t.unknown, entryRequest{from, names})
+	}
+}
+
+// unknownLife reports whether an entry is of a member, or of a life of it, that is not known.
+func (t *Table) unknownLife(s *peerpb.MemberState) bool {
+	if s.Name == t.self.Name {
+		return false
+	}
+	e := t.entries[s.Name]
+	return e == nil || e.contact || e.state.Incarnation < s.Incarnation
+}
+
+func (t *Table) addRequest(from string, names []string) {
+	if len(names) > 0 {
+		t.requests = append(t.requests, entryRequest{from, names[:min(maxRequested, len(names))]})
+	}
+}
+
 func (t *Table) knowsAlive(now time.Duration, name string) bool {
 	e := t.entries[name]
 	return e != nil && t.alive(now, e)
 }
 
-// Replies returns replies to members that sent gossip before they were known here. Without
-// them an instance that starts would know nobody until another member picks it as a gossip
-// target at random.
+// Replies returns replies to members that sent gossip before they were known here, or that asked
+// for entries, and requests for entries that are missing here. Without the first an instance that
+// starts would know nobody until another member picks it as a gossip target at random.
 func (t *Table) Replies(now time.Duration) []Message {
 	var out []Message
 	for _, name := range t.newSenders {
 		out = append(out, Message{To: name, Gossip: &peerpb.Gossip{Members: t.sample(now)}})
 	}
-	t.newSenders = nil
+	for _, r := range t.requests {
+		out = append(out, Message{To: r.peer, Gossip: &peerpb.Gossip{Members: t.fullEntries(now, r.names)}})
+	}
+	for _, r := range t.unknown {
+		out = append(out, Message{To: r.peer, Gossip: &peerpb.Gossip{Members: []*peerpb.MemberState{cloneState(t.self)}, Unknown: r.names}})
+	}
+	t.newSenders, t.requests, t.unknown = nil, nil, nil
+	return out
+}
+
+// fullEntries returns self and the full entries of the named live members.
+func (t *Table) fullEntries(now time.Duration, names []string) []*peerpb.MemberState {
+	out := []*peerpb.MemberState{cloneState(t.self)}
+	for _, name := range names {
+		if e := t.entries[name]; e != nil && t.alive(now, e) {
+			out = append(out, renderFull(now, e))
+		}
+	}
 	return out
 }
 
@@ -221,6 +304,9 @@
 		s = cloneState(s)
 		s.Heartbeat = e.state.Heartbeat
 	}
+	if e.contact || s.Incarnation != e.state.Incarnation {
+		e.life = lifeHash(s.Name, s.Incarnation)
+	}
 	e.state, e.heard, e.contact = s, heard, false
 	return visible
 }
@@ -256,6 +342,7 @@
 func (t *Table) Heard(now time.Duration, name string) {
 	if e := t.entries[name]; e != nil && !e.contact {
 		e.heard = max(e.heard, now)
+		e.heardDirectly = now
 	}
 }
 
@@ -276,7 +363,7 @@
 	}
 }
 
-// failAfterOf is FailAfter for one member: longer for those of other cells.
+// failAfterOf is FailAfter for one member: longer for those that others monitor.
 func (t *Table) failAfterOf(e *entry) time.Duration {
 	if e.distant {
 		return max(t.failAfter, t.cfg.FailDistant)
@@ -385,8 +472,8 @@
 	rest = t.chooseFirst(rest, t.cfg.Sample-len(updates), func(a, b *entry) bool { return a.heard > b.heard })
 	out := []*peerpb.MemberState{cloneState(t.self)}
 	for _, e := range slices.Concat(updates, rest) {
-		e.sends++
 		out = append(out, t.render(now, e))
+		e.sends++
 	}
 	return out
 }
@@ -415,25 +502,30 @@
 	extraFanout = 2
 	// maxSends is the number of messages in which an instance sends one update. With three
 	// messages a round, the update reaches everyone long before.
-	maxSends = 24
+	maxSends = 8
 )
 
 // render returns an entry as it is sent. Names, addresses and engines rarely change, so most
 // entries carry only the heartbeat: with full entries, 350 instances would exceed the budget
 // of 22 KB/s each (59 KB/s).
 func (t *Table) render(now time.Duration, e *entry) *peerpb.MemberState {
-	ageMs := uint32(max(0, now-e.heard).Milliseconds())
-	if now-e.changedAt < updateWindow || t.rand.IntN(fullEvery) == 0 {
-		full := cloneState(e.state)
-		full.AgeMs = ageMs
-		return full
+	if t.pendingUpdate(now, e) || t.rand.IntN(fullEvery) == 0 {
+		return renderFull(now, e)
 	}
 	return &peerpb.MemberState{
 		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Version: e.state.Version,
-		Brief: true, AgeMs: ageMs,
+		Brief: true, AgeMs: ageMillis(now, e),
 	}
 }
 
+func renderFull(now time.Duration, e *entry) *peerpb.MemberState {
+	full := cloneState(e.state)
+	full.AgeMs = ageMillis(now, e)
+	return full
+}
+
+func ageMillis(now time.Duration, e *entry) uint32 { return uint32(max(0, now-e.heard).Milliseconds()) }
+
 // cloneState copies a state, because a message outlives the call while the state changes.
 func cloneState(s *peerpb.MemberState) *peerpb.MemberState {
 	return &peerpb.MemberState{
--- a/decide/spread/ledger.go
+++ b/decide/spread/ledger.go
@@ -215,20 +215,32 @@
 	}
 }
 
-// Expire drops the work of peers whose last report is older than since, and returns their
-// names. A peer that others still hear may have no working link to this instance; its last
+// Expire drops the work of peers whose last report is older than since, and returns the names of
+// those that had any. A peer that others still hear may have no working link to this instance; its last
 // reported work would count for as long as that lasts, and requests would wait for engines
 // that have long been idle.
 func (l *Ledger) Expire(since time.Duration) (silent []string) {
 	for peer := range l.peers {
-		if l.lastReport[peer] < since {
-			l.forget(peer)
+		if l.lastReport[peer] >= since {
+			continue
+		}
+		if l.hasWork(peer) {
 			silent = append(silent, peer)
 		}
+		l.forget(peer)
 	}
 	return silent
 }
 
+func (l *Ledger) hasWork(peer string) bool {
+	for _, a := range l.peers[peer] {
+		if a.sum() != (Load{}) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) forget(peer string) {
 	for server := range l.peers[peer] {
 		l.setPeerWork(0, peer, server, Work{})
--- a/peerlink/datagram.go
+++ b/peerlink/datagram.go
@@ -57,10 +57,9 @@
 	}
 }
 
-// FitsDatagram reports whether an envelope is small enough for a datagram.
-func (l *Link) FitsDatagram(env *peerpb.Envelope) bool {
-	return proto.Size(env)+maxAddressing <= maxDatagram
-}
+// MaxDatagramBody is the size in bytes up to which the body of an envelope is sent as one
+// datagram.
+const MaxDatagramBody = maxDatagram - maxAddressing
 
 // maxAddressing bounds the bytes that the sender's and receiver's names take in an
 // envelope.
--- a/peerlink/datagram_test.go
+++ b/peerlink/datagram_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
@@ -33,7 +34,7 @@
 }
 
 // Guards against connections, some 0.1 MB each, between all pairs of 300 instances that
-// only carry one heartbeat a second.
+// only carry one small a second.
 var _ = Describe("a small envelope", func() {
 	const first, second = "127.0.0.1:19910", "127.0.0.1:19911"
 	addrs := map[string]string{"a": first, "b": second, "c": second}
@@ -49,25 +50,25 @@
 		})
 	})
 	peers := func() int { return a.Dump().(Dump).Peers }
-	heartbeat := &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}}
+	small := &peerpb.Envelope{Body: &peerpb.Envelope_CellDigest{CellDigest: &peerpb.CellDigest{}}}
 
 	It("is sent without a connection", func() {
-		Expect(a.FitsDatagram(heartbeat)).To(BeTrue())
-		Expect(a.SendDatagram("b", heartbeat)).To(BeTrue())
+		Expect(proto.Size(small)).To(BeNumerically("<=", MaxDatagramBody))
+		Expect(a.SendDatagram("b", small)).To(BeTrue())
 		Eventually(received.Load, "2s", "5ms").Should(Equal(int64(1)))
 		Expect(peers()).To(BeZero())
 	})
 
 	It("is dropped by an instance to which it is not addressed", func() {
-		Expect(a.SendDatagram("c", heartbeat)).To(BeTrue())
-		Expect(a.SendDatagram("b", heartbeat)).To(BeTrue())
+		Expect(a.SendDatagram("c", small)).To(BeTrue())
+		Expect(a.SendDatagram("b", small)).To(BeTrue())
 		Eventually(received.Load, "2s", "5ms").Should(Equal(int64(1)))
 		Expect(b.Dump().(Dump).Dropped).To(Equal(uint64(1)))
 	})
 
 	It("that is too large for a datagram uses a connection, which is closed when idle", func() {
 		big := &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: &peerpb.ConfigReply{Content: []byte(strings.Repeat("x", 5000))}}}
-		Expect(a.FitsDatagram(big)).To(BeFalse())
+		Expect(proto.Size(big)).To(BeNumerically(">", MaxDatagramBody))
 		Expect(a.SendDatagram("b", big)).To(BeTrue())
 		Eventually(received.Load, "5s", "5ms").Should(Equal(int64(1)))
 		Expect(peers()).To(Equal(1))
@@ -80,6 +81,6 @@
 	})
 
 	It("is not sent to an instance without a known address", func() {
-		Expect(a.SendDatagram("nobody", heartbeat)).To(BeFalse())
+		Expect(a.SendDatagram("nobody", small)).To(BeFalse())
 	})
 })
