--- a/decide/member/celldigest.go
+++ b/decide/member/celldigest.go
@@ -20,7 +20,7 @@
 // Timing and size of the reports.
 const (
 	// digestInterval is the mean interval of the digests that one instance sends to another, and
-	// changedInterval that after a digest that differs from the last one.
+	// changedInterval the least one, before a digest that differs from the last.
 	digestInterval  = 2 * time.Second
 	changedInterval = 700 * time.Millisecond
 	// digestSenders is the number of members of a cell that report it to the same instance. One
@@ -52,24 +52,33 @@
 // now: those for which this instance is among the digestSenders of its cell. It returns nil if none
 // is due. Cell peers get it too, to learn of members that they lack.
 func (t *Table) CellDigests(now time.Duration) (to []string, digest *peerpb.CellDigest) {
-	if len(t.cellPeers) == 0 || now < t.nextDigests {
+	if len(t.cellPeers) == 0 {
 		return nil, nil
 	}
+	sum := sumOf(t.livesIn(now, t.neighbours.Range))
+	pause := t.digestPause
+	if sum != t.lastDigest {
+		pause = min(pause, changedInterval)
+	}
+	if now-t.digestedAt < pause {
+		return nil, nil
+	}
+	t.digestedAt, t.lastDigest = now, sum
+	t.digestPause = digestInterval/2 + time.Duration(t.rand.Int64N(int64(digestInterval)))
+	digest = &peerpb.CellDigest{Range: encodeRange(t.neighbours.Range), Digest: sum}
+	t.addSilent(now, digest)
+	return t.digestReceivers(now), digest
+}
+
+// digestReceivers returns the live members to which this instance reports its cell.
+func (t *Table) digestReceivers(now time.Duration) (to []string) {
 	witnesses := t.liveCell(now)
 	for _, e := range t.order {
 		if t.alive(now, e) && place.InTop(t.self.Name, e.name, witnesses, digestSenders) {
 			to = append(to, e.name)
 		}
 	}
-	digest = &peerpb.CellDigest{Range: encodeRange(t.neighbours.Range), Digest: sumOf(t.livesIn(now, t.neighbours.Range))}
-	t.addSilent(now, digest)
-	interval := digestInterval
-	if digest.Digest != t.lastDigest {
-		interval = changedInterval
-	}
-	t.lastDigest = digest.Digest
-	t.nextDigests = now + interval/2 + time.Duration(t.rand.Int64N(int64(interval)))
-	return to, digest
+	return to
 }
 
 // liveCell returns the names of self and of its live cell peers.
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -87,9 +87,10 @@
 	cellPeers, monitored map[string]bool
 	// newSenders are members that sent gossip before this instance knew them.
 	newSenders []string
-	// nextDigests is when cell digests are due, lastDigest the last one sent.
-	nextDigests time.Duration
-	lastDigest  uint64
+	// digestedAt is when cell digests were sent last, lastDigest their digest, and digestPause the
+	// pause after them if nothing changes.
+	digestedAt, digestPause time.Duration
+	lastDigest              uint64
 	// requests are full entries that others asked for, unknown those to ask others for.
 	requests, unknown []entryRequest
 }
