Digest of a list of servers: that of the entries passed on

A server retained in its later life and listed in its earlier one counted in the digest but not in the list, so a peer that took the list held another digest and asked again, for up to 2 s. Test: "has the digest of the list that it passes on", which fails without the change.

--- a/decide/backends/backends_test.go
+++ b/decide/backends/backends_test.go
@@ -56,6 +56,20 @@
 		Expect(set.Snapshot().Ready("s")).To(Equal([]backends.Server{near, far}))
 	})
 
+	// Guards against instances that request each other's list without end: a server in use in its
+	// later life, listed in its earlier one, counted in the digest of a list that leaves it out.
+	It("has the digest of the list that it passes on", func() {
+		earlier, later := a, a
+		earlier.Life, later.Life = 1, 2
+		set := backends.NewSet()
+		set.Replace(0, []backends.Server{later, b}, at(5))
+		set.Replace(time.Second, []backends.Server{earlier, b}, position.Position{Era: 2, Revision: 3})
+		snap := set.Snapshot()
+		other := backends.NewSet()
+		other.Replace(time.Second, snap.All(), snap.At)
+		Expect(other.Snapshot().Digest).To(Equal(snap.Digest))
+	})
+
 	// Guards against losing a service's only server for 30 seconds: it was drained, crashed
 	// and restarted under its ID, and the record of its departure hid the new life.
 	DescribeTable("treats another life of the ID as another server", func(left, started backends.Life, ready bool) {
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -209,6 +209,10 @@
 		}
 	}
 	for id, v := range s.retained {
+		if listed, ok := s.byID[id]; ok {
+			// A list of another instance holds the entry in use only, and its digest too.
+			out.Digest -= listed.digest()
+		}
 		out.byID[id] = v
 		if !s.evacuated[v.DataCentre] {
 			out.services[v.Service] = append(out.services[v.Service], v)
