--- a/decide/attempt/silence.go
+++ b/decide/attempt/silence.go
@@ -19,8 +19,8 @@
 
 // ShouldWait reports whether an attempt continues after no data arrived within its time.
 // silent is the time since the last data, overloaded whether the servers are known to be
-// overloaded. A retry repeats the whole prefill, so a retry of each late attempt (107
-// prompts in one day of bursts) prolongs an overload beyond the burst that caused it.
+// overloaded. A retry repeats the whole prefill, so a retry of each late attempt prolongs an
+// overload beyond the burst that caused it.
 func ShouldWait(silent time.Duration, overloaded bool, first, gap time.Duration) bool {
 	clientTimeout := max(minClientTimeout, firstEventFactor*first, gapFactor*gap)
 	return overloaded && silent < time.Duration(clientTimeoutShare*float64(clientTimeout))
--- a/decide/spread/helpers.go
+++ b/decide/spread/helpers.go
@@ -34,7 +34,11 @@
 		return s.ID == writer.ID || c.load(s.ID).Parts >= int64(max(1, c.engine.Slots))
 	})
 	slices.SortFunc(free, func(a, b backends.Server) int {
-		return cmp.Or(cmp.Compare(c.predictPrefillEnd(a, 0), c.predictPrefillEnd(b, 0)), cmp.Compare(c.load(a.ID).Parts, c.load(b.ID).Parts), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(c.predictPrefillEnd(a, 0), c.predictPrefillEnd(b, 0)),
+			cmp.Compare(c.load(a.ID).Parts, c.load(b.ID).Parts),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 	return free
 }
