Cells with a bounded number of engines

A placement looks at all engines of the cell. A cell now has fewer than 256 while at least twelve instances remain. Deployments so far keep their cells: it changes only where 256 engines or more stand before a cell. Test: "have a bounded number of engines while there are instances enough".

--- a/decide/cell/cell.go
+++ b/decide/cell/cell.go
@@ -30,6 +30,11 @@
 	// each, an instance receives some 150 to 300 changes a second. Smaller cells could prefill
 	// only few large prompts at a time.
 	minInstances = 50
+	// Where a cell would have maxEngines or more, it has fewer instances, at least leastInstances:
+	// placing a request looks at all engines of the cell, and a placement held back at many
+	// instances of a small core does so dozens of times a second.
+	maxEngines     = 256
+	leastInstances = 12
 	// minEngines is the minimum number of engines per cell: the largest prompts are held and
 	// prefilled by one engine with 16 helpers.
 	minEngines = 17
@@ -68,7 +73,8 @@
 	order := sortedByHash(live, func(name string) string { return name })
 	c := Cell{Count: floorPowerOfTwo(len(order) / minInstances)}
 	if engines > 0 {
-		c.Count = min(c.Count, floorPowerOfTwo(engines/minEngines))
+		byCost := min(floorPowerOfTwo(2*engines/maxEngines), floorPowerOfTwo(len(order)/leastInstances))
+		c.Count = min(max(c.Count, byCost), floorPowerOfTwo(engines/minEngines))
 	}
 	rank := slices.Index(order, self)
 	if rank < 0 {
--- a/decide/cell/cell_test.go
+++ b/decide/cell/cell_test.go
@@ -77,6 +77,21 @@
 		Entry("985", 985, 935, 16),
 	)
 
+	// Guards against placements that take longer than a request may: after a loss of all instances
+	// each of 300 looked at 750 engines for each attempt and served nobody for half a minute.
+	DescribeTable("have a bounded number of engines while there are instances enough", func(instances, engines int) {
+		live, all := names(instances), servers(engines)
+		c := cell.Of(live[0], live, engines)
+		Expect(len(c.Share(all, false))).To(BeNumerically("<", 256))
+		Expect(len(c.Peers) + 1).To(BeNumerically(">=", 12))
+	},
+		Entry("30 and 300", 30, 300),
+		Entry("100 and 1,000", 100, 1000),
+		Entry("300 and 3,000", 300, 3000),
+		Entry("985 and 935", 985, 935),
+		Entry("350 and 750", 350, 750),
+	)
+
 	// Guards against a start in which each of 985 instances reports to all others: there is no
 	// configuration yet, so no engine is known, and the fleet counted as one cell.
 	It("are divided before any engine is known", func() {
