Membership: silence by the word of two monitors; gossip without heartbeats between cells

Two monitors must agree within a second now, or one must have heard nothing for 0.7 s more; idle instances report to all cell peers every 1.4 s.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -44,9 +44,9 @@
 	// even if no other message arrives in between.
 	completeInterval = 700 * time.Millisecond
 	// idleInterval is the interval, in complete reports, in which an instance without work sends
-	// one to all cell peers; the others go to its monitors only. Two in a row may not be lost:
+	// one to all cell peers; the others go to its monitors only. Two in a row may be lost:
 	// members that are not monitored are suspected after 5 s.
-	idleInterval = 3
+	idleInterval = 2
 	// peerTimeout is how long a peer's last report stays valid: two complete reports in a
 	// row may be lost.
 	peerTimeout = 2500 * time.Millisecond
--- a/decide/member/celldigest.go
+++ b/decide/member/celldigest.go
@@ -31,6 +31,9 @@
 	// evidenceAge is subtracted from the time of a digest as a sign of life: its sender may not
 	// have noticed yet that a member is silent which another one has reported.
 	evidenceAge = time.Second
+	// confirmAfter is the further silence after which the word of one member is enough, as it is
+	// unlikely to have lost that many packets in a row.
+	confirmAfter = 700 * time.Millisecond
 	// silentWindow is how long digests repeat that a member fell silent, in case that earlier
 	// reports were lost.
 	silentWindow = 10 * time.Second
@@ -153,7 +156,11 @@
 		if i < 0 || !e.distant || e.contact {
 			continue
 		}
-		noticed := now - time.Duration(d.SilentMs[i])*time.Millisecond
+		since := time.Duration(d.SilentMs[i]) * time.Millisecond
+		if since < confirmAfter {
+			continue
+		}
+		noticed := now - since
 		e.silentSince = max(e.silentSince, noticed-silenceMargin)
 	}
 }
--- a/decide/member/neighbours.go
+++ b/decide/member/neighbours.go
@@ -140,11 +140,10 @@
 	at time.Duration
 }
 
-// RecordSilence records a report that a member fell silent, sent by one of its cell peers. A
-// later sign of life revives the member. For a distant member one report is enough. For a
-// monitored one, whose signs of life arrive here directly, two reporters must agree
-// within reportWindow: one may itself have lost several packets in a row. More than two
-// are not required, since late packets may make a reporter miss the silence.
+// RecordSilence records a report that a member fell silent, sent by one of its monitors. A later
+// sign of life revives the member. Two monitors must agree within reportWindow: one may have
+// lost several packets in a row. More than two are not required, since late packets may make a
+// monitor miss the silence.
 func (t *Table) RecordSilence(now time.Duration, by string, s *peerpb.MemberSilent) {
 	e := t.entries[s.Name]
 	if e == nil || e.contact || e.state.Incarnation > s.Incarnation {
@@ -152,7 +151,7 @@
 	}
 	previous := e.lastReport
 	e.lastReport = silenceReport{by, now}
-	if !e.distant && (previous.by == "" || previous.by == by || now-previous.at > reportWindow) {
+	if previous.by == "" || previous.by == by || now-previous.at > reportWindow {
 		return
 	}
 	e.silentSince = now - silenceMargin
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -470,7 +470,7 @@
 		}
 	}
 	updates = t.chooseFirst(updates, max(maxUpdates, t.cfg.Sample), func(a, b *entry) bool { return a.sends < b.sends })
-	rest = t.chooseFirst(rest, t.cfg.Sample-len(updates), func(a, b *entry) bool { return a.heard > b.heard })
+	rest = t.chooseFirst(rest, t.heartbeatsIn(updates), func(a, b *entry) bool { return a.heard > b.heard })
 	out := []*peerpb.MemberState{cloneState(t.self)}
 	for _, e := range slices.Concat(updates, rest) {
 		out = append(out, t.render(now, e))
@@ -479,6 +479,15 @@
 	return out
 }
 
+// heartbeatsIn returns how many members without updates a message carries beside updates. In a fleet
+// of several cells it carries none: cell digests tell who lives.
+func (t *Table) heartbeatsIn(updates []*entry) int {
+	if len(t.cellPeers) > 0 {
+		return 0
+	}
+	return t.cfg.Sample - len(updates)
+}
+
 // chooseFirst returns the first n entries in the order of less, equal ones in random order.
 func (t *Table) chooseFirst(entries []*entry, n int, less func(a, b *entry) bool) []*entry {
 	t.shuffle(entries)
