--- a/control/members/members.go
+++ b/control/members/members.go
@@ -43,8 +43,8 @@
 	// FailBase is the silence after which a member of a fleet of two is
 	// suspected; it grows with the logarithm of the fleet's size.
 	FailBase settings.Duration `toml:"fail_base"`
-	// FailDistant is the silence after which a member of another cell is suspected, unless
-	// its cell reports it silent before.
+	// FailDistant is the silence after which a member that others monitor is suspected, unless
+	// they report it silent before.
 	FailDistant settings.Duration `toml:"fail_distant"`
 	// MaxFailAfter caps the timeout that grows from FailBase, for large fleets whose
 	// instances hear from each other directly; zero means no cap.
