Members: entries in later parts of a divided message count as those in the first

An entry of the instance itself, left by a former process whose clock ran ahead, raised its incarnation in the first part only: one loop stood twice, and the second one skipped it. Receive calls ReceiveMore now. Test: "lets an instance raise its incarnation by an entry in any part of a message", which failed for the later parts.

--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -159,24 +159,17 @@
 // Receive merges gossip and reports whether the set of live members, or what
 // they say of themselves, changed.
 func (t *Table) Receive(now time.Duration, g *peerpb.Gossip) bool {
-	changed := false
-	for i, s := range g.Members {
-		if s.Name == t.self.Name {
-			t.refute(s)
-			continue
-		}
-		// The first entry of a message is its sender.
-		newSender := i == 0 && !t.knowsAlive(now, s.Name)
-		changed = t.merge(now, s) || changed
-		if newSender && t.knowsAlive(now, s.Name) {
-			t.newSenders = append(t.newSenders, s.Name)
-		}
+	if len(g.Members) == 0 {
+		return false
 	}
-	if len(g.Members) > 0 {
-		from := g.Members[0].Name
-		t.requestUnknown(from, g.Members)
-		t.addRequest(from, g.Unknown)
+	// The first entry of a message is its sender.
+	sender := g.Members[0].Name
+	known := t.knowsAlive(now, sender)
+	changed := t.ReceiveMore(now, sender, g.Members)
+	if !known && t.knowsAlive(now, sender) {
+		t.newSenders = append(t.newSenders, sender)
 	}
+	t.addRequest(sender, g.Unknown)
 	return changed
 }
 
@@ -184,9 +177,11 @@
 func (t *Table) ReceiveMore(now time.Duration, from string, states []*peerpb.MemberState) bool {
 	changed := false
 	for _, s := range states {
-		if s.Name != t.self.Name {
-			changed = t.merge(now, s) || changed
+		if s.Name == t.self.Name {
+			t.refute(s)
+			continue
 		}
+		changed = t.merge(now, s) || changed
 	}
 	t.requestUnknown(from, states)
 	return changed
--- a/decide/member/table_test.go
+++ b/decide/member/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,23 @@
 		}
 	})
 
+	// Guards against a restarted instance that stays ignored as stale: gossip that does not fit
+	// into a datagram is divided, and the entry of its predecessor came in a later part.
+	It("lets an instance raise its incarnation by an entry in any part of a message", func() {
+		for _, receive := range []func(*member.Table, *peerpb.MemberState){
+			func(t *member.Table, s *peerpb.MemberState) {
+				t.Receive(0, &peerpb.Gossip{Members: []*peerpb.MemberState{{Name: "b", Incarnation: 1}, s}})
+			},
+			func(t *member.Table, s *peerpb.MemberState) { t.ReceiveMore(0, "b", []*peerpb.MemberState{s}) },
+		} {
+			self := member.NewTable(&peerpb.MemberState{Name: "a", Incarnation: 3}, member.DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+			receive(self, &peerpb.MemberState{Name: "a", Incarnation: 10})
+			alive := self.Alive(0)
+			own := alive[slices.IndexFunc(alive, func(s *peerpb.MemberState) bool { return s.Name == "a" })]
+			Expect(own.Incarnation).To(Equal(uint64(11)))
+		}
+	})
+
 	// Guards against a lost change: an engine's owner announces a loaded model, but most
 	// instances receive a later brief heartbeat of the owner first and would drop the full
 	// entry as old, so that a fleet of nine never becomes ready.
