Members: the monitors of a member are its neighbours in the cell

Monitors and Near were the same ranking of the same six members, worked out twice, and the members that have this one as a monitor a third way, with a copy of the cell for each of its peers. One function gives all three. Who witnesses a silence was collected beside liveCell, sets of names in five places (internal/set). Neighbours are worked out before the lock that placements wait for. Nothing else changes: the choices are the same.

--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/internal/set"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
@@ -53,9 +54,7 @@
 	defer f.mu.Unlock()
 	evacuated := map[string]bool{}
 	if f.evacuations != nil {
-		for _, name := range f.evacuations.DataCentres {
-			evacuated[name] = true
-		}
+		evacuated = set.Of(f.evacuations.DataCentres)
 	}
 	for _, change := range c.Changes {
 		if change.Evacuated {
--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -21,6 +21,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/internal/set"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
@@ -424,20 +425,17 @@
 		return
 	}
 	next := cell.Of(l.link.Self(), in.live, in.engines)
-	peers := make(map[string]bool, len(next.Peers))
-	for _, m := range next.Peers {
-		peers[m] = true
-	}
+	peers, neighbours := set.Of(next.Peers), member.NeighboursOf(l.link.Self(), next, in.live)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if next.Count != l.cell.Count || next.Index != l.cell.Index {
-		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count), zap.Int("mates", len(peers)), zap.Int("instances", len(in.live)))
+		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count),
+			zap.Int("mates", len(peers)), zap.Int("instances", len(in.live)))
 	}
 	if !maps.Equal(peers, l.cellPeers) {
 		l.idleReports = 0
 	}
-	neighbours := member.NeighboursOf(l.link.Self(), next, in.live)
-	l.cell, l.cellPeers, l.cellOf, l.monitors = next, peers, in, neighbours.Monitors
+	l.cell, l.cellPeers, l.cellOf, l.monitors = next, peers, in, neighbours.Near
 	l.members.SetNeighbours(neighbours)
 	l.ledger.RetainPeers(peers)
 	l.queue.RetainPeers(peers)
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/internal/set"
 )
 
 const (
@@ -185,10 +186,7 @@
 
 // SetEvacuated sets the data centres whose servers get no new requests.
 func (s *Set) SetEvacuated(dataCentres []string) {
-	s.evacuated = make(map[string]bool, len(dataCentres))
-	for _, name := range dataCentres {
-		s.evacuated[name] = true
-	}
+	s.evacuated = set.Of(dataCentres)
 }
 
 // Retained counts the servers that are used although the store does not list them.
--- a/decide/member/celldigest.go
+++ b/decide/member/celldigest.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/place"
+	"github.com/auburnmoor/auburnmoor/internal/set"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
@@ -171,10 +172,7 @@
 	asked := decodeRange(r.Range)
 	roster := &peerpb.CellRoster{Live: t.livesIn(now, asked)}
 	roster.Live = roster.Live[:min(maxRoster, len(roster.Live))]
-	known := make(map[uint64]bool, len(r.Known))
-	for _, life := range r.Known {
-		known[life] = true
-	}
+	known := set.Of(r.Known)
 	var states []*peerpb.MemberState
 	for _, e := range t.order {
 		if asked.Contains(e.nameHash) && t.alive(now, e) && !known[e.life] {
@@ -190,10 +188,7 @@
 // hearAll records a sign of life of all members of other cells with the life hashes. Cell peers
 // are heard directly: if they counted as alive by each other's digests, a dead one would forever.
 func (t *Table) hearAll(now time.Duration, lives []uint64) {
-	live := make(map[uint64]bool, len(lives))
-	for _, life := range lives {
-		live[life] = true
-	}
+	live := set.Of(lives)
 	for _, e := range t.order {
 		if live[e.life] && !e.contact && !t.cellPeers[e.name] {
 			e.heard = max(e.heard, now-evidenceAge)
--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -164,7 +164,7 @@
 	if c := cell.Of(f.names[i], live, engines); c.Count > 1 {
 		neighbours := member.NeighboursOf(f.names[i], c, live)
 		f.tables[i].SetNeighbours(neighbours)
-		f.cellPeers[i], f.monitors[i] = f.tablesOf(c.Peers), f.tablesOf(neighbours.Monitors)
+		f.cellPeers[i], f.monitors[i] = f.tablesOf(c.Peers), f.tablesOf(neighbours.Near)
 	}
 }
 
--- a/decide/member/neighbours.go
+++ b/decide/member/neighbours.go
@@ -6,29 +6,31 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/place"
+	"github.com/auburnmoor/auburnmoor/internal/set"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
 // maxNear and maxFar bound the neighbours inside and outside the instance's cell. A random
-// graph with this many edges per node stays connected when half of the nodes are lost.
+// graph with this many edges per node stays connected when half of the nodes are lost. All in
+// Near are among six tenths of a fleet that fail at once in one case of twenty; the other cell
+// peers notice a member's silence some seconds later.
 const (
 	maxNear = 6
 	maxFar  = 6
 )
 
 // Neighbours are the members with which an instance gossips in a fleet of several cells. Its
-// number of connections then depends neither on the size of the fleet nor on that of a cell.
+// number of messages then depends neither on the size of the fleet nor on that of a cell.
 type Neighbours struct {
-	// CellPeers are the other members of the same cell. They send each other signs of life more
-	// often than members of other cells do, and report when one of them falls silent.
+	// CellPeers are the other members of the same cell.
 	CellPeers []string
-	// Monitors are the cell peers that get signs of life of this instance most often and report
-	// its silence; Monitored are those whose silence this instance reports.
-	Monitors, Monitored []string
 	// Range contains the name hashes of the cell's members.
 	Range cell.HashRange
-	// Near are gossip partners in the same cell, Far in other cells.
+	// Near are gossip partners in the same cell, Far in other cells. Those in Near also get signs of
+	// life of this instance most often and report its silence.
 	Near, Far []string
+	// Monitored are the cell peers that have this instance in their Near.
+	Monitored []string
 }
 
 // NeighboursOf chooses the neighbours of self among the live members; c is its cell. The choice
@@ -38,29 +40,23 @@
 	if c.Count <= 1 {
 		return Neighbours{}
 	}
-	near := make(map[string]bool, len(c.Peers)+1)
-	near[self] = true
+	members := append(slices.Clone(c.Peers), self)
+	inCell := set.Of(members)
+	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return inCell[name] })
+	n := Neighbours{CellPeers: c.Peers, Range: c.Range, Near: nearOf(self, members), Far: place.Rank(self, others, maxFar)}
 	for _, name := range c.Peers {
-		near[name] = true
+		if slices.Contains(nearOf(name, members), self) {
+			n.Monitored = append(n.Monitored, name)
+		}
 	}
-	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return near[name] })
-	return Neighbours{CellPeers: c.Peers, Range: c.Range, Monitors: place.Rank(self, c.Peers, monitorCount), Monitored: monitoredBy(self, c.Peers), Near: place.Rank(self, c.Peers, maxNear), Far: place.Rank(self, others, maxFar)}
+	return n
 }
 
-// monitorCount is the number of monitors of a member. All of them are among six tenths of a fleet
-// that fail at once in one case of twenty; the other cell peers notice it some seconds later.
-const monitorCount = 6
-
-// monitoredBy returns the cell peers of which self is a monitor.
-func monitoredBy(self string, cellPeers []string) (out []string) {
-	members := append(slices.Clone(cellPeers), self)
-	for _, name := range cellPeers {
-		others := slices.DeleteFunc(slices.Clone(members), func(other string) bool { return other == name })
-		if place.InTop(self, name, others, monitorCount) {
-			out = append(out, name)
-		}
-	}
-	return out
+// nearOf returns the neighbours of a member in its cell.
+func nearOf(name string, members []string) []string {
+	ranked := place.Rank(name, members, maxNear+1)
+	ranked = slices.DeleteFunc(ranked, func(other string) bool { return other == name })
+	return ranked[:min(maxNear, len(ranked))]
 }
 
 // All returns all neighbours.
@@ -70,30 +66,22 @@
 // Until it is called, all members count as one cell.
 func (t *Table) SetNeighbours(n Neighbours) {
 	t.neighbours = n
-	t.cellPeers, t.monitored = setOf(n.CellPeers), setOf(n.Monitored)
+	t.cellPeers, t.monitored = set.Of(n.CellPeers), set.Of(n.Monitored)
 	for name, e := range t.entries {
 		e.distant = t.distant(name)
 	}
 }
 
-func setOf(names []string) map[string]bool {
-	out := make(map[string]bool, len(names))
-	for _, name := range names {
-		out[name] = true
-	}
-	return out
-}
-
 // distant reports whether a member is monitored by others: in another cell, or in the same one.
 func (t *Table) distant(name string) bool { return len(t.cellPeers) > 0 && !t.monitored[name] }
 
-// silenceReporters is the number of cell peers that report a member's silence to the other
-// cells. One is not enough: it may fail at the same moment, and datagrams get lost.
+// silenceReporters is the number of monitors that report a member's silence. The two that must
+// agree are not enough: one may fail at the same moment, and datagrams get lost.
 const silenceReporters = 4
 
-// NewlySilent returns the monitored members that fell silent since the last call and whose silence this
-// member reports to the other cells. It does not report peers that it heard of through others only:
-// by their own view of the fleet they may belong to another cell.
+// NewlySilent returns the monitored members that fell silent since the last call and whose
+// silence this member reports. It does not report peers that it heard of through others
+// only: by their own view of the fleet they may belong to another cell.
 func (t *Table) NewlySilent(now time.Duration) []*peerpb.MemberSilent {
 	var out []*peerpb.MemberSilent
 	for _, name := range t.neighbours.Monitored {
@@ -117,13 +105,7 @@
 
 // reportsSilence reports whether this member is among the silenceReporters of a silent one.
 func (t *Table) reportsSilence(now time.Duration, silent string) bool {
-	witnesses := []string{t.self.Name}
-	for name := range t.cellPeers {
-		if e := t.entries[name]; name != silent && e != nil && t.alive(now, e) {
-			witnesses = append(witnesses, name)
-		}
-	}
-	return place.InTop(t.self.Name, silent, witnesses, silenceReporters)
+	return place.InTop(t.self.Name, silent, t.liveCell(now), silenceReporters)
 }
 
 // A silence report voids all signs of life older than silenceMargin, so that those which arrive
