--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -101,7 +101,7 @@
 	}
 	f.serverSet.SetEvacuated(e.DataCentres)
 	if f.servers.Load() != nil {
-		f.servers.Store(f.serverSet.Snapshot())
+		f.publishServers()
 	}
 	f.log.Info("evacuated data centres changed", zap.String("from", from), zap.Stringer("at", e.At), zap.Strings("data_centres", e.DataCentres))
 	return true
--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -1,7 +1,7 @@
 package follow_test
 
 import (
-	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,19 +15,10 @@
 // instances that watch the store see the evacuation, and the others learn of it from peers.
 var _ = Describe("the evacuation of a data centre", func() {
 	const n = 9
-	start := func(store string) (fleet []*follow.Follower) {
-		for i := range n {
-			fleet = append(fleet, startWith(store, fmt.Sprintf("i%d", i), fmt.Sprintf("127.0.0.1:%d", fleetPort+i), fmt.Sprintf("127.0.0.1:%d", fleetPort),
-				"wait = \"200ms\"\nevacuations = true"))
-		}
-		return fleet
-	}
-	ready := func(n int) (out []int) {
-		for range 9 {
-			out = append(out, n)
-		}
-		return out
+	start := func(store string) []*follow.Follower {
+		return startFleetWith(repeatStore(store, n), shortWait+"\nevacuations = true")
 	}
+	ready := func(count int) []int { return slices.Repeat([]int{count}, n) }
 	evacuate := func(srv *storeserver.Server, dataCentre string) {
 		Expect(srv.Put("evacuations", dataCentre, map[string]any{})).To(Succeed())
 	}
--- a/control/follow/fleet_test.go
+++ b/control/follow/fleet_test.go
@@ -15,10 +15,14 @@
 const fleetPort = 19810
 
 // startFleet runs instances of one data centre, each with the store of its index.
-func startFleet(stores []string) []*follow.Follower {
+func startFleet(stores []string) []*follow.Follower { return startFleetWith(stores, shortWait) }
+
+// startFleetWith is startFleet with other settings of the module.
+func startFleetWith(stores []string, moduleSettings string) []*follow.Follower {
 	var out []*follow.Follower
+	first := fmt.Sprintf("127.0.0.1:%d", fleetPort)
 	for i, store := range stores {
-		out = append(out, startIn(store, fmt.Sprintf("i%d", i), fmt.Sprintf("127.0.0.1:%d", fleetPort+i), fmt.Sprintf("127.0.0.1:%d", fleetPort)))
+		out = append(out, startWith(store, fmt.Sprintf("i%d", i), fmt.Sprintf("127.0.0.1:%d", fleetPort+i), first, moduleSettings))
 	}
 	return out
 }
--- a/control/follow/follow_test.go
+++ b/control/follow/follow_test.go
@@ -43,9 +43,12 @@
 }
 
 func startIn(store, name, peerAddr, seed string) *follow.Follower {
-	return startWith(store, name, peerAddr, seed, `wait = "200ms"`)
+	return startWith(store, name, peerAddr, seed, shortWait)
 }
 
+// shortWait are settings of the module with short watches.
+const shortWait = `wait = "200ms"`
+
 // startWith is startIn with other settings of the module.
 func startWith(store, name, peerAddr, seed, moduleSettings string) *follow.Follower {
 	f, err := settings.Parse("f", []byte(fmt.Sprintf(`
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -81,8 +81,8 @@
 		return false
 	}
 	f.noteGracePeriods()
-	snap, before := f.serverSet.Snapshot(), f.servers.Load()
-	f.servers.Store(snap)
+	before := f.servers.Load()
+	snap := f.publishServers()
 	if before != nil && before.Digest == snap.Digest {
 		return false
 	}
@@ -91,6 +91,13 @@
 	return true
 }
 
+// publishServers publishes the present list of servers. The caller holds f.mu.
+func (f *Follower) publishServers() *backends.Snapshot {
+	snap := f.serverSet.Snapshot()
+	f.servers.Store(snap)
+	return snap
+}
+
 // noPosition is before every position of a store.
 var noPosition = position.Position{Revision: -1}
 
@@ -121,8 +128,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.serverSet.EndGracePeriods(f.now()) {
-		snap := f.serverSet.Snapshot()
-		f.servers.Store(snap)
+		snap := f.publishServers()
 		f.log.Info("grace period of backend servers ended after the store lost writes", zap.Stringer("at", snap.At), zap.Int("servers", snap.Len()))
 	}
 	return f.serverSet.Retained()+f.serverSet.PresumedStale() > 0
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -17,7 +17,7 @@
 const (
 	// readTimeout bounds a read of the full state.
 	readTimeout = 1500 * time.Millisecond
-	// dutyCheckInterval is how often an instance checks whether it should watch.
+	// dutyCheckInterval is how often an instance checks its duty to watch while the store fails.
 	dutyCheckInterval = 100 * time.Millisecond
 	// After a change the next call is delayed to batch further changes, by minBatchDelay
 	// and up to maxBatchDelay while they continue: in a rolling restart each server changes
--- a/control/members/cost_test.go
+++ b/control/members/cost_test.go
@@ -57,7 +57,8 @@
 	if views != 1 {
 		t.Errorf("%d views published, not 1", views)
 	}
-	m.table.Receive(time.Second, &peerpb.Gossip{Members: []*peerpb.MemberState{{Name: "entry-3", Incarnation: 1, Heartbeat: 2, Version: 1, Leaving: true}}})
+	leaving := &peerpb.MemberState{Name: "entry-3", Incarnation: 1, Heartbeat: 2, Version: 1, Leaving: true}
+	m.table.Receive(time.Second, &peerpb.Gossip{Members: []*peerpb.MemberState{leaving}})
 	m.publish()
 	if views != 2 {
 		t.Errorf("%d views published after a change, not 2", views)
--- a/control/members/gossip.go
+++ b/control/members/gossip.go
@@ -18,18 +18,25 @@
 	if len(msgs) == 0 {
 		return
 	}
-	connected := m.Settled() && len(m.View().Alive) <= maxConnectedFleet
+	connected := m.Settled() && m.smallFleet()
 	for _, msg := range msgs {
 		for _, add := range m.gossipHooks {
 			add(msg.Gossip)
 		}
-		if connected {
-			m.link.Send(msg.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}})
-			continue
-		}
-		for _, env := range datagramsOf(msg.Gossip) {
-			m.link.SendDatagram(msg.To, env)
-		}
+		m.sendMessage(msg, connected)
+	}
+}
+
+func (m *Members) smallFleet() bool { return len(m.View().Alive) <= maxConnectedFleet }
+
+// sendMessage sends one message over a connection or as datagrams.
+func (m *Members) sendMessage(msg member.Message, connected bool) {
+	if connected {
+		m.link.Send(msg.To, &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}})
+		return
+	}
+	for _, env := range datagramsOf(msg.Gossip) {
+		m.link.SendDatagram(msg.To, env)
 	}
 }
 
@@ -63,13 +70,8 @@
 	m.mu.Lock()
 	msgs := m.table.Announce(m.now())
 	m.mu.Unlock()
-	connected := len(m.View().Alive) <= maxConnectedFleet
+	connected := m.smallFleet()
 	for _, msg := range msgs {
-		env := &peerpb.Envelope{Body: &peerpb.Envelope_Gossip{Gossip: msg.Gossip}}
-		if connected {
-			m.link.Send(msg.To, env)
-			continue
-		}
-		m.link.SendDatagram(msg.To, env)
+		m.sendMessage(msg, connected)
 	}
 }
--- a/decide/cell/cell_test.go
+++ b/decide/cell/cell_test.go
@@ -77,8 +77,8 @@
 		Entry("985", 985, 935, 16),
 	)
 
-	// Guards against placements that take longer than a request may: after a loss of all instances
-	// each of 300 looked at 750 engines for each attempt and served nobody for half a minute.
+	// Guards against placements that cost more than an instance has: each of 300 instances looked
+	// at 750 engines for each attempt.
 	DescribeTable("have a bounded number of engines while there are instances enough", func(instances, engines int) {
 		live, all := names(instances), servers(engines)
 		c := cell.Of(live[0], live, engines)
--- a/decide/member/detect_test.go
+++ b/decide/member/detect_test.go
@@ -54,7 +54,10 @@
 func newNetwork(n int, seed uint64, maxFailAfter time.Duration, lossRate float64) *network {
 	cfg := member.DefaultConfig()
 	cfg.Period, cfg.FailBase, cfg.MaxFailAfter, cfg.FailDistant = 400*time.Millisecond, 700*time.Millisecond, maxFailAfter, failDistant
-	f := &network{rand: rand.New(rand.NewPCG(seed, 1)), failedMember: -1, lossRate: lossRate, delayed: map[time.Duration][]func(){}, cellPeers: map[int]map[*member.Table]bool{}, monitors: map[int]map[*member.Table]bool{}, views: map[int][]string{}}
+	f := &network{
+		rand: rand.New(rand.NewPCG(seed, 1)), failedMember: -1, lossRate: lossRate, delayed: map[time.Duration][]func(){},
+		cellPeers: map[int]map[*member.Table]bool{}, monitors: map[int]map[*member.Table]bool{}, views: map[int][]string{},
+	}
 	var contacts []member.Contact
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("i%03d", i))
--- a/peerlink/datagram_test.go
+++ b/peerlink/datagram_test.go
@@ -34,7 +34,7 @@
 }
 
 // Guards against connections, some 0.1 MB each, between all pairs of 300 instances that
-// only carry one small a second.
+// only carry one small message a second.
 var _ = Describe("a small envelope", func() {
 	const first, second = "127.0.0.1:19910", "127.0.0.1:19911"
 	addrs := map[string]string{"a": first, "b": second, "c": second}
--- a/serve/relay/pool_test.go
+++ b/serve/relay/pool_test.go
@@ -13,11 +13,18 @@
 	"github.com/auburnmoor/auburnmoor/decide/health"
 )
 
+func newTestPool() *pool {
+	return &pool{
+		tracker: health.NewTracker(maxEjected, rand.New(rand.NewPCG(1, 1))),
+		lives:   map[string]backends.Life{}, suspended: map[string]time.Duration{},
+	}
+}
+
 // Guards against a restarted server that gets no requests for seconds, because failures
 // from before its crash still count under the same ID.
 var _ = Describe("the health of a server", func() {
 	DescribeTable("is dropped when it restarts", func(before, after backends.Life, forgotten bool) {
-		p := &pool{tracker: health.NewTracker(maxEjected, rand.New(rand.NewPCG(1, 1))), lives: map[string]backends.Life{}, suspended: map[string]time.Duration{}}
+		p := newTestPool()
 		p.syncServers(new(backends.Snapshot), []backends.Server{{ID: "a", Life: before}})
 		p.suspended["a"] = time.Minute
 		p.syncServers(new(backends.Snapshot), []backends.Server{{ID: "a", Life: after}})
@@ -33,7 +40,7 @@
 // dozens of times a second, and each time all servers were compared with those known before.
 var _ = Describe("a list of servers", func() {
 	It("is compared with the one before only once", func() {
-		p := &pool{tracker: health.NewTracker(maxEjected, rand.New(rand.NewPCG(1, 1))), lives: map[string]backends.Life{}, suspended: map[string]time.Duration{}}
+		p := newTestPool()
 		var ready []backends.Server
 		for i := range 1000 {
 			ready = append(ready, backends.Server{ID: fmt.Sprint("s", i)})
