--- /dev/null
+++ b/control/loads/cells.go
@@ -0,0 +1,97 @@
+package loads
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/decide/cell"
+	"github.com/auburnmoor/auburnmoor/decide/member"
+	"github.com/auburnmoor/auburnmoor/internal/set"
+)
+
+// cellInput is what determines the cell of an instance: the names of the live instances and the
+// number of engines.
+type cellInput struct {
+	live    []string
+	engines int
+}
+
+func (a cellInput) equal(b cellInput) bool {
+	return a.engines == b.engines && slices.Equal(a.live, b.live)
+}
+
+// completeReceivers returns the cell peers that get this complete report. l.mu must be held.
+func (l *Loads) completeReceivers(idle bool) []string {
+	if !idle {
+		l.idleReports = 0
+		return l.cell.Peers
+	}
+	l.idleReports++
+	if len(l.monitors) == 0 || l.idleReports < idleInterval || l.idleReports%idleInterval == 0 {
+		return l.cell.Peers
+	}
+	return l.monitors
+}
+
+// updateCell recomputes this instance's cell if the live instances or the number of engines
+// changed.
+func (l *Loads) updateCell(v members.View) {
+	in := cellInput{live: make([]string, len(v.Alive)), engines: l.minReadyServers()}
+	for i, m := range v.Alive {
+		in.live[i] = m.Name
+	}
+	l.mu.Lock()
+	unchanged := in.equal(l.cellOf)
+	l.mu.Unlock()
+	if unchanged {
+		return
+	}
+	next := cell.Of(l.link.Self(), in.live, in.engines)
+	peers, neighbours := set.Of(next.Peers), member.NeighboursOf(l.link.Self(), next, in.live)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if next.Count != l.cell.Count || next.Index != l.cell.Index {
+		l.log.Info("cell changed", zap.Int("cell", next.Index), zap.Int("cells", next.Count),
+			zap.Int("mates", len(peers)), zap.Int("instances", len(in.live)))
+	}
+	if !maps.Equal(peers, l.cellPeers) {
+		l.idleReports = 0
+	}
+	l.cell, l.cellPeers, l.cellOf, l.monitors = next, peers, in, neighbours.Near
+	l.members.SetNeighbours(neighbours)
+	l.ledger.RetainPeers(peers)
+	l.queue.RetainPeers(peers)
+	for peer := range l.synced {
+		if !peers[peer] {
+			delete(l.synced, peer)
+			delete(l.newestReport, peer)
+		}
+	}
+}
+
+// minReadyServers returns the minimum number of ready servers over all model services, or zero
+// while the catalog is unknown.
+func (l *Loads) minReadyServers() int {
+	table, servers := l.catalog.Table(), l.catalog.Servers()
+	if table == nil || servers == nil {
+		return 0
+	}
+	minCount := 0
+	for _, s := range table.Services {
+		n := len(servers.Ready(s.Name))
+		if s.Engine != nil && (minCount == 0 || n < minCount) {
+			minCount = n
+		}
+	}
+	return minCount
+}
+
+// Cell returns this instance's cell.
+func (l *Loads) Cell() cell.Cell {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cell
+}
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -14,7 +14,6 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/internal/digest"
-	"github.com/auburnmoor/auburnmoor/internal/partial"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
@@ -103,12 +102,6 @@
 	return t
 }
 
-// entryRequest is a request for the full entries of some members.
-type entryRequest struct {
-	peer  string
-	names []string
-}
-
 // Contact is an instance that is known by name only and not yet confirmed by gossip.
 type Contact struct {
 	Name     string
@@ -188,72 +181,11 @@
 	return changed
 }
 
-// maxRequested bounds the entries of one request.
-const maxRequested = 64
-
-// requestUnknown prepares a request for members of which only brief entries arrived. The
-// sender has sent each full entry as often as it does by itself.
-func (t *Table) requestUnknown(from string, states []*peerpb.MemberState) {
-	var names []string
-	for _, s := range states {
-		if s.Brief && t.unknownLife(s) && len(names) < maxRequested {
-			names = append(names, s.Name)
-		}
-	}
-	if len(names) > 0 {
-		t.unknown = append(t.unknown, entryRequest{from, names})
-	}
-}
-
-// unknownLife reports whether an entry is of a member, or of a life of it, that is not known.
-func (t *Table) unknownLife(s *peerpb.MemberState) bool {
-	if s.Name == t.self.Name {
-		return false
-	}
-	e := t.entries[s.Name]
-	return e == nil || e.contact || e.state.Incarnation < s.Incarnation
-}
-
-func (t *Table) addRequest(from string, names []string) {
-	if len(names) > 0 {
-		t.requests = append(t.requests, entryRequest{from, names[:min(maxRequested, len(names))]})
-	}
-}
-
 func (t *Table) knowsAlive(now time.Duration, name string) bool {
 	e := t.entries[name]
 	return e != nil && t.alive(now, e)
 }
 
-// Replies returns replies to members that sent gossip before they were known here, or that asked
-// for entries, and requests for entries that are missing here. Without the first an instance that
-// starts would know nobody until another member picks it as a gossip target at random.
-func (t *Table) Replies(now time.Duration) []Message {
-	var out []Message
-	for _, name := range t.newSenders {
-		out = append(out, Message{To: name, Gossip: &peerpb.Gossip{Members: t.sample(now)}})
-	}
-	for _, r := range t.requests {
-		out = append(out, Message{To: r.peer, Gossip: &peerpb.Gossip{Members: t.fullEntries(now, r.names)}})
-	}
-	for _, r := range t.unknown {
-		out = append(out, Message{To: r.peer, Gossip: &peerpb.Gossip{Members: []*peerpb.MemberState{cloneState(t.self)}, Unknown: r.names}})
-	}
-	t.newSenders, t.requests, t.unknown = nil, nil, nil
-	return out
-}
-
-// fullEntries returns self and the full entries of the named live members.
-func (t *Table) fullEntries(now time.Duration, names []string) []*peerpb.MemberState {
-	out := []*peerpb.MemberState{cloneState(t.self)}
-	for _, name := range names {
-		if e := t.entries[name]; e != nil && t.alive(now, e) {
-			out = append(out, renderFull(now, e))
-		}
-	}
-	return out
-}
-
 // refute raises self's incarnation above that of a state which this process did not
 // publish. Such a state comes from an earlier process of the same name whose wall clock ran
 // ahead; without a higher incarnation, other members would ignore this process as stale.
@@ -412,135 +344,6 @@
 	return out
 }
 
-// targets picks random live members and one that is not known to be alive, so that
-// instances rediscover each other after a long partition.
-func (t *Table) targets(now time.Duration) []string {
-	var live, rest []*entry
-	for _, e := range t.order {
-		if t.alive(now, e) {
-			live = append(live, e)
-		} else {
-			rest = append(rest, e)
-		}
-	}
-	out := t.drawTargets(now, live, t.cfg.Fanout+t.extraTargets(now))
-	if len(rest) > 0 {
-		out = append(out, rest[t.rand.IntN(len(rest))].name)
-	}
-	return out
-}
-
-// extraTargets is the number of additional targets of a round while there are more pending
-// updates than a message usually carries: after a full start, or the loss of half the fleet.
-func (t *Table) extraTargets(now time.Duration) int {
-	updates := 0
-	for _, e := range t.order {
-		if t.pendingUpdate(now, e) {
-			updates++
-		}
-	}
-	if updates > t.cfg.Sample {
-		return extraFanout
-	}
-	return 0
-}
-
-// pendingUpdate reports whether an entry changed recently and was not sent often enough yet.
-func (t *Table) pendingUpdate(now time.Duration, e *entry) bool {
-	return t.alive(now, e) && now-e.changedAt < updateWindow && e.sends < maxSends
-}
-
-// sample returns self, the pending updates that were sent least often, and some of the other
-// live members: those heard from last, since older heartbeats are already known elsewhere.
-// Without priority for updates, most pairs of 300 instances that start together don't know
-// each other after three seconds, and some after 30 s. With the others chosen at random, a
-// live member of 100 is sometimes not heard of for 16 s.
-func (t *Table) sample(now time.Duration) []*peerpb.MemberState {
-	var updates, rest []*entry
-	for _, e := range t.order {
-		switch {
-		case t.pendingUpdate(now, e):
-			updates = append(updates, e)
-		case t.alive(now, e):
-			rest = append(rest, e)
-		}
-	}
-	updates = t.chooseFirst(updates, max(maxUpdates, t.cfg.Sample), func(a, b *entry) bool { return a.sends < b.sends })
-	rest = t.chooseFirst(rest, t.heartbeatsIn(updates), func(a, b *entry) bool { return a.heard > b.heard })
-	out := []*peerpb.MemberState{cloneState(t.self)}
-	for _, e := range slices.Concat(updates, rest) {
-		out = append(out, t.render(now, e))
-		e.sends++
-	}
-	return out
-}
-
-// heartbeatsIn returns how many members without updates a message carries beside updates. In a fleet
-// of several cells it carries none: cell digests tell who lives.
-func (t *Table) heartbeatsIn(updates []*entry) int {
-	if len(t.cellPeers) > 0 {
-		return 0
-	}
-	return t.cfg.Sample - len(updates)
-}
-
-// chooseFirst returns the first n entries in the order of less, equal ones in random order.
-func (t *Table) chooseFirst(entries []*entry, n int, less func(a, b *entry) bool) []*entry {
-	t.shuffle(entries)
-	return partial.First(entries, n, less)
-}
-
-// shuffle permutes entries; as they come in sorted, the result depends on the seed alone.
-func (t *Table) shuffle(entries []*entry) {
-	t.rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
-}
-
-// Limits on how often changed entries are sent, and in what form.
-const (
-	// updateWindow is how long a changed entry is sent in full. After that, one in fullEvery
-	// messages carries it in full.
-	updateWindow = 10 * time.Second
-	fullEvery    = 16
-	// maxUpdates bounds the updates in one message: 192 full entries are some 17 KB. When 300
-	// instances start together, each sends all that it knows within two rounds.
-	maxUpdates = 192
-	// extraFanout is the number of additional targets while many updates are pending.
-	extraFanout = 2
-	// maxSends is the number of messages in which an instance sends one update. With three
-	// messages a round, the update reaches everyone long before.
-	maxSends = 8
-)
-
-// render returns an entry as it is sent. Names, addresses and engines rarely change, so most
-// entries carry only the heartbeat: with full entries, 350 instances would exceed the budget
-// of 22 KB/s each (59 KB/s).
-func (t *Table) render(now time.Duration, e *entry) *peerpb.MemberState {
-	if t.pendingUpdate(now, e) || t.rand.IntN(fullEvery) == 0 {
-		return renderFull(now, e)
-	}
-	return &peerpb.MemberState{
-		Name: e.state.Name, Incarnation: e.state.Incarnation, Heartbeat: e.state.Heartbeat, Leaving: e.state.Leaving, Version: e.state.Version,
-		Brief: true, AgeMs: ageMillis(now, e),
-	}
-}
-
-func renderFull(now time.Duration, e *entry) *peerpb.MemberState {
-	full := cloneState(e.state)
-	full.AgeMs = ageMillis(now, e)
-	return full
-}
-
-func ageMillis(now time.Duration, e *entry) uint32 { return uint32(max(0, now-e.heard).Milliseconds()) }
-
-// cloneState copies a state, because a message outlives the call while the state changes.
-func cloneState(s *peerpb.MemberState) *peerpb.MemberState {
-	return &peerpb.MemberState{
-		Name: s.Name, Incarnation: s.Incarnation, Heartbeat: s.Heartbeat, Leaving: s.Leaving,
-		DataCentre: s.DataCentre, Region: s.Region, PeerAddr: s.PeerAddr, CallerAddr: s.CallerAddr,
-		Engines: s.Engines, Version: s.Version, Serving: s.Serving, Capacity: s.Capacity,
-	}
-}
-
 // forget removes the members that have been silent for longer than ForgetAfter.
 func (t *Table) forget(now time.Duration) {
 	t.order = slices.DeleteFunc(t.order, func(e *entry) bool {
