--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -6,7 +6,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
