--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -18,9 +18,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/away"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
-	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
-	"github.com/auburnmoor/auburnmoor/internal/set"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
