A stream is not ended for its engine's silence while no retry is allowed

Cause: after 1.2 s without an event, and more where engines are overloaded, the attempt was ended; only then the retry budget was asked, denied, and the answer aborted, though the engine went on and the client waited. The last attempt of a request has always waited as long as its client for this reason; that the budget is spent makes an attempt the last one too. Before anything of the answer is out nothing changes. Window.Take asks Allows, the one place of the sum.

Test: e2e "is completed if the budget allows no retry" (events 1.5 s apart, no retries): unexpected EOF before, three events now.

--- a/decide/retry/window.go
+++ b/decide/retry/window.go
@@ -43,19 +43,24 @@
 // AddRequest counts a first attempt.
 func (w *Window) AddRequest(now time.Duration) { w.requests[w.advance(now)]++ }
 
-// Take counts a retry if the window allows it.
-func (w *Window) Take(now time.Duration) bool {
-	i := w.advance(now)
+// Allows reports whether the window allows a retry now.
+func (w *Window) Allows(now time.Duration) bool {
+	w.advance(now)
 	requests, retries := 0, 0
 	for k := range windowBuckets {
 		requests += w.requests[k]
 		retries += w.retries[k]
 	}
-	if float64(retries+1) > w.ratio*float64(requests)+w.extra {
+	return float64(retries+1) <= w.ratio*float64(requests)+w.extra
+}
+
+// Take counts a retry if the window allows it.
+func (w *Window) Take(now time.Duration) bool {
+	if !w.Allows(now) {
 		w.denied++
 		return false
 	}
-	w.retries[i]++
+	w.retries[w.advance(now)]++
 	return true
 }
 
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -28,6 +28,8 @@
 	engines []*workerserver.Server
 	plain   []*workerserver.Server
 	version int
+	// settings are added to those of each instance.
+	settings string
 }
 
 const platformBasePort = 19_000
@@ -47,7 +49,12 @@
 
 // newPlatformSiteWith starts a site with the given number of identical engines.
 func newPlatformSiteWith(engines int, engine workerserver.Config) *platformSite {
-	s := &platformSite{fleet: buildFleet(), store: storeserver.New(platformAddr(1))}
+	return newPlatformSiteUsing("", engines, engine)
+}
+
+// newPlatformSiteUsing is newPlatformSiteWith with further settings of the instances.
+func newPlatformSiteUsing(settings string, engines int, engine workerserver.Config) *platformSite {
+	s := &platformSite{fleet: buildFleet(), store: storeserver.New(platformAddr(1)), settings: settings}
 	Expect(s.store.Start()).To(Succeed())
 	for i := range engines {
 		s.engines = append(s.engines, s.startServer(fmt.Sprint("e", i), "model", engine))
@@ -113,7 +120,7 @@
 ready = %q
 [control.members]
 gossip = "200ms"
-`, name, i, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), platformAddr(1), platformAddr(400), platformAddr(200+i), platformAddr(300+i))), 0o600)).To(Succeed())
+%s`, name, i, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), platformAddr(1), platformAddr(400), platformAddr(200+i), platformAddr(300+i), s.settings)), 0o600)).To(Succeed())
 	s.start(name, "serve", "--config", path)
 }
 
@@ -638,3 +645,19 @@
 		s.wait("entry-1")
 	})
 })
+
+// Guards against an answer that its instance cuts off although its engine goes on: the engine
+// was silent for longer than the timeout between events, and no retry was left in the budget.
+var _ = Describe("a stream whose engine is slow", func() {
+	It("is completed if the budget allows no retry", func() {
+		slow := workerserver.Config{Events: 3, EventPause: 1500 * time.Millisecond, Memory: engineMemory}
+		site := newPlatformSiteUsing("[serve.relay]\nretry_ratio = 0.000001\n", 2, slow)
+		DeferCleanup(site.close)
+		resp, body := attempt{path: "/ask/1", id: "slow", key: "k1", tokens: 400, body: "prompt"}.send(0)
+		Expect(resp.StatusCode).To(Equal(200))
+		for n := 1; n <= slow.Events; n++ {
+			Expect(body).To(ContainSubstring(workerserver.Event("slow", n)))
+		}
+		Expect(runs(site.engines, "slow")).To(Equal(1))
+	})
+})
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -75,7 +75,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if x.splitter.partial() || !x.streamStarted {
+			if x.splitter.partial() || !x.streamStarted.Load() {
 				return x.classifyError(ctx, plan, errors.Mark(io.ErrUnexpectedEOF, backend.ErrBroken))
 			}
 			x.sink.End()
@@ -108,10 +108,10 @@
 }
 
 func (x *exchange) forwardEvents(plan spread.Plan, h backend.Head, events []byte) error {
-	if !x.streamStarted {
+	if !x.streamStarted.Load() {
 		x.firstLatency = x.relay.now() - x.started
 		x.sink.Begin(h)
-		x.streamStarted = true
+		x.streamStarted.Store(true)
 		x.state.MarkForwarded()
 	} else {
 		x.newestGap = x.relay.now() - x.lastEvent
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -86,7 +86,7 @@
 	retryAfter time.Duration
 	splitter   eventSplitter
 	// streamStarted is set if the head of a stream was sent to the client.
-	streamStarted bool
+	streamStarted atomic.Bool
 	// serverError is the last error answer of a server, which may be passed on.
 	serverError     backend.Head
 	serverErrorBody []byte
@@ -192,7 +192,7 @@
 
 // endWithError ends the exchange with an error of this instance, or aborts its stream.
 func (x *exchange) endWithError(failure *result.Error) {
-	if x.streamStarted {
+	if x.streamStarted.Load() {
 		x.sink.Abort()
 		x.warn("stream broken off", zap.Stringer("code", failure.Code))
 		return
@@ -308,7 +308,7 @@
 	if x.route.Kind == route.Stream && h.Status < 300 {
 		return x.forwardStream(ctx, plan, answer, load, silenceTimer)
 	}
-	if x.streamStarted {
+	if x.streamStarted.Load() {
 		// Nothing but the rest of the stream may follow what was sent of it.
 		x.recordFailure(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("server answered %d in the middle of a stream", h.Status)
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -358,18 +358,30 @@
 
 // takeRetry spends one retry of this instance's part of the shared budget, if any.
 func (r *Relay) takeRetry(service string) bool {
-	members := max(1, len(r.members.View().Alive))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w := r.pool(service).retries
-	w.SetExtra(retrySafetyFactor * r.RetryExtra / float64(members))
-	if w.Take(r.now()) {
+	if r.retryBudget(service).Take(r.now()) {
 		return true
 	}
 	r.count("retries_denied_total", "service", service)
 	return false
 }
 
+// allowsRetry reports whether takeRetry would succeed now.
+func (r *Relay) allowsRetry(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retryBudget(service).Allows(r.now())
+}
+
+// retryBudget returns this instance's part of the shared budget; r.mu must be held.
+func (r *Relay) retryBudget(service string) *retry.Window {
+	members := max(1, len(r.members.View().Alive))
+	w := r.pool(service).retries
+	w.SetExtra(retrySafetyFactor * r.RetryExtra / float64(members))
+	return w
+}
+
 // observeBacklog records the present prefill backlog of a service's servers.
 func (r *Relay) observeBacklog(service string, servers []backends.Server) {
 	backlog := r.loads.Backlog(servers)
--- a/serve/relay/timeout.go
+++ b/serve/relay/timeout.go
@@ -32,13 +32,18 @@
 const overloadBacklog = 100 * time.Millisecond
 
 // watchSilence calls onSilence when nothing comes from the servers of a plan within
-// the timeout of the attempt, which is extended while the engines are overloaded.
+// the timeout of the attempt, which is extended while the engines are overloaded, or while no
+// other attempt could continue an answer whose beginning was sent.
 func (x *exchange) watchSilence(plan spread.Plan, onSilence func()) *time.Timer {
 	var t *time.Timer
 	// The timer may fire before t is set.
 	armed := make(chan struct{})
 	t = time.AfterFunc(x.attemptTimeout(plan), func() {
 		<-armed
+		if x.streamStarted.Load() && !x.canRetry() {
+			t.Reset(attempt.ExtendInterval)
+			return
+		}
 		silent := x.relay.now() - time.Duration(x.lastHeard.Load())
 		if attempt.ShouldWait(silent, x.overloaded(plan), x.route.FirstEventTarget, x.route.GapTarget) {
 			x.relay.log.Info("attempt extended, servers are overloaded", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID),
@@ -52,6 +57,12 @@
 	return t
 }
 
+// canRetry reports whether another attempt would be allowed now. State.Next takes the retry once
+// the attempt has ended.
+func (x *exchange) canRetry() bool {
+	return x.remaining() > minRetryTime && x.relay.allowsRetry(x.service.Name)
+}
+
 // overloaded reports whether the servers of a plan have more work than they can run at
 // once, so that a late answer does not indicate a fault.
 func (x *exchange) overloaded(plan spread.Plan) bool {
