--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -34,6 +34,9 @@
 
 const platformBasePort = 19_000
 
+// platformEntries is the number of entry instances of a site.
+const platformEntries = 3
+
 func platformAddr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", platformBasePort+offset) }
 
 // Memory in tokens and events per answer of a stand-in engine; a prompt of 150,000 tokens
@@ -55,6 +58,16 @@
 // newPlatformSiteUsing is newPlatformSiteWith with further settings of the instances.
 func newPlatformSiteUsing(settings string, engines int, engine workerserver.Config) *platformSite {
 	s := &platformSite{fleet: buildFleet(), store: storeserver.New(platformAddr(1)), settings: settings}
+	s.startServers(engines, engine)
+	for i := range platformEntries {
+		s.startEntry(i)
+	}
+	s.awaitReady()
+	return s
+}
+
+// startServers starts the store and the backend servers.
+func (s *platformSite) startServers(engines int, engine workerserver.Config) {
 	Expect(s.store.Start()).To(Succeed())
 	for i := range engines {
 		s.engines = append(s.engines, s.startServer(fmt.Sprint("e", i), "model", engine))
@@ -63,17 +76,17 @@
 		s.plain = append(s.plain, s.startServer(fmt.Sprint("p", i), "registry", workerserver.Config{}))
 	}
 	s.configure("k1")
-	for i := range 3 {
-		s.startEntry(i)
-	}
-	for i := range 3 {
+}
+
+// awaitReady waits until every instance is ready and knows the others.
+func (s *platformSite) awaitReady() {
+	for i := range platformEntries {
 		Eventually(func() int { return call("GET", "http://"+platformAddr(300+i)+"/readiness", "").status }, "15s", "50ms").Should(Equal(200))
 		Eventually(func() string { return call("GET", "http://"+platformAddr(200+i)+"/resolve?name=h&zone=dc-1", "").body }, "15s", "50ms").
 			Should(And(ContainSubstring(platformAddr(100)), ContainSubstring(platformAddr(101)), ContainSubstring(platformAddr(102))))
 		Eventually(func() string { return call("GET", "http://"+platformAddr(500+i)+"/admin/dump", "").body }, "15s", "50ms").
 			Should(MatchRegexp(`"config_state":\s*"confirmed"`))
 	}
-	return s
 }
 
 func (s *platformSite) startServer(id, service string, cfg workerserver.Config) *workerserver.Server {
@@ -103,7 +116,13 @@
 func (s *platformSite) startEntry(i int) {
 	name := fmt.Sprint("entry-", i)
 	path := filepath.Join(s.dir, name+".toml")
-	Expect(os.WriteFile(path, []byte(fmt.Sprintf(`[instance]
+	Expect(os.WriteFile(path, s.entrySettings(i, "platform.client"), 0o600)).To(Succeed())
+	s.start(name, "serve", "--config", path)
+}
+
+// entrySettings returns the settings of an instance that calls the platform through the given module.
+func (s *platformSite) entrySettings(i int, client string) []byte {
+	return fmt.Appendf(nil, `[instance]
 name = %q
 data_centre = "dc-%d"
 region = "r"
@@ -111,8 +130,8 @@
 peer_addr = %q
 admin_addr = %q
 drain_timeout = "8s"
-modules = ["platform.client", "platform.front", "http.admin"]
-[platform.client]
+modules = [%q, "platform.front", "http.admin"]
+[%s]
 store = %q
 seeds = %q
 [platform.front]
@@ -120,8 +139,8 @@
 ready = %q
 [control.members]
 gossip = "200ms"
-%s`, name, i, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), platformAddr(1), platformAddr(400), platformAddr(200+i), platformAddr(300+i), s.settings)), 0o600)).To(Succeed())
-	s.start(name, "serve", "--config", path)
+%s`, fmt.Sprint("entry-", i), i, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), client, client,
+		platformAddr(1), platformAddr(400), platformAddr(200+i), platformAddr(300+i), s.settings)
 }
 
 func (s *platformSite) close() {
