Calls to backend servers that an instance cannot reach are made by other instances

Callers of an instance without a path to the backend servers got 503: each request tried four servers for 300 ms each, behind the same partition. The class is a resource that is reached over one path only, and a failed path that counts as a failure of the resource.

serve/peerproxy is now the client of backend servers. It connects itself while that works. If an attempt to connect fails or takes 100 ms, another instance is asked to make the call; it answers that it can connect before anything of the request is sent, so a request is known not to have run until then. An instance that makes a call for another never passes it on, makes 256 at most, and refuses when it is isolated itself, leaves, or knows that the server leaves. Each instance spreads its calls over four others by rendezvous hashing. decide/reach judges the paths by service: a failing server is gone round until a connection succeeds, servers not tried yet while nothing is heard from the service. Calls that hear nothing for 200 ms have their server probed; if another instance reaches it, those that may be repeated end and are sent again. A server that falls silent for everybody stays as it was. A lost path is no failure of the server any more: servers were ejected for it, and deep prompts then went to two engines in place of ten. Nor is it a crash: a server that other instances reach has not ended.

--- a/modules/modules.go
+++ b/modules/modules.go
@@ -19,5 +19,6 @@
 	_ "github.com/auburnmoor/auburnmoor/serve/dispatcher"
 	_ "github.com/auburnmoor/auburnmoor/serve/enginepoll"
 	_ "github.com/auburnmoor/auburnmoor/serve/entries"
+	_ "github.com/auburnmoor/auburnmoor/serve/peerproxy"
 	_ "github.com/auburnmoor/auburnmoor/serve/relay"
 )
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -67,6 +67,12 @@
 // Forwarder handles a request forwarded by another instance.
 type Forwarder func(context.Context, *peerpb.ForwardRequest) (*peerpb.ForwardReply, error)
 
+// Proxier makes calls to backend servers for other instances.
+type Proxier interface {
+	Proxy(s grpc.BidiStreamingServer[peerpb.ProxyRequest, peerpb.ProxyReply]) error
+	ProxyOrder(context.Context, *peerpb.ProxyOrderRequest) (*peerpb.ProxyOrderReply, error)
+}
+
 // Link is the module "peer.link".
 type Link struct {
 	// RingSize bounds the envelopes queued for one instance; excess ones are
@@ -80,6 +86,7 @@
 	resolve  func(string) (string, bool)
 	handlers []Handler
 	forward  Forwarder
+	proxier  Proxier
 	ctx      context.Context
 
 	datagrams datagrams
@@ -99,6 +106,8 @@
 	stop context.CancelFunc
 	// lastUsed is when the connection was last requested for sending.
 	lastUsed time.Time
+	// calls counts the proxied calls in progress.
+	calls int
 }
 
 func (p *peer) close() {
@@ -135,6 +144,9 @@
 // HandleForward sets the handler of forwarded requests.
 func (l *Link) HandleForward(f Forwarder) { l.forward = f }
 
+// HandleProxy sets the handler of calls that other instances ask this one to make.
+func (l *Link) HandleProxy(p Proxier) { l.proxier = p }
+
 // Start implements auburnmoor.Starter.
 func (l *Link) Start(ctx context.Context) error {
 	lis, err := net.Listen("tcp", l.self.PeerAddr)
@@ -159,7 +171,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, p := range l.peers {
-		if now.Sub(p.lastUsed) > idleTimeout {
+		if p.calls == 0 && now.Sub(p.lastUsed) > idleTimeout {
 			p.close()
 			delete(l.peers, name)
 		}
@@ -209,6 +221,38 @@
 	return peerpb.NewPeerClient(p.conn).Forward(ctx, req)
 }
 
+// Proxy opens a call that another instance makes for this one. The caller calls done once
+// it has ended.
+func (l *Link) Proxy(ctx context.Context, to string) (call grpc.BidiStreamingClient[peerpb.ProxyRequest, peerpb.ProxyReply], done func(), err error) {
+	p, err := l.peer(to)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.countCall(p, 1)
+	call, err = peerpb.NewPeerClient(p.conn).Proxy(ctx)
+	if err != nil {
+		l.countCall(p, -1)
+		return nil, nil, err
+	}
+	return call, func() { l.countCall(p, -1) }, nil
+}
+
+func (l *Link) countCall(p *peer, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.calls += n
+	p.lastUsed = time.Now()
+}
+
+// ProxyOrder has another instance send an order to a backend server.
+func (l *Link) ProxyOrder(ctx context.Context, to string, req *peerpb.ProxyOrderRequest) (*peerpb.ProxyOrderReply, error) {
+	p, err := l.peer(to)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(p.conn).ProxyOrder(ctx, req)
+}
+
 func (l *Link) peer(name string) (*peer, error) {
 	addr, ok := l.resolve(name)
 	if !ok || addr == "" {
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -4,12 +4,17 @@
 	"context"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/result"
 )
 
+// errNoProxy is the answer of an instance that makes no calls for others.
+var errNoProxy = status.Error(codes.Unimplemented, "this instance makes no calls for others")
+
 // server is the receiving side of a Link.
 type server struct {
 	peerpb.UnimplementedPeerServer
@@ -34,3 +39,19 @@
 	}
 	return sv.link.forward(ctx, req)
 }
+
+// Proxy implements peerpb.PeerServer.
+func (sv *server) Proxy(s grpc.BidiStreamingServer[peerpb.ProxyRequest, peerpb.ProxyReply]) error {
+	if sv.link.proxier == nil {
+		return errNoProxy
+	}
+	return sv.link.proxier.Proxy(s)
+}
+
+// ProxyOrder implements peerpb.PeerServer.
+func (sv *server) ProxyOrder(ctx context.Context, req *peerpb.ProxyOrderRequest) (*peerpb.ProxyOrderReply, error) {
+	if sv.link.proxier == nil {
+		return nil, errNoProxy
+	}
+	return sv.link.proxier.ProxyOrder(ctx, req)
+}
--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -52,6 +52,18 @@
 	Helpers []Helper
 	// ResumeAfter resumes a stream after the event with this id.
 	ResumeAfter string
+	// Repeatable is set if the request may be sent again when the call fails.
+	Repeatable bool
+}
+
+// Endpoint returns the server that is called.
+func (c Call) Endpoint() Endpoint { return Endpoint{Server: c.Server, Life: c.Life, Addr: c.Addr} }
+
+// Endpoint is one life of a backend server at its address.
+type Endpoint struct {
+	Server string
+	Life   backends.Life
+	Addr   string
 }
 
 // Head is the status and headers of an answer.
@@ -95,6 +107,11 @@
 	Hold time.Duration
 }
 
+// Endpoint returns the server that is called.
+func (r Reservation) Endpoint() Endpoint {
+	return Endpoint{Server: r.Server, Life: r.Life, Addr: r.Addr}
+}
+
 // Errors of Client. After ErrNotSent no byte of the request can have reached the
 // server; after ErrBroken the request may have run.
 var (
@@ -102,8 +119,29 @@
 	ErrBroken  = errors.New("connection to the backend server failed after the request was sent")
 )
 
+// ErrPathLost marks errors that say nothing about the backend server: this instance lost its
+// way to it.
+var ErrPathLost = errors.New("no path to the backend server")
+
+// Condition is what is known of a backend server whose connection broke.
+type Condition int
+
+// The conditions.
+const (
+	// ConditionUnknown means that the server accepts connections, or that nothing is known.
+	ConditionUnknown Condition = iota
+	// ServerEnded means that the server refuses connections, as after the end of its process.
+	ServerEnded
+	// PathLost means that the server runs, but this instance has no path to it.
+	PathLost
+)
+
 // Client calls backend servers.
 type Client interface {
+	// Connected reports whether a kept connection to a server is free.
+	Connected(to Endpoint) bool
+	// Connect opens a connection to a server, which is kept for the next call to it.
+	Connect(ctx context.Context, to Endpoint) error
 	// Do sends a call and waits for the head of the answer.
 	Do(ctx context.Context, c Call) (Answer, error)
 	// Reserve requests memory and reports whether it was granted. After an error it
@@ -111,7 +149,6 @@
 	Reserve(ctx context.Context, r Reservation) (bool, error)
 	// Release ends a reservation.
 	Release(ctx context.Context, r Reservation) error
-	// RefusesConnections reports whether an address refuses connections, as it does after the
-	// server process ended. It returns false if that is not known.
-	RefusesConnections(ctx context.Context, addr string) bool
+	// Examine finds out why a connection to a server broke.
+	Examine(ctx context.Context, to Endpoint) Condition
 }
--- /dev/null
+++ b/serve/peerproxy/carry.go
@@ -0,0 +1,180 @@
+package peerproxy
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburnmoor/auburnmoor/decide/reach"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+)
+
+// Bounds of the calls that an instance makes for others, so that its own callers are served.
+const (
+	maxCarriedCalls = 256
+	// maxCarriedBytes bounds the bodies of these calls.
+	maxCarriedBytes = 16 << 20
+	// readBufferBytes is the size of one read of an answer.
+	readBufferBytes = 16 << 10
+	// deadlineMargin is how long a call may outlive the time that its server was given: the
+	// instance that asked for it normally ends it.
+	deadlineMargin = time.Second
+)
+
+// carriedWork counts the calls made for other instances and the bytes of their bodies.
+type carriedWork struct{ calls, bytes atomic.Int64 }
+
+// admit counts a call and reports whether it is within the bounds. end is called in both
+// cases.
+func (w *carriedWork) admit(size int64) bool {
+	calls, bytes := w.calls.Add(1), w.bytes.Add(size)
+	return calls <= maxCarriedCalls && bytes <= maxCarriedBytes
+}
+
+func (w *carriedWork) end(size int64) {
+	w.calls.Add(-1)
+	w.bytes.Add(-size)
+}
+
+// serverStream is a call as the instance sees it that makes it.
+type serverStream = grpc.BidiStreamingServer[peerpb.ProxyRequest, peerpb.ProxyReply]
+
+// Proxy implements peerlink.Proxier: it makes one call for another instance.
+func (p *PeerProxy) Proxy(s serverStream) error {
+	first, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	open := first.GetOpen()
+	if open == nil || open.Server == nil || open.BodyBytes < 0 {
+		return status.Error(codes.InvalidArgument, "a call begins with its server")
+	}
+	admitted := p.carried.admit(open.BodyBytes)
+	defer p.carried.end(open.BodyBytes)
+	to := decodeEndpoint(open.Server)
+	refusal := peerpb.ProxyRefusal_PROXY_BUSY
+	if admitted {
+		refusal = p.checkReach(s.Context(), to)
+	}
+	p.scope.Tagged(map[string]string{"result": refusal.String()}).Counter("carried_calls_total").Inc(1)
+	opened := &peerpb.ProxyReply{Part: &peerpb.ProxyReply_Opened{Opened: &peerpb.ProxyOpened{Refusal: refusal}}}
+	if err := s.Send(opened); err != nil || refusal != peerpb.ProxyRefusal_PROXY_ACCEPTED {
+		return err
+	}
+	call, err := receiveCall(s, to, open.BodyBytes)
+	if err != nil {
+		return err
+	}
+	return p.carry(s, call)
+}
+
+// checkReach reports why this instance cannot call a server for another one, if so. A
+// connection is ready once it can.
+func (p *PeerProxy) checkReach(ctx context.Context, to backend.Endpoint) peerpb.ProxyRefusal {
+	if p.members.Leaving() {
+		return peerpb.ProxyRefusal_PROXY_LEAVING
+	}
+	if servers := p.catalog.Servers(); servers != nil {
+		if s, listed := servers.Get(to.Server); listed && s.Leaving {
+			return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
+		}
+	}
+	if p.isIsolated(to.Server) {
+		p.probe(to)
+		return peerpb.ProxyRefusal_PROXY_ISOLATED
+	}
+	if p.judge(to.Server, func(paths *reach.Paths, now time.Duration) bool { return paths.JustFailed(now, to.Server) }) {
+		return peerpb.ProxyRefusal_PROXY_UNREACHABLE
+	}
+	if p.prefersDirect(to.Server) && p.direct.Connected(to) {
+		return peerpb.ProxyRefusal_PROXY_ACCEPTED
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	if p.connect(ctx, to) != nil {
+		return peerpb.ProxyRefusal_PROXY_UNREACHABLE
+	}
+	return peerpb.ProxyRefusal_PROXY_ACCEPTED
+}
+
+// receiveCall receives a call and its body.
+func receiveCall(s serverStream, to backend.Endpoint, size int64) (backend.Call, error) {
+	part, err := s.Recv()
+	if err != nil {
+		return backend.Call{}, err
+	}
+	if part.GetCall() == nil {
+		return backend.Call{}, status.Error(codes.InvalidArgument, "no call follows its opening")
+	}
+	call := decodeCall(part.GetCall(), to)
+	for int64(len(call.Body)) < size {
+		if part, err = s.Recv(); err != nil {
+			return backend.Call{}, err
+		}
+		call.Body = append(call.Body, part.GetBody()...)
+	}
+	return call, nil
+}
+
+// carry makes a call and sends its answer to the instance that asked for it.
+func (p *PeerProxy) carry(s serverStream, call backend.Call) error {
+	ctx, cancel := context.WithTimeout(s.Context(), call.RemainingTime+deadlineMargin)
+	defer cancel()
+	answer, err := p.doDirect(ctx, call)
+	if err != nil {
+		return sendEnd(s, err)
+	}
+	defer answer.Close()
+	head := &peerpb.ProxyReply{Part: &peerpb.ProxyReply_Head{Head: encodeHead(answer.Head())}}
+	if err := s.Send(head); err != nil {
+		return err
+	}
+	buf := make([]byte, readBufferBytes)
+	for {
+		n, readErr := answer.Read(buf)
+		if n > 0 {
+			piece := &peerpb.ProxyReply{Part: &peerpb.ProxyReply_Body{Body: slices.Clone(buf[:n])}}
+			if err := s.Send(piece); err != nil {
+				return err
+			}
+		}
+		if readErr != nil {
+			return sendEnd(s, readErr)
+		}
+	}
+}
+
+// sendEnd sends how a call ended.
+func sendEnd(s serverStream, err error) error {
+	end := &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_BROKEN, Error: err.Error(), PathLost: errors.Is(err, backend.ErrPathLost)}
+	switch {
+	case errors.Is(err, io.EOF):
+		end = &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_COMPLETE}
+	case errors.Is(err, backend.ErrNotSent):
+		end.Outcome = peerpb.ProxyOutcome_PROXY_NOT_SENT
+	}
+	return s.Send(&peerpb.ProxyReply{Part: &peerpb.ProxyReply_End{End: end}})
+}
+
+// ProxyOrder implements peerlink.Proxier.
+func (p *PeerProxy) ProxyOrder(ctx context.Context, req *peerpb.ProxyOrderRequest) (*peerpb.ProxyOrderReply, error) {
+	if req.Server == nil {
+		return nil, status.Error(codes.InvalidArgument, "an order names its server")
+	}
+	r := decodeOrder(req)
+	granted, err := true, error(nil)
+	if req.Release {
+		err = p.direct.Release(ctx, r)
+	} else {
+		granted, err = p.direct.Reserve(ctx, r)
+	}
+	return &peerpb.ProxyOrderReply{Failed: err != nil, Granted: granted}, nil
+}
--- /dev/null
+++ b/serve/peerproxy/client.go
@@ -0,0 +1,201 @@
+package peerproxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/decide/reach"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+)
+
+// connectDelay is how long an attempt to connect may take before another instance is asked
+// as well; whichever is first makes the call.
+const connectDelay = 100 * time.Millisecond
+
+// Connected implements backend.Client.
+func (p *PeerProxy) Connected(to backend.Endpoint) bool { return p.direct.Connected(to) }
+
+// Connect implements backend.Client.
+func (p *PeerProxy) Connect(ctx context.Context, to backend.Endpoint) error {
+	return p.direct.Connect(ctx, to)
+}
+
+// Do implements backend.Client.
+func (p *PeerProxy) Do(ctx context.Context, c backend.Call) (backend.Answer, error) {
+	began := p.now()
+	proxied, err := p.choosePath(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	c.RemainingTime -= p.now() - began
+	if proxied == nil {
+		return p.doDirect(ctx, c)
+	}
+	return proxied.send(c)
+}
+
+// choosePath returns the call opened at another instance, or nil if this one makes it.
+func (p *PeerProxy) choosePath(ctx context.Context, c backend.Call) (*proxiedCall, error) {
+	to, size := c.Endpoint(), int64(len(c.Body))
+	if !p.prefersDirect(to.Server) {
+		p.probe(to)
+		proxied, err := p.open(ctx, to, size)
+		if err != nil && p.mayConnect(to.Server, err) {
+			return nil, nil
+		}
+		return proxied, err
+	}
+	if p.direct.Connected(to) {
+		return nil, nil
+	}
+	return p.connectOrOpen(ctx, to, size)
+}
+
+// mayConnect reports whether this instance may still connect to a server that no other one
+// calls for it, for the given reason.
+func (p *PeerProxy) mayConnect(server string, refusal error) bool {
+	return p.prefersDirect(server) || errors.Is(refusal, errNoProxy) && !p.isIsolated(server)
+}
+
+// connectOrOpen connects to a server and, if that fails or takes long, opens the call at
+// another instance. It returns nil once a connection of this instance is ready.
+func (p *PeerProxy) connectOrOpen(ctx context.Context, to backend.Endpoint, size int64) (*proxiedCall, error) {
+	connected := make(chan error, 1)
+	go func() { connected <- p.connect(context.WithoutCancel(ctx), to) }()
+	delay := time.NewTimer(connectDelay)
+	defer delay.Stop()
+	select {
+	case err := <-connected:
+		if err == nil {
+			return nil, nil
+		}
+		return p.openAfter(ctx, to, size, err)
+	case <-ctx.Done():
+		return nil, errors.Mark(ctx.Err(), backend.ErrNotSent)
+	case <-delay.C:
+	}
+	opened := make(chan openResult, 1)
+	go func() {
+		call, err := p.open(ctx, to, size)
+		opened <- openResult{call, err}
+	}()
+	return firstOf(connected, opened)
+}
+
+type openResult struct {
+	call *proxiedCall
+	err  error
+}
+
+// openAfter opens a call at another instance after an attempt to connect failed.
+func (p *PeerProxy) openAfter(ctx context.Context, to backend.Endpoint, size int64, connectErr error) (*proxiedCall, error) {
+	call, err := p.open(ctx, to, size)
+	if errors.Is(err, errNoProxy) {
+		return nil, connectErr
+	}
+	return call, err
+}
+
+// firstOf waits until one of the two succeeded or both failed. A call that is opened too
+// late ends.
+func firstOf(connected <-chan error, opened <-chan openResult) (*proxiedCall, error) {
+	select {
+	case err := <-connected:
+		if err != nil {
+			o := <-opened
+			return o.call, o.err
+		}
+		go func() {
+			if o := <-opened; o.call != nil {
+				o.call.close()
+			}
+		}()
+		return nil, nil
+	case o := <-opened:
+		if o.err == nil {
+			return o.call, nil
+		}
+		return nil, <-connected
+	}
+}
+
+// Reserve implements backend.Client.
+func (p *PeerProxy) Reserve(ctx context.Context, r backend.Reservation) (bool, error) {
+	if p.orderDirectly(ctx, r.Endpoint()) {
+		return p.direct.Reserve(ctx, r)
+	}
+	granted, err := p.orderVia(ctx, r, false)
+	if errors.Is(err, errNoProxy) {
+		return p.direct.Reserve(ctx, r)
+	}
+	return granted, err
+}
+
+// Release implements backend.Client.
+func (p *PeerProxy) Release(ctx context.Context, r backend.Reservation) error {
+	if p.orderDirectly(ctx, r.Endpoint()) {
+		return p.direct.Release(ctx, r)
+	}
+	_, err := p.orderVia(ctx, r, true)
+	if errors.Is(err, errNoProxy) {
+		return p.direct.Release(ctx, r)
+	}
+	return err
+}
+
+// orderDirectly reports whether to send an order on a connection of this instance, which
+// is ready then. Orders have little time, so a slow attempt to connect is not awaited.
+func (p *PeerProxy) orderDirectly(ctx context.Context, to backend.Endpoint) bool {
+	if !p.prefersDirect(to.Server) {
+		p.probe(to)
+		return false
+	}
+	if p.direct.Connected(to) {
+		return true
+	}
+	connected := make(chan error, 1)
+	go func() { connected <- p.connect(context.WithoutCancel(ctx), to) }()
+	select {
+	case err := <-connected:
+		return err == nil
+	case <-time.After(connectDelay):
+		return false
+	}
+}
+
+// orderVia has another instance send an order and reports whether it was granted.
+func (p *PeerProxy) orderVia(ctx context.Context, r backend.Reservation, release bool) (bool, error) {
+	name, ok := p.chooseProxy(nil)
+	if !ok {
+		return false, errNoProxy
+	}
+	reply, err := p.link.ProxyOrder(ctx, name, encodeOrder(r, release))
+	switch {
+	case err != nil && ctx.Err() == nil:
+		p.pauseProxy(name, reach.PauseFailed)
+		return false, errors.Mark(err, backend.ErrBroken)
+	case err != nil:
+		return false, errors.Mark(err, backend.ErrBroken)
+	case reply.Failed:
+		return false, errors.Mark(errors.Newf("order sent by %s was not answered", name), backend.ErrBroken)
+	}
+	return reply.Granted, nil
+}
+
+// Examine implements backend.Client. A partition may refuse connections, too: a server that
+// another instance reaches has not ended.
+func (p *PeerProxy) Examine(ctx context.Context, to backend.Endpoint) backend.Condition {
+	condition := p.direct.Examine(ctx, to)
+	if condition != backend.ServerEnded {
+		return condition
+	}
+	call, err := p.open(ctx, to, 0)
+	if err != nil {
+		return condition
+	}
+	call.close()
+	p.recordConnect(to.Server, backend.ErrPathLost)
+	return backend.PathLost
+}
--- /dev/null
+++ b/serve/peerproxy/wire.go
@@ -0,0 +1,83 @@
+package peerproxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+)
+
+func encodeEndpoint(e backend.Endpoint) *peerpb.BackendServer {
+	return &peerpb.BackendServer{Id: e.Server, Addr: e.Addr, Life: int64(e.Life)}
+}
+
+func decodeEndpoint(s *peerpb.BackendServer) backend.Endpoint {
+	return backend.Endpoint{Server: s.Id, Addr: s.Addr, Life: backends.Life(s.Life)}
+}
+
+func encodeCall(c backend.Call) *peerpb.ProxyCall {
+	out := &peerpb.ProxyCall{
+		Method: c.Method, Target: c.Target, Host: c.Host, Headers: encodeHeaders(c.Header), RequestId: c.RequestID, Customer: c.Customer,
+		RemainingUs: c.RemainingTime.Microseconds(), Rank: int32(c.Rank), ResumeAfter: c.ResumeAfter, Repeatable: c.Repeatable,
+	}
+	for _, h := range c.Helpers {
+		out.Helpers = append(out.Helpers, &peerpb.ProxyHelper{Addr: h.Addr, Ticket: h.Ticket})
+	}
+	return out
+}
+
+func decodeCall(c *peerpb.ProxyCall, to backend.Endpoint) backend.Call {
+	out := backend.Call{
+		Server: to.Server, Life: to.Life, Addr: to.Addr,
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: decodeHeaders(c.Headers), RequestID: c.RequestId, Customer: c.Customer,
+		RemainingTime: time.Duration(c.RemainingUs) * time.Microsecond, Rank: int(c.Rank), ResumeAfter: c.ResumeAfter, Repeatable: c.Repeatable,
+	}
+	for _, h := range c.Helpers {
+		out.Helpers = append(out.Helpers, backend.Helper{Addr: h.Addr, Ticket: h.Ticket})
+	}
+	return out
+}
+
+func encodeHead(h backend.Head) *peerpb.ProxyHead {
+	return &peerpb.ProxyHead{
+		Status: int32(h.Status), Headers: encodeHeaders(h.Header), Sealed: h.Sealed, NotRun: h.NotRun, AtFault: h.AtFault,
+		RetryAfterUs: h.RetryAfter.Microseconds(),
+	}
+}
+
+func decodeHead(h *peerpb.ProxyHead) backend.Head {
+	return backend.Head{
+		Status: int(h.Status), Header: decodeHeaders(h.Headers), Sealed: h.Sealed, NotRun: h.NotRun, AtFault: h.AtFault,
+		RetryAfter: time.Duration(h.RetryAfterUs) * time.Microsecond,
+	}
+}
+
+func encodeHeaders(h http.Header) (out []*peerpb.Header) {
+	for name, values := range h {
+		out = append(out, &peerpb.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func decodeHeaders(list []*peerpb.Header) http.Header {
+	out := make(http.Header, len(list))
+	for _, h := range list {
+		out[h.Name] = h.Values
+	}
+	return out
+}
+
+func encodeOrder(r backend.Reservation, release bool) *peerpb.ProxyOrderRequest {
+	return &peerpb.ProxyOrderRequest{
+		Server: encodeEndpoint(r.Endpoint()), Ticket: r.Ticket, Tokens: r.Tokens, HoldUs: r.Hold.Microseconds(), Release: release,
+	}
+}
+
+func decodeOrder(o *peerpb.ProxyOrderRequest) backend.Reservation {
+	to := decodeEndpoint(o.Server)
+	return backend.Reservation{
+		Server: to.Server, Life: to.Life, Addr: to.Addr, Ticket: o.Ticket, Tokens: o.Tokens, Hold: time.Duration(o.HoldUs) * time.Microsecond,
+	}
+}
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -29,6 +29,9 @@
 	// retryAfterNoRoom: the engines need some seconds for the prompts they already
 	// have to prefill.
 	retryAfterNoRoom = 2500 * time.Millisecond
+	// retryAfterNoPath: partitions last seconds, and instances learn of each other's within
+	// about one.
+	retryAfterNoPath = time.Second
 	// minRetryAfterNotRun applies when no server ran the request; a slot of a plain
 	// service is free again after about 30 ms.
 	minRetryAfterNotRun = 150 * time.Millisecond
@@ -92,9 +95,11 @@
 	serverErrorBody []byte
 	// key caches the result of identity.
 	key *poison.Key
-	// sentAt is when the current attempt was sent, crashed is set if its server
-	// crashed, and anyCrash if the server of any attempt did.
-	sentAt            time.Duration
+	// sentAt is when the current attempt was sent, brokeAt when it broke, condition what is
+	// known of its server since. crashed is set if that crashed, and anyCrash if the
+	// server of any attempt did.
+	sentAt, brokeAt   time.Duration
+	condition         backend.Condition
 	crashed, anyCrash bool
 	// suspect is set if the request may be the cause of crashes.
 	suspect bool
@@ -160,7 +165,7 @@
 			return
 		}
 		x.avoid = append(x.avoid, plan.Writer().ID)
-		x.recordCrash(plan, outcome)
+		x.recordCrash(plan)
 		if !x.handleFailure(plan, outcome, err) {
 			return
 		}
@@ -282,6 +287,7 @@
 // attempt sends the request to the servers of a plan.
 func (x *exchange) attempt(ctx context.Context, plan spread.Plan) (attempt.Outcome, error) {
 	x.beginTracking(plan)
+	x.condition = backend.ConditionUnknown
 	load := &placedLoad{loads: x.relay.loads, plan: plan}
 	defer load.end()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -321,6 +327,7 @@
 	c := backend.Call{
 		Server: w.ID, Life: w.Life, Addr: w.Addr, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: x.req.Header, Body: x.req.Body,
 		RequestID: x.req.ID, Customer: x.customer, RemainingTime: x.remaining(), Rank: x.rank, ResumeAfter: x.req.ResumeAfter,
+		Repeatable: x.route.Repeatable() && !x.state.IsLast(),
 	}
 	if x.splitter.lastID != "" {
 		c.ResumeAfter = x.splitter.lastID
@@ -335,7 +342,9 @@
 func (x *exchange) classifyError(ctx context.Context, plan spread.Plan, err error) (attempt.Outcome, error) {
 	switch {
 	case errors.Is(err, backend.ErrNotSent):
-		if ctx.Err() == nil {
+		if errors.Is(err, backend.ErrPathLost) {
+			x.retryAfter = max(x.retryAfter, retryAfterNoPath)
+		} else if ctx.Err() == nil {
 			x.recordFailure(plan.Writer().ID)
 			x.relay.suspend(x.service.Name, plan.Writer().ID)
 		}
@@ -346,7 +355,10 @@
 	case ctx.Err() != nil:
 		return attempt.Broken, err
 	default:
-		x.recordFailure(plan.Writer().ID)
+		x.brokeAt = x.relay.now()
+		if x.condition = x.examine(plan.Writer(), err); x.condition != backend.PathLost {
+			x.recordFailure(plan.Writer().ID)
+		}
 		return attempt.Broken, err
 	}
 }
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -4,11 +4,11 @@
 	"context"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
-	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
@@ -17,25 +17,36 @@
 	"github.com/auburnmoor/auburnmoor/result"
 )
 
-// crashDetector distinguishes crashed servers from broken connections. Both break the
-// attempts in progress; only a server that ended refuses new connections.
-type crashDetector struct {
-	refusesConn func(ctx context.Context, addr string) bool
-	count       tally.Counter
-	checks      singleflight.Group
+// examiner finds out why attempts broke. Those that broke at one server at once share an
+// examination.
+type examiner struct {
+	examine func(ctx context.Context, to backend.Endpoint) backend.Condition
+	crashes tally.Counter
+	shared  singleflight.Group
 }
 
-// confirmCrash reports whether the server of an attempt that just broke has ended.
-// Attempts that break at the same server at once share one check.
-func (c *crashDetector) confirmCrash(s backends.Server) bool {
-	ended, _, _ := c.checks.Do(s.ID, func() (any, error) {
-		ended := c.refusesConn(context.Background(), s.Addr)
-		if ended {
-			c.count.Inc(1)
+func (e *examiner) condition(s backends.Server) backend.Condition {
+	c, _, _ := e.shared.Do(s.ID, func() (any, error) {
+		c := e.examine(context.Background(), backend.Endpoint{Server: s.ID, Life: s.Life, Addr: s.Addr})
+		if c == backend.ServerEnded {
+			e.crashes.Inc(1)
 		}
-		return ended, nil
+		return c, nil
 	})
-	return ended.(bool)
+	return c.(backend.Condition)
+}
+
+// examine returns the condition of the server of an attempt that broke with an error. A
+// server that is leaving ends with whatever it still runs.
+func (x *exchange) examine(s backends.Server, err error) backend.Condition {
+	if errors.Is(err, backend.ErrPathLost) {
+		return backend.PathLost
+	}
+	listed, ok := x.relay.catalog.Servers().Get(s.ID)
+	if !ok || listed.Leaving {
+		return backend.ConditionUnknown
+	}
+	return x.relay.examiner.condition(s)
 }
 
 // identity returns the request's key in the quarantine, computed on first use.
@@ -78,22 +89,17 @@
 	return !q.Empty() && q.Assess(x.identity(), x.relay.readyCount(x.service.Name)).Verdict == poison.Poisonous
 }
 
-// recordCrash reports to the quarantine that the server of a broken attempt crashed
-// while it ran the request. A server that is leaving ends with whatever it still
-// runs, which is not the request's fault.
-func (x *exchange) recordCrash(plan spread.Plan, o attempt.Outcome) {
-	x.crashed = false
-	if o != attempt.Broken {
-		return
-	}
-	ended := x.relay.now()
-	s, listed := x.relay.catalog.Servers().Get(plan.Writer().ID)
-	if !listed || s.Leaving || !x.relay.crashes.confirmCrash(plan.Writer()) {
+// recordCrash reports to the quarantine that the server of a broken attempt crashed while it
+// ran the request.
+func (x *exchange) recordCrash(plan spread.Plan) {
+	x.crashed = x.condition == backend.ServerEnded
+	if !x.crashed {
 		return
 	}
-	x.crashed, x.anyCrash = true, true
-	c := poison.Crash{Server: poison.ServerHash(s.ID), Began: x.sentAt, Ended: ended}
-	x.relay.quarantine.RecordCrash(x.identity(), c, s.ID, x.relay.readyCount(x.service.Name))
+	x.anyCrash = true
+	id := plan.Writer().ID
+	c := poison.Crash{Server: poison.ServerHash(id), Began: x.sentAt, Ended: x.brokeAt}
+	x.relay.quarantine.RecordCrash(x.identity(), c, id, x.relay.readyCount(x.service.Name))
 }
 
 // readyCount counts the servers of a service that may get requests.
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -29,6 +29,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 	"github.com/auburnmoor/auburnmoor/result"
+	"github.com/auburnmoor/auburnmoor/serve/peerproxy"
 	"github.com/auburnmoor/auburnmoor/settings"
 )
 
@@ -66,7 +67,7 @@
 	members          *members.Members
 	quarantine       *quarantine.Quarantine
 	client           backend.Client
-	crashes          *crashDetector
+	examiner         *examiner
 
 	// active counts the requests in progress, held those of them that are held until
 	// the engines have capacity, and heldDeep the deep prompts (spread.Deep) of these.
@@ -97,7 +98,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Relay) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, backend.Port}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, peerproxy.ID}, OptIn: true,
 		New: func() auburnmoor.Module { return new(Relay) },
 	}
 }
@@ -116,8 +117,7 @@
 	if r.quarantine, err = auburnmoor.Require[*quarantine.Quarantine](c, quarantine.ID); err != nil {
 		return err
 	}
-	src, err := auburnmoor.Find[backend.Source](c)
-	if err != nil {
+	if r.client, err = auburnmoor.Require[*peerproxy.PeerProxy](c, peerproxy.ID); err != nil {
 		return err
 	}
 	if r.RetryWindow == 0 {
@@ -126,9 +126,9 @@
 	if r.RetryRatio == 0 && r.RetryExtra == 0 {
 		r.RetryRatio, r.RetryExtra = defaultRetryRatio, defaultRetryExtra
 	}
-	r.log, r.now, r.scope, r.client, r.dataCentre = c.Log, c.Now, c.Scope, src.Backends(), c.Self.DataCentre
+	r.log, r.now, r.scope, r.dataCentre = c.Log, c.Now, c.Scope, c.Self.DataCentre
 	r.name = c.Self.Name
-	r.crashes = &crashDetector{refusesConn: r.client.RefusesConnections, count: r.scope.Counter("server_crashes_total")}
+	r.examiner = &examiner{examine: r.client.Examine, crashes: r.scope.Counter("server_crashes_total")}
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
 	return nil
 }
