Kept connections are not trusted for a second after a path was found lost

Streams that a partition had reset were sent again over a kept connection across the same partition, which is reset only when something is sent: the second attempt was lost too and the stream was broken off ("next":"abort" five times at one instance within 30 ms). Servers are now gone round until a connection to them succeeds or a second has passed. The unit test failed before.

--- a/decide/reach/paths.go
+++ b/decide/reach/paths.go
@@ -20,6 +20,9 @@
 	minFailing = 2
 	// trustPeriod is how long a new connection to any server shows that the path is sound.
 	trustPeriod = 500 * time.Millisecond
+	// doubtPeriod is how long kept connections are not used after a path was found lost: those
+	// to other servers may lead over it, too.
+	doubtPeriod = time.Second
 	// retryAfter is the age from which a failed attempt says nothing about the next one.
 	retryAfter = 500 * time.Millisecond
 	// forgetAfter is how long a server that is not called any more is remembered as failing.
@@ -35,7 +38,7 @@
 type Paths struct {
 	// failing maps servers to their last failed attempt to connect, until one succeeds.
 	failing map[string]time.Duration
-	// connected maps servers to their last connection, within successWindow.
+	// connected maps servers to their last connection, within doubtPeriod.
 	connected map[string]time.Duration
 	// reached maps failing servers to when another instance last reached them.
 	reached map[string]time.Duration
@@ -45,6 +48,8 @@
 	lastHeard time.Duration
 	// lastConnected is when any server was connected to.
 	lastConnected time.Duration
+	// doubtSince is when a path was last found lost, zero if none was.
+	doubtSince time.Duration
 }
 
 // NewPaths returns Paths without observations.
@@ -80,7 +85,14 @@
 	if at, failing := p.failing[server]; failing && now-at < forgetAfter {
 		return false
 	}
-	return !p.Isolated(now) || p.connectedRecently(now, server)
+	if p.Isolated(now) {
+		return p.connectedRecently(now, server)
+	}
+	return !p.inDoubtPeriod(now) || p.connected[server] > p.doubtSince
+}
+
+func (p *Paths) inDoubtPeriod(now time.Duration) bool {
+	return p.doubtSince != 0 && now-p.doubtSince < doubtPeriod
 }
 
 // FailingCount counts the servers that could not be connected to.
@@ -103,8 +115,12 @@
 // ReachedByOther records that another instance connected to a server that this one cannot
 // connect to.
 func (p *Paths) ReachedByOther(now time.Duration, server string) {
-	if _, failing := p.failing[server]; failing {
-		p.reached[server] = now
+	if _, failing := p.failing[server]; !failing {
+		return
+	}
+	p.reached[server] = now
+	if !p.inDoubtPeriod(now) {
+		p.doubtSince = now
 	}
 }
 
@@ -168,7 +184,7 @@
 		}
 	}
 	for server, at := range p.connected {
-		if now-at >= successWindow {
+		if now-at >= doubtPeriod {
 			delete(p.connected, server)
 		}
 	}
--- a/decide/reach/reach_test.go
+++ b/decide/reach/reach_test.go
@@ -70,6 +70,17 @@
 		Expect(p.Lost(now, "a")).To(BeFalse())
 	})
 
+	// Guards against a second attempt that is lost over another connection across the partition.
+	It("trusts no kept connection for a while after a path was found lost", func() {
+		p.ConnectFailed(now, "a")
+		p.ReachedByOther(now, "a")
+		Expect(p.Direct(now, "b")).To(BeFalse())
+		p.Connected(now+10*time.Millisecond, "b")
+		Expect(p.Direct(now+700*time.Millisecond, "b")).To(BeTrue())
+		Expect(p.Direct(now+700*time.Millisecond, "c")).To(BeFalse())
+		Expect(p.Direct(now+2*second, "c")).To(BeTrue())
+	})
+
 	It("bounds the probes of one server and of all together", func() {
 		probes := 0
 		for at := now; at < now+second; at += time.Millisecond {
--- a/serve/peerproxy/client.go
+++ b/serve/peerproxy/client.go
@@ -184,6 +184,9 @@
 	return reply.Granted, nil
 }
 
+// errRefused is the failure to connect to a server that refuses connections.
+var errRefused = errors.New("connection refused")
+
 // Examine implements backend.Client. A partition may refuse connections, too: a server that
 // another instance reaches has not ended.
 func (p *PeerProxy) Examine(ctx context.Context, to backend.Endpoint) backend.Condition {
@@ -191,11 +194,11 @@
 	if condition != backend.ServerEnded {
 		return condition
 	}
+	p.recordConnect(to.Server, errRefused)
 	call, err := p.open(ctx, to, 0)
 	if err != nil {
 		return condition
 	}
 	call.close()
-	p.recordConnect(to.Server, backend.ErrPathLost)
 	return backend.PathLost
 }
