A lost path is told from silent servers by new connections of other instances

Others now test with a new connection, three at once, and calls end early only if one reaches the server, or another server while this instance is isolated. The unit tests failed before.

--- a/decide/reach/paths.go
+++ b/decide/reach/paths.go
@@ -128,7 +128,18 @@
 // path is known to be at fault, rather than the server.
 func (p *Paths) Lost(now time.Duration, server string) bool {
 	at, reached := p.reached[server]
-	return reached && now-at < failureWindow || p.Isolated(now)
+	return reached && now-at < failureWindow || p.Isolated(now) && p.reachedAny(now)
+}
+
+// reachedAny reports whether another instance lately reached any server that this one cannot
+// connect to. Without that, the servers themselves may have fallen silent.
+func (p *Paths) reachedAny(now time.Duration) bool {
+	for _, at := range p.reached {
+		if now-at < failureWindow {
+			return true
+		}
+	}
+	return false
 }
 
 // Isolated reports whether the instance appears to be partitioned from the backend
--- a/decide/reach/reach_test.go
+++ b/decide/reach/reach_test.go
@@ -70,6 +70,14 @@
 		Expect(p.Lost(now, "a")).To(BeFalse())
 	})
 
+	It("takes the paths to all servers for lost if it is isolated and others reach one", func() {
+		p.ConnectFailed(now, "a")
+		p.ConnectFailed(now, "b")
+		Expect(p.Lost(now, "c")).To(BeFalse())
+		p.ReachedByOther(now, "a")
+		Expect(p.Lost(now, "c")).To(BeTrue())
+	})
+
 	// Guards against a second attempt that is lost over another connection across the partition.
 	It("trusts no kept connection for a while after a path was found lost", func() {
 		p.ConnectFailed(now, "a")
--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -17,11 +17,13 @@
 const (
 	// openTimeout bounds the opening of a call at another instance, which connects to the
 	// server meanwhile.
-	openTimeout = probeTimeout + 100*time.Millisecond
+	openTimeout = carryConnectTimeout + 100*time.Millisecond
 	// maxOpenTries is the number of instances asked to make a call; none is asked after
 	// openBudget.
 	maxOpenTries = 5
 	openBudget   = 400 * time.Millisecond
+	// maxTesters is the number of instances asked at once whether they reach a server.
+	maxTesters = 3
 	// bodyPiece is the size of the messages in which a body is sent, in bytes.
 	bodyPiece = 64 << 10
 )
@@ -31,8 +33,10 @@
 
 // proxiedCall is a call that another instance makes for this one.
 type proxiedCall struct {
-	owner  *PeerProxy
+	owner *PeerProxy
+	// proxy is the instance that makes the call, server the ID of the server called.
 	proxy  string
+	server string
 	stream grpc.BidiStreamingClient[peerpb.ProxyRequest, peerpb.ProxyReply]
 	cancel context.CancelFunc
 	done   func()
@@ -48,9 +52,52 @@
 	})
 }
 
-// open asks other instances to make a call until one accepts. The error is errNoProxy if
-// none could say whether the server can be reached.
+// open asks other instances to make a call with a body of the given size until one accepts.
 func (p *PeerProxy) open(ctx context.Context, to backend.Endpoint, size int64) (*proxiedCall, error) {
+	return p.ask(ctx, to, &peerpb.ProxyOpen{Server: encodeEndpoint(to), BodyBytes: size})
+}
+
+// reachedByOther reports whether another instance can connect to a server now. Several are
+// asked at once, because any of them may be cut off as well and notice it by a timeout.
+func (p *PeerProxy) reachedByOther(ctx context.Context, to backend.Endpoint) bool {
+	open := &peerpb.ProxyOpen{Server: encodeEndpoint(to), Test: true}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, maxTesters)
+	var asked []string
+	for range maxTesters {
+		name, ok := p.chooseProxy(asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, name)
+		go func() { results <- p.tests(ctx, name, open) }()
+	}
+	for range asked {
+		if <-results {
+			p.recordReached(to.Server)
+			return true
+		}
+	}
+	return false
+}
+
+// tests reports whether one instance can connect to a server.
+func (p *PeerProxy) tests(ctx context.Context, name string, open *peerpb.ProxyOpen) bool {
+	call, refusal, err := p.askOne(ctx, name, open)
+	if ctx.Err() == nil {
+		p.countOpen(refusal, err)
+	}
+	if call == nil {
+		return false
+	}
+	call.close()
+	return true
+}
+
+// ask asks other instances until one accepts. The error is errNoProxy if none could say
+// whether the server can be reached.
+func (p *PeerProxy) ask(ctx context.Context, to backend.Endpoint, open *peerpb.ProxyOpen) (*proxiedCall, error) {
 	giveUp := p.now() + openBudget
 	// asked are the instances that did not accept, unreachable those of them that cannot
 	// connect to the server either.
@@ -60,7 +107,7 @@
 		if !ok {
 			break
 		}
-		call, refusal, err := p.openAt(ctx, name, to, size)
+		call, refusal, err := p.askOne(ctx, name, open)
 		p.countOpen(refusal, err)
 		switch {
 		case ctx.Err() != nil:
@@ -72,7 +119,6 @@
 			for _, other := range unreachable {
 				p.pauseProxy(other, reach.PauseIsolated)
 			}
-			p.recordProxied(to.Server)
 			return call, nil
 		case refusal == peerpb.ProxyRefusal_PROXY_SERVER_LEAVING:
 			return nil, errors.Mark(errors.Newf("instance %s knows that %s is leaving", name, to.Server), backend.ErrNotSent)
@@ -108,8 +154,8 @@
 	p.scope.Tagged(map[string]string{"result": result}).Counter("proxied_calls_total").Inc(1)
 }
 
-// openAt asks one instance to make a call.
-func (p *PeerProxy) openAt(ctx context.Context, name string, to backend.Endpoint, size int64) (*proxiedCall, peerpb.ProxyRefusal, error) {
+// askOne asks one instance to make a call.
+func (p *PeerProxy) askOne(ctx context.Context, name string, open *peerpb.ProxyOpen) (*proxiedCall, peerpb.ProxyRefusal, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(openTimeout, cancel)
 	defer timer.Stop()
@@ -118,9 +164,9 @@
 		cancel()
 		return nil, 0, err
 	}
-	c := &proxiedCall{owner: p, proxy: name, stream: stream, cancel: cancel, done: done}
+	c := &proxiedCall{owner: p, proxy: name, server: open.Server.Id, stream: stream, cancel: cancel, done: done}
 	p.begin(c)
-	refusal, err := c.awaitOpened(to, size)
+	refusal, err := c.awaitOpened(open)
 	if err != nil || refusal != peerpb.ProxyRefusal_PROXY_ACCEPTED {
 		c.close()
 		return nil, refusal, err
@@ -132,8 +178,7 @@
 	return c, refusal, nil
 }
 
-func (c *proxiedCall) awaitOpened(to backend.Endpoint, size int64) (peerpb.ProxyRefusal, error) {
-	open := &peerpb.ProxyOpen{Server: encodeEndpoint(to), BodyBytes: size}
+func (c *proxiedCall) awaitOpened(open *peerpb.ProxyOpen) (peerpb.ProxyRefusal, error) {
 	if err := c.stream.Send(&peerpb.ProxyRequest{Part: &peerpb.ProxyRequest_Open{Open: open}}); err != nil && !errors.Is(err, io.EOF) {
 		return 0, err
 	}
@@ -173,6 +218,7 @@
 	case reply.GetHead() == nil:
 		return nil, errors.Mark(errors.New("unexpected reply to a call"), backend.ErrBroken)
 	}
+	c.owner.recordReached(c.server)
 	return &proxiedAnswer{call: c, head: decodeHead(reply.GetHead())}, nil
 }
 
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -22,6 +22,9 @@
 	maxCarriedCalls = 256
 	// maxCarriedBytes bounds the bodies of these calls.
 	maxCarriedBytes = 16 << 20
+	// carryConnectTimeout bounds an attempt to connect for another instance, which asks the
+	// next one after it.
+	carryConnectTimeout = 200 * time.Millisecond
 	// readBufferBytes is the size of one read of an answer.
 	readBufferBytes = 16 << 10
 	// deadlineMargin is how long a call may outlive the time that its server was given: the
@@ -62,11 +65,11 @@
 	to := decodeEndpoint(open.Server)
 	refusal := peerpb.ProxyRefusal_PROXY_BUSY
 	if admitted {
-		refusal = p.checkReach(s.Context(), to)
+		refusal = p.checkReach(s.Context(), to, open.Test)
 	}
 	p.scope.Tagged(map[string]string{"result": refusal.String()}).Counter("carried_calls_total").Inc(1)
 	opened := &peerpb.ProxyReply{Part: &peerpb.ProxyReply_Opened{Opened: &peerpb.ProxyOpened{Refusal: refusal}}}
-	if err := s.Send(opened); err != nil || refusal != peerpb.ProxyRefusal_PROXY_ACCEPTED {
+	if err := s.Send(opened); err != nil || open.Test || refusal != peerpb.ProxyRefusal_PROXY_ACCEPTED {
 		return err
 	}
 	call, err := receiveCall(s, to, open.BodyBytes)
@@ -77,8 +80,8 @@
 }
 
 // checkReach reports why this instance cannot call a server for another one, if so. A
-// connection is ready once it can.
-func (p *PeerProxy) checkReach(ctx context.Context, to backend.Endpoint) peerpb.ProxyRefusal {
+// connection is ready once it can, with test one that was just opened.
+func (p *PeerProxy) checkReach(ctx context.Context, to backend.Endpoint, test bool) peerpb.ProxyRefusal {
 	if p.members.Leaving() {
 		return peerpb.ProxyRefusal_PROXY_LEAVING
 	}
@@ -94,10 +97,10 @@
 	if p.judge(to.Server, func(paths *reach.Paths, now time.Duration) bool { return paths.JustFailed(now, to.Server) }) {
 		return peerpb.ProxyRefusal_PROXY_UNREACHABLE
 	}
-	if p.prefersDirect(to.Server) && p.direct.Connected(to) {
+	if !test && p.prefersDirect(to.Server) && p.direct.Connected(to) {
 		return peerpb.ProxyRefusal_PROXY_ACCEPTED
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), carryConnectTimeout)
 	defer cancel()
 	if p.connect(ctx, to) != nil {
 		return peerpb.ProxyRefusal_PROXY_UNREACHABLE
--- a/serve/peerproxy/client.go
+++ b/serve/peerproxy/client.go
@@ -195,10 +195,8 @@
 		return condition
 	}
 	p.recordConnect(to.Server, errRefused)
-	call, err := p.open(ctx, to, 0)
-	if err != nil {
-		return condition
+	if p.reachedByOther(ctx, to) {
+		return backend.PathLost
 	}
-	call.close()
-	return backend.PathLost
+	return condition
 }
--- a/serve/peerproxy/paths.go
+++ b/serve/peerproxy/paths.go
@@ -17,9 +17,9 @@
 	// recheckInterval how often it is checked from then on.
 	stallInterval   = 200 * time.Millisecond
 	recheckInterval = 50 * time.Millisecond
-	// probeTimeout bounds an attempt to connect that only tests a path, or that another
-	// instance waits for. A round trip between data centres takes 3 ms.
-	probeTimeout = 200 * time.Millisecond
+	// probeTimeout bounds an attempt to connect that only tests a path. A round trip between
+	// data centres takes 3 ms.
+	probeTimeout = 100 * time.Millisecond
 )
 
 // servicePaths are the paths to the servers of one service: a partition may separate an
@@ -95,8 +95,8 @@
 	}
 }
 
-// recordProxied records that another instance reaches a server.
-func (p *PeerProxy) recordProxied(server string) {
+// recordReached records that another instance reaches a server.
+func (p *PeerProxy) recordReached(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, s := p.pathsTo(server)
@@ -120,11 +120,8 @@
 // another instance is asked: it tells a lost path from a server that fell silent.
 func (p *PeerProxy) probeStalled(to backend.Endpoint) {
 	p.startProbe(to, func(err error) {
-		if err == nil {
-			return
-		}
-		if call, err := p.open(context.Background(), to, 0); err == nil {
-			call.close()
+		if err != nil {
+			p.reachedByOther(context.Background(), to)
 		}
 	})
 }
