--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	openBudget   = 400 * time.Millisecond
 	// maxTesters is the number of instances asked at once whether they reach a server.
 	maxTesters = 3
+	// silentProxy is how long an instance that makes a call may tell nothing.
+	silentProxy = time.Second
 	// bodyPiece is the size of the messages in which a body is sent, in bytes.
 	bodyPiece = 64 << 10
 )
@@ -41,11 +44,19 @@
 	cancel context.CancelFunc
 	done   func()
 	once   sync.Once
+	// lastHeard is when anything last came from the other instance, in nanoseconds since the
+	// start of the process, complete is set once the call has ended there.
+	lastHeard atomic.Int64
+	complete  atomic.Bool
 }
 
-// close ends the call; the other instance cancels it if it is in progress.
+// close ends the call; the other instance cancels it if it is in progress. An instance that
+// was silent for long is not asked again for a while: it may be frozen or cut off.
 func (c *proxiedCall) close() {
 	c.once.Do(func() {
+		if !c.complete.Load() && c.owner.now()-time.Duration(c.lastHeard.Load()) > silentProxy {
+			c.owner.pauseProxy(c.proxy, reach.PauseFailed)
+		}
 		c.cancel()
 		c.done()
 		c.owner.end(c)
@@ -71,7 +82,7 @@
 			break
 		}
 		asked = append(asked, name)
-		go func() { results <- p.tests(ctx, name, open) }()
+		go func() { results <- p.canConnect(ctx, name, open) }()
 	}
 	for range asked {
 		if <-results {
@@ -82,8 +93,8 @@
 	return false
 }
 
-// tests reports whether one instance can connect to a server.
-func (p *PeerProxy) tests(ctx context.Context, name string, open *peerpb.ProxyOpen) bool {
+// canConnect reports whether one instance can connect to a server.
+func (p *PeerProxy) canConnect(ctx context.Context, name string, open *peerpb.ProxyOpen) bool {
 	call, refusal, err := p.askOne(ctx, name, open)
 	if ctx.Err() == nil {
 		p.countOpen(refusal, err)
@@ -165,6 +176,7 @@
 		return nil, 0, err
 	}
 	c := &proxiedCall{owner: p, proxy: name, server: open.Server.Id, stream: stream, cancel: cancel, done: done}
+	c.lastHeard.Store(int64(p.now()))
 	p.begin(c)
 	refusal, err := c.awaitOpened(open)
 	if err != nil || refusal != peerpb.ProxyRefusal_PROXY_ACCEPTED {
@@ -178,11 +190,23 @@
 	return c, refusal, nil
 }
 
+func (c *proxiedCall) receive() (*peerpb.ProxyReply, error) {
+	reply, err := c.stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	c.lastHeard.Store(int64(c.owner.now()))
+	if reply.GetEnd() != nil {
+		c.complete.Store(true)
+	}
+	return reply, nil
+}
+
 func (c *proxiedCall) awaitOpened(open *peerpb.ProxyOpen) (peerpb.ProxyRefusal, error) {
 	if err := c.stream.Send(&peerpb.ProxyRequest{Part: &peerpb.ProxyRequest_Open{Open: open}}); err != nil && !errors.Is(err, io.EOF) {
 		return 0, err
 	}
-	reply, err := c.stream.Recv()
+	reply, err := c.receive()
 	if err != nil {
 		return 0, err
 	}
@@ -209,7 +233,7 @@
 		return nil, c.lost(err)
 	}
 	// After io.EOF the reason is in the reply.
-	reply, err := c.stream.Recv()
+	reply, err := c.receive()
 	switch {
 	case err != nil:
 		return nil, c.lost(err)
@@ -281,7 +305,7 @@
 }
 
 func (a *proxiedAnswer) receive() {
-	reply, err := a.call.stream.Recv()
+	reply, err := a.call.receive()
 	switch {
 	case err != nil:
 		a.err = a.call.lost(err)
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -173,6 +173,10 @@
 		return nil, status.Error(codes.InvalidArgument, "an order names its server")
 	}
 	r := decodeOrder(req)
+	if !p.prefersDirect(r.Server) {
+		p.probe(r.Endpoint())
+		return &peerpb.ProxyOrderReply{Failed: true}, nil
+	}
 	granted, err := true, error(nil)
 	if req.Release {
 		err = p.direct.Release(ctx, r)
--- a/serve/peerproxy/client.go
+++ b/serve/peerproxy/client.go
@@ -30,10 +30,14 @@
 		return nil, err
 	}
 	c.RemainingTime -= p.now() - began
-	if proxied == nil {
+	switch {
+	case proxied != nil:
+		return proxied.send(c)
+	case ctx.Err() != nil:
+		return nil, errors.Mark(ctx.Err(), backend.ErrNotSent)
+	default:
 		return p.doDirect(ctx, c)
 	}
-	return proxied.send(c)
 }
 
 // choosePath returns the call opened at another instance, or nil if this one makes it.
@@ -165,23 +169,33 @@
 	}
 }
 
+// maxOrderTries is the number of instances asked to send an order. Orders may be repeated.
+const maxOrderTries = 2
+
 // orderVia has another instance send an order and reports whether it was granted.
 func (p *PeerProxy) orderVia(ctx context.Context, r backend.Reservation, release bool) (bool, error) {
-	name, ok := p.chooseProxy(nil)
-	if !ok {
-		return false, errNoProxy
+	var asked []string
+	err := errNoProxy
+	for range maxOrderTries {
+		name, ok := p.chooseProxy(asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, name)
+		reply, callErr := p.link.ProxyOrder(ctx, name, encodeOrder(r, release))
+		switch {
+		case callErr != nil && ctx.Err() != nil:
+			return false, errors.Mark(callErr, backend.ErrBroken)
+		case callErr != nil:
+			p.pauseProxy(name, reach.PauseFailed)
+			err = errors.Mark(callErr, backend.ErrBroken)
+		case reply.Failed:
+			err = errors.Mark(errors.Newf("order sent by %s was not answered", name), backend.ErrBroken)
+		default:
+			return reply.Granted, nil
+		}
 	}
-	reply, err := p.link.ProxyOrder(ctx, name, encodeOrder(r, release))
-	switch {
-	case err != nil && ctx.Err() == nil:
-		p.pauseProxy(name, reach.PauseFailed)
-		return false, errors.Mark(err, backend.ErrBroken)
-	case err != nil:
-		return false, errors.Mark(err, backend.ErrBroken)
-	case reply.Failed:
-		return false, errors.Mark(errors.Newf("order sent by %s was not answered", name), backend.ErrBroken)
-	}
-	return reply.Granted, nil
+	return false, err
 }
 
 // errRefused is the failure to connect to a server that refuses connections.
