--- a/decide/reach/paths.go
+++ b/decide/reach/paths.go
@@ -20,9 +20,9 @@
 	minFailing = 2
 	// trustPeriod is how long a new connection to any server shows that the path is sound.
 	trustPeriod = 500 * time.Millisecond
-	// doubtPeriod is how long kept connections are not used after a path was found lost: those
+	// distrustPeriod is how long kept connections are not used after a path was found lost: those
 	// to other servers may lead over it, too.
-	doubtPeriod = time.Second
+	distrustPeriod = time.Second
 	// retryAfter is the age from which a failed attempt says nothing about the next one.
 	retryAfter = 500 * time.Millisecond
 	// forgetAfter is how long a server that is not called any more is remembered as failing.
@@ -38,7 +38,7 @@
 type Paths struct {
 	// failing maps servers to their last failed attempt to connect, until one succeeds.
 	failing map[string]time.Duration
-	// connected maps servers to their last connection, within doubtPeriod.
+	// connected maps servers to their last connection, within distrustPeriod.
 	connected map[string]time.Duration
 	// reached maps failing servers to when another instance last reached them.
 	reached map[string]time.Duration
@@ -48,8 +48,8 @@
 	lastHeard time.Duration
 	// lastConnected is when any server was connected to.
 	lastConnected time.Duration
-	// doubtSince is when a path was last found lost, zero if none was.
-	doubtSince time.Duration
+	// distrustSince is when a path was last found lost, zero if none was.
+	distrustSince time.Duration
 }
 
 // NewPaths returns Paths without observations.
@@ -88,11 +88,12 @@
 	if p.Isolated(now) {
 		return p.connectedRecently(now, server)
 	}
-	return !p.inDoubtPeriod(now) || p.connected[server] > p.doubtSince
+	return !p.distrustsKept(now) || p.connected[server] > p.distrustSince
 }
 
-func (p *Paths) inDoubtPeriod(now time.Duration) bool {
-	return p.doubtSince != 0 && now-p.doubtSince < doubtPeriod
+// distrustsKept reports whether kept connections may lead over a path that was found lost.
+func (p *Paths) distrustsKept(now time.Duration) bool {
+	return p.distrustSince != 0 && now-p.distrustSince < distrustPeriod
 }
 
 // FailingCount counts the servers that could not be connected to.
@@ -119,8 +120,8 @@
 		return
 	}
 	p.reached[server] = now
-	if !p.inDoubtPeriod(now) {
-		p.doubtSince = now
+	if !p.distrustsKept(now) {
+		p.distrustSince = now
 	}
 }
 
@@ -180,9 +181,9 @@
 	return true
 }
 
-// InDoubt reports whether a call that hears nothing is reason to probe its server: nothing
+// NeedsProbe reports whether a call that hears nothing is reason to probe its server: nothing
 // came from any server for a while, and none was connected to.
-func (p *Paths) InDoubt(now time.Duration) bool {
+func (p *Paths) NeedsProbe(now time.Duration) bool {
 	return now-p.lastHeard >= quietPeriod && now-p.lastConnected >= trustPeriod
 }
 
@@ -195,7 +196,7 @@
 		}
 	}
 	for server, at := range p.connected {
-		if now-at >= doubtPeriod {
+		if now-at >= distrustPeriod {
 			delete(p.connected, server)
 		}
 	}
--- a/serve/peerproxy/direct.go
+++ b/serve/peerproxy/direct.go
@@ -128,7 +128,7 @@
 		w.cancel(backend.ErrPathLost)
 		return
 	}
-	if w.begun.Load() && silent >= 2*stallInterval || p.judge(server, (*reach.Paths).InDoubt) {
+	if w.begun.Load() && silent >= 2*stallInterval || p.judge(server, (*reach.Paths).NeedsProbe) {
 		p.probeStalled(w.call.Endpoint())
 	}
 	w.checkIn(recheckInterval)
