A server that is not known to fail is connected to before a request is refused

Each refused to make calls for the others, and none connected to the engines that it had not tried. A test with two of three engines out of reach of all instances failed before (503).

--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -269,6 +269,23 @@
 		}
 	})
 
+	// Guards against a site without other traffic that takes the end of two engines for a partition
+	// and refuses requests that the third one would run.
+	DescribeTable("serves callers of all instances while two of three engines refuse or time out", func(prefix string, mode cutMode) {
+		for i := range platformEntries {
+			cutOff(fmt.Sprint("entry-", i), mode, onlyServers("e0", "e1"))
+		}
+		for i := range 3 * platformEntries {
+			id := fmt.Sprint(prefix, "-", i)
+			resp, body := attempt{path: "/ask/1", id: id, key: "k1", tokens: 900, body: "prompt"}.send(i % platformEntries)
+			Expect(resp.StatusCode).To(Equal(200), body)
+			Expect(body).To(Equal(completeStream(id)))
+		}
+	},
+		Entry("refuse", "ended", cutRefused),
+		Entry("time out", "dark", cutSilent),
+	)
+
 	It("connects to the servers itself again after the partition", func() {
 		cutOff("entry-0", cutRefused, allServers)
 		s.expectServed(0, "before")
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -12,7 +12,6 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/auburnmoor/auburnmoor/decide/reach"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 )
@@ -90,22 +89,28 @@
 			return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
 		}
 	}
+	if !test && p.prefersDirect(to.Server) && p.direct.Connected(to) {
+		return peerpb.ProxyRefusal_PROXY_ACCEPTED
+	}
+	if !p.justFailed(to.Server) && p.connectFor(ctx, to) {
+		return peerpb.ProxyRefusal_PROXY_ACCEPTED
+	}
 	if p.isIsolated(to.Server) {
-		p.probe(to)
 		return peerpb.ProxyRefusal_PROXY_ISOLATED
 	}
-	if p.judge(to.Server, func(paths *reach.Paths, now time.Duration) bool { return paths.JustFailed(now, to.Server) }) {
-		return peerpb.ProxyRefusal_PROXY_UNREACHABLE
-	}
-	if !test && p.prefersDirect(to.Server) && p.direct.Connected(to) {
-		return peerpb.ProxyRefusal_PROXY_ACCEPTED
+	return peerpb.ProxyRefusal_PROXY_UNREACHABLE
+}
+
+// connectFor reports whether a connection could be opened for another instance. An instance
+// that seems to be isolated tries less long.
+func (p *PeerProxy) connectFor(ctx context.Context, to backend.Endpoint) bool {
+	timeout := carryConnectTimeout
+	if p.isIsolated(to.Server) {
+		timeout = probeTimeout
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), carryConnectTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	if p.connect(ctx, to) != nil {
-		return peerpb.ProxyRefusal_PROXY_UNREACHABLE
-	}
-	return peerpb.ProxyRefusal_PROXY_ACCEPTED
+	return p.connect(ctx, to) == nil
 }
 
 // receiveCall receives a call and its body.
--- a/serve/peerproxy/client.go
+++ b/serve/peerproxy/client.go
@@ -46,7 +46,7 @@
 	if !p.prefersDirect(to.Server) {
 		p.probe(to)
 		proxied, err := p.open(ctx, to, size)
-		if err != nil && p.mayConnect(to.Server, err) {
+		if err != nil && p.connectsAfterAll(ctx, to) {
 			return nil, nil
 		}
 		return proxied, err
@@ -57,10 +57,18 @@
 	return p.connectOrOpen(ctx, to, size)
 }
 
-// mayConnect reports whether this instance may still connect to a server that no other one
-// calls for it, for the given reason.
-func (p *PeerProxy) mayConnect(server string, refusal error) bool {
-	return p.prefersDirect(server) || errors.Is(refusal, errNoProxy) && !p.isIsolated(server)
+// connectsAfterAll reports whether this instance connects to a server that no other one calls for
+// it. That it could not connect to others is no reason to refuse a request.
+func (p *PeerProxy) connectsAfterAll(ctx context.Context, to backend.Endpoint) bool {
+	if p.justFailed(to.Server) {
+		return false
+	}
+	if p.direct.Connected(to) && p.prefersDirect(to.Server) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	return p.connect(ctx, to) == nil
 }
 
 // connectOrOpen connects to a server and, if that fails or takes long, opens the call at
--- a/serve/peerproxy/paths.go
+++ b/serve/peerproxy/paths.go
@@ -49,6 +49,11 @@
 	return p.judge(server, func(paths *reach.Paths, now time.Duration) bool { return paths.Direct(now, server) })
 }
 
+// justFailed reports whether this instance could not connect to a server a moment ago.
+func (p *PeerProxy) justFailed(server string) bool {
+	return p.judge(server, func(paths *reach.Paths, now time.Duration) bool { return paths.JustFailed(now, server) })
+}
+
 // isIsolated reports whether this instance seems to be partitioned from the service of a
 // server.
 func (p *PeerProxy) isIsolated(server string) bool {
