--- a/e2e/poison_test.go
+++ b/e2e/poison_test.go
@@ -107,7 +107,7 @@
 		for i := range 12 {
 			id := fmt.Sprint("other-", i)
 			resp, body := attempt{path: "/ask/poison", id: id, key: "k1", tokens: 900, body: "an essay"}.send(i % 3)
-			Expect(resp.StatusCode).To(Equal(200))
+			Expect(resp.StatusCode).To(Equal(200), body)
 			Expect(body).To(Equal(completeStream(id)))
 		}
 	})
