Requests are tried at more servers if connections are refused at once

Callers got 503 at once while half of the engines ran: an instance tried four servers that it could not connect to and refused, and idle engines are tried in the order of their names, so that each instance met the same four.

Evidence: five of eight engines stopped, the new e2e test, fails on the code before (503, code 2005, 4 attempts not sent) and passes now. Ruled out: the judgement of partitions, mended before and not needed for the refusal.

A connection that fails within 50 ms no longer counts among the four; twelve of these are tried. Slow failures are bounded as before.

--- a/decide/attempt/attempt.go
+++ b/decide/attempt/attempt.go
@@ -2,7 +2,11 @@
 // server: a retry, a refusal or a failure. It does no I/O and reads no clock.
 package attempt
 
-import "github.com/auburnmoor/auburnmoor/decide/route"
+import (
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/route"
+)
 
 // Outcome is how an attempt ended.
 type Outcome int
@@ -50,18 +54,24 @@
 	return [...]string{"retry", "refuse", "fail", "pass_on", "abort"}[a]
 }
 
-// maxDialFailures bounds the servers tried that could not be reached. Three unreachable
-// servers at once already indicate a fault of this instance's own network.
-const maxDialFailures = 4
+// Bounds of the servers tried that could not be reached.
+const (
+	maxDialFailures = 4
+	// maxQuickDialFailures bounds those that failed within QuickDial, besides the others:
+	// many servers may be restarting at once.
+	maxQuickDialFailures = 12
+	// QuickDial is the time within which a restarting server refuses a connection.
+	QuickDial = 50 * time.Millisecond
+)
 
 // State is the state of one client attempt at the instance that received it.
 type State struct {
 	route *route.Route
 	// sent counts the attempts that may have reached a server, dialFailures those that did
-	// not.
-	sent, dialFailures int
-	mayHaveRun         bool
-	forwarded          bool
+	// not, and quickDialFailures those of these that failed within QuickDial.
+	sent, dialFailures, quickDialFailures int
+	mayHaveRun                            bool
+	forwarded                             bool
 }
 
 // New returns the state of a request that has not been sent yet.
@@ -70,6 +80,14 @@
 // MarkForwarded records that a part of the answer was forwarded to the client.
 func (s *State) MarkForwarded() { s.forwarded = true }
 
+// AddDialFailure records how long an attempt took to find that it cannot connect. It is called
+// before Next.
+func (s *State) AddDialFailure(took time.Duration) {
+	if took < QuickDial {
+		s.quickDialFailures++
+	}
+}
+
 // MayHaveRun reports whether a server may have run the request.
 func (s *State) MayHaveRun() bool { return s.mayHaveRun }
 
@@ -85,7 +103,7 @@
 	switch o {
 	case NotSent:
 		s.dialFailures++
-		if s.dialFailures < maxDialFailures {
+		if s.mayDial() {
 			return Retry
 		}
 		return s.giveUp()
@@ -105,6 +123,11 @@
 	return s.giveUp()
 }
 
+// mayDial reports whether another server may be tried after those that could not be reached.
+func (s *State) mayDial() bool {
+	return s.dialFailures-s.quickDialFailures < maxDialFailures && s.quickDialFailures < maxQuickDialFailures
+}
+
 // mayRepeat reports whether the request may be sent again. A request that may run only once
 // is sent again only if no server can have run it.
 func (s *State) mayRepeat(o Outcome) bool {
--- a/decide/attempt/attempt_test.go
+++ b/decide/attempt/attempt_test.go
@@ -81,4 +81,15 @@
 		Expect(s.Next(attempt.NotSent, allow)).To(Equal(attempt.Refuse))
 		Expect(s.Sent()).To(BeZero())
 	})
+
+	// Guards against a refusal while others of many servers run that restart at once.
+	It("tries more servers if connections are refused at once", func() {
+		s := attempt.New(once)
+		for range 11 {
+			s.AddDialFailure(attempt.QuickDial / 2)
+			Expect(s.Next(attempt.NotSent, allow)).To(Equal(attempt.Retry))
+		}
+		s.AddDialFailure(attempt.QuickDial / 2)
+		Expect(s.Next(attempt.NotSent, allow)).To(Equal(attempt.Refuse))
+	})
 })
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -145,9 +145,12 @@
 	entries []*process.Process
 }
 
-func newPartitionedSite() *partitionedSite {
+func newPartitionedSite() *partitionedSite { return newPartitionedSiteWith(3) }
+
+// newPartitionedSiteWith starts a site with the given number of engines.
+func newPartitionedSiteWith(engines int) *partitionedSite {
 	s := &partitionedSite{platformSite: &platformSite{fleet: &fleet{}, store: storeserver.New(platformAddr(1))}}
-	s.startServers(3, workerserver.Config{Events: streamEvents, EventPause: 50 * time.Millisecond, Memory: engineMemory})
+	s.startServers(engines, workerserver.Config{Events: streamEvents, EventPause: 50 * time.Millisecond, Memory: engineMemory})
 	for i := range platformEntries {
 		f, err := settings.Parse(fmt.Sprint("entry-", i, ".toml"), s.entrySettings(i, string(partitionedClientID)))
 		Expect(err).NotTo(HaveOccurred())
@@ -358,3 +361,24 @@
 		Consistently(func() int { return runs(s.plain, "killed") }, "500ms", "100ms").Should(Equal(1))
 	})
 })
+
+var _ = Describe("an instance while most engines restart", Ordered, func() {
+	var s *partitionedSite
+	BeforeAll(func() {
+		s = newPartitionedSiteWith(8)
+		DeferCleanup(func() { s.close() })
+	})
+
+	// Guards against 503 at once for a request that met four engines which refused connections.
+	It("sends requests to those that run", func() {
+		for _, e := range s.engines[:5] {
+			e.Close()
+		}
+		for i := range 3 * platformEntries {
+			id := fmt.Sprint("running-", i)
+			resp, body := attempt{path: "/ask/1", id: id, key: "k1", tokens: 900, body: "prompt"}.send(i % platformEntries)
+			Expect(resp.StatusCode).To(Equal(200), body)
+			Expect(body).To(Equal(completeStream(id)))
+		}
+	})
+})
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -342,6 +342,7 @@
 func (x *exchange) classifyError(ctx context.Context, plan spread.Plan, err error) (attempt.Outcome, error) {
 	switch {
 	case errors.Is(err, backend.ErrNotSent):
+		x.state.AddDialFailure(x.relay.now() - x.sentAt)
 		if errors.Is(err, backend.ErrPathLost) {
 			x.retryAfter = max(x.retryAfter, retryAfterNoPath)
 		} else if ctx.Err() == nil {
