Retries are counted, and changes of an instance's share of the budget logged

The logs told each retry, but not how many an instance believed that it had nor among how many instances it divided the budget, so that a window forgotten with its process could not be told from a view of too few instances.

--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -75,6 +75,8 @@
 	mu                     sync.Mutex
 	rand                   *rand.Rand
 	pools                  map[string]*pool
+	// retryExtraShare is this instance's part of RetryExtra as last logged.
+	retryExtraShare float64
 }
 
 // pool is what this instance observed of one service's servers.
@@ -361,6 +363,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.retryBudget(service).Take(r.now()) {
+		r.count("retries_total", "service", service)
 		return true
 	}
 	r.count("retries_denied_total", "service", service)
@@ -378,7 +381,12 @@
 func (r *Relay) retryBudget(service string) *retry.Window {
 	members := max(1, len(r.members.View().Alive))
 	w := r.pool(service).retries
-	w.SetExtra(retrySafetyFactor * r.RetryExtra / float64(members))
+	extra := retrySafetyFactor * r.RetryExtra / float64(members)
+	if extra != r.retryExtraShare {
+		r.retryExtraShare = extra
+		r.log.Info("share of the retry budget changed", zap.Int("instances", members), zap.Float64("extra", extra))
+	}
+	w.SetExtra(extra)
 	return w
 }
 
