Parts of the retry budget hold whatever happens to the instances

Fractions are added up from random phases, so that large fleets with few requests an instance keep to the sum.

--- a/control/members/members.go
+++ b/control/members/members.go
@@ -424,6 +424,14 @@
 	return m.view
 }
 
+// Roster returns what is known of the size of the fleet, without the instances that left more
+// than leftFor ago.
+func (m *Members) Roster(leftFor time.Duration) member.Roster {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Roster(m.now(), leftFor)
+}
+
 // Peers returns the names of all live instances except this one.
 func (m *Members) Peers() []string {
 	var out []string
--- a/decide/member/cost_test.go
+++ b/decide/member/cost_test.go
@@ -103,3 +103,22 @@
 		t.Fatalf("%d bytes a second", total/100)
 	}
 }
+
+// BenchmarkRoster measures one count of the fleet, with a seed that was never heard from.
+func BenchmarkRoster(b *testing.B) {
+	for _, n := range []int{6, 75, 300, 985} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := member.NewTable(memberOf(0), member.DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+			g := &peerpb.Gossip{}
+			for i := 1; i < n; i++ {
+				g.Members = append(g.Members, memberOf(i))
+			}
+			t.Receive(0, g)
+			t.SetContacts([]member.Contact{{Name: "seed", PeerAddr: "192.0.2.1:1"}})
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Roster(time.Second, time.Second)
+			}
+		})
+	}
+}
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -368,6 +368,38 @@
 	return slices.Insert(out, at, cloneState(t.self))
 }
 
+// Roster is what a member knows of the size of the fleet, whether or not it sees all of it now.
+type Roster struct {
+	// Size counts the members that were heard from and have not left, and self; Rank is the
+	// position of self among their sorted names.
+	Size, Rank int
+	// Incomplete is set if there are contacts that were never heard from.
+	Incomplete bool
+}
+
+// Roster returns the roster without members that announced that they leave and have been
+// silent for leftFor.
+func (t *Table) Roster(now, leftFor time.Duration) Roster {
+	r := Roster{Size: 1}
+	known := map[string]bool{t.self.PeerAddr: true}
+	for _, e := range t.order {
+		if e.contact {
+			continue
+		}
+		known[e.state.PeerAddr] = true
+		if e.state.Leaving && now-e.heard > leftFor {
+			continue
+		}
+		r.Size++
+		if e.name < t.self.Name {
+			r.Rank++
+		}
+	}
+	// Contacts may have another name than the member at their address.
+	r.Incomplete = slices.ContainsFunc(t.order, func(e *entry) bool { return e.contact && !known[e.state.PeerAddr] })
+	return r
+}
+
 // LiveDigest identifies the live members and what they say of themselves besides heartbeats. It
 // is far cheaper than the list itself.
 func (t *Table) LiveDigest(now time.Duration) uint64 {
--- a/decide/member/table_test.go
+++ b/decide/member/table_test.go
@@ -192,3 +192,20 @@
 		Expect(f.alive("i000")).To(Equal(2))
 	})
 })
+
+var _ = Describe("the roster of a member", func() {
+	// Guards against instances that count each other out while they are cut off, and use each
+	// other's parts of what all share.
+	It("counts members out of sight, but not those that left", func() {
+		t := member.NewTable(&peerpb.MemberState{Name: "b", PeerAddr: "b:1"}, member.DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+		t.SetContacts([]member.Contact{{Name: "seed", PeerAddr: "a:1"}})
+		Expect(t.Roster(0, time.Second)).To(Equal(member.Roster{Size: 1, Incomplete: true}))
+		t.Receive(0, &peerpb.Gossip{Members: []*peerpb.MemberState{
+			{Name: "a", PeerAddr: "a:1", Incarnation: 1}, {Name: "c", PeerAddr: "c:1", Incarnation: 1, Leaving: true},
+		}})
+		Expect(t.Roster(0, time.Second)).To(Equal(member.Roster{Size: 3, Rank: 1}))
+		Expect(t.Roster(time.Minute, time.Second)).To(Equal(member.Roster{Size: 2, Rank: 1}))
+		t.Tick(time.Hour)
+		Expect(t.Roster(time.Hour, time.Second)).To(Equal(member.Roster{Size: 1, Incomplete: true}))
+	})
+})
--- a/decide/retry/fleet_test.go
+++ b/decide/retry/fleet_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 )
 
 // The shared budget of the virtual fleets.
@@ -14,12 +16,13 @@
 	fleetWindow = 10 * time.Second
 	fleetRatio  = 0.2
 	fleetStep   = 20 * time.Millisecond
+	fleetSeeds  = 20
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 500 * time.Millisecond
-	// detectDelay is the time after which an instance that is gone or cut off is no longer
-	// seen, discoverDelay that within which a new process discovers the others.
-	detectDelay   = 2200 * time.Millisecond
+	// discoverDelay is the time within which a new process discovers the others.
 	discoverDelay = 800 * time.Millisecond
+	// listed instances are in the store's list: every process knows that there are these.
+	listed = 3
 )
 
 // virtualInstance is an instance of a virtual fleet. A new process knows nothing of the one
@@ -28,8 +31,8 @@
 	up      bool
 	started time.Duration
 	side    int
-	// seen maps other instances to when they were last seen by this process.
-	seen   map[int]time.Duration
+	// seen are the other instances that this process has seen.
+	seen   map[int]bool
 	budget *processBudget
 }
 
@@ -41,6 +44,8 @@
 	now       time.Duration
 	requests  []time.Duration
 	retries   []time.Duration
+	// settled is when all have seen the last change of the fleet.
+	settled time.Duration
 }
 
 func newVirtualFleet(seed uint64, size int, extra float64) *virtualFleet {
@@ -58,19 +63,33 @@
 }
 
 func (f *virtualFleet) start(in *virtualInstance) {
-	in.up, in.started, in.seen = true, f.now, map[int]time.Duration{}
-	in.budget = newProcessBudget(f.extra)
+	in.up, in.started, in.seen = true, f.now, map[int]bool{}
+	in.budget = newProcessBudget(f.extra, f.rand)
+	f.settled = f.now + discoverDelay + fleetStep
+}
+
+// move puts instances of the given share on a side that draw names.
+func (f *virtualFleet) move(share float64, draw func() int) {
+	for _, in := range f.instances {
+		if f.rand.Float64() < share {
+			in.side = draw()
+		}
+	}
+	f.settled = f.now + discoverDelay + fleetStep
 }
 
 // observe updates what each process sees of the others.
 func (f *virtualFleet) observe() {
+	if f.now > f.settled {
+		return
+	}
 	for i, in := range f.instances {
 		for j, other := range f.instances {
 			if i == j || !in.up || !other.up || in.side != other.side {
 				continue
 			}
 			if f.now-in.started >= discoverDelay && f.now-other.started >= discoverDelay {
-				in.seen[j] = f.now
+				in.seen[j] = true
 			}
 		}
 	}
@@ -80,12 +99,11 @@
 func (f *virtualFleet) view(i int) (v fleetView) {
 	in := f.instances[i]
 	v.names = append(v.names, fmt.Sprint("entry-", i))
-	v.live = 1
-	for j, at := range in.seen {
+	for j := range in.seen {
 		v.names = append(v.names, fmt.Sprint("entry-", j))
-		if f.now-at < detectDelay {
-			v.live++
-		}
+	}
+	for j := range listed {
+		v.incomplete = v.incomplete || j != i && !in.seen[j]
 	}
 	return v
 }
@@ -108,28 +126,22 @@
 		return
 	}
 	age := f.now - in.started
-	in.budget.update(age, f.view(i))
+	in.budget.update(f.view(i))
 	in.budget.request(age)
 	if f.rand.Float64() < failing && in.budget.take(age) {
 		f.retries = append(f.retries, f.now)
 	}
 }
 
-func (f *virtualFleet) some(share float64, do func(*virtualInstance)) {
+// kill ends processes and starts them again after restartDelay, under full load.
+func (f *virtualFleet) kill(share, load float64) {
+	var killed []*virtualInstance
 	for _, in := range f.instances {
 		if f.rand.Float64() < share {
-			do(in)
+			in.up = false
+			killed = append(killed, in)
 		}
 	}
-}
-
-// kill ends processes and starts them again after restartDelay, under full load.
-func (f *virtualFleet) kill(share, load float64) {
-	var killed []*virtualInstance
-	f.some(share, func(in *virtualInstance) {
-		in.up = false
-		killed = append(killed, in)
-	})
 	f.play(restartDelay, load, 1)
 	for _, in := range killed {
 		f.start(in)
@@ -167,7 +179,7 @@
 	// Guards against allowances that instances spend again, or spend for each other, because
 	// they restarted, are cut off, joined or do not see the others.
 	DescribeTable("is kept in every window whatever happens to its instances", func(size int, extra, load float64) {
-		for seed := range uint64(5) {
+		for seed := range uint64(fleetSeeds) {
 			f := newVirtualFleet(seed+1, size, extra)
 			f.play(3*fleetWindow/2, load, 0)
 			for range 6 {
@@ -177,11 +189,11 @@
 				case 2:
 					f.kill(0.6, load)
 				case 3:
-					f.some(0.5, func(in *virtualInstance) { in.side = 1 })
+					f.move(0.5, func() int { return 1 })
 				case 4:
-					f.some(1, func(in *virtualInstance) { in.side = f.rand.IntN(size) })
+					f.move(1, func() int { return f.rand.IntN(size) })
 				case 5:
-					f.some(1, func(in *virtualInstance) { in.side = 0 })
+					f.move(1, func() int { return 0 })
 					f.add()
 				}
 				f.play(time.Duration(f.rand.IntN(3000))*time.Millisecond, load, 1)
@@ -193,4 +205,19 @@
 		Entry("of 9", 9, 106.0, 60.0),
 		Entry("of 75", 75, 226.0, 150.0),
 	)
+
+	DescribeTable("is used if all requests need a retry", func(size int, extra, load float64, share float64) {
+		f := newVirtualFleet(1, size, extra)
+		f.play(3*fleetWindow/2, load, 0)
+		requests, windows := len(f.requests), 3
+		f.play(time.Duration(windows)*fleetWindow, load, 1)
+		allowed := fleetRatio*float64(len(f.requests)-requests) + float64(windows)*extra
+		Expect(float64(len(f.retries)) / allowed).To(BeNumerically(">=", share))
+	},
+		Entry("of 6", 6, 100.0, 60.0, 0.85),
+		Entry("of 9", 9, 106.0, 60.0, 0.85),
+		Entry("of 75", 75, 226.0, 150.0, 0.85),
+		Entry("of 295", 295, 660.0, 400.0, 0.85),
+		Entry("of 985", testkit.LargeFleet, 985, 1040.0, 175.0, 0.85),
+	)
 })
--- a/decide/retry/process_test.go
+++ b/decide/retry/process_test.go
@@ -1,32 +1,34 @@
 package retry_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 )
 
-// fleetView is what a process knows of the fleet: all instances that it has seen, and how many
-// of them it sees now.
+// fleetView is what a process knows of the fleet: itself and all instances that it has seen,
+// and whether there are listed ones that it has not.
 type fleetView struct {
-	names []string
-	live  int
+	names      []string
+	incomplete bool
 }
 
 // processBudget is the part of one process.
-type processBudget struct {
-	window *retry.Window
-	extra  float64
-}
+type processBudget struct{ shared *retry.Shared }
 
-func newProcessBudget(extra float64) *processBudget {
-	return &processBudget{window: retry.NewWindow(fleetWindow, fleetRatio, 0), extra: extra}
+func newProcessBudget(extra float64, r *rand.Rand) *processBudget {
+	cfg := retry.Config{Window: fleetWindow, Ratio: fleetRatio, Extra: extra}
+	return &processBudget{shared: retry.NewShared(cfg, false, r)}
 }
 
-func (b *processBudget) update(_ time.Duration, v fleetView) {
-	b.window.SetExtra(0.8 * b.extra / float64(v.live))
+func (b *processBudget) update(v fleetView) {
+	self := v.names[0]
+	slices.Sort(v.names)
+	b.shared.SetFleet(retry.Fleet{Size: len(v.names), Rank: slices.Index(v.names, self), Incomplete: v.incomplete})
 }
 
-func (b *processBudget) request(now time.Duration) { b.window.AddRequest(now) }
+func (b *processBudget) request(now time.Duration) { b.shared.AddRequest(now) }
 
-func (b *processBudget) take(now time.Duration) bool { return b.window.Take(now) }
+func (b *processBudget) take(now time.Duration) bool { return b.shared.Take(now) }
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -149,7 +149,7 @@
 
 // newPartitionedSiteWith starts a site with the given number of engines.
 func newPartitionedSiteWith(engines int) *partitionedSite {
-	s := &partitionedSite{platformSite: &platformSite{fleet: &fleet{}, store: storeserver.New(platformAddr(1))}}
+	s := &partitionedSite{platformSite: &platformSite{fleet: &fleet{}, store: storeserver.New(platformAddr(1)), settings: firstStart}}
 	s.startServers(engines, workerserver.Config{Events: streamEvents, EventPause: 50 * time.Millisecond, Memory: engineMemory})
 	for i := range platformEntries {
 		f, err := settings.Parse(fmt.Sprint("entry-", i, ".toml"), s.entrySettings(i, string(partitionedClientID)))
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -46,13 +46,16 @@
 	streamEvents = 12
 )
 
+// firstStart are settings of instances that no others ran before.
+const firstStart = "[serve.relay]\nfirst_start = true\n"
+
 func newPlatformSite() *platformSite {
 	return newPlatformSiteWith(3, workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory})
 }
 
 // newPlatformSiteWith starts a site with the given number of identical engines.
 func newPlatformSiteWith(engines int, engine workerserver.Config) *platformSite {
-	return newPlatformSiteUsing("", engines, engine)
+	return newPlatformSiteUsing(firstStart, engines, engine)
 }
 
 // newPlatformSiteUsing is newPlatformSiteWith with further settings of the instances.
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -43,9 +43,8 @@
 	defaultRetryRatio  = 0.2
 	defaultRetryExtra  = 20
 	defaultRetryWindow = 10 * time.Second
-	// retrySafetyFactor scales down this instance's part of RetryExtra, because the
-	// number of members that share it is not known exactly.
-	retrySafetyFactor = 0.8
+	// fleetInterval is how often the instances that share the retry budgets are counted.
+	fleetInterval = 500 * time.Millisecond
 	// maxEjected is the share of a service's servers that may be out of rotation.
 	maxEjected = 0.34
 )
@@ -57,6 +56,9 @@
 	RetryRatio  float64           `toml:"retry_ratio" validate:"min=0,max=1"`
 	RetryExtra  float64           `toml:"retry_extra" validate:"min=0"`
 	RetryWindow settings.Duration `toml:"retry_window"`
+	// FirstStart is set if no instance ran before this one started, so that none can have made
+	// retries.
+	FirstStart bool `toml:"first_start"`
 
 	log              *zap.Logger
 	now              func() time.Duration
@@ -76,13 +78,16 @@
 	rand                   *rand.Rand
 	pools                  map[string]*pool
 	// retryExtraShare is this instance's part of RetryExtra as last logged.
-	retryExtraShare float64
+	retryExtraShare int
+	// fleet are the instances that share the retry budgets, as counted at fleetAt.
+	fleet   retry.Fleet
+	fleetAt time.Duration
 }
 
 // pool is what this instance observed of one service's servers.
 type pool struct {
 	tracker *health.Tracker
-	retries *retry.Window
+	retries *retry.Shared
 	// lives maps the servers of the list synced to their life, which changes with a restart.
 	lives  map[string]backends.Life
 	synced *backends.Snapshot
@@ -260,7 +265,7 @@
 	if p == nil {
 		p = &pool{
 			tracker: health.NewTracker(maxEjected, r.rand), lives: map[string]backends.Life{}, suspended: map[string]time.Duration{},
-			retries: retry.NewWindow(r.RetryWindow.Std(), r.RetryRatio, 0),
+			retries: retry.NewShared(retry.Config{Window: r.RetryWindow.Std(), Ratio: r.RetryRatio, Extra: r.RetryExtra}, r.FirstStart, r.rand),
 		}
 		r.pools[service] = p
 	}
@@ -378,16 +383,23 @@
 }
 
 // retryBudget returns this instance's part of the shared budget; r.mu must be held.
-func (r *Relay) retryBudget(service string) *retry.Window {
-	members := max(1, len(r.members.View().Alive))
-	w := r.pool(service).retries
-	extra := retrySafetyFactor * r.RetryExtra / float64(members)
-	if extra != r.retryExtraShare {
+func (r *Relay) retryBudget(service string) *retry.Shared {
+	b := r.pool(service).retries
+	b.SetFleet(r.retryFleet())
+	if extra := b.ExtraShare(); extra != r.retryExtraShare {
 		r.retryExtraShare = extra
-		r.log.Info("share of the retry budget changed", zap.Int("instances", members), zap.Float64("extra", extra))
+		r.log.Info("share of the retry budget changed", zap.Int("instances", r.fleet.Size), zap.Int("extra", extra))
 	}
-	w.SetExtra(extra)
-	return w
+	return b
+}
+
+// retryFleet returns the instances that share the retry budgets; r.mu must be held.
+func (r *Relay) retryFleet() retry.Fleet {
+	if now := r.now(); r.fleet.Size == 0 || now-r.fleetAt >= fleetInterval {
+		roster := r.members.Roster(2 * r.RetryWindow.Std())
+		r.fleet, r.fleetAt = retry.Fleet{Size: roster.Size, Rank: roster.Rank, Incomplete: roster.Incomplete}, now
+	}
+	return r.fleet
 }
 
 // observeBacklog records the present prefill backlog of a service's servers.
