--- /dev/null
+++ b/control/limits/limits.go
@@ -0,0 +1,190 @@
+// Package limits keeps the instances together within the limits that backend servers name in
+// their answers.
+package limits
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/control/loads"
+	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/ratelimit"
+	"github.com/auburnmoor/auburnmoor/peerlink"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+	"github.com/auburnmoor/auburnmoor/port/backend"
+)
+
+// ID is the name of the module and of its settings table.
+const ID auburnmoor.ModuleID = "control.limits"
+
+func init() { auburnmoor.Register(new(Limits)) }
+
+const (
+	// batchDelay is how long changes are batched into one message.
+	batchDelay = 10 * time.Millisecond
+	// repeatInterval is the interval at which limits in force are told to neighbours, which
+	// repairs lost messages and reaches new instances.
+	repeatInterval = 400 * time.Millisecond
+)
+
+// Limits is the module "control.limits".
+type Limits struct {
+	log     *zap.Logger
+	now     func() time.Duration
+	scope   tally.Scope
+	link    *peerlink.Link
+	members *members.Members
+	loads   *loads.Loads
+	catalog *follow.Follower
+	changed chan struct{}
+	// known is the number of records. While it is zero, placing looks up nothing.
+	known atomic.Int64
+
+	mu    sync.Mutex
+	table *ratelimit.Table
+}
+
+// ModuleInfo implements auburnmoor.Module.
+func (*Limits) ModuleInfo() auburnmoor.ModuleInfo {
+	return auburnmoor.ModuleInfo{
+		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, loads.ID, follow.ID, peerlink.ID}, OptIn: true,
+		New: func() auburnmoor.Module { return new(Limits) },
+	}
+}
+
+// Provision implements auburnmoor.Provisioner.
+func (l *Limits) Provision(c *auburnmoor.Context) (err error) {
+	if l.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
+		return err
+	}
+	if l.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
+		return err
+	}
+	if l.loads, err = auburnmoor.Require[*loads.Loads](c, loads.ID); err != nil {
+		return err
+	}
+	if l.catalog, err = auburnmoor.Require[*follow.Follower](c, follow.ID); err != nil {
+		return err
+	}
+	l.log, l.now, l.scope, l.table = c.Log, c.Now, c.Scope, ratelimit.NewTable()
+	l.changed = make(chan struct{}, 1)
+	l.link.Handle(l.receive)
+	return nil
+}
+
+// Start implements auburnmoor.Starter.
+func (l *Limits) Start(ctx context.Context) error {
+	go l.run(ctx)
+	return nil
+}
+
+// Observe records what an answer of a server says of its limit. An answer of a server that did
+// not run the request says nothing by naming none.
+func (l *Limits) Observe(to backend.Endpoint, h backend.Head) {
+	limit := ratelimit.Limit{Named: h.Limit.Status == backend.LimitNamed, PerSecond: h.Limit.PerSecond}
+	if h.Limit.Status == backend.LimitUnreadable {
+		l.scope.Counter("limits_unreadable_total").Inc(1)
+		l.log.Warn("limit of a server cannot be read, ignored", zap.String("server", to.Server))
+		return
+	}
+	if !limit.Named && (l.known.Load() == 0 || h.NotRun) {
+		return
+	}
+	if l.set(l.now(), ratelimit.KeyOf(to.Server, to.Life), limit) {
+		l.log.Info("limit of a server", zap.String("server", to.Server), zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
+		l.wake()
+	}
+}
+
+// set records a limit and reports whether it changed.
+func (l *Limits) set(heard time.Duration, key ratelimit.Key, limit ratelimit.Limit) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := l.table.Set(heard, key, limit)
+	l.known.Store(int64(l.table.Len()))
+	if changed {
+		l.scope.Counter("limits_changed_total").Inc(1)
+	}
+	return changed
+}
+
+func (l *Limits) wake() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Limits) run(ctx context.Context) {
+	repeat := time.NewTicker(repeatInterval)
+	defer repeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.changed:
+			time.Sleep(batchDelay)
+			l.tell(l.loads.Cell().Peers)
+		case <-repeat.C:
+			l.expire()
+			l.tell(l.members.Neighbours())
+		}
+	}
+}
+
+// tell sends what is known to peers.
+func (l *Limits) tell(peers []string) {
+	if l.known.Load() == 0 || len(peers) == 0 {
+		return
+	}
+	l.mu.Lock()
+	now := l.now()
+	all := l.table.All(now)
+	l.mu.Unlock()
+	l.link.SendDatagrams(peers, &peerpb.Envelope{Body: &peerpb.Envelope_RateLimits{RateLimits: encode(now, all)}})
+}
+
+func (l *Limits) receive(_ string, env *peerpb.Envelope) {
+	for _, in := range env.GetRateLimits().GetLimits() {
+		heard, limit, ok := decode(l.now(), in)
+		if ok {
+			l.set(heard, ratelimit.Key(in.Server), limit)
+		}
+	}
+}
+
+// expire drops the limits of servers that are gone.
+func (l *Limits) expire() {
+	if l.known.Load() == 0 {
+		return
+	}
+	listed := l.listed()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Retain(l.now(), func(key ratelimit.Key) bool { return listed[key].ID != "" })
+	l.known.Store(int64(l.table.Len()))
+	l.scope.Gauge("limits").Update(float64(l.table.Len()))
+}
+
+// listed returns the backend servers in use by their keys.
+func (l *Limits) listed() map[ratelimit.Key]backends.Server {
+	out := map[ratelimit.Key]backends.Server{}
+	table, servers := l.catalog.Table(), l.catalog.Servers()
+	if table == nil || servers == nil {
+		return out
+	}
+	for _, service := range table.Services {
+		for _, s := range servers.Ready(service.Name) {
+			out[ratelimit.KeyOf(s.ID, s.Life)] = s
+		}
+	}
+	return out
+}
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -92,7 +92,9 @@
 	doubleUse   int
 	disconnects int
 	crashes     int
-	closed      bool
+	// limits are the values of the limit header of each answer.
+	limits []string
+	closed bool
 }
 
 // Seen is a request as it arrived.
@@ -225,8 +227,24 @@
 	return first
 }
 
+// limitHeader names the requests a second that the server takes from all callers together.
+const limitHeader = "Server-Limit"
+
+// SetLimit sets the values of the limit header in each answer from now on; none withdraws the
+// limit.
+func (s *Server) SetLimit(values ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = values
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	if len(s.limits) > 0 {
+		w.Header()[limitHeader] = s.limits
+	}
+	s.mu.Unlock()
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.cfg.ID {
 		w.Header().Set("X-Instance-Id", s.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/modules/modules.go
+++ b/modules/modules.go
@@ -6,6 +6,7 @@
 	_ "github.com/auburnmoor/auburnmoor/control/claims"
 	_ "github.com/auburnmoor/auburnmoor/control/config"
 	_ "github.com/auburnmoor/auburnmoor/control/follow"
+	_ "github.com/auburnmoor/auburnmoor/control/limits"
 	_ "github.com/auburnmoor/auburnmoor/control/loads"
 	_ "github.com/auburnmoor/auburnmoor/control/members"
 	_ "github.com/auburnmoor/auburnmoor/control/orders"
--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -82,8 +82,29 @@
 	// RetryAfter is the delay after which the server may accept the request; zero if
 	// not reported.
 	RetryAfter time.Duration
+	// Limit is the limit on requests that the answer names.
+	Limit RateLimit
 }
 
+// RateLimit is the rate of requests that a server says it takes from all instances together, for
+// as long as its answers say so.
+type RateLimit struct {
+	Status LimitStatus
+	// PerSecond is the rate if Status is LimitNamed; zero means no requests.
+	PerSecond float64
+}
+
+// LimitStatus is whether an answer names a limit.
+type LimitStatus int
+
+// The statuses.
+const (
+	NoLimit LimitStatus = iota
+	LimitNamed
+	// LimitUnreadable means that the answer names something that is not a limit.
+	LimitUnreadable
+)
+
 // Answer is an answer being received.
 type Answer interface {
 	Head() Head
--- a/serve/peerproxy/wire.go
+++ b/serve/peerproxy/wire.go
@@ -43,7 +43,7 @@
 func encodeHead(h backend.Head) *peerpb.ProxyHead {
 	return &peerpb.ProxyHead{
 		Status: int32(h.Status), Headers: encodeHeaders(h.Header), Sealed: h.Sealed, NotRun: h.NotRun, AtFault: h.AtFault,
-		RetryAfterUs: h.RetryAfter.Microseconds(),
+		RetryAfterUs: h.RetryAfter.Microseconds(), Limit: peerpb.ServerLimit(h.Limit.Status), LimitPerSecond: h.Limit.PerSecond,
 	}
 }
 
@@ -51,6 +51,7 @@
 	return backend.Head{
 		Status: int(h.Status), Header: decodeHeaders(h.Headers), Sealed: h.Sealed, NotRun: h.NotRun, AtFault: h.AtFault,
 		RetryAfter: time.Duration(h.RetryAfterUs) * time.Microsecond,
+		Limit:      backend.RateLimit{Status: backend.LimitStatus(h.Limit), PerSecond: h.LimitPerSecond},
 	}
 }
 
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/control/limits"
 	"github.com/auburnmoor/auburnmoor/control/loads"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
@@ -68,6 +69,7 @@
 	loads            *loads.Loads
 	members          *members.Members
 	quarantine       *quarantine.Quarantine
+	limits           *limits.Limits
 	client           backend.Client
 	examiner         *examiner
 
@@ -105,7 +107,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Relay) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, peerproxy.ID}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, limits.ID, peerproxy.ID}, OptIn: true,
 		New: func() auburnmoor.Module { return new(Relay) },
 	}
 }
@@ -124,6 +126,9 @@
 	if r.quarantine, err = auburnmoor.Require[*quarantine.Quarantine](c, quarantine.ID); err != nil {
 		return err
 	}
+	if r.limits, err = auburnmoor.Require[*limits.Limits](c, limits.ID); err != nil {
+		return err
+	}
 	if r.client, err = auburnmoor.Require[*peerproxy.PeerProxy](c, peerproxy.ID); err != nil {
 		return err
 	}
