All instances together keep to the limits that servers name

A server that named 1.6 requests a second got 22 in four seconds: the limit was not read, each of six instances sent one to three requests a second as before (hypothesis 1; the others fall, since nothing acted on it).

An instance that hears of a limit tells its cell at once. One instance for each server, by rendezvous hashing over those in sight, gives out permits at 0.94 of the limit; an instance asks for one before it sends a request there. Permits are denied with the time until one is expected, or waited for, by rank and size, if no other server can take the request. An owner gives out the part of the instances in sight only, so that the sides of a partition add up; a new owner waits 2.5 s. Limited servers do not help with prompts of others. What nothing can take in time is refused as not run with code 2014.

Failed before: e2e 'a server that names a limit gets no more', 28 requests in four seconds where 12 are allowed. With it also: all servers limited and 15 requests a second at all instances or at one, at least 0.9 of the limits used, none exceeded; the end of a limit; limits that cannot be read.

--- a/cli/status.go
+++ b/cli/status.go
@@ -29,6 +29,7 @@
 	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
 	var failed []string
 	var fleet catalogSpread
+	var limited []string
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -36,6 +37,7 @@
 			continue
 		}
 		d.writeRow(w, addr)
+		limited = append(limited, d.limitRows(addr)...)
 		if d.Catalog != nil {
 			fleet.add(*d.Catalog)
 		}
@@ -46,6 +48,9 @@
 	if fleet.instances > 0 {
 		fmt.Fprintln(e.out, fleet)
 	}
+	if err := writeLimits(e.out, limited); err != nil {
+		return err
+	}
 	if len(failed) > 0 {
 		return errors.New(strings.Join(failed, "; "))
 	}
@@ -71,6 +76,27 @@
 		n.Engines, len(n.Owned), n.Requests, n.Counts.Answered, n.Counts.Refused, n.Counts.Failed)
 }
 
+// limitRows returns a row for each limit that the instance knows.
+func (d dumpSummary) limitRows(addr string) (rows []string) {
+	for _, l := range d.Limits.Limits {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%g\t%s\t%s\t%d\t%d", addr, l.Server, l.PerSecond, l.Age.Round(time.Millisecond), l.Owner, l.Permits, l.Waiting))
+	}
+	return rows
+}
+
+// writeLimits writes a table of the limits that backend servers name, if there are any.
+func writeLimits(out io.Writer, rows []string) error {
+	if len(rows) == 0 {
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING")
+	for _, row := range rows {
+		fmt.Fprintln(w, row)
+	}
+	return w.Flush()
+}
+
 // catalogSpread summarizes how the instances of a fleet differ in their view of the store.
 type catalogSpread struct {
 	instances, unconfirmed int
--- a/cli/summary.go
+++ b/cli/summary.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/auburnmoor/auburnmoor/control/config"
 	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/control/limits"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
 )
@@ -14,4 +15,5 @@
 	Dispatch dispatcher.Dump `json:"serve.dispatch"`
 	// Catalog is nil for instances that do not follow a store.
 	Catalog *follow.Dump `json:"control.catalog"`
+	Limits  limits.Dump  `json:"control.limits"`
 }
--- a/control/limits/dump.go
+++ b/control/limits/dump.go
@@ -18,6 +18,11 @@
 	// Age is the time since an answer named it last, InForce the time since it was first named.
 	Age     time.Duration `json:"age_ns"`
 	InForce time.Duration `json:"in_force_ns"`
+	// Owner is the instance that gives out the permits, Permits the number that this instance
+	// got, Waiting the requests of all instances that wait for one here.
+	Owner   string `json:"owner"`
+	Permits uint64 `json:"permits"`
+	Waiting int    `json:"waiting"`
 }
 
 // Dump implements auburnmoor.Dumper.
@@ -28,7 +33,10 @@
 	now, d := l.now(), Dump{}
 	for key, r := range l.table.All(now) {
 		if r.Named {
-			d.Limits = append(d.Limits, DumpLimit{Server: listed[key].ID, PerSecond: r.PerSecond, Age: now - r.Heard, InForce: now - r.Since})
+			d.Limits = append(d.Limits, DumpLimit{
+				Server: listed[key].ID, PerSecond: r.PerSecond, Age: now - r.Heard, InForce: now - r.Since,
+				Owner: l.owner(key), Permits: l.permits[key], Waiting: l.pacer.Waiting(key),
+			})
 		}
 	}
 	slices.SortFunc(d.Limits, func(a, b DumpLimit) int { return cmp.Compare(a.Server, b.Server) })
--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -3,7 +3,10 @@
 package limits
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +36,8 @@
 	// repeatInterval is the interval at which limits in force are told to neighbours, which
 	// repairs lost messages and reaches new instances.
 	repeatInterval = 400 * time.Millisecond
+	// unlimited is the rate for requests that asked before their server's limit ended.
+	unlimited = 1e6
 )
 
 // Limits is the module "control.limits".
@@ -50,6 +55,19 @@
 
 	mu    sync.Mutex
 	table *ratelimit.Table
+	// pacer gives out the permits of the servers that this instance owns, lastRequest is the
+	// ID of the newest request for one.
+	pacer       *ratelimit.Pacer
+	lastRequest uint64
+	// candidates are the instances that can own servers, owners caches the owners by them.
+	candidates []string
+	owners     map[ratelimit.Key]string
+	// inSight counts the instances in sight, all also those that may be behind a partition.
+	inSight, all int
+	// closedUntil is when to ask for a permit of a server again.
+	closedUntil map[ratelimit.Key]time.Duration
+	// permits counts the permits that this instance got.
+	permits map[ratelimit.Key]uint64
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -75,8 +93,12 @@
 		return err
 	}
 	l.log, l.now, l.scope, l.table = c.Log, c.Now, c.Scope, ratelimit.NewTable()
-	l.changed = make(chan struct{}, 1)
+	l.changed, l.pacer = make(chan struct{}, 1), ratelimit.NewPacer()
+	l.owners, l.closedUntil = map[ratelimit.Key]string{}, map[ratelimit.Key]time.Duration{}
+	l.permits = map[ratelimit.Key]uint64{}
 	l.link.Handle(l.receive)
+	l.link.HandlePermits(l)
+	l.members.OnView(l.updateView)
 	return nil
 }
 
@@ -104,6 +126,46 @@
 	}
 }
 
+// Any reports whether any limit may be in force. Until then nothing else needs to be asked.
+func (l *Limits) Any() bool { return l.known.Load() > 0 }
+
+// Limited returns the servers that name a limit, those whose permits may be free first.
+func (l *Limits) Limited(servers []backends.Server) (limited []backends.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range servers {
+		if _, ok := l.table.Get(ratelimit.KeyOf(s.ID, s.Life)); ok {
+			limited = append(limited, s)
+		}
+	}
+	slices.SortStableFunc(limited, func(a, b backends.Server) int { return cmp.Compare(l.closedFor(a), l.closedFor(b)) })
+	return limited
+}
+
+// ClosedFor returns the time until it makes sense to ask for a permit of a server.
+func (l *Limits) ClosedFor(s backends.Server) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closedFor(s)
+}
+
+func (l *Limits) closedFor(s backends.Server) time.Duration {
+	return max(0, l.closedUntil[ratelimit.KeyOf(s.ID, s.Life)]-l.now())
+}
+
+// Unlimited returns the servers that name no limit.
+func (l *Limits) Unlimited(servers []backends.Server) []backends.Server {
+	if !l.Any() {
+		return servers
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool {
+		_, limited := l.table.Get(ratelimit.KeyOf(s.ID, s.Life))
+		return limited
+	})
+}
+
 // set records a limit and reports whether it changed.
 func (l *Limits) set(heard time.Duration, key ratelimit.Key, limit ratelimit.Limit) bool {
 	l.mu.Lock()
@@ -166,10 +228,18 @@
 	if l.known.Load() == 0 {
 		return
 	}
-	listed := l.listed()
+	listed, roster := l.listed(), l.members.Roster(leftFor)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.all = roster.Size
 	l.table.Retain(l.now(), func(key ratelimit.Key) bool { return listed[key].ID != "" })
+	limited := func(key ratelimit.Key) bool {
+		_, ok := l.table.Get(key)
+		return ok
+	}
+	l.pacer.Retain(limited)
+	maps.DeleteFunc(l.permits, func(key ratelimit.Key, _ uint64) bool { return !limited(key) })
+	maps.DeleteFunc(l.closedUntil, func(_ ratelimit.Key, until time.Duration) bool { return until < l.now() })
 	l.known.Store(int64(l.table.Len()))
 	l.scope.Gauge("limits").Update(float64(l.table.Len()))
 }
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -137,6 +137,8 @@
 	Hold
 	// TooLarge: the prompt exceeds the memory of all engines together.
 	TooLarge
+	// Limited: the limits that the servers name leave no room for the request in its time.
+	Limited
 )
 
 // Choose places a request of a model service.
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -67,6 +67,11 @@
 // Forwarder handles a request forwarded by another instance.
 type Forwarder func(context.Context, *peerpb.ForwardRequest) (*peerpb.ForwardReply, error)
 
+// Permitter gives out permits to send requests to limited backend servers.
+type Permitter interface {
+	TakePermit(context.Context, *peerpb.PermitRequest) (*peerpb.PermitReply, error)
+}
+
 // Proxier makes calls to backend servers for other instances.
 type Proxier interface {
 	Proxy(s grpc.BidiStreamingServer[peerpb.ProxyRequest, peerpb.ProxyReply]) error
@@ -87,6 +92,7 @@
 	handlers []Handler
 	forward  Forwarder
 	proxier  Proxier
+	permits  Permitter
 	ctx      context.Context
 
 	datagrams datagrams
@@ -147,6 +153,9 @@
 // HandleProxy sets the handler of calls that other instances ask this one to make.
 func (l *Link) HandleProxy(p Proxier) { l.proxier = p }
 
+// HandlePermits sets the handler of requests for permits. It must be called before Start.
+func (l *Link) HandlePermits(p Permitter) { l.permits = p }
+
 // Start implements auburnmoor.Starter.
 func (l *Link) Start(ctx context.Context) error {
 	lis, err := net.Listen("tcp", l.self.PeerAddr)
@@ -244,6 +253,17 @@
 	p.lastUsed = time.Now()
 }
 
+// TakePermit asks another instance for a permit.
+func (l *Link) TakePermit(ctx context.Context, to string, req *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
+	p, err := l.peer(to)
+	if err != nil {
+		return nil, err
+	}
+	l.countCall(p, 1)
+	defer l.countCall(p, -1)
+	return peerpb.NewPeerClient(p.conn).TakePermit(ctx, req)
+}
+
 // ProxyOrder has another instance send an order to a backend server.
 func (l *Link) ProxyOrder(ctx context.Context, to string, req *peerpb.ProxyOrderRequest) (*peerpb.ProxyOrderReply, error) {
 	p, err := l.peer(to)
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -14,6 +14,7 @@
 
 // errNoProxy is the answer of an instance that makes no calls for others.
 var errNoProxy = status.Error(codes.Unimplemented, "this instance makes no calls for others")
+var errNoPermits = status.Error(codes.Unimplemented, "this instance gives out no permits")
 
 // server is the receiving side of a Link.
 type server struct {
@@ -55,3 +56,11 @@
 	}
 	return sv.link.proxier.ProxyOrder(ctx, req)
 }
+
+// TakePermit implements peerpb.PeerServer.
+func (sv *server) TakePermit(ctx context.Context, req *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
+	if sv.link.permits == nil {
+		return nil, errNoPermits
+	}
+	return sv.link.permits.TakePermit(ctx, req)
+}
--- a/result/result.go
+++ b/result/result.go
@@ -43,6 +43,7 @@
 	RingFull           Code = 2011
 	Quarantined        Code = 2012
 	Unconfirmed        Code = 2013
+	ServersLimited     Code = 2014
 	DeadlinePassed     Code = 3001
 	BackendFailed      Code = 3002
 	OutcomeUnknown     Code = 3003
@@ -90,6 +91,7 @@
 	{RingFull, "ring_full", http.StatusServiceUnavailable, true, "An internal queue is full."},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, true, "Servers that ran this request crashed, one after the other; it is not run again for a while."},
 	{Unconfirmed, "unconfirmed", http.StatusServiceUnavailable, true, "The instance knows of no such route, key or limit, and cannot know whether its configuration is still in force."},
+	{ServersLimited, "servers_limited", http.StatusServiceUnavailable, true, "The servers of the service limit the requests that they take, and those let in fill them for the time of this one."},
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, false, "The time limit passed while the request was at a backend server."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, false, "The backend server failed and no retry was possible in time."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it will not be run again under this key."},
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -30,7 +30,7 @@
 // the context ended meanwhile.
 func (x *exchange) placeOrHold(ctx context.Context) (spread.Plan, spread.Verdict) {
 	r := x.relay
-	plan, verdict := x.place(x.maxHoldTime())
+	plan, verdict := x.placeWithinLimits(ctx)
 	if verdict != spread.Hold {
 		return plan, verdict
 	}
@@ -59,7 +59,7 @@
 			// Servers crashed on the same request while this one was held.
 			return plan, spread.NoServer
 		}
-		plan, verdict = x.place(x.maxHoldTime())
+		plan, verdict = x.placeWithinLimits(ctx)
 	}
 	r.scope.Histogram("held_seconds", buckets.Durations).RecordDuration(x.heldFor)
 	return plan, verdict
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -281,6 +281,7 @@
 // on, and the number of ready servers they were selected from. These are the ready
 // servers of the instance's cell, or of all cells with allCells or if the cell has
 // none in rotation. If no server at all is in rotation, every ready one is a candidate.
+// Servers that name a limit are not among them: they need a permit (placePermitted).
 func (r *Relay) candidates(service *route.Service, allCells bool) (out []backends.Server, total int) {
 	snap := r.catalog.Servers()
 	ready := snap.Ready(service.Name)
@@ -293,12 +294,12 @@
 	if !allCells {
 		share = p.cellServers(snap, c, ready, service.Engine == nil)
 	}
-	if out = r.inRotation(p, share); len(out) == 0 {
+	if out = r.limits.Unlimited(r.inRotation(p, share)); len(out) == 0 {
 		share = ready
-		out = r.inRotation(p, ready)
+		out = r.limits.Unlimited(r.inRotation(p, ready))
 	}
 	if len(out) == 0 {
-		out = ready
+		out = r.limits.Unlimited(ready)
 	}
 	return r.loads.Available(out), len(share)
 }
