Permits of a limited server: sides of a partition, restarted owners

In virtual fleets whose instances are killed, cut off and joined again up to three times the limit was permitted: small sides each gave out a part from the first moment on, an owner that had started behind a partition took its side for the whole fleet, and for the time until lost members are noticed two sides saw more than half. An owner now gives out permits only while it sees more than half of all that it or those that ask know of, 2.5 s after that began; after 30 s without a majority it gives out the part of those in sight. One that has started lately waits until it has heard from the listed instances, 20 s at most.

The deciding part is decide/ratelimit Granter, without I/O or clock. Also e2e 'gets no more while an instance ends'.

--- a/control/limits/dump.go
+++ b/control/limits/dump.go
@@ -35,7 +35,7 @@
 		if r.Named {
 			d.Limits = append(d.Limits, DumpLimit{
 				Server: listed[key].ID, PerSecond: r.PerSecond, Age: now - r.Heard, InForce: now - r.Since,
-				Owner: l.owner(key), Permits: l.permits[key], Waiting: l.pacer.Waiting(key),
+				Owner: l.granter.Owner(key), Permits: l.permits[key], Waiting: l.granter.Waiting(key),
 			})
 		}
 	}
--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -36,8 +36,6 @@
 	// repeatInterval is the interval at which limits in force are told to neighbours, which
 	// repairs lost messages and reaches new instances.
 	repeatInterval = 400 * time.Millisecond
-	// unlimited is the rate for requests that asked before their server's limit ended.
-	unlimited = 1e6
 )
 
 // Limits is the module "control.limits".
@@ -55,15 +53,10 @@
 
 	mu    sync.Mutex
 	table *ratelimit.Table
-	// pacer gives out the permits of the servers that this instance owns, lastRequest is the
+	// granter gives out the permits of the servers that this instance owns, lastRequest is the
 	// ID of the newest request for one.
-	pacer       *ratelimit.Pacer
+	granter     *ratelimit.Granter
 	lastRequest uint64
-	// candidates are the instances that can own servers, owners caches the owners by them.
-	candidates []string
-	owners     map[ratelimit.Key]string
-	// inSight counts the instances in sight, all also those that may be behind a partition.
-	inSight, all int
 	// closedUntil is when to ask for a permit of a server again.
 	closedUntil map[ratelimit.Key]time.Duration
 	// permits counts the permits that this instance got.
@@ -93,9 +86,8 @@
 		return err
 	}
 	l.log, l.now, l.scope, l.table = c.Log, c.Now, c.Scope, ratelimit.NewTable()
-	l.changed, l.pacer = make(chan struct{}, 1), ratelimit.NewPacer()
-	l.owners, l.closedUntil = map[ratelimit.Key]string{}, map[ratelimit.Key]time.Duration{}
-	l.permits = map[ratelimit.Key]uint64{}
+	l.changed, l.granter = make(chan struct{}, 1), ratelimit.NewGranter(c.Self.Name)
+	l.closedUntil, l.permits = map[ratelimit.Key]time.Duration{}, map[ratelimit.Key]uint64{}
 	l.link.Handle(l.receive)
 	l.link.HandlePermits(l)
 	l.members.OnView(l.updateView)
@@ -231,13 +223,13 @@
 	listed, roster := l.listed(), l.members.Roster(leftFor)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.all = roster.Size
+	l.granter.SetFleet(l.now(), ratelimit.Fleet{Size: roster.Size, Incomplete: roster.Incomplete})
 	l.table.Retain(l.now(), func(key ratelimit.Key) bool { return listed[key].ID != "" })
 	limited := func(key ratelimit.Key) bool {
 		_, ok := l.table.Get(key)
 		return ok
 	}
-	l.pacer.Retain(limited)
+	l.granter.Retain(limited)
 	maps.DeleteFunc(l.permits, func(key ratelimit.Key, _ uint64) bool { return !limited(key) })
 	maps.DeleteFunc(l.closedUntil, func(_ ratelimit.Key, until time.Duration) bool { return until < l.now() })
 	l.known.Store(int64(l.table.Len()))
--- a/control/limits/permits.go
+++ b/control/limits/permits.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// handoverTime is how long a new owner of a server gives out no permits: the one before may
-	// do so until it has the same view.
-	handoverTime = 2500 * time.Millisecond
 	// askTimeout bounds a call to an owner, besides the time that the request can wait.
 	askTimeout = 150 * time.Millisecond
 	// pauseFailed is how long a server is passed over whose owner did not answer.
@@ -32,12 +29,14 @@
 	key := ratelimit.KeyOf(s.ID, s.Life)
 	l.mu.Lock()
 	r, limited := l.table.Get(key)
-	owner := l.owner(key)
+	owner, instances := l.granter.Owner(key), l.granter.Size()
 	l.mu.Unlock()
 	if !limited {
 		return true, 0
 	}
-	req := &peerpb.PermitRequest{Limit: encodeOne(l.now(), key, r), Rank: int32(rank), Weight: weight, WaitUs: maxWait.Microseconds()}
+	req := &peerpb.PermitRequest{
+		Limit: encodeOne(l.now(), key, r), Rank: int32(rank), Weight: weight, WaitUs: maxWait.Microseconds(), Instances: uint32(instances),
+	}
 	reply, err := l.ask(ctx, owner, req, maxWait)
 	if err != nil {
 		l.countPermit("failed")
@@ -71,34 +70,17 @@
 	return l.link.TakePermit(ctx, owner, req)
 }
 
-// owner returns the instance that gives out the permits of a server; l.mu must be held.
-func (l *Limits) owner(key ratelimit.Key) string {
-	if owner, ok := l.owners[key]; ok {
-		return owner
-	}
-	owner := ratelimit.Owner(key, l.candidates)
-	l.owners[key] = owner
-	return owner
-}
-
-// updateView applies a changed view of the fleet. A server that another instance owned until now
-// gets no permits for a while.
+// updateView applies a changed view of the fleet.
 func (l *Limits) updateView(v members.View) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	before := l.candidates
-	l.owners, l.candidates, l.inSight = map[ratelimit.Key]string{}, nil, len(v.Alive)
+	next := ratelimit.View{InSight: len(v.Alive)}
 	for _, m := range v.Alive {
 		if !m.Leaving {
-			l.candidates = append(l.candidates, m.Name)
-		}
-	}
-	self := l.link.Self()
-	for key := range l.table.All(l.now()) {
-		if l.owner(key) == self && ratelimit.Owner(key, before) != self {
-			l.pacer.Block(key, l.now()+handoverTime)
+			next.Owners = append(next.Owners, m.Name)
 		}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.granter.SetView(l.now(), next, l.table.Limited())
 }
 
 // TakePermit implements peerlink.Permitter.
@@ -107,73 +89,38 @@
 	if heard, limit, ok := decode(l.now(), req.GetLimit()); ok {
 		l.set(heard, key, limit)
 	}
-	r := ratelimit.Request{Rank: int(req.Rank), Weight: req.Weight}
-	granted, pause := l.enqueue(key, &r, time.Duration(req.WaitUs)*time.Microsecond)
-	if granted || r.ID == 0 {
-		return &peerpb.PermitReply{Granted: granted, WaitUs: pause.Microseconds()}, nil
+	id, d := l.enqueue(key, req)
+	if d.Queued {
+		defer l.leave(key, id)
 	}
-	defer l.leave(key, r.ID)
-	for wait.For(ctx, pause) {
-		if granted, pause = l.poll(key, r.ID); granted {
-			return &peerpb.PermitReply{Granted: true, WaitUs: pause.Microseconds()}, nil
+	for d.Queued {
+		if !wait.For(ctx, d.Pause) {
+			return nil, ctx.Err()
 		}
+		d = l.poll(key, id)
 	}
-	return nil, ctx.Err()
+	return &peerpb.PermitReply{Granted: d.Granted, WaitUs: d.Pause.Microseconds()}, nil
 }
 
-// enqueue takes a permit or queues the request, which then has an ID. Without either, pause is
-// the time until a permit is expected.
-func (l *Limits) enqueue(key ratelimit.Key, r *ratelimit.Request, maxWait time.Duration) (granted bool, pause time.Duration) {
+func (l *Limits) enqueue(key ratelimit.Key, req *peerpb.PermitRequest) (id uint64, d ratelimit.Decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	rate, ok := l.rate(key)
-	if !ok {
-		return false, pauseFailed
-	}
 	l.lastRequest++
-	id := l.lastRequest
-	r.ID = id
-	expected := l.pacer.Ask(now, key, rate, *r, maxWait)
-	switch {
-	case expected == 0:
-		return true, l.pacer.Next(now, key)
-	case expected > maxWait:
-		r.ID = 0
-		return false, expected
-	}
-	return false, min(expected, l.pacer.Next(now, key))
+	r := ratelimit.Request{ID: l.lastRequest, Rank: int(req.Rank), Weight: req.Weight}
+	record, _ := l.table.Get(key)
+	l.granter.SetTold(l.now(), int(req.Instances))
+	return r.ID, l.granter.Ask(l.now(), key, record.Limit, r, time.Duration(req.WaitUs)*time.Microsecond)
 }
 
-func (l *Limits) poll(key ratelimit.Key, id uint64) (granted bool, pause time.Duration) {
+func (l *Limits) poll(key ratelimit.Key, id uint64) ratelimit.Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	rate, ok := l.rate(key)
-	if !ok {
-		return false, pauseFailed
-	}
-	if pause = l.pacer.Poll(now, key, rate, id); pause > 0 {
-		return false, pause
-	}
-	return true, l.pacer.Next(now, key)
+	record, _ := l.table.Get(key)
+	return l.granter.Poll(l.now(), key, record.Limit, id)
 }
 
 func (l *Limits) leave(key ratelimit.Key, id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pacer.Leave(key, id)
-}
-
-// rate is the part of a server's limit that this instance gives out, or false if it does not
-// own the server or has not run for long enough to know the others; l.mu must be held.
-func (l *Limits) rate(key ratelimit.Key) (float64, bool) {
-	r, limited := l.table.Get(key)
-	if l.now() < handoverTime || l.owner(key) != l.link.Self() {
-		return 0, false
-	}
-	if !limited {
-		return unlimited, true
-	}
-	return ratelimit.ShareOf(r.PerSecond, l.inSight, l.all), true
+	l.granter.Leave(key, id)
 }
--- a/decide/ratelimit/owner.go
+++ b/decide/ratelimit/owner.go
@@ -23,10 +23,10 @@
 	return h ^ h>>31
 }
 
-// ShareOf returns the part of a rate that the instances in sight of an owner may use. Those on
-// the other side of a partition use the rest.
+// ShareOf returns the part of a rate that the instances in sight of an owner may use: all of it
+// if they are more than half of all instances, or else as many parts as they are.
 func ShareOf(perSecond float64, inSight, all int) float64 {
-	if all <= inSight {
+	if 2*inSight > all {
 		return perSecond
 	}
 	return perSecond * float64(inSight) / float64(all)
--- a/decide/ratelimit/ratelimit_test.go
+++ b/decide/ratelimit/ratelimit_test.go
@@ -158,9 +158,30 @@
 		}
 	})
 
-	It("gives out the part of those in sight, so that the sides of a partition add up", func() {
-		Expect(ratelimit.ShareOf(10, 4, 6) + ratelimit.ShareOf(10, 2, 6)).To(BeNumerically("~", 10, 1e-9))
+	It("gives out all of a limit on the larger side of a partition", func() {
 		Expect(ratelimit.ShareOf(10, 6, 6)).To(Equal(10.0))
+		Expect(ratelimit.ShareOf(10, 4, 6)).To(Equal(10.0))
+		Expect(ratelimit.ShareOf(10, 3, 6)).To(Equal(5.0))
 		Expect(ratelimit.ShareOf(10, 6, 0)).To(Equal(10.0))
 	})
+
+	// Guards against servers that nobody uses any more once most instances are lost for good.
+	It("gives out nothing in a minority, but not forever", func() {
+		g := ratelimit.NewGranter("a")
+		key := ratelimit.KeyOf("server", 1)
+		ask := func(now time.Duration) bool { return g.Ask(now, key, named(2), ratelimit.Request{}, 0).Granted }
+		g.SetFleet(0, ratelimit.Fleet{Size: 4})
+		Expect(ask(10 * second)).To(BeFalse())
+		Expect(ask(time.Minute)).To(BeTrue())
+	})
+
+	It("gives out nothing just after its start, and before it has heard from all that it knows of", func() {
+		g := ratelimit.NewGranter("a")
+		key := ratelimit.KeyOf("server", 1)
+		ask := func(now time.Duration) bool { return g.Ask(now, key, named(2), ratelimit.Request{}, 0).Granted }
+		Expect(ask(second)).To(BeFalse())
+		g.SetFleet(0, ratelimit.Fleet{Size: 1, Incomplete: true})
+		Expect(ask(10 * second)).To(BeFalse())
+		Expect(ask(time.Minute)).To(BeTrue())
+	})
 })
--- a/decide/ratelimit/table.go
+++ b/decide/ratelimit/table.go
@@ -80,6 +80,16 @@
 	return out
 }
 
+// Limited returns the servers whose limits are in force.
+func (t *Table) Limited() (out []Key) {
+	for key, r := range t.records {
+		if r.Named {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // Retain drops what is known of servers that are gone, and limits that ended long ago.
 func (t *Table) Retain(now time.Duration, listed func(Key) bool) {
 	for key, r := range t.records {
--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -79,7 +79,7 @@
 		for _, e := range s.engines {
 			e.SetLimit()
 		}
-		s.load("reset", 10, time.Second, inTurn)
+		s.load("reset", 10, time.Second, func(int) int { return 0 })
 	})
 
 	// Guards against a server in need that gets as much as before, or as much from each instance.
@@ -126,4 +126,23 @@
 		Expect(served).To(Equal(int64(sent)))
 		Expect(call("GET", "http://"+platformAddr(500)+"/admin/dump", "").body).NotTo(ContainSubstring("per_second"))
 	})
+
+	// Guards against two instances that give out permits for the same server while one is replaced.
+	It("gets no more while an instance ends, and is used again after it", func() {
+		for _, e := range s.engines {
+			e.SetLimit("2")
+		}
+		survivors := func(i int) int { return i % 2 }
+		s.load("before", 10, 1500*time.Millisecond, survivors)
+		begin := time.Now()
+		s.load("while", 15, 3*time.Second, survivors)
+		s.kill(2)
+		s.load("gone", 15, 6*time.Second, survivors)
+		settled := time.Now()
+		s.load("settled", 15, 6*time.Second, survivors)
+		for _, e := range s.engines {
+			Expect(busiestWindow(arrivals(e, begin))).To(BeNumerically("<=", 4*2+limitSlack))
+			Expect(len(arrivals(e, settled))).To(BeNumerically(">=", 8))
+		}
+	})
 })
