Soak: backend servers name limits for a while

Each drawn plan has some servers name 0.3, 1.6, 5 or 40 requests a second between its quiet ends; no four seconds from one second on may hold more than four times that and two, checked while nothing disturbed the instances. The mutant hides-limits breaks it.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -38,6 +38,8 @@
 	Leaving Promise = "leaving"
 	// Drained: a graceful shutdown breaks off no request.
 	Drained Promise = "drained"
+	// Limited: a server gets no more than it says that it takes, from all instances together.
+	Limited Promise = "limited"
 	// Contained: a request that crashes engines crashes only a few of them.
 	Contained Promise = "contained"
 	// Released: no engine memory stays reserved after the last request.
@@ -60,6 +62,9 @@
 	configDeadline, rollbackGrace = 2 * time.Second, 250 * time.Millisecond
 	// leaveDeadline bounds the time that a leaving server may still get new work.
 	leaveDeadline = 2 * time.Second
+	// limitDelay is the time until all instances keep to a limit that a server names, limitWindow
+	// the length of the windows in which they do, limitSlack the requests in one over it.
+	limitDelay, limitWindow, limitSlack = time.Second, 4 * time.Second, 2
 	// answerGrace is how far past its deadline a final answer may arrive.
 	answerGrace = 500 * time.Millisecond
 	// minAcceptAfterTerm is how long an instance accepts requests after SIGTERM at least.
@@ -116,6 +121,7 @@
 	}
 	c.checkConfiguration()
 	c.checkLeaving()
+	c.checkLimited()
 	c.checkContained()
 	c.checkRecovered()
 	c.checkExplained()
@@ -254,6 +260,36 @@
 	}
 }
 
+func (c *checker) checkLimited() {
+	for _, v := range c.site.allServers() {
+		for _, l := range v.limits {
+			c.checkLimit(v, l)
+		}
+	}
+}
+
+// checkLimit checks the windows that begin with a request while a server names a limit.
+func (c *checker) checkLimit(v *server, l namedLimit) {
+	var at []time.Time
+	for _, s := range v.standin.Seen() {
+		if s.At.After(l.from.Add(limitDelay)) && s.At.Before(l.to) {
+			at = append(at, s.At)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	for i, begin := range at {
+		n := 0
+		for n = 0; i+n < len(at) && at[i+n].Sub(begin) < limitWindow; n++ {
+		}
+		last := at[i+n-1]
+		if float64(n) <= limitWindow.Seconds()*l.perSecond+limitSlack || !c.boundsApplyToAll(last) || !v.disturbances.undisturbed(begin, last) {
+			continue
+		}
+		c.addViolation(Limited, last, "%s got %d requests in %s and had named a limit of %g a second", v.id, n, limitWindow, l.perSecond)
+		return
+	}
+}
+
 func (c *checker) boundsApplyToAll(at time.Time) bool {
 	return !slices.ContainsFunc(c.fleet.instances, func(in *instance) bool { return !c.boundsApply(in, at) })
 }
--- a/lab/soak/mutant.go
+++ b/lab/soak/mutant.go
@@ -30,12 +30,14 @@
 	KeepsMemory Mutant = "keeps-memory"
 	// ForgetsCrashes turns off the quarantine of requests that crash engines.
 	ForgetsCrashes Mutant = "forgets-crashes"
+	// HidesLimits makes servers name no limit though they have one.
+	HidesLimits Mutant = "hides-limits"
 	// StaysDown silences the links to all servers once the faults have ended.
 	StaysDown Mutant = "stays-down"
 )
 
 // Mutants lists all mutants.
-var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, ForgetsCrashes, StaysDown}
+var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, StaysDown}
 
 // Valid reports whether m is one of Mutants.
 func (m Mutant) Valid() bool { return slices.Contains(Mutants, m) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -52,6 +52,8 @@
 	Deadly Kind = "deadly"
 	// Replace makes backend servers leave and adds new ones in their place.
 	Replace Kind = "replace"
+	// Limit makes backend servers name a limit on the requests that they take.
+	Limit Kind = "limit"
 	// Change adds one route, Changes several in a row.
 	Change  Kind = "change"
 	Changes Kind = "changes"
@@ -95,6 +97,7 @@
 // Each scene has one fault of backgroundKinds, overlapped by faults of overlappingKinds.
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
+	otherKinds       = []Kind{Limit}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
 
@@ -121,6 +124,7 @@
 			p.add(r, at, overlappingKinds[r.IntN(len(overlappingKinds))], min(minFaultDuration+time.Duration(r.Int64N(int64(2*time.Second))), quietAtStart+span-at))
 		}
 	}
+	p.add(r, quietAtStart, Limit, span)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p, p.check()
 }
@@ -154,7 +158,7 @@
 		return errors.Newf("plan: length is %s, must be at least %s", p.Length.Std(), quietAtStart+maxFaultDuration+quietAtEnd)
 	}
 	for i, f := range p.Faults {
-		if !slices.Contains(backgroundKinds, f.Kind) && !slices.Contains(overlappingKinds, f.Kind) {
+		if !slices.Contains(slices.Concat(backgroundKinds, overlappingKinds, otherKinds), f.Kind) {
 			return errors.Newf("plan: fault %d: unknown kind %q", i+1, f.Kind)
 		}
 		if f.At < 0 || f.For < 0 || f.At+f.For > p.Length || f.Share < 0 || f.Share > 1 {
@@ -164,6 +168,12 @@
 	return nil
 }
 
+// limitRates are the limits that servers name, in requests a second.
+var limitRates = []float64{0.3, 1.6, 5, 40}
+
+// limitRate is the limit that a Limit fault has servers name.
+func (f Fault) limitRate() float64 { return limitRates[f.Pick%uint64(len(limitRates))] }
+
 // Format encodes a plan as TOML.
 func (p Plan) Format() ([]byte, error) { return toml.Marshal(p) }
 
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -228,6 +228,8 @@
 		r.crashEngines(f)
 	case Replace:
 		r.replaceServers(f)
+	case Limit:
+		r.limitServers(f)
 	case Change:
 		r.site.addRoute()
 	case Changes:
@@ -301,6 +303,19 @@
 	}
 }
 
+// limitServers injects a Limit fault and returns at its end.
+func (r *run) limitServers(f Fault) {
+	all := r.site.allServers()
+	targets := f.targets(len(all))
+	for _, i := range targets {
+		all[i].setLimit(f.limitRate(), r.site.mutant == HidesLimits)
+	}
+	time.Sleep(f.For.Std())
+	for _, i := range targets {
+		all[i].endLimit()
+	}
+}
+
 func (r *run) replaceServers(f Fault) {
 	all := r.site.allServers()
 	for _, i := range f.targets(len(all)) {
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,6 +44,28 @@
 	disturbances            disturbanceLog
 	// leftAt is when the store acknowledged that the server leaves, zero before.
 	leftAt time.Time
+	// limits are the limits that the server named.
+	limits []namedLimit
+}
+
+// namedLimit is a limit that a server named for a time; to is zero while it does.
+type namedLimit struct {
+	perSecond float64
+	from, to  time.Time
+}
+
+// setLimit lets the server name a limit, unless it hides it, until endLimit is called.
+func (v *server) setLimit(perSecond float64, hidden bool) {
+	v.limits = append(v.limits, namedLimit{perSecond: perSecond, from: time.Now()})
+	if hidden {
+		return
+	}
+	v.standin.SetLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+}
+
+func (v *server) endLimit() {
+	v.limits[len(v.limits)-1].to = time.Now()
+	v.standin.SetLimit()
 }
 
 // site is the environment of the fleet: the store, the backend servers and the operator.
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/soak"
+	"github.com/auburnmoor/auburnmoor/settings"
 )
 
 func TestSoak(t *testing.T) { testkit.Suite(t, "soak") }
@@ -89,6 +90,13 @@
 		}
 	})
 
+	It("detects servers that get more than they take", func() {
+		p := draw(3)
+		p.Faults = []soak.Fault{{Kind: soak.Limit, At: settings.Duration(6 * time.Second), For: settings.Duration(8 * time.Second), Share: 1}}
+		Expect(play(p, soak.HidesLimits).Violated(soak.Limited)).To(BeTrue())
+		Expect(play(p, "").Violations).To(BeEmpty())
+	})
+
 	It("detects a configuration that takes effect too late", func() {
 		Expect(play(draw(3), soak.LateConfig).Violated(soak.InForce)).To(BeTrue())
 	})
