--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -66,6 +66,8 @@
 	closedUntil map[ratelimit.Key]time.Duration
 	// permits counts the permits that this instance got.
 	permits map[ratelimit.Key]uint64
+	// unreadable are the servers whose limits cannot be read, as logged.
+	unreadable map[ratelimit.Key]bool
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -93,6 +95,7 @@
 	l.log, l.now, l.scope, l.table = c.Log, c.Now, c.Scope, ratelimit.NewTable()
 	l.changed, l.granter = make(chan struct{}, 1), ratelimit.NewGranter(c.Self.Name)
 	l.closedUntil, l.permits = map[ratelimit.Key]time.Duration{}, map[ratelimit.Key]uint64{}
+	l.unreadable = map[ratelimit.Key]bool{}
 	l.link.Handle(l.receive)
 	l.link.HandlePermits(l)
 	l.members.OnView(l.updateView)
@@ -108,21 +111,33 @@
 // Observe records what an answer of a server says of its limit. An answer of a server that did
 // not run the request says nothing by naming none.
 func (l *Limits) Observe(to backend.Endpoint, h backend.Head) {
-	limit := ratelimit.Limit{Named: h.Limit.Status == backend.LimitNamed, PerSecond: h.Limit.PerSecond}
+	key := ratelimit.KeyOf(to.Server, to.Life)
 	if h.Limit.Status == backend.LimitUnreadable {
-		l.scope.Counter("limits_unreadable_total").Inc(1)
-		l.log.Warn("limit of a server cannot be read, ignored", zap.String("server", to.Server))
+		l.recordUnreadable(to.Server, key)
 		return
 	}
+	limit := ratelimit.Limit{Named: h.Limit.Status == backend.LimitNamed, PerSecond: h.Limit.PerSecond}
 	if !limit.Named && (l.known.Load() == 0 || h.NotRun) {
 		return
 	}
-	if l.set(l.now(), ratelimit.KeyOf(to.Server, to.Life), limit) {
+	if l.set(l.now(), key, limit) {
 		l.log.Info("limit of a server", zap.String("server", to.Server), zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
 		l.wake()
 	}
 }
 
+// recordUnreadable counts a limit that cannot be read, and logs the first one of a server.
+func (l *Limits) recordUnreadable(server string, key ratelimit.Key) {
+	l.scope.Counter("limits_unreadable_total").Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unreadable[key] {
+		return
+	}
+	l.unreadable[key] = true
+	l.log.Warn("limit of a server cannot be read, ignored", zap.String("server", server))
+}
+
 // Any reports whether any limit may be in force. Until then nothing else needs to be asked.
 func (l *Limits) Any() bool { return l.known.Load() > 0 }
 
@@ -233,6 +248,7 @@
 	listed, roster := l.listed(), l.members.Roster(leftFor)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	maps.DeleteFunc(l.unreadable, func(key ratelimit.Key, _ bool) bool { return listed[key].ID == "" })
 	l.granter.SetFleet(l.now(), ratelimit.Fleet{Size: roster.Size, Incomplete: roster.Incomplete})
 	l.table.Retain(l.now(), func(key ratelimit.Key) bool { return listed[key].ID != "" })
 	limited := func(key ratelimit.Key) bool {
