Broken attempts tell the parts of their prompts and how long an answer was being written

The logs could not tell a part that many prompts share from one request that comes back with its body changed a little: the identity is a hash of the whole request. A line of a broken attempt now has the IDs of the parts that other requests may share, and for how long events had come.

--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -118,6 +118,9 @@
 		x.observeGap(plan)
 	}
 	x.lastEvent = x.relay.now()
+	if x.firstEventAt == 0 {
+		x.firstEventAt = x.lastEvent
+	}
 	x.lastHeard.Store(int64(x.lastEvent))
 	return x.sink.Write(events)
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -118,6 +118,8 @@
 	// lastHeard is when anything last came from a server, or serving began, in
 	// nanoseconds since the start of the process.
 	lastHeard atomic.Int64
+	// firstEventAt is when the first event of the current attempt arrived, zero before.
+	firstEventAt time.Duration
 	// lastEvent is when the newest events were forwarded, longestGap the longest
 	// pause between events.
 	lastEvent, longestGap time.Duration
@@ -180,7 +182,8 @@
 	action := x.state.Next(o, func() bool { return x.remaining() > minRetryTime && x.relay.takeRetry(ctx, x.service.Name) })
 	x.relay.count("attempts_failed_total", "outcome", o.String())
 	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
-		zap.Stringer("identity", x.identity()), zap.Bool("crashed", x.crashed),
+		zap.Stringer("identity", x.identity()), zap.Strings("parts", x.req.SharedParts), zap.Bool("crashed", x.crashed),
+		zap.Duration("writing", x.writingTime()),
 		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.remaining()),
 		zap.Duration("servers_age", x.relay.catalog.ConfirmationAge()), eventlog.Error(err))
 	switch action {
@@ -198,6 +201,14 @@
 	return false
 }
 
+// writingTime is how long events of the current attempt had arrived when it broke.
+func (x *exchange) writingTime() time.Duration {
+	if x.firstEventAt == 0 || x.brokeAt < x.firstEventAt {
+		return 0
+	}
+	return x.brokeAt - x.firstEventAt
+}
+
 // endWithError ends the exchange with an error of this instance, or aborts its stream.
 func (x *exchange) endWithError(failure *result.Error) {
 	if x.streamStarted.Load() {
@@ -310,7 +321,7 @@
 		return attempt.NotSent, err
 	}
 	defer res.release()
-	x.sentAt = x.relay.now()
+	x.sentAt, x.firstEventAt = x.relay.now(), 0
 	answer, err := x.relay.client.Do(ctx, x.newCall(plan, res))
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - x.sentAt)
 	if err != nil {
--- a/serve/relay/request.go
+++ b/serve/relay/request.go
@@ -31,6 +31,8 @@
 	// PromptTokens is the length of the prompt and AnswerTokens the maximum length of
 	// the answer; both are zero for requests without a prompt.
 	PromptTokens, AnswerTokens int64
+	// SharedParts are the IDs of the parts of the prompt, in order, that other requests may share.
+	SharedParts []string
 	// ResumeAfter is the id of the event after which a stream is to be resumed.
 	ResumeAfter string
 }
