--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -159,6 +159,8 @@
 	path, id, key string
 	tokens        int
 	body          string
+	// parts lists the parts of the prompt.
+	parts string
 }
 
 // sendAndDiscard sends the request and ignores its outcome.
@@ -179,6 +181,9 @@
 	req.Header.Set("X-Deadline-Ms", "5000")
 	req.Header.Set("Authorization", "Bearer "+a.key)
 	req.Header.Set("X-Tenant", "somebody else")
+	if a.parts != "" {
+		req.Header.Set("X-Prompt-Prefix", a.parts)
+	}
 	if a.tokens > 0 {
 		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,100", a.tokens))
 	}
@@ -194,6 +199,13 @@
 	return resp, string(raw)
 }
 
+// readBody reads a body to its end; one that breaks off is returned as far as it came.
+func readBody(resp *http.Response) string {
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return string(raw)
+}
+
 func completeStream(id string) string {
 	var b bytes.Buffer
 	for n := 1; n <= streamEvents; n++ {
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -68,6 +68,8 @@
 	// and address after RestartAfter.
 	CrashOn      string
 	RestartAfter time.Duration
+	// Prefill is the time before an answer is begun.
+	Prefill time.Duration
 	// OnCrash and OnRestart, if set, are called at the crash and after the restart.
 	OnCrash, OnRestart func()
 	// DefaultFault is the fault of each answer that has no injected one; empty for none.
@@ -91,7 +93,11 @@
 	// doubleUse counts the tickets that two requests used at once.
 	doubleUse   int
 	disconnects int
-	crashes     int
+	// crashed are the times of the crashes.
+	crashed []time.Time
+	// deadlyParts are the IDs of the prompt parts that crash the server when it begins to
+	// write an answer on them.
+	deadlyParts []string
 	// limits are the values of the limit header of each answer.
 	limits []string
 	closed bool
@@ -102,7 +108,9 @@
 	ID, Method, Target, Tenant, Body, ResumeAfter, Helpers string
 	DeadlineMS                                             int64
 	Authorization                                          string
-	At                                                     time.Time
+	// Parts lists the parts of the prompt.
+	Parts string
+	At    time.Time
 }
 
 // New returns a stopped server.
@@ -140,7 +148,7 @@
 // crash stops the server with all requests it runs and restarts it after RestartAfter.
 func (s *Server) crash() {
 	s.mu.Lock()
-	s.crashes++
+	s.crashed = append(s.crashed, time.Now())
 	srv := s.http
 	s.mu.Unlock()
 	if s.cfg.OnCrash != nil {
@@ -165,7 +173,36 @@
 func (s *Server) Crashes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes
+	return len(s.crashed)
+}
+
+// CrashTimes returns the times of these crashes.
+func (s *Server) CrashTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashed)
+}
+
+// SetDeadlyParts sets the IDs of the prompt parts that crash the server from now on when it
+// begins to write an answer on them. The last part of a prompt never does.
+func (s *Server) SetDeadlyParts(ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadlyParts = ids
+}
+
+// partsHeader lists the parts of a prompt as ID:TOKENS entries.
+const partsHeader = "X-Prompt-Prefix"
+
+// deadly reports whether the server crashes when it writes an answer on a prompt.
+func (s *Server) deadly(parts string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries := strings.Split(parts, ",")
+	return slices.ContainsFunc(entries[:len(entries)-1], func(e string) bool {
+		id, _, _ := strings.Cut(e, ":")
+		return slices.Contains(s.deadlyParts, id)
+	})
 }
 
 // Inject applies each fault to one of the next answers.
@@ -288,6 +325,13 @@
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if !waitFor(r, s.cfg.Prefill) {
+		return
+	}
+	if s.deadly(r.Header.Get(partsHeader)) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	switch f {
 	case Denied:
 		w.Header().Set("X-Not-Run", "1")
@@ -307,6 +351,16 @@
 	}
 }
 
+// waitFor waits and reports whether the caller is still there.
+func waitFor(r *http.Request, d time.Duration) bool {
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 func (s *Server) recordRequest(r *http.Request, body []byte) {
 	deadline, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
 	if err != nil {
@@ -317,7 +371,7 @@
 	s.seen = append(s.seen, Seen{
 		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, Tenant: r.Header.Get("X-Tenant"), Body: string(body),
 		ResumeAfter: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Helpers"), DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"),
-		At: time.Now(),
+		At: time.Now(), Parts: r.Header.Get(partsHeader),
 	})
 }
 
