Virtual fleets of prompts with deadly parts; crashes of two parts are told apart

auburnmoor parts plays prompts whose parts end servers, at any share of the requests, with companions, two at once, beside other crashes, cuts, restarts, lost messages.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -40,6 +40,7 @@
 	Losses   lossesCmd   `cmd:"" help:"Tell from the logs of all instances which requests were lost, and why."`
 	Soak     soakCmd     `cmd:"" help:"Run real processes under faults drawn from seeds and check what callers get."`
 	Suspects suspectsCmd `cmd:"" help:"Play requests that crash servers among others, in virtual time."`
+	Parts    partsCmd    `cmd:"" help:"Simulate prompts with a part that ends the servers that answer it."`
 	Standin  standinCmd  `cmd:"" help:"Run one stand-in of an outside system."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- a/decide/blame/suspect.go
+++ b/decide/blame/suspect.go
@@ -1,6 +1,8 @@
 package blame
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -37,18 +39,21 @@
 	crashes []*crash
 	// companions are the other keys that are in all of these crashes and not cleared.
 	companions []Key
-	// required is the number of moments from which the part is refused.
-	required int
+	// moments is the number of moments of its crashes, required that from which it is refused.
+	moments, required int
+	// refused is set if its crashes are not chance, and not those of other refused parts.
+	refused bool
 }
 
 // first and last are the times of the first and last crash.
 func (s *suspect) first() time.Duration { return s.crashes[0].At }
 func (s *suspect) last() time.Duration  { return s.crashes[len(s.crashes)-1].At }
 
-func (s *suspect) refused() bool { return countMoments(s.crashes) >= s.required }
-
 // settled reports whether the part is refused by crashes that all instances know.
 func (s *suspect) settled(now time.Duration) bool {
+	if !s.refused {
+		return false
+	}
 	n := len(s.crashes)
 	for n > 0 && now-s.crashes[n-1].At < settleTime {
 		n--
@@ -85,7 +90,7 @@
 	near := simultaneous(crashes)
 	for k, s := range out {
 		s.crashes = slices.DeleteFunc(s.crashes, func(c *crash) bool { return coincident(near[c], k) })
-		if countMoments(s.crashes) < suspectMoments {
+		if s.moments = countMoments(s.crashes); s.moments < suspectMoments {
 			delete(out, k)
 			continue
 		}
@@ -94,9 +99,46 @@
 		}
 	}
 	setRequired(out, crashes)
+	refuse(out, alone)
 	return out
 }
 
+// refuse decides which suspects are refused: those with the most crashes first, as they explain
+// the crashes of others that were beside them. Two deadly parts put sound ones that many requests
+// have into crashes of both, fewer than each has itself.
+func refuse(suspects map[Key]*suspect, alone bool) {
+	order := slices.SortedFunc(maps.Values(suspects), func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(a.part, b.part))
+	})
+	explained := map[*crash]bool{}
+	for i, s := range order {
+		if s.moments < minMoments {
+			return
+		}
+		unexplained := slices.DeleteFunc(slices.Clone(s.crashes), func(c *crash) bool { return explained[c] && !alone })
+		s.refused = countMoments(unexplained) >= s.required && (alone || !rivalled(i, order))
+		if !s.refused {
+			continue
+		}
+		for _, c := range s.crashes {
+			explained[c] = true
+		}
+	}
+}
+
+// rivalled reports whether another suspect with as many crashes shares some of them, but not all.
+// Either may be the cause; one more crash tells.
+func rivalled(i int, order []*suspect) bool {
+	s := order[i]
+	if s.moments > minMoments {
+		return false
+	}
+	return slices.ContainsFunc(order, func(o *suspect) bool {
+		return o != s && o.moments == s.moments && !slices.Contains(s.companions, o.part) &&
+			slices.ContainsFunc(o.crashes, func(c *crash) bool { return slices.Contains(s.crashes, c) })
+	})
+}
+
 // simultaneous returns the crashes at the moment of each crash, itself included; the list is
 // sorted by time.
 func simultaneous(crashes []*crash) map[*crash][]*crash {
@@ -142,7 +184,7 @@
 func setRequired(suspects map[Key]*suspect, crashes []*crash) {
 	explained := map[*crash]bool{}
 	for _, s := range suspects {
-		if countMoments(s.crashes) < minMoments {
+		if s.moments < minMoments {
 			continue
 		}
 		for _, c := range s.crashes {
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -174,7 +174,7 @@
 		a.Verdict = Due
 	case now < s.last()+suspectPause:
 		a.Verdict, a.Wait = Suspect, s.last()+suspectPause-now
-		if s.refused() {
+		if s.refused {
 			a.Wait = settleTime
 		}
 	}
@@ -193,7 +193,7 @@
 // Refused returns the parts that are refused.
 func (t *Table) Refused() (out []RefusedPart) {
 	for _, s := range t.findSuspects() {
-		if s.refused() {
+		if s.refused {
 			out = append(out, RefusedPart{Part: s.part, Crashes: len(s.crashes), Companions: len(s.companions), First: s.first(), Due: s.due()})
 		}
 	}
@@ -208,7 +208,7 @@
 		return false
 	}
 	for _, s := range t.findSuspects() {
-		if s.refused() && c.live(s.part) && !s.matches(r) {
+		if s.refused && c.live(s.part) && !s.matches(r) {
 			return true
 		}
 	}
@@ -271,7 +271,7 @@
 func (t *Table) kept() map[*crash]bool {
 	out := map[*crash]bool{}
 	for _, s := range t.findSuspects() {
-		if !s.refused() {
+		if !s.refused {
 			continue
 		}
 		out[s.crashes[len(s.crashes)-1]] = true
--- a/lab/suspects/gossip.go
+++ b/lab/suspects/gossip.go
@@ -3,21 +3,27 @@
 import (
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/blame"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
 )
 
 // scheduleSend sends the pending changes to some peers once gatherDelay has passed.
 func (w *world) scheduleSend(i *instance) {
-	if i.sendPending || !i.table.HasChanges() {
+	if !i.table.HasChanges() && !i.parts.HasChanges() {
+		return
+	}
+	w.scheduleCheck(i)
+	if i.sendPending {
 		return
 	}
 	i.sendPending = true
 	w.after(gatherDelay, func() {
 		i.sendPending = false
-		changes := i.table.TakeChanged()
+		changes, crashes := i.table.TakeChanged(), i.parts.Take()
 		peers := w.peersOf(i)
 		for _, n := range i.disseminator.PickPeers(len(peers)) {
 			w.send(i, w.instances[peers[n]], changes)
+			w.sendCrashes(i, w.instances[peers[n]], crashes)
 		}
 	})
 }
@@ -43,7 +49,7 @@
 	for _, r := range c.Records {
 		w.res.Bytes += recordBytes + crashBytes*len(r.Crashes)
 	}
-	if w.rand.Float64() < w.o.Loss {
+	if w.lost(from, to) {
 		return
 	}
 	sent := w.now()
@@ -60,6 +66,45 @@
 	})
 }
 
+// lost draws whether a message is lost.
+func (w *world) lost(from, to *instance) bool {
+	return from.side != to.side || w.rand.Float64() < w.o.Loss
+}
+
+// digest is that of all that an instance knows.
+func (i *instance) digest(now time.Duration) uint64 {
+	at := i.localTime(now)
+	return i.table.Digest(at) ^ i.parts.Digest(at)
+}
+
+// sendCrashes sends what changed about crashes to an instance.
+func (w *world) sendCrashes(from, to *instance, c blame.Changes) {
+	if c.Empty() {
+		return
+	}
+	w.res.Messages++
+	for _, u := range c.Crashes {
+		w.res.Bytes += recordBytes + keyBytes*(len(u.Keys)+len(u.Cleared))
+	}
+	if w.lost(from, to) {
+		return
+	}
+	sent := w.now()
+	w.after(linkDelay+w.exp(linkDelay), func() {
+		now := to.localTime(w.now())
+		offset := now - from.localTime(sent)
+		for _, u := range c.Crashes {
+			u.At += offset
+			to.parts.Merge(now, u)
+		}
+		for _, t := range c.Trials {
+			t.At += offset
+			to.parts.MergeTrial(now, t)
+		}
+		w.scheduleSend(to)
+	})
+}
+
 // shiftTimes converts the times of a record to another clock. The transit time of the
 // message makes every time in it appear later.
 func shiftTimes(r poison.Record, offset time.Duration) poison.Record {
@@ -77,14 +122,15 @@
 	for range min(gossipPeers, len(w.instances)-1) {
 		peers := w.peersOf(i)
 		to := w.instances[peers[w.rand.IntN(len(peers))]]
-		digest := i.table.Digest(i.localTime(w.now()))
-		if w.rand.Float64() < w.o.Loss {
+		if w.lost(i, to) {
 			continue
 		}
+		digest := i.digest(w.now())
 		w.after(linkDelay, func() {
 			now := to.localTime(w.now())
-			if to.table.Len() > 0 && to.disseminator.ShouldRepair(now, to.table.Digest(now), digest) {
+			if to.table.Len()+to.parts.Len() > 0 && to.disseminator.ShouldRepair(now, to.digest(w.now()), digest) {
 				w.send(to, i, poison.Changes{Records: to.table.All()})
+				w.sendCrashes(to, i, blame.Changes{Crashes: to.parts.All()})
 			}
 		})
 	}
--- a/lab/suspects/suspects.go
+++ b/lab/suspects/suspects.go
@@ -1,7 +1,7 @@
 // Package suspects simulates poison requests, which crash the backend servers that run
-// them, among ordinary requests in virtual time. Each instance has a table of decide/poison
-// and exchanges records with its peers. A run counts the crashes and the ordinary requests
-// that were refused by mistake.
+// them, and prompts with deadly parts among ordinary requests in virtual time. Each instance
+// has a table of decide/poison and one of decide/blame and exchanges records with its peers. A
+// run counts the crashes and the ordinary requests that were refused by mistake.
 package suspects
 
 import (
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/blame"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
 	"github.com/auburnmoor/auburnmoor/vtime"
 )
@@ -35,6 +36,11 @@
 	RestartEvery time.Duration
 	// NoIsolation disables isolation: suspects share servers with other requests.
 	NoIsolation bool
+	// Prompts gives requests prompts of several parts.
+	Prompts Prompts
+	// CutEvery is the mean time between partitions of the instances into halves, each of which
+	// lasts cutTime; zero disables them.
+	CutEvery time.Duration
 }
 
 // Result holds the counts of a run.
@@ -50,6 +56,8 @@
 	PropagationTimes []time.Duration
 	// Messages and Bytes measure the traffic between instances that crashes cause.
 	Messages, Bytes int
+	// Parts holds the counts of the prompts with deadly parts.
+	Parts PartResult
 	// CollateralFailures counts the other runs that failed because a poisonous request
 	// crashed their server.
 	CollateralFailures int
@@ -66,6 +74,7 @@
 	r.Messages += o.Messages
 	r.Bytes += o.Bytes
 	r.CollateralFailures += o.CollateralFailures
+	r.Parts.add(o.Parts)
 }
 
 // Parameters of the model.
@@ -103,8 +112,11 @@
 type instance struct {
 	began        time.Duration
 	table        *poison.Table
+	parts        *blame.Table
+	side         int
 	disseminator *poison.Disseminator
 	sendPending  bool
+	checkPending bool
 }
 
 type server struct {
@@ -123,6 +135,7 @@
 	thirdCrash   time.Duration
 	attemptCount int
 	suspect      bool
+	prompt       prompt
 }
 
 // run is the state of one client attempt and its current placement.
@@ -135,6 +148,10 @@
 	avoid      []*server
 	isolated   bool
 	sawCrash   bool
+	// trial is set while the request is the trial of a refused part.
+	trial bool
+	// firstEvent is when the server began to write, zero before.
+	firstEvent time.Duration
 }
 
 type world struct {
@@ -145,6 +162,7 @@
 	servers   []*server
 	res       Result
 	serial    uint64
+	parts     partWorld
 }
 
 // Play simulates one fleet.
@@ -169,11 +187,15 @@
 	if o.RestartEvery > 0 {
 		w.poisson(float64(o.RestartEvery), func() { w.instances[w.rand.IntN(o.Instances)] = w.newInstance() })
 	}
+	w.startPrompts()
 	for range o.Poisons {
 		r := w.newRequest(true)
 		w.after(time.Duration(w.rand.Int64N(int64(time.Second))), func() { w.startAttempt(r) })
 	}
 	w.clock.RunUntil(o.Duration, vtime.Always)
+	if w.parts.refused && len(w.res.Parts.Spread) == 0 {
+		w.res.Parts.Undecided = 1
+	}
 	return w.res
 }
 
@@ -201,7 +223,7 @@
 
 func (w *world) newInstance() *instance {
 	return &instance{
-		began: w.now(), table: poison.NewTable(),
+		began: w.now(), table: poison.NewTable(), parts: blame.NewTable(blame.Options{Self: w.rand.Uint64(), Alone: w.o.Prompts.Alone}),
 		disseminator: poison.NewDisseminator(rand.New(rand.NewPCG(w.o.Seed, w.rand.Uint64()))),
 	}
 }
@@ -215,6 +237,7 @@
 	w.serial++
 	r := &request{poison: poisonous}
 	binary.LittleEndian.PutUint64(r.key[:], w.serial)
+	r.prompt.run.Request = blame.RequestKey(r.key[:])
 	return r
 }
 
@@ -225,13 +248,19 @@
 
 func (w *world) sendOrdinary() {
 	r := w.newRequest(false)
-	w.res.Ordinary++
+	w.drawPrompt(r)
+	if !r.prompt.deadly {
+		w.res.Ordinary++
+	}
 	w.startAttempt(r)
 }
 
 // startAttempt begins a client attempt at a random instance.
 func (w *world) startAttempt(r *request) {
 	r.attemptCount++
+	if r.attemptCount == 1 && !r.prompt.deadly && w.decidedBefore(r.prompt.sent) {
+		w.res.Parts.Sound++
+	}
 	w.place(&run{req: r, at: w.randomInstance()})
 }
 
@@ -245,7 +274,7 @@
 	case x.req.poison:
 		w.after(w.o.PoisonEvery, func() { w.startAttempt(x.req) })
 	case refused:
-		w.res.Refused++
+		w.countRefused(x)
 	case x.req.attemptCount < attemptLimit:
 		w.after(retryDelay, func() { w.startAttempt(x.req) })
 	}
@@ -254,13 +283,18 @@
 // place sends a request to a server, once the wait that its assessment asks for is over.
 func (w *world) place(x *run) {
 	i := x.at
-	assessment := i.table.Assess(i.localTime(w.now()), x.req.key, len(w.servers), nil)
+	now := i.localTime(w.now())
+	assessment := i.table.Assess(now, x.req.key, len(w.servers), func(e poison.ServerExit) bool {
+		return i.parts.Explains(blame.Exit{Server: e.Server, At: e.At}, x.req.prompt.run)
+	})
+	pause, refused := w.assessParts(x)
+	pause = max(pause, assessment.Wait)
 	switch {
-	case assessment.Verdict == poison.Poisonous:
+	case assessment.Verdict == poison.Poisonous || refused:
 		w.endAttempt(x, true)
 		return
-	case assessment.Wait > 0:
-		w.after(assessment.Wait, func() { w.place(x) })
+	case pause > 0:
+		w.after(pause, func() { w.place(x) })
 		return
 	}
 	x.isolated = assessment.Verdict == poison.Suspect && !w.o.NoIsolation
@@ -272,21 +306,29 @@
 	if x.isolated {
 		x.srv.isolated++
 	}
-	x.began = w.now()
+	w.runAt(x)
+}
+
+// runAt runs a request at its server.
+func (w *world) runAt(x *run) {
+	x.began, x.firstEvent = w.now(), 0
 	x.srv.runs[x] = true
+	w.countSend(x)
 	srv, id := x.srv, x.srv.id
-	alive := func() bool { return srv.runs[x] && srv.id == id }
+	alive := func() bool { return srv.runs[x] && srv.id == id && x.srv == srv }
+	prefill := w.exp(meanPrefill)
 	if x.req.poison {
-		w.after(w.exp(meanPrefill)+crashAfter, func() {
+		w.after(prefill+crashAfter, func() {
 			if alive() {
 				w.crashServer(x)
 			}
 		})
 		return
 	}
-	w.after(w.exp(meanPrefill)+w.exp(meanDecode), func() {
+	w.after(prefill, func() {
 		if alive() {
-			w.completeRun(x)
+			x.firstEvent = w.now()
+			w.beginWriting(x, alive)
 		}
 	})
 }
@@ -300,7 +342,7 @@
 func (w *world) chooseServer(x *run) *server {
 	var free []*server
 	for _, s := range w.servers {
-		if w.now() >= s.downUntil && !slices.Contains(x.avoid, s) && s.isolated == 0 {
+		if w.now() >= s.downUntil && !slices.Contains(x.avoid, s) && s.isolated == 0 && (w.o.Prompts.Slots == 0 || len(s.runs) < w.o.Prompts.Slots) {
 			free = append(free, s)
 		}
 	}
@@ -327,6 +369,8 @@
 func (w *world) completeRun(x *run) {
 	w.removeRun(x)
 	x.at.table.MarkAnswered(x.at.localTime(w.now()), x.req.key)
+	x.at.parts.Clear(x.at.localTime(x.firstEvent), x.req.prompt.run)
+	w.countAnswered(x)
 	w.scheduleSend(x.at)
 }
 
@@ -366,7 +410,8 @@
 func (w *world) handleCrash(x *run, id uint64, at time.Duration) {
 	i := x.at
 	i.table.AddCrash(i.localTime(w.now()), x.req.key, poison.Crash{Server: id, Began: i.localTime(x.began), Ended: i.localTime(at)})
-	x.sawCrash = true
+	w.addCrashOfParts(x, id, at)
+	x.sawCrash, x.trial = true, false
 	if i.table.Assess(i.localTime(w.now()), x.req.key, len(w.servers), nil).Verdict != poison.Clean && !x.req.poison && !x.req.suspect {
 		x.req.suspect = true
 		w.res.Suspects++
