--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -80,8 +80,9 @@
 
 // Server is a backend server on one address.
 type Server struct {
-	cfg  Config
-	http *http.Server
+	cfg      Config
+	http     *http.Server
+	listener net.Listener
 
 	mu           sync.Mutex
 	runs         map[string]int
@@ -127,7 +128,7 @@
 	s.cfg.Addr = lis.Addr().String()
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	s.mu.Lock()
-	s.http = srv
+	s.http, s.listener = srv, lis
 	s.mu.Unlock()
 	go func() { _ = srv.Serve(lis) }()
 	return nil
@@ -140,8 +141,10 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
-	srv := s.http
+	srv, lis := s.http, s.listener
 	s.mu.Unlock()
+	// The server does not know its listener before it begins to serve.
+	_ = lis.Close()
 	_ = srv.Close()
 }
 
