Parts that crash servers are told apart by the version of the servers

A part may crash servers of a new version while those of the old one answer it: answers of the old ones cleared it, and it was never refused; once refused, servers that serve it got no request with it. Evidence is kept for each software version of a service, requests go to versions that do not crash, and are refused if there are none. Also: freeing a part frees what was in all its crashes; status shows refused parts. e2e: versions, refusal with its own code and time, served again within that time, freed by the operator.

--- a/cli/operate.go
+++ b/cli/operate.go
@@ -120,13 +120,13 @@
 
 type clearCmd struct {
 	Addr     string `arg:"" help:"Operators' address of any instance."`
-	Identity string `arg:"" help:"Identity of the request, from its log line or the state dump."`
+	Identity string `arg:"" help:"Identity of the request, or key of the part of prompts, from a log line, the status or the state dump."`
 }
 
 // operateTimeout bounds an operator action on an instance.
 const operateTimeout = 10 * time.Second
 
-// Run lifts the quarantine of a request at all instances.
+// Run lifts the quarantine of a request, or of a part of prompts, at all instances.
 func (c *clearCmd) Run(e *env) error {
 	ctx, cancel := context.WithTimeout(e.ctx, operateTimeout)
 	defer cancel()
--- a/cli/status.go
+++ b/cli/status.go
@@ -29,7 +29,7 @@
 	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
 	var failed []string
 	var fleet catalogSpread
-	var limited []string
+	var limited, refused []string
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -38,6 +38,7 @@
 		}
 		d.writeRow(w, addr)
 		limited = append(limited, d.limitRows(addr)...)
+		refused = append(refused, d.partRows(addr)...)
 		if d.Catalog != nil {
 			fleet.add(*d.Catalog)
 		}
@@ -48,7 +49,10 @@
 	if fleet.instances > 0 {
 		fmt.Fprintln(e.out, fleet)
 	}
-	if err := writeLimits(e.out, limited); err != nil {
+	if err := writeRows(e.out, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING", limited); err != nil {
+		return err
+	}
+	if err := writeRows(e.out, "INSTANCE\tREFUSED PART\tKEY\tCRASHES\tCOMPANIONS\tAGE\tNEXT TRIAL", refused); err != nil {
 		return err
 	}
 	if len(failed) > 0 {
@@ -84,13 +88,22 @@
 	return rows
 }
 
-// writeLimits writes a table of the limits that backend servers name, if there are any.
-func writeLimits(out io.Writer, rows []string) error {
+// partRows returns a row for each part of prompts that the instance refuses.
+func (d dumpSummary) partRows(addr string) (rows []string) {
+	for _, p := range d.Quarantine.Parts {
+		age, trial := time.Duration(p.AgeMS)*time.Millisecond, time.Duration(p.NextTrialMS)*time.Millisecond
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%s\t%s", addr, p.ID, p.Key, p.Crashes, p.Companions, age, trial))
+	}
+	return rows
+}
+
+// writeRows writes a table, if it has any rows.
+func writeRows(out io.Writer, head string, rows []string) error {
 	if len(rows) == 0 {
 		return nil
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING")
+	fmt.Fprintln(w, head)
 	for _, row := range rows {
 		fmt.Fprintln(w, row)
 	}
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -229,7 +229,7 @@
 	var out []backends.Server
 	for _, s := range r.Servers {
 		out = append(out, backends.Server{
-			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life),
+			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life), Version: s.Version,
 		})
 	}
 	return out
@@ -237,6 +237,6 @@
 
 func toListedServer(s backends.Server) *peerpb.ListedServer {
 	return &peerpb.ListedServer{
-		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving, Life: int64(s.Life),
+		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving, Life: int64(s.Life), Version: s.Version,
 	}
 }
--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -23,9 +23,10 @@
 
 // Run is a request that may be at a server, with what it has that may crash servers.
 type Run struct {
-	// Service is that of the servers, Parts are the IDs of the shared parts of its prompt.
-	Service string
-	Parts   []string
+	// Service and Version are those of the servers, Parts are the IDs of the shared parts of its
+	// prompt.
+	Service, Version string
+	Parts            []string
 	// Identity returns the request's identity.
 	Identity func() poison.Key
 	// Cancel takes the request back from its server.
@@ -34,13 +35,16 @@
 	keys *blame.Run
 }
 
-// features returns the keys of the run, computed on first use.
+// features returns the keys of the run, computed on first use; no run has none.
 func (r *Run) features() blame.Run {
+	if r == nil {
+		return blame.Run{}
+	}
 	if r.keys == nil {
 		id := r.Identity()
 		r.keys = &blame.Run{Request: blame.RequestKey(id[:])}
 		for _, p := range r.Parts {
-			r.keys.Parts = append(r.keys.Parts, blame.PartKey(r.Service, "", p))
+			r.keys.Parts = append(r.keys.Parts, blame.PartKey(r.Service, r.Version, p))
 		}
 	}
 	return *r.keys
@@ -71,6 +75,16 @@
 	return a
 }
 
+// PartID returns the ID of a part of a request's prompt.
+func (q *Quarantine) PartID(r *Run, part blame.Key) string {
+	for i, k := range q.Features(r).Parts {
+		if k == part {
+			return r.Parts[i]
+		}
+	}
+	return part.String()
+}
+
 // TryPart asks whether a request may be the trial of a part that is due.
 func (q *Quarantine) TryPart(part blame.Key) (p blame.Permission) {
 	q.withParts(func(t *blame.Table) { p = t.TryPart(q.now(), part) })
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -21,6 +21,8 @@
 	Service    string
 	Addr       string
 	DataCentre string
+	// Version is that of the server's software.
+	Version string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Leaving servers finish their requests and accept no new ones.
@@ -34,7 +36,7 @@
 func (s Server) digest() uint64 {
 	var d digest.Fields
 	d.Reset()
-	d.AddText(s.ID, s.Service, s.Addr, s.DataCentre)
+	d.AddText(s.ID, s.Service, s.Addr, s.DataCentre, s.Version)
 	d.AddNumbers(uint64(s.Life), uint64(s.Slots), digest.Bit(s.Leaving))
 	return d.Sum64()
 }
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -194,10 +194,10 @@
 
 	It("are cleared by an operator", func() {
 		for at := range 3 {
-			crash(time.Duration(at)*100*ms, run(at, "dead"))
+			crash(time.Duration(at)*100*ms, run(at, "c", "dead"))
 		}
 		t.Free(part("dead"))
-		Expect(verdict(time.Second, run(30, "dead"))).To(Equal(blame.Clean))
+		Expect(verdict(time.Second, run(30, "c", "dead"))).To(Equal(blame.Clean))
 	})
 
 	Describe("of a refused part whose time has come", func() {
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -125,10 +125,17 @@
 	}
 }
 
-// Free clears a key of all crashes, as an operator asks for.
-func (t *Table) Free(k Key) {
+// Free clears a part, and what goes with it, of all crashes, as an operator asks for: requests
+// with all of these are sound.
+func (t *Table) Free(part Key) {
+	freed := []Key{part}
+	if s := t.findSuspects()[part]; s != nil {
+		freed = append(freed, s.companions...)
+	}
 	for _, c := range t.crashes {
-		t.clear(c, k)
+		for _, k := range freed {
+			t.clear(c, k)
+		}
 	}
 }
 
--- a/e2e/prompt_part_test.go
+++ b/e2e/prompt_part_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,7 +14,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/control/quarantine"
+	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
+	"github.com/auburnmoor/auburnmoor/result"
 )
 
 const (
@@ -134,6 +139,16 @@
 	}
 }
 
+// middleOfPrompt returns the parts of a prompt with the deadly one in the middle.
+func middleOfPrompt(n int) string {
+	return fmt.Sprintf("%s:40,%s:300,b%d:100,f%d:460", commonPart, deadlyPart, n%7, n)
+}
+
+// announceVersion lists an engine with a version of its software.
+func (s *platformSite) announceVersion(id, addr, version string) {
+	Expect(s.store.PutEntry(storeserver.Entry{ID: id, Service: "model", Addr: addr, DataCentre: "dc-0", Slots: 4, Version: version})).To(Succeed())
+}
+
 // newPartSite starts a site of eight engines that prefill a prompt before they begin to write.
 func newPartSite() *platformSite {
 	return newPlatformSiteWith(8, workerserver.Config{
@@ -169,7 +184,86 @@
 		Expect(refused).NotTo(BeEmpty())
 	},
 		Entry("as the first part", func(n int) string { return fmt.Sprintf("%s:40,%s:400,x%d:460", deadlyPart, commonPart, n) }),
-		Entry("in the middle", func(n int) string { return fmt.Sprintf("%s:40,%s:300,b%d:100,f%d:460", commonPart, deadlyPart, n%7, n) }),
+		Entry("in the middle", middleOfPrompt),
 		Entry("just before the last part", func(n int) string { return fmt.Sprintf("%s:40,b%d:300,%s:100,f%d:460", commonPart, n%7, deadlyPart, n) }),
 	)
+
+	// Guards against a part that is refused at servers of a version that serves it, and against one
+	// that is never refused because servers of the old version answer it.
+	It("is refused at servers of the version that crash under it only", func() {
+		s := newPartSite()
+		DeferCleanup(s.close)
+		for i, w := range s.engines {
+			if i%2 == 0 {
+				w.SetDeadlyParts(deadlyPart)
+				s.announceVersion(fmt.Sprint("e", i), w.Addr(), "v2")
+			} else {
+				s.announceVersion(fmt.Sprint("e", i), w.Addr(), "v1")
+			}
+		}
+		time.Sleep(partDelay)
+		dead := &partTraffic{prefix: "dead", path: "/ask/1", perSecond: 20, parts: middleOfPrompt}
+		dead.start()
+		time.Sleep(6 * time.Second)
+		crashes := s.crashTimes()
+		Expect(crashes).NotTo(BeEmpty())
+		after := dead.stop(crashes[min(len(crashes), decidingCrashes)-1].Add(soundDelay))
+		Expect(len(s.crashTimes())).To(BeNumerically("<=", maxPartCrashes))
+		Expect(len(after)).To(BeNumerically(">", 20))
+		Expect(shareOfWhole(after)).To(BeNumerically(">=", minSoundShare))
+	})
+
+	// Guards against a part that stays refused, and a refusal that does not say when to come back.
+	It("is refused at once with its own code, and served again once it is sound", func() {
+		s := newPartSite()
+		DeferCleanup(s.close)
+		s.setDeadlyParts(deadlyPart)
+		dead := &partTraffic{prefix: "dead", path: "/ask/1", perSecond: 10, parts: middleOfPrompt}
+		dead.start()
+		time.Sleep(4 * time.Second)
+		crashes := s.crashTimes()
+		Expect(crashes).NotTo(BeEmpty())
+		s.setDeadlyParts()
+		refused := dead.stop(crashes[min(len(crashes), decidingCrashes)-1].Add(partDelay))
+		longest := 0.0
+		for _, o := range refused {
+			Expect(o.status).To(Equal(http.StatusServiceUnavailable), o.body)
+			Expect(o.body).To(ContainSubstring(fmt.Sprint(`"code":`, uint32(result.PartQuarantined))))
+			Expect(o.body).To(ContainSubstring(deadlyPart))
+			Expect(o.took).To(BeNumerically("<", 300*time.Millisecond))
+			after, err := strconv.ParseFloat(o.retryText, 64)
+			Expect(err).NotTo(HaveOccurred())
+			longest = max(longest, after)
+		}
+		Expect(longest).To(And(BeNumerically(">", 0), BeNumerically("<=", 10)))
+		time.Sleep(time.Duration(longest * float64(time.Second)))
+		for n := range platformEntries {
+			resp, body := attempt{path: "/ask/1", id: fmt.Sprint("again-", n), key: "k1", tokens: 900, body: "again", parts: middleOfPrompt(n)}.send(n)
+			Expect(resp.StatusCode).To(Equal(http.StatusOK), body)
+		}
+	})
+
+	It("is shown to the operator, who can free it", func() {
+		s := newPartSite()
+		DeferCleanup(s.close)
+		s.setDeadlyParts(deadlyPart)
+		dead := &partTraffic{prefix: "dead", path: "/ask/1", perSecond: 10, parts: middleOfPrompt}
+		dead.start()
+		time.Sleep(4 * time.Second)
+		dead.stop(time.Now())
+		s.setDeadlyParts()
+		var d struct {
+			Quarantine quarantine.Dump `json:"control.quarantine"`
+		}
+		Expect(json.Unmarshal([]byte(call("GET", "http://"+platformAddr(501)+"/admin/dump", "").body), &d)).To(Succeed())
+		Expect(d.Quarantine.Parts).To(HaveLen(1))
+		Expect(d.Quarantine.Parts[0].ID).To(Equal(deadlyPart))
+		Expect(d.Quarantine.Parts[0].NextTrialMS).To(BeNumerically(">", 0))
+		clearPart := "http://" + platformAddr(501) + "/admin/operate/control.quarantine/clear?subject=" + d.Quarantine.Parts[0].Key
+		Expect(call("POST", clearPart, "").status).To(Equal(204))
+		Eventually(func() int {
+			resp, _ := attempt{path: "/ask/1", id: fmt.Sprint("freed-", time.Now().UnixNano()), key: "k1", tokens: 900, body: "freed", parts: middleOfPrompt(1)}.send(2)
+			return resp.StatusCode
+		}, "2s", "50ms").Should(Equal(200))
+	})
 })
--- a/lab/standin/storeserver/site.go
+++ b/lab/standin/storeserver/site.go
@@ -51,6 +51,8 @@
 	ID, Service, Addr, DataCentre string
 	Slots                         int
 	Leaving                       bool
+	// Version is that of the server's software.
+	Version string
 }
 
 // PutEntry writes the entry of a backend server.
@@ -59,7 +61,7 @@
 	if e.Leaving {
 		state = "draining"
 	}
-	return s.Put("servers", e.ID, map[string]any{"service": e.Service, "address": e.Addr, "zone": e.DataCentre, "slots": e.Slots, "state": state})
+	return s.Put("servers", e.ID, map[string]any{"service": e.Service, "address": e.Addr, "zone": e.DataCentre, "slots": e.Slots, "state": state, "version": e.Version})
 }
 
 // RemoveEntry removes the entry of a backend server.
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -122,6 +122,6 @@
 		x.firstEventAt = x.lastEvent
 	}
 	x.lastHeard.Store(int64(x.lastEvent))
-	x.recordWriting()
+	x.recordWriting(plan)
 	return x.sink.Write(events)
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -103,8 +103,12 @@
 	sentAt, brokeAt   time.Duration
 	condition         backend.Condition
 	crashed, anyCrash bool
-	// watched caches the result of features.
-	watched *quarantine.Run
+	// runs caches the results of features by version.
+	runs map[string]*quarantine.Run
+	// refusedVersions are the versions of servers that crash under a part of the prompt.
+	refusedVersions []string
+	// answeredBy is the version of the server that answered.
+	answeredBy string
 	// trial is set while the request may be sent although a part of its prompt is refused.
 	trial bool
 	// wroteOn is set once the current attempt is known not to crash its server.
@@ -168,7 +172,7 @@
 		outcome, err := x.attempt(ctx, plan)
 		x.endTracking(plan, err == nil)
 		if err == nil {
-			x.answered = true
+			x.answered, x.answeredBy = true, plan.Writer().Version
 			x.logAnswered(plan)
 			return
 		}
@@ -282,6 +286,7 @@
 // placeAmong chooses among the given servers of a fleet of the given size.
 func (x *exchange) placeAmong(servers []backends.Server, total int, maxHold time.Duration, noHelpers bool) (spread.Plan, spread.Verdict) {
 	r := x.relay
+	servers = x.withoutRefusing(servers)
 	req := spread.Request{
 		Instance: r.name, DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoid, NoHelpers: noHelpers,
 		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
@@ -330,10 +335,10 @@
 		return attempt.NotSent, err
 	}
 	defer res.release()
-	if x.quarantined() {
+	if x.quarantined(plan.Writer().Version) {
 		return attempt.NotSent, errPartRefused
 	}
-	defer x.watch(cancel)()
+	defer x.watch(plan.Writer().Version, cancel)()
 	x.sentAt, x.firstEventAt, x.wroteOn = x.relay.now(), 0, false
 	answer, err := x.relay.client.Do(ctx, x.newCall(plan, res))
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - x.sentAt)
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -55,7 +55,7 @@
 		}
 		x.heldFor = r.now() - began
 		x.holdReason = plan.Reason
-		if x.quarantined() {
+		if x.quarantinedEverywhere() {
 			// Servers crashed on the same request while this one was held.
 			return plan, spread.NoServer
 		}
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -61,12 +61,36 @@
 	return *x.key
 }
 
-// features is the request as the quarantine knows it.
-func (x *exchange) features() *quarantine.Run {
-	if x.watched == nil {
-		x.watched = &quarantine.Run{Service: x.service.Name, Parts: x.req.SharedParts, Identity: x.identity}
+// features returns the request as the quarantine knows it, at servers of one version.
+func (x *exchange) features(version string) *quarantine.Run {
+	r := x.runs[version]
+	if r == nil {
+		r = &quarantine.Run{Service: x.service.Name, Version: version, Parts: x.req.SharedParts, Identity: x.identity}
+		if x.runs == nil {
+			x.runs = map[string]*quarantine.Run{}
+		}
+		x.runs[version] = r
+	}
+	return r
+}
+
+// versions returns the software versions of the service's servers.
+func (x *exchange) versions() (out []string) {
+	for _, s := range x.relay.catalog.Servers().Ready(x.service.Name) {
+		if !slices.Contains(out, s.Version) {
+			out = append(out, s.Version)
+		}
+	}
+	return out
+}
+
+// withoutRefusing returns the servers of versions that do not crash under the parts of the
+// prompt, as far as is known.
+func (x *exchange) withoutRefusing(servers []backends.Server) []backends.Server {
+	if len(x.refusedVersions) == 0 {
+		return servers
 	}
-	return x.watched
+	return slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool { return slices.Contains(x.refusedVersions, s.Version) })
 }
 
 // checkQuarantine reports whether the request may be sent. A request that is known to
@@ -96,8 +120,7 @@
 // assess assesses the request and the parts of its prompt: how long it waits before it is assessed
 // again, or why it is refused.
 func (x *exchange) assess() (pause time.Duration, refusal *result.Error) {
-	q := x.relay.quarantine
-	ruling := q.Assess(x.identity(), q.Features(x.features()), x.relay.readyCount(x.service.Name))
+	ruling := x.assessRequest()
 	x.suspect = ruling.Verdict == poison.Suspect
 	if ruling.Verdict == poison.Poisonous {
 		return 0, result.New(result.Quarantined, "%d servers that ran this request crashed, one after the other", ruling.Crashes).WithRetryAfter(ruling.RetryAfter)
@@ -106,18 +129,50 @@
 	return max(pause, ruling.Wait), refusal
 }
 
+func (x *exchange) assessRequest() poison.Assessment {
+	q := x.relay.quarantine
+	return q.Assess(x.identity(), q.Features(x.features("")), x.relay.readyCount(x.service.Name))
+}
+
+// assessParts assesses the parts of the prompt for each version of the servers. The request goes
+// to versions that do not crash under them; if there are none, it waits or is refused.
 func (x *exchange) assessParts() (pause time.Duration, refusal *result.Error) {
-	if x.trial {
+	x.refusedVersions = nil
+	if x.trial || len(x.req.SharedParts) == 0 {
+		return 0, nil
+	}
+	versions := x.versions()
+	for _, v := range versions {
+		p, r := x.assessAt(v)
+		if p == 0 && r == nil {
+			continue
+		}
+		x.refusedVersions = append(x.refusedVersions, v)
+		if r != nil && (refusal == nil || r.RetryAfter < refusal.RetryAfter) {
+			refusal = r
+		}
+		if p > 0 && (pause == 0 || p < pause) {
+			pause = p
+		}
+	}
+	if len(x.refusedVersions) < len(versions) {
 		return 0, nil
 	}
-	a := x.relay.quarantine.AssessParts(x.features())
+	if pause > 0 {
+		return pause, nil
+	}
+	return 0, refusal
+}
+
+// assessAt assesses the parts of the prompt at servers of one version.
+func (x *exchange) assessAt(version string) (pause time.Duration, refusal *result.Error) {
+	q, run := x.relay.quarantine, x.features(version)
+	a := q.AssessParts(run)
 	switch a.Verdict {
 	case blame.Due:
-		p := x.relay.quarantine.TryPart(a.Part)
-		if x.trial = p.Granted; p.Granted {
-			return 0, nil
-		}
-		if p.Wait > 0 {
+		p := q.TryPart(a.Part)
+		if p.Granted || p.Wait > 0 {
+			x.trial = p.Granted
 			return p.Wait, nil
 		}
 		a.RetryAfter = p.RetryAfter
@@ -125,37 +180,33 @@
 	default:
 		return a.Wait, nil
 	}
-	return 0, result.New(result.PartQuarantined, "%d servers that began to answer prompts with the part %s crashed", a.Crashes, x.partID(a.Part)).WithRetryAfter(a.RetryAfter)
+	return 0, result.New(result.PartQuarantined, "%d servers that began to answer prompts with the part %s crashed", a.Crashes, q.PartID(run, a.Part)).WithRetryAfter(a.RetryAfter)
 }
 
-// partID returns the ID of a part of the request's prompt.
-func (x *exchange) partID(k blame.Key) string {
-	f := x.relay.quarantine.Features(x.features())
-	if i := slices.Index(f.Parts, k); i >= 0 {
-		return x.req.SharedParts[i]
-	}
-	return k.String()
-}
-
-// quarantined reports whether the request, or a part of its prompt, is by now known to crash
-// servers.
-func (x *exchange) quarantined() bool {
+// quarantined reports whether the request, or a part of its prompt at servers of the given
+// version, is by now known to crash servers.
+func (x *exchange) quarantined(version string) bool {
 	q := x.relay.quarantine
 	if q.Empty() {
 		return false
 	}
-	if !x.trial && q.AssessParts(x.features()).Verdict == blame.Refused {
+	if !x.trial && q.AssessParts(x.features(version)).Verdict == blame.Refused {
 		return true
 	}
-	return q.Assess(x.identity(), q.Features(x.features()), x.relay.readyCount(x.service.Name)).Verdict == poison.Poisonous
+	return x.assessRequest().Verdict == poison.Poisonous
+}
+
+// quarantinedEverywhere reports the same for all versions.
+func (x *exchange) quarantinedEverywhere() bool {
+	return !x.relay.quarantine.Empty() && !slices.ContainsFunc(x.versions(), func(v string) bool { return !x.quarantined(v) })
 }
 
 // errPartRefused ends an attempt at a server when a part of the prompt is refused.
 var errPartRefused = errors.New("servers crash under a part of the prompt")
 
 // watch has the attempt taken back if a part of its prompt is refused meanwhile.
-func (x *exchange) watch(cancel context.CancelCauseFunc) (end func()) {
-	run := *x.features()
+func (x *exchange) watch(version string, cancel context.CancelCauseFunc) (end func()) {
+	run := *x.features(version)
 	run.Cancel = func() {
 		if !x.trial {
 			cancel(errPartRefused)
@@ -166,13 +217,13 @@
 
 // recordWriting tells the quarantine once of an attempt that its server has written for longer
 // than it would before a crash.
-func (x *exchange) recordWriting() {
+func (x *exchange) recordWriting(plan spread.Plan) {
 	if x.wroteOn || x.lastEvent-x.firstEventAt < blame.FreshFor {
 		return
 	}
 	x.wroteOn = true
 	if q := x.relay.quarantine; !q.Empty() {
-		q.RecordWriting(x.firstEventAt, x.features())
+		q.RecordWriting(x.firstEventAt, x.features(plan.Writer().Version))
 	}
 }
 
@@ -189,7 +240,7 @@
 	c := poison.Crash{Server: poison.ServerHash(id), Began: x.sentAt, Ended: x.brokeAt}
 	var fresh *quarantine.Run
 	if x.writingTime() < blame.FreshFor {
-		fresh = x.features()
+		fresh = x.features(plan.Writer().Version)
 	}
 	x.relay.quarantine.RecordCrash(x.identity(), c, id, x.relay.readyCount(x.service.Name), fresh)
 }
@@ -217,7 +268,7 @@
 	switch {
 	case x.answered && !q.Empty():
 		q.RecordAnswer(x.identity())
-		q.RecordWriting(x.answerBegan(), x.features())
+		q.RecordWriting(x.answerBegan(), x.features(x.answeredBy))
 	case x.anyCrash:
 		q.RecordFailure(x.identity())
 	}
