Requests wait for the end of a trial of a refused part

A caller that came back at the time it was told, just after the trial at another instance had been answered, was refused once more (e2e 'served again', failed before). Requests wait for a second at most while a trial is under way.

--- a/decide/blame/trial.go
+++ b/decide/blame/trial.go
@@ -7,6 +7,10 @@
 const (
 	// claimDelay is the time in which all instances learn that one of them wants to try a part.
 	claimDelay = 200 * time.Millisecond
+	// awaitTrial is how long other requests wait for the end of a trial, as most end sooner, and
+	// awaitStep the time after which they ask again.
+	awaitTrial = time.Second
+	awaitStep  = 50 * time.Millisecond
 	// trialTimeout is the time after which a trial without a result is over.
 	trialTimeout = 3 * time.Second
 )
@@ -46,6 +50,9 @@
 	over := tr.At + trialTimeout - now
 	switch {
 	case tr.Claimant != t.o.Self || tr.used:
+		if now-tr.At < awaitTrial {
+			return Permission{Wait: awaitStep}
+		}
 		return Permission{RetryAfter: over}
 	case now < tr.At+claimDelay:
 		return Permission{Wait: tr.At + claimDelay - now}
