Streams without a length: whole, cut, reset, resumed

e2e with stand-in servers that end a stream with its connection: in order between events it is whole, inside an event or by a reset it is resumed, a head that is cut is sent by another server, and the caller's connection serves the next request.

--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -38,6 +38,13 @@
 	Extra Fault = "extra"
 	// Unframed sends an answer without a length; closing the connection ends it.
 	Unframed Fault = "unframed"
+	// UnframedStream sends a stream without a length; closing the connection ends it.
+	UnframedStream Fault = "unframed_stream"
+	// UnframedCut ends such a stream inside an event, UnframedReset between two events by a reset,
+	// UnframedHead inside the head. A resumed stream is sent whole.
+	UnframedCut   Fault = "unframed_cut"
+	UnframedReset Fault = "unframed_reset"
+	UnframedHead  Fault = "unframed_head"
 	// Early answers before reading the body, then reads the body.
 	Early Fault = "early"
 	// Garbage sends bytes that are not an HTTP response.
@@ -347,6 +354,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case Lost, Garbage, Unframed, Extra:
 		s.writeRaw(w, id, f)
+	case UnframedStream, UnframedCut, UnframedReset, UnframedHead:
+		s.writeUnframedStream(w, r, f)
 	case Mute:
 		<-r.Context().Done()
 	default:
@@ -488,6 +497,50 @@
 	_ = rw.Flush()
 }
 
+// writeUnframedStream writes a stream that the end of the connection ends.
+func (s *Server) writeUnframedStream(w http.ResponseWriter, r *http.Request, f Fault) {
+	id := r.Header.Get("X-Request-Id")
+	c, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id + "\r\nX-Response-Seal: " + Seal(s.cfg.ID, id)
+	if f == UnframedHead {
+		_, _ = rw.WriteString(head[:len(head)-4])
+		_ = rw.Flush()
+		return
+	}
+	first, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		first = 0
+	}
+	_, _ = rw.WriteString(head + "\r\n\r\n")
+	for n := first + 1; n <= s.cfg.Events; n++ {
+		ev := Event(id, n)
+		if f == UnframedCut && first == 0 && n == s.cfg.Events/2 {
+			_, _ = rw.WriteString(ev[:len(ev)-1])
+			_ = rw.Flush()
+			return
+		}
+		if f == UnframedReset && first == 0 && n == s.cfg.Events/2 {
+			reset(c)
+			return
+		}
+		_, _ = rw.WriteString(ev)
+		_ = rw.Flush()
+		time.Sleep(s.cfg.EventPause)
+	}
+}
+
+// reset closes a connection by a reset, once what was written has arrived.
+func reset(c net.Conn) {
+	time.Sleep(extraDelay)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // extraDelay is the time between the two answers of Extra. It lets the connection
 // become idle before the second one arrives.
 const extraDelay = 50 * time.Millisecond
