--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -171,9 +171,18 @@
 			q.scope.Counter("runs_taken_back_total").Inc(1)
 			r.Cancel()
 		}
+		if q.deciding() {
+			wake(q.crashed)
+		}
 	}
 }
 
+func (q *Quarantine) deciding() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.parts.Deciding(q.now())
+}
+
 func (q *Quarantine) refusedRuns() (out []*Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -179,11 +179,10 @@
 		a.Verdict, a.RetryAfter = Refused, s.due()-now
 	case s.settled(now):
 		a.Verdict = Due
+	case s.refused:
+		a.Verdict, a.Wait = Suspect, settleTime
 	case now < s.last()+suspectPause:
 		a.Verdict, a.Wait = Suspect, s.last()+suspectPause-now
-		if s.refused {
-			a.Wait = settleTime
-		}
 	}
 	return a
 }
@@ -207,6 +206,16 @@
 	return out
 }
 
+// Deciding reports whether a part is about to be refused.
+func (t *Table) Deciding(now time.Duration) bool {
+	for _, s := range t.findSuspects() {
+		if s.refused && !s.settled(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Explains reports whether a refused part that a request does not have was in the crash of a
 // server, so that the crash is no evidence against the request.
 func (t *Table) Explains(e Exit, r Run) bool {
--- a/lab/suspects/parts.go
+++ b/lab/suspects/parts.go
@@ -284,6 +284,9 @@
 	w.after(checkDelay, func() {
 		i.checkPending = false
 		w.takeBack(i)
+		if i.parts.Deciding(i.localTime(w.now())) {
+			w.scheduleCheck(i)
+		}
 	})
 }
 
