--- /dev/null
+++ b/control/quarantine/wire_test.go
@@ -0,0 +1,27 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/blame"
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
+)
+
+func TestQuarantine(t *testing.T) { testkit.Suite(t, "quarantine") }
+
+var _ = Describe("a report of crashes", func() {
+	It("is read back with the times of the receiver's clock", func() {
+		sent := blame.Changes{
+			Crashes: []blame.Update{{Exit: blame.Exit{Server: 7, At: 9 * time.Second}, Servers: 20, Keys: []blame.Key{1, 2}, Cleared: []blame.Key{3}}},
+			Trials:  []blame.Trial{{Part: 5, Claimant: 6, At: 8 * time.Second}},
+		}
+		got := decodeCrashes(110*time.Second, encodeCrashes(10*time.Second, sent))
+		sent.Crashes[0].At += 100 * time.Second
+		sent.Trials[0].At += 100 * time.Second
+		Expect(got).To(Equal(sent))
+	})
+})
--- a/lab/suspects/parts.go
+++ b/lab/suspects/parts.go
@@ -83,12 +83,14 @@
 	deadly bool
 	// sent is when the request first arrived.
 	sent time.Duration
+	// counted is set if the request is one of Sound.
+	counted bool
 }
 
 // partWorld is the state of the simulation of prompts.
 type partWorld struct {
 	deadly []blame.Key
-	// fifth is the time of the deciding crash, zero before.
+	// fifth is the time of the deciding crash, the last one if all instances refuse before it.
 	fifth time.Duration
 	// lastCrash is the time of the newest crash by a deadly part, refused is set once an instance
 	// has refused a request for one.
@@ -240,7 +242,7 @@
 	switch {
 	case p.deadly && w.o.Prompts.Until > 0 && w.now() > w.o.Prompts.Until:
 		w.res.Parts.ServedAgain++
-	case !p.deadly && w.decidedBefore(p.sent) && x.req.attemptCount == 1 && x.placements == 0:
+	case p.counted && x.req.attemptCount == 1 && x.placements == 0:
 		w.res.Parts.SoundServed++
 	}
 }
@@ -269,6 +271,9 @@
 		return slices.ContainsFunc(i.parts.Refused(), func(r blame.RefusedPart) bool { return slices.Contains(w.parts.deadly, r.Part) })
 	}
 	if !slices.ContainsFunc(w.instances, func(i *instance) bool { return !refusing(i) }) {
+		if w.parts.fifth == 0 {
+			w.parts.fifth = w.parts.lastCrash
+		}
 		w.res.Parts.Spread = append(w.res.Parts.Spread, w.now()-w.parts.lastCrash)
 		return
 	}
--- a/lab/suspects/suspects.go
+++ b/lab/suspects/suspects.go
@@ -259,6 +259,7 @@
 func (w *world) startAttempt(r *request) {
 	r.attemptCount++
 	if r.attemptCount == 1 && !r.prompt.deadly && w.decidedBefore(r.prompt.sent) {
+		r.prompt.counted = true
 		w.res.Parts.Sound++
 	}
 	w.place(&run{req: r, at: w.randomInstance()})
