--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -95,8 +95,9 @@
 	// serverError is the last error answer of a server, which may be passed on.
 	serverError     backend.Head
 	serverErrorBody []byte
-	// key caches the result of identity.
-	key *poison.Key
+	// identity returns the request's key in the quarantine, computed on first use; it may be called
+	// by several goroutines.
+	identity func() poison.Key
 	// sentAt is when the current attempt was sent, brokeAt when it broke, condition what is
 	// known of its server since. crashed is set if that crashed, and anyCrash if the
 	// server of any attempt did.
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -52,15 +52,6 @@
 	return x.relay.examiner.condition(s)
 }
 
-// identity returns the request's key in the quarantine, computed on first use.
-func (x *exchange) identity() poison.Key {
-	if x.key == nil {
-		k := x.req.key(x.customer)
-		x.key = &k
-	}
-	return *x.key
-}
-
 // features returns the request as the quarantine knows it, at servers of one version.
 func (x *exchange) features(version string) *quarantine.Run {
 	r := x.runs[version]
@@ -207,8 +198,9 @@
 // watch has the attempt taken back if a part of its prompt is refused meanwhile.
 func (x *exchange) watch(version string, cancel context.CancelCauseFunc) (end func()) {
 	run := *x.features(version)
+	trial := x.trial
 	run.Cancel = func() {
-		if !x.trial {
+		if !trial {
 			cancel(errPartRefused)
 		}
 	}
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/cell"
 	"github.com/auburnmoor/auburnmoor/decide/health"
 	"github.com/auburnmoor/auburnmoor/decide/knowledge"
+	"github.com/auburnmoor/auburnmoor/decide/poison"
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
@@ -203,7 +204,7 @@
 	}
 	return &exchange{
 		relay: r, req: req, sink: sink, route: rt, service: service, customer: name, rank: rank, version: table.Version,
-		state: attempt.New(rt), timeLimit: effectiveTimeLimit(rt, req),
+		state: attempt.New(rt), timeLimit: effectiveTimeLimit(rt, req), identity: sync.OnceValue(func() poison.Key { return req.key(name) }),
 	}, nil
 }
 
