--- a/cli/parts.go
+++ b/cli/parts.go
@@ -71,7 +71,8 @@
 // size.
 func (c *partsCmd) Run(e *env) error {
 	t := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "instances\tservers ended, mean\tmost\tlate\ttrials\tknown to all after at most\tundecided\tsound\tserved at once\trefused\tordinary\tserved again\tmessages an instance and second\tbytes")
+	fmt.Fprintln(t, "instances\tservers ended, mean\tmost\tlate\ttrials\tknown to all after at most\tundecided\t"+
+		"sound\tserved at once\trefused\tordinary\tserved again\tmessages an instance and second\tbytes")
 	for _, n := range c.Instances {
 		var sum suspects.Result
 		for seed := range c.Seeds {
@@ -82,7 +83,8 @@
 			spread = slices.Max(p.Spread)
 		}
 		seconds := float64(c.Seeds*n) * c.Duration.Seconds()
-		fmt.Fprintf(t, "%d\t%.2f\t%d\t%d\t%d\t%v\t%d\t%d\t%.4f\t%d\t%d\t%d\t%.2f\t%.0f\n", n, float64(p.Crashes)/float64(max(1, p.Runs)), p.MostCrashes, p.Late, p.Trials, spread, p.Undecided,
+		fmt.Fprintf(t, "%d\t%.2f\t%d\t%d\t%d\t%v\t%d\t%d\t%.4f\t%d\t%d\t%d\t%.2f\t%.0f\n",
+			n, float64(p.Crashes)/float64(max(1, p.Runs)), p.MostCrashes, p.Late, p.Trials, spread, p.Undecided,
 			p.Sound, float64(p.SoundServed)/float64(max(1, p.Sound)), p.Refused, sum.Ordinary, p.ServedAgain,
 			float64(sum.Messages)/seconds, float64(sum.Bytes)/seconds)
 	}
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -193,28 +193,6 @@
 	return slices.Clone(s.crashed)
 }
 
-// SetDeadlyParts sets the IDs of the prompt parts that crash the server from now on when it
-// begins to write an answer on them. The last part of a prompt never does.
-func (s *Server) SetDeadlyParts(ids ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deadlyParts = ids
-}
-
-// partsHeader lists the parts of a prompt as ID:TOKENS entries.
-const partsHeader = "X-Prompt-Prefix"
-
-// deadly reports whether the server crashes when it writes an answer on a prompt.
-func (s *Server) deadly(parts string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	entries := strings.Split(parts, ",")
-	return slices.ContainsFunc(entries[:len(entries)-1], func(e string) bool {
-		id, _, _ := strings.Cut(e, ":")
-		return slices.Contains(s.deadlyParts, id)
-	})
-}
-
 // Inject applies each fault to one of the next answers.
 func (s *Server) Inject(f ...Fault) {
 	s.mu.Lock()
@@ -497,50 +475,6 @@
 	_ = rw.Flush()
 }
 
-// writeUnframedStream writes a stream that the end of the connection ends.
-func (s *Server) writeUnframedStream(w http.ResponseWriter, r *http.Request, f Fault) {
-	id := r.Header.Get("X-Request-Id")
-	c, rw, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id + "\r\nX-Response-Seal: " + Seal(s.cfg.ID, id)
-	if f == UnframedHead {
-		_, _ = rw.WriteString(head[:len(head)-4])
-		_ = rw.Flush()
-		return
-	}
-	first, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		first = 0
-	}
-	_, _ = rw.WriteString(head + "\r\n\r\n")
-	for n := first + 1; n <= s.cfg.Events; n++ {
-		ev := Event(id, n)
-		if f == UnframedCut && first == 0 && n == s.cfg.Events/2 {
-			_, _ = rw.WriteString(ev[:len(ev)-1])
-			_ = rw.Flush()
-			return
-		}
-		if f == UnframedReset && first == 0 && n == s.cfg.Events/2 {
-			reset(c)
-			return
-		}
-		_, _ = rw.WriteString(ev)
-		_ = rw.Flush()
-		time.Sleep(s.cfg.EventPause)
-	}
-}
-
-// reset closes a connection by a reset, once what was written has arrived.
-func reset(c net.Conn) {
-	time.Sleep(extraDelay)
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
 // extraDelay is the time between the two answers of Extra. It lets the connection
 // become idle before the second one arrives.
 const extraDelay = 50 * time.Millisecond
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -171,7 +171,8 @@
 	default:
 		return a.Wait, nil
 	}
-	return 0, result.New(result.PartQuarantined, "%d servers that began to answer prompts with the part %s crashed", a.Crashes, q.PartID(run, a.Part)).WithRetryAfter(a.RetryAfter)
+	why := "%d servers that began to answer prompts with the part %s crashed"
+	return 0, result.New(result.PartQuarantined, why, a.Crashes, q.PartID(run, a.Part)).WithRetryAfter(a.RetryAfter)
 }
 
 // quarantined reports whether the request, or a part of its prompt at servers of the given
