Stand-in servers crash once where several requests crash them at once

What was seen: the race detector failed an e2e run (106 of 106 specs passed, two timer callbacks wrote the same field). Cause: each of the requests that crash a stand-in server at the same moment recorded a crash of its own and scheduled a restart of its own; both restarts wrote the address without a lock. A restart also asked whether the server was closed before it listened, not at the same time. Ruled out: the product; both goroutines were timers of the stand-in. Now a crash ends one life of the server, the one that the request runs in, and a restart listens under the lock that a close takes.

--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -18,8 +18,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Fault is a way in which the server mishandles a request.
@@ -87,11 +85,10 @@
 
 // Server is a backend server on one address.
 type Server struct {
-	cfg      Config
-	http     *http.Server
-	listener net.Listener
-
-	mu           sync.Mutex
+	mu  sync.Mutex
+	cfg Config
+	// life is nil while the server is down.
+	life         *life
 	runs         map[string]int
 	seen         []Seen
 	faults       []Fault
@@ -126,73 +123,6 @@
 	return &Server{cfg: cfg, runs: map[string]int{}, reservations: map[string]reservation{}, ticketsInUse: map[string]bool{}}
 }
 
-// Start listens.
-func (s *Server) Start() error {
-	lis, err := net.Listen("tcp", s.cfg.Addr)
-	if err != nil {
-		return errors.Wrap(err, "backend server")
-	}
-	s.cfg.Addr = lis.Addr().String()
-	srv := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
-	s.mu.Lock()
-	s.http, s.listener = srv, lis
-	s.mu.Unlock()
-	go func() { _ = srv.Serve(lis) }()
-	return nil
-}
-
-// Addr returns the address it listens on.
-func (s *Server) Addr() string { return s.cfg.Addr }
-
-// Close stops the server at once; a pending restart is cancelled.
-func (s *Server) Close() {
-	s.mu.Lock()
-	s.closed = true
-	srv, lis := s.http, s.listener
-	s.mu.Unlock()
-	// The server does not know its listener before it begins to serve.
-	_ = lis.Close()
-	_ = srv.Close()
-}
-
-// crash stops the server with all requests it runs and restarts it after RestartAfter.
-func (s *Server) crash() {
-	s.mu.Lock()
-	s.crashed = append(s.crashed, time.Now())
-	srv := s.http
-	s.mu.Unlock()
-	if s.cfg.OnCrash != nil {
-		s.cfg.OnCrash()
-	}
-	_ = srv.Close()
-	time.AfterFunc(s.cfg.RestartAfter, func() {
-		s.mu.Lock()
-		closed := s.closed
-		s.mu.Unlock()
-		if closed {
-			return
-		}
-		_ = s.Start()
-		if s.cfg.OnRestart != nil {
-			s.cfg.OnRestart()
-		}
-	})
-}
-
-// Crashes counts the requests that crashed the server.
-func (s *Server) Crashes() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.crashed)
-}
-
-// CrashTimes returns the times of these crashes.
-func (s *Server) CrashTimes() []time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.crashed)
-}
-
 // Inject applies each fault to one of the next answers.
 func (s *Server) Inject(f ...Fault) {
 	s.mu.Lock()
@@ -310,14 +240,14 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	if s.cfg.CrashOn != "" && strings.Contains(string(body), s.cfg.CrashOn) {
-		s.crash()
+		s.crash(r)
 		panic(http.ErrAbortHandler)
 	}
 	if !waitFor(r, s.cfg.Prefill) {
 		return
 	}
 	if s.deadly(r.Header.Get(partsHeader)) {
-		s.crash()
+		s.crash(r)
 		panic(http.ErrAbortHandler)
 	}
 	switch f {
