A request with a refused part is not the trial of another part

Cause: a request's verdict is the greatest of those on its parts, and Due ranked above Refused and Suspect; so a request with two deadly parts, one due and one refused, could become the trial of the first and end a server by the second. Before: the new test failed with Due where Refused is due; after: passes.

--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -240,6 +240,23 @@
 			Expect(two.TryPart(again+wait, part("dead")).Granted).To(BeFalse())
 		})
 
+		// Guards against a trial that ends a server by another part of its prompt.
+		It("allow none by a request with another part that is refused or suspected", func() {
+			for at := range 3 {
+				crash(again+time.Duration(at)*100*ms, run(10+at, "dead2"))
+			}
+			for at := range 2 {
+				crash(again+time.Duration(at)*100*ms+50*ms, run(20+at, "dead3"))
+			}
+			now := again + 200*ms + settled
+			Expect(verdict(now, run(30, "dead"))).To(Equal(blame.Due))
+			for _, other := range []string{"dead2", "dead3"} {
+				want := verdict(now, run(30, other))
+				Expect(verdict(now, run(30, "dead", other))).To(Equal(want))
+				Expect(verdict(now, run(30, other, "dead"))).To(Equal(want))
+			}
+		})
+
 		It("free the part by an answer", func() {
 			t.Clear(again, run(30, "dead"))
 			Expect(verdict(again, run(31, "dead"))).To(Equal(blame.Clean))
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -24,19 +24,19 @@
 	keptCrashes = 8
 )
 
-// Verdict classifies a request.
+// Verdict classifies a request. Of the verdicts on its parts the greatest is that on the request.
 type Verdict int
 
 // The verdicts.
 const (
 	// Clean requests may be run.
 	Clean Verdict = iota
+	// Due requests may be run as a trial, by one instance.
+	Due
 	// Suspect requests wait.
 	Suspect
 	// Refused requests must not be run.
 	Refused
-	// Due requests may be run as a trial, by one instance.
-	Due
 )
 
 // Assessment is a verdict with its reason.
