The trial of a part is excepted for that part only

Cause: a request that was granted the trial of a refused part was no longer assessed at all while it was tried: neither for its other parts nor at servers of another version, so that it could end a server by another part that was refused meanwhile, after a refusal by a full server for instance. Now the trial names its part; all others are assessed as ever, and the run at the server is taken back for them.

--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -29,6 +29,8 @@
 	Parts            []string
 	// Identity returns the request's identity.
 	Identity func() poison.Key
+	// Tries is the part that the request is the trial of, zero for none.
+	Tries blame.Key
 	// Cancel takes the request back from its server.
 	Cancel func()
 
@@ -47,7 +49,9 @@
 			r.keys.Parts = append(r.keys.Parts, blame.PartKey(r.Service, r.Version, p))
 		}
 	}
-	return *r.keys
+	keys := *r.keys
+	keys.Tries = r.Tries
+	return keys
 }
 
 // withParts calls f with the table of crashes locked and schedules the sharing of changes.
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -257,6 +257,16 @@
 			}
 		})
 
+		It("allow the trial as far as no other part is refused meanwhile", func() {
+			trial := run(30, "dead", "dead2")
+			trial.Tries = part("dead")
+			Expect(verdict(again, trial)).To(Equal(blame.Clean))
+			for at := range 3 {
+				crash(again+time.Duration(at)*100*ms, run(10+at, "dead2"))
+			}
+			Expect(verdict(again+200*ms+settled, trial)).To(Equal(blame.Refused))
+		})
+
 		It("free the part by an answer", func() {
 			t.Clear(again, run(30, "dead"))
 			Expect(verdict(again, run(31, "dead"))).To(Equal(blame.Clean))
--- a/decide/blame/key.go
+++ b/decide/blame/key.go
@@ -53,6 +53,8 @@
 	Parts []Key
 	// Request is the whole request.
 	Request Key
+	// Tries is the part that the run is the trial of, zero for none.
+	Tries Key
 }
 
 // has reports whether the run has a key.
--- a/decide/blame/suspect.go
+++ b/decide/blame/suspect.go
@@ -71,6 +71,11 @@
 	return r.has(s.part) && !slices.ContainsFunc(s.companions, func(k Key) bool { return !r.has(k) })
 }
 
+// triedBy reports whether a run is the trial of the part, or of one that is in the same crashes.
+func (s *suspect) triedBy(r Run) bool {
+	return r.Tries != 0 && (s.part == r.Tries || slices.Contains(s.companions, r.Tries))
+}
+
 // findSuspects returns the parts in two crashes or more, by key.
 func findSuspects(crashes []*crash, alone bool) map[Key]*suspect {
 	out := map[Key]*suspect{}
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -162,7 +162,7 @@
 	suspects := t.findSuspects()
 	for _, p := range r.Parts {
 		s := suspects[p]
-		if s == nil || !s.matches(r) {
+		if s == nil || !s.matches(r) || s.triedBy(r) {
 			continue
 		}
 		if a := t.assess(now, s); a.Verdict > out.Verdict || a.Verdict == out.Verdict && a.RetryAfter > out.RetryAfter {
--- a/lab/suspects/parts.go
+++ b/lab/suspects/parts.go
@@ -205,21 +205,27 @@
 	x.at.parts.AddCrash(x.at.localTime(w.now()), blame.Exit{Server: id, At: x.at.localTime(at)}, len(w.servers), fresh)
 }
 
+// features returns what the request of a run has that may crash servers.
+func (x *run) features() blame.Run {
+	r := x.req.prompt.run
+	r.Tries = x.tries
+	return r
+}
+
 // assessParts assesses the parts of a request: how long it waits, or that it is refused.
 func (w *world) assessParts(x *run) (pause time.Duration, refused bool) {
-	if x.trial {
-		return 0, false
-	}
 	i := x.at
 	now := i.localTime(w.now())
-	a := i.parts.Assess(now, x.req.prompt.run)
+	a := i.parts.Assess(now, x.features())
 	switch a.Verdict {
 	case blame.Refused:
 		return 0, true
 	case blame.Due:
 		p := i.parts.TryPart(now, a.Part)
 		w.scheduleSend(i)
-		x.trial = p.Granted
+		if p.Granted {
+			x.tries = a.Part
+		}
 		return p.Wait, !p.Granted && p.Wait == 0
 	default:
 		return a.Wait, false
@@ -230,7 +236,7 @@
 func (w *world) countSend(x *run) {
 	switch {
 	case !x.req.prompt.deadly:
-	case x.trial:
+	case x.tries != 0:
 		w.res.Parts.Trials++
 	case w.parts.fifth > 0 && w.now() > w.parts.fifth+partDelay && w.crashing(x.req):
 		w.res.Parts.Late++
@@ -302,7 +308,7 @@
 	for _, s := range w.servers {
 		var back []*run
 		for x := range s.runs {
-			if x.at == i && !x.trial && i.parts.Assess(i.localTime(w.now()), x.req.prompt.run).Verdict == blame.Refused {
+			if x.at == i && i.parts.Assess(i.localTime(w.now()), x.features()).Verdict == blame.Refused {
 				back = append(back, x)
 			}
 		}
--- a/lab/suspects/suspects.go
+++ b/lab/suspects/suspects.go
@@ -148,8 +148,8 @@
 	avoid      []*server
 	isolated   bool
 	sawCrash   bool
-	// trial is set while the request is the trial of a refused part.
-	trial bool
+	// tries is the refused part that the request is the trial of, zero for none.
+	tries blame.Key
 	// firstEvent is when the server began to write, zero before.
 	firstEvent time.Duration
 }
@@ -412,7 +412,7 @@
 	i := x.at
 	i.table.AddCrash(i.localTime(w.now()), x.req.key, poison.Crash{Server: id, Began: i.localTime(x.began), Ended: i.localTime(at)})
 	w.addCrashOfParts(x, id, at)
-	x.sawCrash, x.trial = true, false
+	x.sawCrash, x.tries = true, 0
 	if i.table.Assess(i.localTime(w.now()), x.req.key, len(w.servers), nil).Verdict != poison.Clean && !x.req.poison && !x.req.suspect {
 		x.req.suspect = true
 		w.res.Suspects++
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/blame"
 	"github.com/auburnmoor/auburnmoor/decide/health"
 	"github.com/auburnmoor/auburnmoor/decide/knowledge"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
@@ -110,8 +111,8 @@
 	refusedVersions []string
 	// answeredBy is the version of the server that answered.
 	answeredBy string
-	// trial is set while the request may be sent although a part of its prompt is refused.
-	trial bool
+	// tries is the refused part of its prompt that the request may be sent with, zero for none.
+	tries blame.Key
 	// wroteOn is set once the current attempt is known not to crash its server.
 	wroteOn bool
 	// suspect is set if the request may be the cause of crashes.
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -62,6 +62,7 @@
 		}
 		x.runs[version] = r
 	}
+	r.Tries = x.tries
 	return r
 }
 
@@ -129,7 +130,7 @@
 // to versions that do not crash under them; if there are none, it waits or is refused.
 func (x *exchange) assessParts() (pause time.Duration, refusal *result.Error) {
 	x.refusedVersions = nil
-	if x.trial || len(x.req.SharedParts) == 0 {
+	if len(x.req.SharedParts) == 0 {
 		return 0, nil
 	}
 	versions := x.versions()
@@ -163,7 +164,9 @@
 	case blame.Due:
 		p := q.TryPart(a.Part)
 		if p.Granted || p.Wait > 0 {
-			x.trial = p.Granted
+			if p.Granted {
+				x.tries = a.Part
+			}
 			return p.Wait, nil
 		}
 		a.RetryAfter = p.RetryAfter
@@ -182,7 +185,7 @@
 	if q.Empty() {
 		return false
 	}
-	if !x.trial && q.AssessParts(x.features(version)).Verdict == blame.Refused {
+	if q.AssessParts(x.features(version)).Verdict == blame.Refused {
 		return true
 	}
 	return x.assessRequest().Verdict == poison.Poisonous
@@ -199,12 +202,7 @@
 // watch has the attempt taken back if a part of its prompt is refused meanwhile.
 func (x *exchange) watch(version string, cancel context.CancelCauseFunc) (end func()) {
 	run := *x.features(version)
-	trial := x.trial
-	run.Cancel = func() {
-		if !trial {
-			cancel(errPartRefused)
-		}
-	}
+	run.Cancel = func() { cancel(errPartRefused) }
 	return x.relay.quarantine.Begin(&run)
 }
 
@@ -223,7 +221,7 @@
 // recordCrash reports to the quarantine that the server of a broken attempt crashed while it
 // ran the request.
 func (x *exchange) recordCrash(plan spread.Plan) {
-	x.trial = false
+	x.tries = 0
 	x.crashed = x.condition == backend.ServerEnded
 	if !x.crashed {
 		return
