Names of parts are kept for refused and new ones when there are too many

Cause: the IDs of parts that are shown to the operator were kept up to 4,096 and never dropped, so that one customer with ever new parts in crashes could have all later parts shown by their key only. Now a full table drops those that are not refused.

--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -13,13 +13,9 @@
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
-const (
-	// assessDelay is how long after a change the runs in progress are assessed again: a crash is
-	// not evidence before all of its runs are reported.
-	assessDelay = 45 * time.Millisecond
-	// maxNames bounds the IDs of parts that are remembered for operators.
-	maxNames = 4096
-)
+// assessDelay is how long after a change the runs in progress are assessed again: a crash is not
+// evidence before all of its runs are reported.
+const assessDelay = 45 * time.Millisecond
 
 // Run is a request that may be at a server, with what it has that may crash servers.
 type Run struct {
@@ -73,7 +69,7 @@
 	q.withParts(func(t *blame.Table) {
 		a = t.Assess(q.now(), r.features())
 		if a.Verdict == blame.Refused {
-			q.remember(r)
+			q.names.add(r, q.refused)
 		}
 	})
 	return a
@@ -104,7 +100,7 @@
 	var fresh blame.Run
 	if r != nil {
 		fresh = r.features()
-		q.remember(r)
+		q.names.add(r, q.refused)
 	}
 	q.parts.AddCrash(q.now(), blame.Exit{Server: c.Server, At: c.Ended}, servers, fresh)
 }
@@ -131,15 +127,6 @@
 	q.scope.Gauge("parts_refused").Update(float64(len(refused)))
 }
 
-// remember keeps the IDs of a run's parts for operators. q.mu must be held.
-func (q *Quarantine) remember(r *Run) {
-	for i, k := range r.features().Parts {
-		if len(q.names) < maxNames {
-			q.names[k] = r.Parts[i]
-		}
-	}
-}
-
 // RecordWriting records that a server wrote for longer than blame.FreshFor since began, or
 // answered, so that the run's parts are not the cause of crashes before.
 func (q *Quarantine) RecordWriting(began time.Duration, r *Run) {
--- a/control/quarantine/quarantine.go
+++ b/control/quarantine/quarantine.go
@@ -60,8 +60,7 @@
 	table        *poison.Table
 	parts        *blame.Table
 	disseminator *poison.Disseminator
-	// names holds the IDs of parts that this instance refused or that were in crashes here.
-	names map[blame.Key]string
+	names        partNames
 	// refused are the parts that are refused, as logged.
 	refused map[blame.Key]bool
 	// runs are the runs in progress at this instance.
@@ -87,7 +86,7 @@
 	q.log, q.now, q.scope, q.table = c.Log, c.Now, c.Scope, poison.NewTable()
 	q.disseminator = poison.NewDisseminator(rand.New(rand.NewPCG(c.Seed, 4)))
 	q.parts = blame.NewTable(blame.Options{Self: xxhash.Sum64String(c.Self.Name)})
-	q.names, q.runs = map[blame.Key]string{}, map[*Run]bool{}
+	q.names, q.runs = partNames{}, map[*Run]bool{}
 	q.changed, q.crashed = make(chan struct{}, 1), make(chan struct{}, 1)
 	q.members.AddToGossip(q.addDigest)
 	q.link.Handle(q.receive)
