--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -55,12 +55,6 @@
 	q.withTable(func(*poison.Table) { f(q.parts) })
 }
 
-// Features returns what a run has that may crash servers.
-func (q *Quarantine) Features(r *Run) (f blame.Run) {
-	q.withParts(func(*blame.Table) { f = r.features() })
-	return f
-}
-
 // AssessParts assesses the parts of a request's prompt before it is sent.
 func (q *Quarantine) AssessParts(r *Run) (a blame.Assessment) {
 	if q.Off || len(r.Parts) == 0 {
@@ -77,7 +71,9 @@
 
 // PartID returns the ID of a part of a request's prompt.
 func (q *Quarantine) PartID(r *Run, part blame.Key) string {
-	for i, k := range q.Features(r).Parts {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i, k := range r.features().Parts {
 		if k == part {
 			return r.Parts[i]
 		}
--- a/control/quarantine/quarantine.go
+++ b/control/quarantine/quarantine.go
@@ -105,11 +105,11 @@
 
 // Assess assesses a request before it is sent to one of the given number of servers. Crashes
 // that a refused part of other requests explains are no evidence against it.
-func (q *Quarantine) Assess(k poison.Key, r blame.Run, servers int) (a poison.Assessment) {
+func (q *Quarantine) Assess(k poison.Key, r *Run, servers int) (a poison.Assessment) {
 	if q.Off {
 		return a
 	}
-	q.withTable(func(t *poison.Table) { a = t.Assess(q.now(), k, servers, q.explains(r)) })
+	q.withTable(func(t *poison.Table) { a = t.Assess(q.now(), k, servers, q.explains(r.features())) })
 	return a
 }
 
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -122,8 +122,7 @@
 }
 
 func (x *exchange) assessRequest() poison.Assessment {
-	q := x.relay.quarantine
-	return q.Assess(x.identity(), q.Features(x.features("")), x.relay.readyCount(x.service.Name))
+	return x.relay.quarantine.Assess(x.identity(), x.features(""), x.relay.readyCount(x.service.Name))
 }
 
 // assessParts assesses the parts of the prompt for each version of the servers. The request goes
