e2e: the site of the platform's specs is used once its instances may repeat

What was seen: one run of all tests beside other work failed, "resumes a broken stream at another engine without a gap", unexpected EOF at the caller. Cause: the specs before it take 0.4 s in all after the site is ready, so it ran within the first 2.5 s of its instances, in which they repeat nothing, so that all instances together keep to the budget. It passed before where the site took longer to become ready. Ruled out: the stand-in servers' change; the failing runs have no crash. The check is as it was; only the wait is new, as other specs have it.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -233,7 +233,10 @@
 
 var _ = Describe("on the users' platform", Ordered, func() {
 	var s *platformSite
-	BeforeAll(func() { s = newPlatformSite() })
+	BeforeAll(func() {
+		s = newPlatformSite()
+		time.Sleep(loanSettle)
+	})
 	AfterAll(func() { s.close() })
 
 	It("relays a stream with its signature and every event", func() {
