--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -37,7 +37,7 @@
 		return attempt.ServerError, errors.Newf("server answered %d", h.Status)
 	}
 	x.firstLatency = x.relay.now() - x.started
-	x.sink.Respond(h, body)
+	x.reply.respond(h, body)
 	return 0, nil
 }
 
@@ -78,7 +78,7 @@
 			if x.splitter.partial() || !x.streamStarted.Load() {
 				return x.classifyError(ctx, plan, errors.Mark(io.ErrUnexpectedEOF, backend.ErrBroken))
 			}
-			x.sink.End()
+			x.reply.complete()
 			return 0, nil
 		}
 		if err != nil {
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -72,6 +72,7 @@
 	relay    *Relay
 	req      *Request
 	sink     Sink
+	reply    *reply
 	route    *route.Route
 	service  *route.Service
 	customer string
@@ -208,7 +209,7 @@
 	case attempt.Refuse:
 		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter)))
 	case attempt.PassOn:
-		x.sink.Respond(x.serverError, x.serverErrorBody)
+		x.reply.respond(x.serverError, x.serverErrorBody)
 		x.warn("server error passed on")
 	case attempt.Fail, attempt.Abort:
 		x.endWithError(result.New(result.BackendFailed, "the backend server failed"))
@@ -227,23 +228,32 @@
 // endWithError ends the exchange with an error of this instance, or aborts its stream.
 func (x *exchange) endWithError(failure *result.Error) {
 	if x.streamStarted.Load() {
-		x.sink.Abort()
-		x.warn("stream broken off", zap.Stringer("code", failure.Code))
+		x.cutOff(failure)
 		return
 	}
 	if failure.NotRun && x.state.MayHaveRun() {
 		failure = result.New(result.BackendFailed, "the backend server failed")
 	}
 	x.relay.recordRefusal(x.req, failure, zap.Duration("held", x.heldFor), zap.Stringer("waited_for", x.holdReason))
-	x.sink.Refuse(failure)
+	x.reply.refuse(failure)
+}
+
+// cutOff ends a stream that has begun and cannot be continued.
+func (x *exchange) cutOff(failure *result.Error) {
+	ending := ServerBrokeOff
+	if failure.Code == result.DeadlinePassed {
+		ending = TimeUp
+	}
+	x.warn("stream broken off", zap.Stringer("code", failure.Code), zap.Stringer("ending", ending), zap.String("why", failure.Message))
+	x.reply.cutOff(ending)
 }
 
 // endInterrupted ends an exchange whose deadline passed or whose client is gone.
 func (x *exchange) endInterrupted(ctx context.Context, err error) {
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		x.relay.count("client_gone_total", "route", x.route.Kind.String())
-		x.warn("client gone", eventlog.Error(err))
-		x.sink.Abort()
+		x.warn("client gone", zap.Stringer("ending", ClientLeft), eventlog.Error(err))
+		x.reply.cutOff(ClientLeft)
 		return
 	}
 	code := result.DeadlinePassed
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -168,6 +168,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Arrived.Add(x.timeLimit))
 	defer cancel()
+	defer func() { x.recordEnding(recover()) }()
 	x.run(ctx)
 }
 
@@ -203,7 +204,7 @@
 		return nil, result.New(result.NoBackend, "the route's service is not configured").WithRetryAfter(retryAfterNoBackend)
 	}
 	return &exchange{
-		relay: r, req: req, sink: sink, route: rt, service: service, customer: name, rank: rank, version: table.Version,
+		relay: r, req: req, sink: sink, reply: &reply{sink: sink}, route: rt, service: service, customer: name, rank: rank, version: table.Version,
 		state: attempt.New(rt), timeLimit: effectiveTimeLimit(rt, req), identity: sync.OnceValue(func() poison.Key { return req.key(name) }),
 	}, nil
 }
--- a/serve/relay/request.go
+++ b/serve/relay/request.go
@@ -55,6 +55,6 @@
 	Write(events []byte) error
 	// End completes the stream.
 	End()
-	// Abort closes the connection, so that the stream does not look complete.
+	// Abort has the connection closed, so that the stream does not look complete.
 	Abort()
 }
