--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -30,7 +30,7 @@
 // fleetBasePort is the first port of the fleet.
 const fleetBasePort = 18_000
 
-func addr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", fleetBasePort+offset) }
+func addr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", fleetBasePort+portShift+offset) }
 
 func (f *fleet) start(name string, args ...string) {
 	cmd := exec.Command(f.bin, args...)
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -36,7 +36,7 @@
 	raw, err := os.ReadFile("../examples/te-puna.toml")
 	Expect(err).NotTo(HaveOccurred())
 	o := dev.DefaultOptions()
-	o.BasePort, o.Manifest, o.StepFactor = basePort, raw, 0.05
+	o.BasePort, o.Manifest, o.StepFactor = basePort+portShift, raw, 0.05
 	change(&o)
 	site, err := dev.Start(context.Background(), o)
 	Expect(err).NotTo(HaveOccurred())
--- a/e2e/watch_test.go
+++ b/e2e/watch_test.go
@@ -27,7 +27,7 @@
 	watchersPerDataCentre = 5
 )
 
-func watchAddr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", watchBasePort+offset) }
+func watchAddr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", watchBasePort+portShift+offset) }
 
 func newWatchedFleet() *watchedFleet {
 	s := &watchedFleet{fleet: buildFleet(), store: storeserver.New(watchAddr(1))}
