--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -37,7 +37,9 @@
 // platformEntries is the number of entry instances of a site.
 const platformEntries = 3
 
-func platformAddr(offset int) string { return fmt.Sprintf("127.0.0.1:%d", platformBasePort+portShift+offset) }
+func platformAddr(offset int) string {
+	return fmt.Sprintf("127.0.0.1:%d", platformBasePort+portShift+offset)
+}
 
 // Memory in tokens and events per answer of a stand-in engine; a prompt of 150,000 tokens
 // needs two engines.
