A stream is not ended for the silence of its server: another server takes over once it answers

Callers saw a connection that was closed in the middle of their answer, or after it had been read whole. Cause: after 1.2 s without an event (1.3 s and more before the first) the attempt was cancelled, and only then was a retry taken from the budget, a server placed, the request sent. Where the budget, the placing or the next server said no, nothing could continue what had been sent, although the silent server would have gone on a moment later. The class: giving up what one has before one has what replaces it.

Now the attempt goes on, and another server is asked beside it, within the route's attempts and the budget. It takes over with its first whole event, or with the head of an answer that is not a stream; whichever is first wins, the other is cancelled. An attempt whose client has nothing yet ends after two more seconds of silence, longer than sound servers are silent, so that the client can repeat it; a stream that has begun goes on as long as its server and its time.

--- a/decide/attempt/attempt.go
+++ b/decide/attempt/attempt.go
@@ -3,6 +3,7 @@
 package attempt
 
 import (
+	"sync"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/route"
@@ -64,9 +65,11 @@
 	QuickDial = 50 * time.Millisecond
 )
 
-// State is the state of one client attempt at the instance that received it.
+// State is the state of one client attempt at the instance that received it. It is safe for
+// concurrent use.
 type State struct {
 	route *route.Route
+	mu    sync.Mutex
 	// sent counts the attempts that may have reached a server, dialFailures those that did
 	// not, and quickDialFailures those of these that failed within QuickDial.
 	sent, dialFailures, quickDialFailures int
@@ -78,28 +81,57 @@
 func New(r *route.Route) *State { return &State{route: r} }
 
 // MarkForwarded records that a part of the answer was forwarded to the client.
-func (s *State) MarkForwarded() { s.forwarded = true }
+func (s *State) MarkForwarded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forwarded = true
+}
 
 // AddDialFailure records how long an attempt took to find that it cannot connect. It is called
 // before Next.
 func (s *State) AddDialFailure(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if took < QuickDial {
 		s.quickDialFailures++
 	}
 }
 
 // MayHaveRun reports whether a server may have run the request.
-func (s *State) MayHaveRun() bool { return s.mayHaveRun }
+func (s *State) MayHaveRun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mayHaveRun
+}
 
 // Sent returns the number of attempts that may have reached a server.
-func (s *State) Sent() int { return s.sent }
+func (s *State) Sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
 
-// IsLast reports whether the current attempt is the last one allowed.
-func (s *State) IsLast() bool { return s.sent+1 >= s.route.MaxAttempts }
+// Left returns the number of attempts allowed besides those so far and the current one.
+func (s *State) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.route.MaxAttempts-s.sent-1)
+}
+
+// Hedge records an attempt that was sent to another server while the current one goes on. Whichever
+// of the two ends last is the current one from then on.
+func (s *State) Hedge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	s.mayHaveRun = true
+}
 
 // Next returns what follows an attempt with the given outcome. It calls budget only if a
 // retry is possible otherwise.
 func (s *State) Next(o Outcome, budget func() bool) Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch o {
 	case NotSent:
 		s.dialFailures++
--- a/decide/attempt/attempt_test.go
+++ b/decide/attempt/attempt_test.go
@@ -58,6 +58,16 @@
 		Expect(attempt.New(idempotent).Next(attempt.Broken, deny)).To(Equal(attempt.Fail))
 	})
 
+	// Guards against more servers that get a request than its route allows.
+	It("counts an attempt beside a silent one", func() {
+		s := attempt.New(resumable)
+		Expect(s.Left()).To(Equal(1))
+		s.Hedge()
+		Expect(s.Left()).To(BeZero())
+		Expect(s.MayHaveRun()).To(BeTrue())
+		Expect(s.Next(attempt.Broken, allow)).To(Equal(attempt.Fail))
+	})
+
 	It("aborts a stream that has begun and cannot be resumed", func() {
 		s := attempt.New(stream)
 		s.MarkForwarded()
--- a/e2e/silence_test.go
+++ b/e2e/silence_test.go
@@ -60,8 +60,26 @@
 		Expect(running.PendingSilences()).To(BeZero())
 	},
 		Entry("because they reject it", workerserver.BetweenEvents, workerserver.Shed),
+		Entry("because they break off", workerserver.InEvent, workerserver.Lost),
+		Entry("because they fail", workerserver.InChunk, workerserver.Failed),
+		Entry("because they are silent as well", workerserver.BetweenEvents, workerserver.Mute),
 	)
 
+	It("has its stream continued by another server before clients give up", func() {
+		const id = "continued"
+		resp, err := http.DefaultClient.Do(attempt{path: "/ask/1", id: id, key: "k1", tokens: 900, body: "prompt"}.request(0))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		running, _ := s.engineOf(id)
+		running.SilenceAnswer(workerserver.InEvent, 4*time.Second)
+		began := time.Now()
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal(completeStream(id)))
+		Expect(runs(s.engines, id)).To(Equal(2))
+		Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+	})
+
 	DescribeTable("does not end a request before its answer", func(path string, at workerserver.SilencePoint, servers func() []*workerserver.Server) {
 		for n, w := range servers() {
 			w.SilenceAnswer(at, serverSilence)
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -9,33 +8,35 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
-	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 )
 
 // forwardWhole reads an answer to its end before it sends any of it to the client,
 // so that the request can be retried if the answer breaks off.
-func (x *exchange) forwardWhole(ctx context.Context, plan spread.Plan, answer backend.Answer) (attempt.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
-	h := answer.Head()
+func (x *exchange) forwardWhole(t *try) (attempt.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(t.answer, maxAnswerBytes+1))
+	h, writer := t.answer.Head(), t.plan.Writer().ID
 	switch {
 	case err != nil:
-		return x.classifyError(ctx, plan, err)
+		return x.classifyError(t, err)
 	case len(body) > maxAnswerBytes:
 		return attempt.Broken, errors.Newf("answer exceeds %d bytes", maxAnswerBytes)
 	case h.Status < 300 && !h.Sealed, h.Status >= 500 && !h.Sealed:
-		x.recordFailure(plan.Writer().ID)
+		x.recordFailure(t, writer)
 		return attempt.Broken, errors.Newf("unsigned answer with status %d", h.Status)
 	case impliesNotRun(h.Status):
 		// The status tells clients that the request did not run, but the server does
 		// not declare so: a client could repeat a non-idempotent request that has run.
-		x.recordFailure(plan.Writer().ID)
+		x.recordFailure(t, writer)
 		return attempt.Broken, errors.Newf("server answered %d without declaring that the request did not run", h.Status)
 	case h.Status >= 500:
-		x.recordFault(plan.Writer().ID)
+		x.recordFault(t, writer)
 		x.serverError, x.serverErrorBody = h, body
 		return attempt.ServerError, errors.Newf("server answered %d", h.Status)
 	}
+	if !x.claim(t) {
+		return attempt.Silent, errors.Mark(errReplaced, backend.ErrBroken)
+	}
 	x.firstLatency = x.relay.now() - x.started
 	x.reply.respond(h, body)
 	return 0, nil
@@ -53,43 +54,82 @@
 }
 
 // forwardStream sends whole events to the client as they arrive.
-func (x *exchange) forwardStream(ctx context.Context, plan spread.Plan, answer backend.Answer, load *placedLoad, silenceTimer *time.Timer) (attempt.Outcome, error) {
-	if !answer.Head().Sealed {
-		return x.classifyError(ctx, plan, errors.Mark(errors.New("unsigned stream"), backend.ErrBroken))
+func (x *exchange) forwardStream(t *try) (attempt.Outcome, error) {
+	if !t.answer.Head().Sealed {
+		return x.classifyError(t, errors.Mark(errors.New("unsigned stream"), backend.ErrBroken))
+	}
+	if o, err := x.forwardPiece(t, t.begun); err != nil {
+		return o, err
 	}
 	buf := make([]byte, readBufferBytes)
 	for {
-		n, err := answer.Read(buf)
-		if n > 0 {
-			out, feedErr := x.splitter.feed(buf[:n])
-			if len(out) > 0 {
-				load.firstEvent()
-				silenceTimer.Reset(x.gapTimeout())
-				x.observePace(plan)
-				if werr := x.forwardEvents(plan, answer.Head(), out); werr != nil {
-					return attempt.Broken, errors.Mark(werr, errClientGone)
-				}
-			}
-			if feedErr != nil {
-				return x.classifyError(ctx, plan, errors.Mark(feedErr, backend.ErrBroken))
-			}
+		n, err := t.answer.Read(buf)
+		if o, perr := x.forwardPiece(t, buf[:n]); perr != nil {
+			return o, perr
 		}
 		if errors.Is(err, io.EOF) {
-			if x.splitter.partial() || !x.streamStarted.Load() {
-				return x.classifyError(ctx, plan, errors.Mark(io.ErrUnexpectedEOF, backend.ErrBroken))
-			}
-			x.reply.complete()
-			return 0, nil
+			return x.endStream(t)
 		}
 		if err != nil {
-			return x.classifyError(ctx, plan, err)
+			return x.classifyError(t, err)
+		}
+	}
+}
+
+// forwardPiece sends the events that are whole with the next bytes of a stream.
+func (x *exchange) forwardPiece(t *try, piece []byte) (attempt.Outcome, error) {
+	if len(piece) == 0 {
+		return 0, nil
+	}
+	out, feedErr := x.feed(t, piece)
+	if errors.Is(feedErr, errReplaced) {
+		return attempt.Silent, errors.Mark(errReplaced, backend.ErrBroken)
+	}
+	if len(out) > 0 {
+		t.load.firstEvent()
+		t.heardAt.Store(int64(x.relay.now()))
+		t.silence.Reset(x.gapTimeout())
+		x.observePace(t)
+		if err := x.forwardEvents(t, out); err != nil {
+			return attempt.Broken, errors.Mark(err, errClientGone)
 		}
 	}
+	if feedErr != nil {
+		return x.classifyError(t, errors.Mark(feedErr, backend.ErrBroken))
+	}
+	return 0, nil
+}
+
+// feed returns the events that are whole with the next bytes of an attempt. From the first on, no
+// standby takes over.
+func (x *exchange) feed(t *try, piece []byte) ([]byte, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if t.replacement != nil {
+		return nil, errReplaced
+	}
+	out, err := x.splitter.feed(piece)
+	if len(out) > 0 {
+		t.cancelStandby()
+	}
+	return out, err
+}
+
+// endStream completes the client's stream at the end of the server's.
+func (x *exchange) endStream(t *try) (attempt.Outcome, error) {
+	if x.splitter.partial() || !x.streamStarted.Load() {
+		return x.classifyError(t, errors.Mark(io.ErrUnexpectedEOF, backend.ErrBroken))
+	}
+	if !x.claim(t) {
+		return attempt.Silent, errors.Mark(errReplaced, backend.ErrBroken)
+	}
+	x.reply.complete()
+	return 0, nil
 }
 
-// gapTimeout is the pause between events of a stream that ends an attempt.
+// gapTimeout is the pause between events of a stream after which another server is asked.
 func (x *exchange) gapTimeout() time.Duration {
-	if x.state.IsLast() || !x.route.Repeatable() {
+	if x.state.Left() == 0 || !x.route.Repeatable() {
 		return x.remaining() + deadlineMargin
 	}
 	return max(minGapTimeout, gapFactor*x.route.GapTarget)
@@ -97,31 +137,31 @@
 
 // observeGap records the longest pause between events and, if that missed the
 // target, the load of the engine at its end.
-func (x *exchange) observeGap(plan spread.Plan) {
+func (x *exchange) observeGap(t *try) {
 	if x.newestGap <= x.longestGap {
 		return
 	}
 	x.longestGap = x.newestGap
 	if x.longestGap > x.route.GapTarget {
-		x.gapLoad = x.relay.loads.Total(plan.Writer().ID)
+		x.gapLoad = x.relay.loads.Total(t.plan.Writer().ID)
 	}
 }
 
-func (x *exchange) forwardEvents(plan spread.Plan, h backend.Head, events []byte) error {
+func (x *exchange) forwardEvents(t *try, events []byte) error {
 	if !x.streamStarted.Load() {
 		x.firstLatency = x.relay.now() - x.started
-		x.sink.Begin(h)
+		x.sink.Begin(t.answer.Head())
 		x.streamStarted.Store(true)
 		x.state.MarkForwarded()
 	} else {
 		x.newestGap = x.relay.now() - x.lastEvent
-		x.observeGap(plan)
+		x.observeGap(t)
 	}
 	x.lastEvent = x.relay.now()
-	if x.firstEventAt == 0 {
-		x.firstEventAt = x.lastEvent
+	if t.firstEventAt == 0 {
+		t.firstEventAt = x.lastEvent
 	}
 	x.lastHeard.Store(int64(x.lastEvent))
-	x.recordWriting(plan)
+	x.recordWriting(t)
 	return x.sink.Write(events)
 }
--- a/serve/relay/events.go
+++ b/serve/relay/events.go
@@ -12,6 +12,9 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// eventEnd ends each event of a stream.
+var eventEnd = []byte("\n\n")
+
 var (
 	errEventTooLarge = errors.New("event exceeds the size limit")
 	errEventGap      = errors.New("an event is missing")
@@ -32,12 +35,12 @@
 	e.buffered = append(e.buffered, p...)
 	var out []byte
 	for {
-		end := bytes.Index(e.buffered, []byte("\n\n"))
+		end := bytes.Index(e.buffered, eventEnd)
 		if end < 0 {
 			break
 		}
-		ev := e.buffered[:end+2]
-		e.buffered = e.buffered[end+2:]
+		ev := e.buffered[:end+len(eventEnd)]
+		e.buffered = e.buffered[end+len(eventEnd):]
 		fresh, err := e.checkOrder(ev)
 		if err != nil {
 			return out, err
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,15 +11,11 @@
 
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
-	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/blame"
-	"github.com/auburnmoor/auburnmoor/decide/health"
-	"github.com/auburnmoor/auburnmoor/decide/knowledge"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/eventlog"
-	"github.com/auburnmoor/auburnmoor/internal/buckets"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 	"github.com/auburnmoor/auburnmoor/result"
 )
@@ -83,15 +79,16 @@
 	// timeLimit counts from the arrival of the request.
 	timeLimit time.Duration
 
+	// mu guards avoid, retryAfter and splitter, and the standby of each attempt: an attempt at
+	// another server may be in progress while one goes on.
+	mu sync.Mutex
 	// avoid are the servers that already failed this request.
 	avoid []string
-	// recorded are the servers whose failure in the current attempt is counted.
-	recorded []string
-	// gapWindow collects the pauses between events of the current attempt.
-	gapWindow health.GapWindow
 	// retryAfter is the longest Retry-After of servers that did not run the request.
 	retryAfter time.Duration
 	splitter   eventSplitter
+	// reservations counts the attempts that reserved memory, to name their tickets.
+	reservations atomic.Int64
 	// streamStarted is set if the head of a stream was sent to the client.
 	streamStarted atomic.Bool
 	// serverError is the last error answer of a server, which may be passed on.
@@ -100,22 +97,18 @@
 	// identity returns the request's key in the quarantine, computed on first use; it may be called
 	// by several goroutines.
 	identity func() poison.Key
-	// sentAt is when the current attempt was sent, brokeAt when it broke, condition what is
-	// known of its server since. crashed is set if that crashed, and anyCrash if the
-	// server of any attempt did.
-	sentAt, brokeAt   time.Duration
-	condition         backend.Condition
-	crashed, anyCrash bool
-	// runs caches the results of features by version.
-	runs map[string]*quarantine.Run
+	// anyCrash is set if the server of any attempt crashed, last is the newest attempt.
+	anyCrash bool
+	last     *try
+	// runs caches the results of features by version, guarded by runsMu.
+	runsMu sync.Mutex
+	runs   map[string]*quarantine.Run
 	// refusedVersions are the versions of servers that crash under a part of the prompt.
 	refusedVersions []string
 	// answeredBy is the version of the server that answered.
 	answeredBy string
 	// tries is the refused part of its prompt that the request may be sent with, zero for none.
 	tries blame.Key
-	// wroteOn is set once the current attempt is known not to crash its server.
-	wroteOn bool
 	// suspect is set if the request may be the cause of crashes.
 	suspect bool
 	// answered is set if a server's complete answer was sent to the client.
@@ -132,8 +125,6 @@
 	// lastHeard is when anything last came from a server, or serving began, in
 	// nanoseconds since the start of the process.
 	lastHeard atomic.Int64
-	// firstEventAt is when the first event of the current attempt arrived, zero before.
-	firstEventAt time.Duration
 	// lastEvent is when the newest events were forwarded, longestGap the longest
 	// pause between events.
 	lastEvent, longestGap time.Duration
@@ -146,7 +137,8 @@
 
 // Errors that end an attempt, besides those of port/backend.
 var (
-	errSilent     = errors.New("no answer within the timeout of the attempt")
+	errSilent     = errors.New("no answer within the time of sound servers")
+	errReplaced   = errors.New("another server answered while this one was silent")
 	errClientGone = errors.New("client is gone")
 )
 
@@ -172,39 +164,52 @@
 			return
 		}
 		x.logPlaced(plan)
-		outcome, err := x.attempt(ctx, plan)
-		x.endTracking(plan, err == nil)
-		if err == nil {
-			x.answered, x.answeredBy = true, plan.Writer().Version
-			x.logAnswered(plan)
+		if x.pursue(ctx, x.newTry(ctx, plan)) {
 			return
 		}
+	}
+}
+
+// pursue serves an attempt, and those that take over from it, and reports whether the exchange has
+// ended. Otherwise another attempt is to be made.
+func (x *exchange) pursue(ctx context.Context, t *try) (ended bool) {
+	for {
+		x.last = t
+		outcome, err := x.serve(ctx, t)
+		t.close()
+		x.endTracking(t, err == nil)
+		if err == nil {
+			x.endWithout(t)
+			x.answered, x.answeredBy = true, t.plan.Writer().Version
+			x.logAnswered(t.plan)
+			return true
+		}
 		if ctx.Err() != nil || errors.Is(err, errClientGone) {
+			x.endWithout(t)
 			x.endInterrupted(ctx, err)
-			return
+			return true
 		}
-		x.avoid = append(x.avoid, plan.Writer().ID)
-		x.recordCrash(plan)
-		if !x.handleFailure(ctx, plan, outcome, err) {
-			return
+		next := x.awaitReplacement(t)
+		x.addAvoided(t.plan.Writer().ID)
+		x.recordCrash(t)
+		if next == nil {
+			return !x.handleFailure(ctx, t, outcome, err)
 		}
+		x.logFailed(t, outcome, attempt.Retry, err)
+		x.discardPartial()
+		t = next
 	}
 }
 
 // handleFailure acts on a failed attempt and reports whether to make another one.
-func (x *exchange) handleFailure(ctx context.Context, plan spread.Plan, o attempt.Outcome, err error) bool {
+func (x *exchange) handleFailure(ctx context.Context, t *try, o attempt.Outcome, err error) bool {
 	action := x.state.Next(o, func() bool {
 		return !errors.Is(err, errPartRefused) && x.remaining() > minRetryTime && x.relay.takeRetry(ctx, x.service.Name)
 	})
-	x.relay.count("attempts_failed_total", "outcome", o.String())
-	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID), zap.Int("helpers", len(plan.Helpers())),
-		zap.Stringer("identity", x.identity()), zap.Strings("parts", x.req.SharedParts), zap.Bool("crashed", x.crashed),
-		zap.Duration("writing", x.writingTime()),
-		zap.Stringer("outcome", o), zap.Stringer("next", action), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.remaining()),
-		zap.Duration("servers_age", x.relay.catalog.ConfirmationAge()), eventlog.Error(err))
+	x.logFailed(t, o, action, err)
 	switch action {
 	case attempt.Retry:
-		x.splitter.discardPartial()
+		x.discardPartial()
 		return true
 	case attempt.Refuse:
 		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter)))
@@ -217,12 +222,11 @@
 	return false
 }
 
-// writingTime is how long events of the current attempt had arrived when it broke.
-func (x *exchange) writingTime() time.Duration {
-	if x.firstEventAt == 0 || x.brokeAt < x.firstEventAt {
-		return 0
-	}
-	return x.brokeAt - x.firstEventAt
+// discardPartial drops the incomplete event at which an attempt broke off.
+func (x *exchange) discardPartial() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.splitter.discardPartial()
 }
 
 // endWithError ends the exchange with an error of this instance, or aborts its stream.
@@ -279,190 +283,3 @@
 }
 
 func (x *exchange) remaining() time.Duration { return x.timeLimit - time.Since(x.req.Arrived) }
-
-// place chooses the servers of the next attempt, from this instance's cell or, for a
-// prompt that exceeds the cell's memory, from all cells.
-func (x *exchange) place(maxHold time.Duration) (spread.Plan, spread.Verdict) {
-	p, v := x.placeOn(maxHold, false)
-	if v == spread.TooLarge && x.relay.loads.Cell().Count > 1 {
-		return x.placeOn(maxHold, true)
-	}
-	return p, v
-}
-
-func (x *exchange) placeOn(maxHold time.Duration, allCells bool) (spread.Plan, spread.Verdict) {
-	servers, total := x.relay.candidates(x.service, allCells)
-	return x.placeAmong(servers, total, maxHold, x.state.Sent() > 0 || x.suspect)
-}
-
-// placeAmong chooses among the given servers of a fleet of the given size.
-func (x *exchange) placeAmong(servers []backends.Server, total int, maxHold time.Duration, noHelpers bool) (spread.Plan, spread.Verdict) {
-	r := x.relay
-	servers = x.withoutRefusing(servers)
-	req := spread.Request{
-		Instance: r.name, DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoid, NoHelpers: noHelpers,
-		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
-		FirstTarget: x.route.FirstEventTarget, GapTarget: x.route.GapTarget, TightestGap: x.service.MinGapTarget,
-		Waited: x.heldFor, MaxHold: maxHold, TimeLeft: x.remaining(),
-	}
-	if x.service.Engine == nil {
-		return r.loads.Place(func(load func(string) spread.Load, _ *spread.Queue) (spread.Plan, spread.Verdict) {
-			return spread.ChoosePlain(x.isolateSuspect(servers, load), load, req)
-		})
-	}
-	r.observeBacklog(x.service.Name, servers)
-	req.Draw = rand.Float64()
-	if r.loads.WarmingUp() {
-		req.Rotation = 1 + rand.IntN(maxRandomOffset)
-	}
-	return r.loads.Place(func(load func(string) spread.Load, held *spread.Queue) (spread.Plan, spread.Verdict) {
-		req.MustWait = x.isDeep() && held.MustWait(r.now(), x.turn())
-		req.SlotWaiters = held.SlotWaiters(r.now())
-		return spread.Choose(x.service.Engine, x.isolateSuspect(servers, load), load, req)
-	})
-}
-
-// answerTokens estimates the length of the answer. Answers seldom reach the client's
-// limit; the service's usual length is closer.
-func (x *exchange) answerTokens() int64 {
-	if x.service.Engine == nil || x.service.Engine.MeanAnswerTokens == 0 {
-		return x.req.AnswerTokens
-	}
-	return min(x.req.AnswerTokens, x.service.Engine.MeanAnswerTokens)
-}
-
-// attempt sends the request to the servers of a plan.
-func (x *exchange) attempt(ctx context.Context, plan spread.Plan) (attempt.Outcome, error) {
-	x.beginTracking(plan)
-	x.condition = backend.ConditionUnknown
-	load := &placedLoad{loads: x.relay.loads, plan: plan}
-	defer load.end()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silenceTimer := x.watchSilence(plan, func() { cancel(errSilent) })
-	defer silenceTimer.Stop()
-
-	res, err := x.reserve(ctx, plan)
-	if err != nil {
-		return attempt.NotSent, err
-	}
-	defer res.release()
-	if x.quarantined(plan.Writer().Version) {
-		return attempt.NotSent, errPartRefused
-	}
-	defer x.watch(plan.Writer().Version, cancel)()
-	x.sentAt, x.firstEventAt, x.wroteOn = x.relay.now(), 0, false
-	answer, err := x.relay.client.Do(ctx, x.newCall(plan, res))
-	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - x.sentAt)
-	if err != nil {
-		return x.classifyError(ctx, plan, err)
-	}
-	defer answer.Close()
-	h := answer.Head()
-	x.relay.limits.Observe(backend.Endpoint{Server: plan.Writer().ID, Life: plan.Writer().Life, Addr: plan.Writer().Addr}, h)
-	if h.NotRun {
-		return x.handleNotRun(plan, h)
-	}
-	if x.route.Kind == route.Stream && h.Status < 300 {
-		return x.forwardStream(ctx, plan, answer, load, silenceTimer)
-	}
-	if x.streamStarted.Load() {
-		// Nothing but the rest of the stream may follow what was sent of it.
-		x.recordFailure(plan.Writer().ID)
-		return attempt.Broken, errors.Newf("server answered %d in the middle of a stream", h.Status)
-	}
-	return x.forwardWhole(ctx, plan, answer)
-}
-
-func (x *exchange) newCall(plan spread.Plan, res *reservations) backend.Call {
-	w := plan.Writer()
-	c := backend.Call{
-		Server: w.ID, Life: w.Life, Addr: w.Addr, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: x.req.Header, Body: x.req.Body,
-		RequestID: x.req.ID, Customer: x.customer, RemainingTime: x.remaining(), Rank: x.rank, ResumeAfter: x.req.ResumeAfter,
-		Repeatable: x.route.Repeatable() && !x.state.IsLast(),
-	}
-	if x.splitter.lastID != "" {
-		c.ResumeAfter = x.splitter.lastID
-	}
-	for _, h := range plan.Helpers() {
-		c.Helpers = append(c.Helpers, backend.Helper{Addr: h.Server.Addr, Ticket: res.ticket(h.Server.ID)})
-	}
-	return c
-}
-
-// classifyError maps an attempt's error to an outcome and records server failures.
-func (x *exchange) classifyError(ctx context.Context, plan spread.Plan, err error) (attempt.Outcome, error) {
-	switch {
-	case errors.Is(err, backend.ErrNotSent):
-		x.state.AddDialFailure(x.relay.now() - x.sentAt)
-		if errors.Is(err, backend.ErrPathLost) {
-			x.retryAfter = max(x.retryAfter, retryAfterNoPath)
-		} else if ctx.Err() == nil {
-			x.recordFailure(plan.Writer().ID)
-			x.relay.suspend(x.service.Name, plan.Writer().ID)
-		}
-		return attempt.NotSent, err
-	case errors.Is(context.Cause(ctx), errPartRefused):
-		return attempt.Broken, errPartRefused
-	case errors.Is(context.Cause(ctx), errSilent):
-		x.recordFailure(serverIDs(plan)...)
-		return attempt.Silent, errors.Mark(errSilent, backend.ErrBroken)
-	case ctx.Err() != nil:
-		return attempt.Broken, err
-	default:
-		x.brokeAt = x.relay.now()
-		if x.condition = x.examine(plan.Writer(), err); x.condition != backend.PathLost {
-			x.recordFailure(plan.Writer().ID)
-		}
-		return attempt.Broken, err
-	}
-}
-
-// handleNotRun handles a server's declaration that it did not run the request.
-func (x *exchange) handleNotRun(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
-	x.retryAfter = max(x.retryAfter, h.RetryAfter)
-	part, found := partAtFault(plan, h.AtFault)
-	if !found {
-		part = plan.Parts[0]
-	}
-	id := part.Server.ID
-	if x.hadRoom(part) {
-		x.relay.loads.RecordRejection(part.Server, x.relay.catalog.ConfigState() != knowledge.Confirmed)
-	} else if id != plan.Writer().ID {
-		x.relay.suspend(x.service.Name, id)
-	}
-	if id != plan.Writer().ID {
-		x.avoid = append(x.avoid, id)
-	}
-	return attempt.NotRun, errors.Newf("server answered %d and did not run the request, at fault %q", h.Status, h.AtFault)
-}
-
-// hadRoom reports whether, as far as is known, a server that refused its part of a
-// request should have had room for it, which means that it is shutting down. Until the
-// store lists it as leaving, each request placed there loses an attempt, and one that
-// meets two such servers is refused.
-func (x *exchange) hadRoom(p spread.Part) bool {
-	l := x.relay.loads.Total(p.Server.ID)
-	if p.Load.Calls > 0 {
-		return l.HasSlots(p.Server.Slots)
-	}
-	return l.Parts <= int64(p.Server.Slots)
-}
-
-// partAtFault finds the part of the server that an answer names by ID or address.
-func partAtFault(plan spread.Plan, name string) (spread.Part, bool) {
-	for _, p := range plan.Parts {
-		if name != "" && (p.Server.ID == name || p.Server.Addr == name) {
-			return p, true
-		}
-	}
-	return spread.Part{}, false
-}
-
-func serverIDs(plan spread.Plan) []string {
-	var out []string
-	for _, p := range plan.Parts {
-		out = append(out, p.Server.ID)
-	}
-	return out
-}
--- a/serve/relay/health.go
+++ b/serve/relay/health.go
@@ -20,48 +20,47 @@
 }
 
 // beginTracking starts an attempt in the tracker for all servers of a plan.
-func (x *exchange) beginTracking(plan spread.Plan) {
-	x.recorded, x.gapWindow = nil, health.GapWindow{}
-	x.withTracker(func(t *health.Tracker) {
-		for _, id := range serverIDs(plan) {
-			t.Begin(x.relay.now(), id)
+func (x *exchange) beginTracking(t *try) {
+	x.withTracker(func(tracker *health.Tracker) {
+		for _, id := range serverIDs(t.plan) {
+			tracker.Begin(x.relay.now(), id)
 		}
 	})
 }
 
 // recordFailure counts a failed attempt against servers.
-func (x *exchange) recordFailure(ids ...string) {
-	x.recordOnce(ids, (*health.Tracker).Failure)
+func (x *exchange) recordFailure(t *try, ids ...string) {
+	x.recordOnce(t, ids, (*health.Tracker).Failure)
 }
 
 // recordFault counts a failure that a server itself reported.
-func (x *exchange) recordFault(id string) {
-	x.recordOnce([]string{id}, (*health.Tracker).ReportedFailure)
+func (x *exchange) recordFault(t *try, id string) {
+	x.recordOnce(t, []string{id}, (*health.Tracker).ReportedFailure)
 }
 
-// recordOnce calls record for each server that has none in the current attempt.
-func (x *exchange) recordOnce(ids []string, record func(*health.Tracker, time.Duration, string)) {
-	x.withTracker(func(t *health.Tracker) {
+// recordOnce calls record for each server that has none in an attempt.
+func (x *exchange) recordOnce(t *try, ids []string, record func(*health.Tracker, time.Duration, string)) {
+	x.withTracker(func(tracker *health.Tracker) {
 		for _, id := range ids {
-			if slices.Contains(x.recorded, id) {
+			if slices.Contains(t.recorded, id) {
 				continue
 			}
-			x.recorded = append(x.recorded, id)
-			record(t, x.relay.now(), id)
+			t.recorded = append(t.recorded, id)
+			record(tracker, x.relay.now(), id)
 		}
 	})
 }
 
 // endTracking ends the attempt at the servers without a recorded failure.
-func (x *exchange) endTracking(plan spread.Plan, answered bool) {
-	x.withTracker(func(t *health.Tracker) {
-		for _, id := range serverIDs(plan) {
+func (x *exchange) endTracking(t *try, answered bool) {
+	x.withTracker(func(tracker *health.Tracker) {
+		for _, id := range serverIDs(t.plan) {
 			switch {
-			case slices.Contains(x.recorded, id):
+			case slices.Contains(t.recorded, id):
 			case answered:
-				t.Success(x.relay.now(), id)
+				tracker.Success(x.relay.now(), id)
 			default:
-				t.Abandon(id)
+				tracker.Abandon(id)
 			}
 		}
 	})
@@ -70,16 +69,16 @@
 // observePace checks the newest pause between events and ejects the server if it is
 // slow. Pauses in answers to long prompts don't count, as their engines also prefill
 // for others, nor do any while the engines are overloaded.
-func (x *exchange) observePace(plan spread.Plan) {
+func (x *exchange) observePace(t *try) {
 	if x.route.Kind != route.Stream || x.newestGap == 0 || !spread.Short(x.service.Engine, x.req.PromptTokens) {
 		return
 	}
-	r, id := x.relay, plan.Writer().ID
+	r, id := x.relay, t.plan.Writer().ID
 	expected := spread.PassTime(x.service.Engine, r.loads.Total(id))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pool(x.service.Name)
-	if p.meter.Mean() > overloadBacklog || !p.slowDetector.Observe(&x.gapWindow, x.newestGap, expected) {
+	if p.meter.Mean() > overloadBacklog || !p.slowDetector.Observe(&t.gapWindow, x.newestGap, expected) {
 		return
 	}
 	p.tracker.EjectSlow(r.now(), id)
--- a/serve/relay/log.go
+++ b/serve/relay/log.go
@@ -5,7 +5,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
+	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/buckets"
 )
 
@@ -39,3 +41,13 @@
 		zap.Int("attempts", x.state.Sent()+1), zap.Duration("took", x.relay.now()-x.started),
 	}, extra)
 }
+
+// logFailed records an attempt that ended without an answer, and what follows it.
+func (x *exchange) logFailed(t *try, o attempt.Outcome, next attempt.Action, err error) {
+	x.relay.count("attempts_failed_total", "outcome", o.String())
+	x.relay.log.Warn("attempt failed", zap.String("request", x.req.ID), zap.String("server", t.plan.Writer().ID), zap.Int("helpers", len(t.plan.Helpers())),
+		zap.Stringer("identity", x.identity()), zap.Strings("parts", x.req.SharedParts), zap.Bool("crashed", t.crashed),
+		zap.Duration("writing", t.writingTime()),
+		zap.Stringer("outcome", o), zap.Stringer("next", next), zap.Int("sent", x.state.Sent()), zap.Duration("left", x.remaining()),
+		zap.Duration("servers_age", x.relay.catalog.ConfirmationAge()), eventlog.Error(err))
+}
--- a/serve/relay/permit.go
+++ b/serve/relay/permit.go
@@ -67,8 +67,9 @@
 	p.syncServers(snap, ready)
 	servers := r.inRotation(p, p.cellServers(snap, c, ready, x.service.Engine == nil))
 	r.mu.Unlock()
+	avoided := x.avoided()
 	return slices.DeleteFunc(r.limits.Limited(servers), func(s backends.Server) bool {
-		return slices.Contains(x.avoid, s.ID) || !r.loads.Total(s.ID).HasSlots(s.Slots)
+		return slices.Contains(avoided, s.ID) || !r.loads.Total(s.ID).HasSlots(s.Slots)
 	})
 }
 
--- /dev/null
+++ b/serve/relay/placing.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/spread"
+)
+
+// place chooses the servers of the next attempt, from this instance's cell or, for a
+// prompt that exceeds the cell's memory, from all cells.
+func (x *exchange) place(maxHold time.Duration) (spread.Plan, spread.Verdict) {
+	p, v := x.placeOn(maxHold, false)
+	if v == spread.TooLarge && x.relay.loads.Cell().Count > 1 {
+		return x.placeOn(maxHold, true)
+	}
+	return p, v
+}
+
+func (x *exchange) placeOn(maxHold time.Duration, allCells bool) (spread.Plan, spread.Verdict) {
+	servers, total := x.relay.candidates(x.service, allCells)
+	return x.placeAmong(servers, total, maxHold, x.state.Sent() > 0 || x.suspect)
+}
+
+// placeAmong chooses among the given servers of a fleet of the given size.
+func (x *exchange) placeAmong(servers []backends.Server, total int, maxHold time.Duration, noHelpers bool) (spread.Plan, spread.Verdict) {
+	r := x.relay
+	servers = x.withoutRefusing(servers)
+	req := spread.Request{
+		Instance: r.name, DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
+		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
+		FirstTarget: x.route.FirstEventTarget, GapTarget: x.route.GapTarget, TightestGap: x.service.MinGapTarget,
+		Waited: x.heldFor, MaxHold: maxHold, TimeLeft: x.remaining(),
+	}
+	if x.service.Engine == nil {
+		return r.loads.Place(func(load func(string) spread.Load, _ *spread.Queue) (spread.Plan, spread.Verdict) {
+			return spread.ChoosePlain(x.isolateSuspect(servers, load), load, req)
+		})
+	}
+	r.observeBacklog(x.service.Name, servers)
+	req.Draw = rand.Float64()
+	if r.loads.WarmingUp() {
+		req.Rotation = 1 + rand.IntN(maxRandomOffset)
+	}
+	return r.loads.Place(func(load func(string) spread.Load, held *spread.Queue) (spread.Plan, spread.Verdict) {
+		req.MustWait = x.isDeep() && held.MustWait(r.now(), x.turn())
+		req.SlotWaiters = held.SlotWaiters(r.now())
+		return spread.Choose(x.service.Engine, x.isolateSuspect(servers, load), load, req)
+	})
+}
+
+// answerTokens estimates the length of the answer. Answers seldom reach the client's
+// limit; the service's usual length is closer.
+func (x *exchange) answerTokens() int64 {
+	if x.service.Engine == nil || x.service.Engine.MeanAnswerTokens == 0 {
+		return x.req.AnswerTokens
+	}
+	return min(x.req.AnswerTokens, x.service.Engine.MeanAnswerTokens)
+}
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -54,6 +54,8 @@
 
 // features returns the request as the quarantine knows it, at servers of one version.
 func (x *exchange) features(version string) *quarantine.Run {
+	x.runsMu.Lock()
+	defer x.runsMu.Unlock()
 	r := x.runs[version]
 	if r == nil {
 		r = &quarantine.Run{Service: x.service.Name, Version: version, Parts: x.req.SharedParts, Identity: x.identity}
@@ -207,34 +209,42 @@
 
 // recordWriting tells the quarantine once of an attempt that its server has written for longer
 // than it would before a crash.
-func (x *exchange) recordWriting(plan spread.Plan) {
-	if x.wroteOn || x.lastEvent-x.firstEventAt < blame.FreshFor {
+func (x *exchange) recordWriting(t *try) {
+	if t.wroteOn || x.lastEvent-t.firstEventAt < blame.FreshFor {
 		return
 	}
-	x.wroteOn = true
+	t.wroteOn = true
 	if q := x.relay.quarantine; !q.Empty() {
-		q.RecordWriting(x.firstEventAt, x.features(plan.Writer().Version))
+		q.RecordWriting(t.firstEventAt, x.features(t.plan.Writer().Version))
 	}
 }
 
 // recordCrash reports to the quarantine that the server of a broken attempt crashed while it
 // ran the request.
-func (x *exchange) recordCrash(plan spread.Plan) {
+func (x *exchange) recordCrash(t *try) {
 	x.tries = 0
-	x.crashed = x.condition == backend.ServerEnded
-	if !x.crashed {
+	t.crashed = t.condition == backend.ServerEnded
+	if !t.crashed {
 		return
 	}
 	x.anyCrash = true
-	id := plan.Writer().ID
-	c := poison.Crash{Server: poison.ServerHash(id), Began: x.sentAt, Ended: x.brokeAt}
+	id := t.plan.Writer().ID
+	c := poison.Crash{Server: poison.ServerHash(id), Began: t.sentAt, Ended: t.brokeAt}
 	var fresh *quarantine.Run
-	if x.writingTime() < blame.FreshFor {
-		fresh = x.features(plan.Writer().Version)
+	if t.writingTime() < blame.FreshFor {
+		fresh = x.features(t.plan.Writer().Version)
 	}
 	x.relay.quarantine.RecordCrash(x.identity(), c, id, x.relay.readyCount(x.service.Name), fresh)
 }
 
+// writingTime is how long events had arrived when the attempt broke.
+func (t *try) writingTime() time.Duration {
+	if t.firstEventAt == 0 || t.brokeAt < t.firstEventAt {
+		return 0
+	}
+	return t.brokeAt - t.firstEventAt
+}
+
 // readyCount counts the servers of a service that may get requests.
 func (r *Relay) readyCount(service string) int { return len(r.catalog.Servers().Ready(service)) }
 
@@ -258,16 +268,16 @@
 	switch {
 	case x.answered && !q.Empty():
 		q.RecordAnswer(x.identity())
-		q.RecordWriting(x.answerBegan(), x.features(x.answeredBy))
+		q.RecordWriting(x.last.answerBegan(), x.features(x.answeredBy))
 	case x.anyCrash:
 		q.RecordFailure(x.identity())
 	}
 }
 
-// answerBegan is when the server of the last attempt began to write its answer, or a time before.
-func (x *exchange) answerBegan() time.Duration {
-	if x.firstEventAt > 0 {
-		return x.firstEventAt
+// answerBegan is when the server of the attempt began to write its answer, or a time before.
+func (t *try) answerBegan() time.Duration {
+	if t.firstEventAt > 0 {
+		return t.firstEventAt
 	}
-	return x.sentAt
+	return t.sentAt
 }
--- a/serve/relay/reserve.go
+++ b/serve/relay/reserve.go
@@ -50,11 +50,12 @@
 // not grant its part, everything is released and an error returned.
 func (x *exchange) reserve(ctx context.Context, plan spread.Plan) (*reservations, error) {
 	r := &reservations{relay: x.relay}
+	attempt := strconv.FormatInt(x.reservations.Add(1), 10)
 	for i, p := range plan.Parts {
 		if p.Reserve > 0 {
 			r.all = append(r.all, backend.Reservation{
 				Server: p.Server.ID, Life: p.Server.Life, Addr: p.Server.Addr, Tokens: p.Reserve, Hold: reservationTTL,
-				Ticket: x.req.ID + "-" + strconv.Itoa(len(x.avoid)) + "-" + strconv.Itoa(i),
+				Ticket: x.req.ID + "-" + attempt + "-" + strconv.Itoa(i),
 			})
 		}
 	}
@@ -62,7 +63,7 @@
 		return r, nil
 	}
 	if refused := r.reserveAll(ctx); len(refused) > 0 {
-		x.avoid = append(x.avoid, refused...)
+		x.addAvoided(refused...)
 		r.releaseAll()
 		return nil, errors.Mark(errors.Newf("memory for the prompt was not granted by %v", refused), backend.ErrNotSent)
 	}
--- a/serve/relay/timeout.go
+++ b/serve/relay/timeout.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,11 +11,10 @@
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 )
 
-// attemptTimeout is how long an attempt waits for its answer, or for the first event
-// of a stream. The last attempt waits as long as the client does: ending it sooner
-// could only lose an answer.
+// attemptTimeout is how long an attempt waits for its answer, or for the first event of a stream,
+// before another server is asked as well. After the last attempt none is.
 func (x *exchange) attemptTimeout(plan spread.Plan) time.Duration {
-	if x.state.IsLast() || !x.route.Repeatable() {
+	if x.state.Left() == 0 || !x.route.Repeatable() {
 		return x.remaining() + deadlineMargin
 	}
 	if x.route.Kind != route.Stream {
@@ -31,30 +31,55 @@
 // does not indicate a fault.
 const overloadBacklog = 100 * time.Millisecond
 
-// watchSilence calls onSilence when nothing comes from the servers of a plan within
-// the timeout of the attempt, which is extended while the engines are overloaded, or while no
-// other attempt could continue an answer whose beginning was sent.
-func (x *exchange) watchSilence(plan spread.Plan, onSilence func()) *time.Timer {
-	var t *time.Timer
-	// The timer may fire before t is set.
+// watchSilence asks another server when nothing comes from those of an attempt within its timeout,
+// which is extended while the engines are overloaded. The attempt goes on meanwhile.
+func (x *exchange) watchSilence(ctx context.Context, t *try) {
+	t.heardAt.Store(int64(x.relay.now()))
+	timeout := x.attemptTimeout(t.plan)
+	// The timer may fire before t.silence is set.
 	armed := make(chan struct{})
-	t = time.AfterFunc(x.attemptTimeout(plan), func() {
+	t.silence = time.AfterFunc(timeout, func() {
 		<-armed
-		if x.streamStarted.Load() && !x.canRetry() {
-			t.Reset(attempt.ExtendInterval)
-			return
-		}
-		silent := x.relay.now() - time.Duration(x.lastHeard.Load())
-		if attempt.ShouldWait(silent, x.overloaded(plan), x.route.FirstEventTarget, x.route.GapTarget) {
-			x.relay.log.Info("attempt extended, servers are overloaded", zap.String("request", x.req.ID), zap.String("server", plan.Writer().ID),
-				zap.Duration("silent", silent), zap.Duration("recent", x.relay.meanBacklog(x.service.Name)))
-			t.Reset(attempt.ExtendInterval)
-			return
-		}
-		onSilence()
+		x.checkSilence(ctx, t, timeout)
 	})
 	close(armed)
-	return t
+}
+
+// checkSilence acts on the silence of an attempt's servers and sets the time of the next check.
+func (x *exchange) checkSilence(ctx context.Context, t *try, timeout time.Duration) {
+	if x.isOver(t) {
+		return
+	}
+	if x.streamStarted.Load() {
+		timeout = x.gapTimeout()
+	}
+	if left := timeout - (x.relay.now() - time.Duration(t.heardAt.Load())); left > 0 {
+		t.silence.Reset(left)
+		return
+	}
+	silent := x.relay.now() - time.Duration(x.lastHeard.Load())
+	if attempt.ShouldWait(silent, x.overloaded(t.plan), x.route.FirstEventTarget, x.route.GapTarget) {
+		x.relay.log.Info("attempt extended, servers are overloaded", zap.String("request", x.req.ID), zap.String("server", t.plan.Writer().ID),
+			zap.Duration("silent", silent), zap.Duration("recent", x.relay.meanBacklog(x.service.Name)))
+	} else {
+		x.tryStandby(ctx, t)
+		x.endIfDead(t, timeout)
+	}
+	t.silence.Reset(attempt.ExtendInterval)
+}
+
+// maxSoundSilence is how long sound servers fall silent at most.
+const maxSoundSilence = 2 * time.Second
+
+// endIfDead ends an attempt of which the client has nothing yet once its server was silent for
+// longer than a sound one, so that the client can repeat the request itself.
+func (x *exchange) endIfDead(t *try, timeout time.Duration) {
+	if x.streamStarted.Load() || !x.route.Repeatable() || x.state.Left() == 0 {
+		return
+	}
+	if x.relay.now()-time.Duration(t.heardAt.Load()) > timeout+maxSoundSilence {
+		t.cancel(errSilent)
+	}
 }
 
 // canRetry reports whether another attempt would be allowed now. State.Next takes the retry once
