Requests that are left at the end of a drain are ended in words

When the time to drain had passed, the process closed all connections: also those whose client had nothing yet got neither an answer nor a refusal. They get an error now, as not run if no server can have them; streams that have begun are cut off with a reason of their own in metrics and logs.

--- a/serve/relay/ending_test.go
+++ b/serve/relay/ending_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"os"
 	"strings"
 	"time"
@@ -71,6 +72,22 @@
 		Expect(sink.refused).To(BeNil())
 	})
 
+	// Guards against a refusal as not run of a request that a server has.
+	It("tells a request that was sent from one that was not when the time to drain has passed", func() {
+		x := newTestExchange(&recordingSink{})
+		Expect(x.drainFailure(backend.ErrBroken).NotRun).To(BeFalse())
+		Expect(x.drainFailure(backend.ErrNotSent).NotRun).To(BeTrue())
+		x.state.Hedge()
+		Expect(x.drainFailure(backend.ErrNotSent).NotRun).To(BeFalse())
+	})
+
+	It("is the end of the drain for a stream that is cut by it", func() {
+		x := newTestExchange(&recordingSink{})
+		x.streamStarted.Store(true)
+		x.endInterrupted(drainedContext(), backend.ErrBroken)
+		Expect(x.reply.ending).To(Equal(DrainTimeout))
+	})
+
 	It("is the time limit for a stream whose time has passed", func() {
 		x := newTestExchange(&recordingSink{})
 		x.streamStarted.Store(true)
@@ -80,3 +97,13 @@
 })
 
 func zeroTime() time.Duration { return 0 }
+
+// drainedContext returns the context of a request that is left when the time to drain has passed.
+func drainedContext() context.Context {
+	r := new(Relay)
+	r.drained, r.endDrain = context.WithCancelCause(context.Background())
+	ctx, _ := r.untilDrained(context.Background())
+	r.EndDrain()
+	<-ctx.Done()
+	return ctx
+}
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -34,6 +34,8 @@
 	// minRetryAfterNotRun applies when no server ran the request; a slot of a plain
 	// service is free again after about 30 ms.
 	minRetryAfterNotRun = 150 * time.Millisecond
+	// retryAfterDrained: another instance takes the request at once.
+	retryAfterDrained = 10 * time.Millisecond
 	// minRetryTime is the time below which another attempt cannot succeed.
 	minRetryTime = 20 * time.Millisecond
 	// minFirstEventTimeout is the least timeout of a stream's first event, to which
@@ -232,7 +234,11 @@
 // endWithError ends the exchange with an error of this instance, or aborts its stream.
 func (x *exchange) endWithError(failure *result.Error) {
 	if x.streamStarted.Load() {
-		x.cutOff(failure)
+		ending := ServerBrokeOff
+		if failure.Code == result.DeadlinePassed {
+			ending = TimeUp
+		}
+		x.cutOff(ending, failure)
 		return
 	}
 	if failure.NotRun && x.state.MayHaveRun() {
@@ -243,17 +249,18 @@
 }
 
 // cutOff ends a stream that has begun and cannot be continued.
-func (x *exchange) cutOff(failure *result.Error) {
-	ending := ServerBrokeOff
-	if failure.Code == result.DeadlinePassed {
-		ending = TimeUp
-	}
+func (x *exchange) cutOff(ending Ending, failure *result.Error) {
 	x.warn("stream broken off", zap.Stringer("code", failure.Code), zap.Stringer("ending", ending), zap.String("why", failure.Message))
 	x.reply.cutOff(ending)
 }
 
-// endInterrupted ends an exchange whose deadline passed or whose client is gone.
+// endInterrupted ends an exchange whose deadline passed, whose client is gone, or that is left at
+// the end of a drain.
 func (x *exchange) endInterrupted(ctx context.Context, err error) {
+	if errors.Is(context.Cause(ctx), errDrained) {
+		x.endDrained(err)
+		return
+	}
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		x.relay.count("client_gone_total", "route", x.route.Kind.String())
 		x.warn("client gone", zap.Stringer("ending", ClientLeft), eventlog.Error(err))
@@ -261,12 +268,35 @@
 		return
 	}
 	code := result.DeadlinePassed
-	if !x.state.MayHaveRun() && x.state.Sent() == 0 && errors.Is(err, backend.ErrNotSent) {
+	if x.neverSent(err) {
 		code = result.DeadlineNotRun
 	}
 	x.endWithError(result.New(code, "time limit of %s passed", x.timeLimit))
 }
 
+// endDrained ends an exchange that is left when the time to drain has passed.
+func (x *exchange) endDrained(err error) {
+	failure := x.drainFailure(err)
+	if x.streamStarted.Load() {
+		x.cutOff(DrainTimeout, failure)
+		return
+	}
+	x.endWithError(failure)
+}
+
+// drainFailure is the error of a request that is left when the time to drain has passed.
+func (x *exchange) drainFailure(err error) *result.Error {
+	if x.neverSent(err) {
+		return result.New(result.Draining, "the instance is shutting down").WithRetryAfter(retryAfterDrained)
+	}
+	return result.New(result.BackendFailed, "the instance shut down before the answer was complete")
+}
+
+// neverSent reports whether no server can have the request after an attempt that ended with err.
+func (x *exchange) neverSent(err error) bool {
+	return !x.state.MayHaveRun() && x.state.Sent() == 0 && errors.Is(err, backend.ErrNotSent)
+}
+
 // placementError is the refusal of a request for which no server was chosen.
 func (x *exchange) placementError(p spread.Plan, v spread.Verdict) *result.Error {
 	switch v {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -73,6 +74,9 @@
 	link             *peerlink.Link
 	client           backend.Client
 	examiner         *examiner
+	// drained ends when the time to drain has passed.
+	drained  context.Context
+	endDrain context.CancelCauseFunc
 
 	// active counts the requests in progress, held those of them that are held until
 	// the engines have capacity, and heldDeep the deep prompts (spread.Deep) of these.
@@ -147,6 +151,7 @@
 	r.log, r.now, r.scope, r.dataCentre = c.Log, c.Now, c.Scope, c.Self.DataCentre
 	r.name = c.Self.Name
 	r.examiner = &examiner{examine: r.client.Examine, crashes: r.scope.Counter("server_crashes_total")}
+	r.drained, r.endDrain = context.WithCancelCause(context.Background())
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
 	r.borrower = retry.NewBorrower(rand.New(rand.NewPCG(c.Seed, 7)))
 	r.link.HandleRetryLoans(r)
@@ -166,12 +171,31 @@
 		r.Refuse(req, sink, refusal)
 		return
 	}
+	ctx, stop := r.untilDrained(ctx)
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, req.Arrived.Add(x.timeLimit))
 	defer cancel()
 	defer func() { x.recordEnding(recover()) }()
 	x.run(ctx)
 }
 
+// errDrained ends the requests that are left when the time to drain has passed.
+var errDrained = errors.New("the time to drain has passed")
+
+// EndDrain ends the requests that are left when the time to drain has passed: those whose answer
+// has not begun get an error, the others are cut off.
+func (r *Relay) EndDrain() { r.endDrain(errDrained) }
+
+// untilDrained returns a context that also ends with the time to drain.
+func (r *Relay) untilDrained(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(r.drained, func() { cancel(errDrained) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Refuse answers a request with an error of this instance, and logs the refusal.
 func (r *Relay) Refuse(req *Request, sink Sink, refusal *result.Error) {
 	r.recordRefusal(req, refusal)
