A SIGHUP during a drain no longer ends the process

Callers of an instance that had got SIGTERM and then SIGHUP saw every stream break off at that moment. The log of the instance ended in the drain, without the line "stopped".

Cause: watchSettings took the handler of SIGHUP away when it returned, which it does as the drain begins. From then on the default action of the signal was in force and ended the process. The same held between the start of the listeners and watchSettings.

The handler is now installed before the modules start and stays until the process exits; what arrives while draining is logged and ignored. SIGTERM and SIGINT were not affected: their handler stays until the command has returned.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -40,6 +40,10 @@
 		// kills the process on a small machine although half of the heap is garbage.
 		debug.SetMemoryLimit(limit)
 	}
+	// The default action of SIGHUP ends the process with its open requests, so the handler
+	// stays until the process exits.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	p, err := process.New(f, log)
 	if err != nil {
 		return usageError(err)
@@ -48,8 +52,9 @@
 		return err
 	}
 	log.Info("started", zap.String("settings", f.Path))
-	watchSettings(e.ctx, p, f, log)
+	watchSettings(e.ctx, hup, p, f, log)
 	log.Info("draining")
+	go ignoreReloads(hup, log)
 	return drain(p, f, log)
 }
 
@@ -57,12 +62,9 @@
 // without a signal.
 const settingsPollInterval = 5 * time.Second
 
-// watchSettings applies changes of the settings file until ctx ends. SIGHUP makes it
-// reread the file at once; without a handler it would kill the process with its open requests.
-func watchSettings(ctx context.Context, p *process.Process, f *settings.File, log *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// watchSettings applies changes of the settings file until ctx ends. A signal on hup makes it
+// reread the file at once.
+func watchSettings(ctx context.Context, hup <-chan os.Signal, p *process.Process, f *settings.File, log *zap.Logger) {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	last := f
@@ -91,6 +93,13 @@
 	}
 }
 
+// ignoreReloads logs the signals on hup that arrive during a drain, until the process exits.
+func ignoreReloads(hup <-chan os.Signal, log *zap.Logger) {
+	for range hup {
+		log.Info("SIGHUP ignored while draining")
+	}
+}
+
 // exitMargin is the part of the drain timeout reserved for closing the modules, so that
 // the process exits before it is killed.
 const exitMargin = 500 * time.Millisecond
