Relay: the checks before an attempt stand as a chain of filters

Ejection, suspension, permits and refused versions were conditions inside the functions that list the candidates. Each is now a small type that says why it excludes a server, testable alone; a chain applies them in order. Filters that are given up if no server remains are separate from those that never are. The choice is as it was.

--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -165,17 +165,12 @@
 	return max(0, l.closedUntil[ratelimit.KeyOf(s.ID, s.Life)]-l.now())
 }
 
-// Unlimited returns the servers that name no limit.
-func (l *Limits) Unlimited(servers []backends.Server) []backends.Server {
-	if !l.Any() {
-		return servers
-	}
+// IsLimited reports whether a server names a limit.
+func (l *Limits) IsLimited(s backends.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool {
-		_, limited := l.table.Get(ratelimit.KeyOf(s.ID, s.Life))
-		return limited
-	})
+	_, limited := l.table.Get(ratelimit.KeyOf(s.ID, s.Life))
+	return limited
 }
 
 // set records a limit and reports whether it changed.
--- a/serve/relay/permit.go
+++ b/serve/relay/permit.go
@@ -65,7 +65,7 @@
 	r.mu.Lock()
 	p := r.pool(x.service.Name)
 	p.syncServers(snap, ready)
-	servers := r.inRotation(p, p.cellServers(snap, c, ready, x.service.Engine == nil))
+	servers := r.inRotation(p).apply(p.cellServers(snap, c, ready, x.service.Engine == nil))
 	r.mu.Unlock()
 	return slices.DeleteFunc(r.limits.Limited(servers), func(s backends.Server) bool {
 		return slices.Contains(x.avoid, s.ID) || !r.loads.Total(s.ID).HasSlots(s.Slots)
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -82,7 +82,7 @@
 	if len(x.refusedVersions) == 0 {
 		return servers
 	}
-	return slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool { return slices.Contains(x.refusedVersions, s.Version) })
+	return filterChain{versionFilter{x.refusedVersions}}.apply(servers)
 }
 
 // checkQuarantine reports whether the request may be sent. A request that is known to
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -302,26 +303,18 @@
 	if !allCells {
 		share = p.cellServers(snap, c, ready, service.Engine == nil)
 	}
-	if out = r.limits.Unlimited(r.inRotation(p, share)); len(out) == 0 {
+	required := r.required()
+	preferred := slices.Concat(r.inRotation(p), required)
+	if out = preferred.apply(share); len(out) == 0 {
 		share = ready
-		out = r.limits.Unlimited(r.inRotation(p, ready))
+		out = preferred.apply(ready)
 	}
 	if len(out) == 0 {
-		out = r.limits.Unlimited(ready)
+		out = required.apply(ready)
 	}
 	return r.loads.Available(out), len(share)
 }
 
-// inRotation returns the servers neither ejected nor suspended; r.mu must be held.
-func (r *Relay) inRotation(p *pool, servers []backends.Server) (out []backends.Server) {
-	for _, s := range servers {
-		if p.tracker.Usable(r.now(), s.ID) && r.now() >= p.suspended[s.ID] {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // cellShare is the part of a server list that belongs to one cell.
 type cellShare struct {
 	snap         *backends.Snapshot
