What an answer says of its server is one type, heard in one place

An answer's limit was read from the head of the request's own answer only, and a server that says that it leaves, or that asks for rest, was not heard at all. backend.Notice now holds what an answer says of its server. platform/ decodes it once and tells it of every response that its client parses: answers, refusals, extra answers to other requests, answers with an encoding that nobody asked for, those to orders. A call that another instance carries brings it along (ProxyHead). A response of another server at the address, a 421 or one with another ID, says nothing of the server called.

control/notices records, logs and counts what servers say; dump and status show who said what, who heard it, when and until when. Nothing acts on it yet. control/limits hears limits there, too; an answer that is not the one to the request ends no limit by naming none. eventlog's test reads the new package as well.

--- a/cli/status.go
+++ b/cli/status.go
@@ -29,7 +29,7 @@
 	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
 	var failed []string
 	var fleet catalogSpread
-	var limited, refused []string
+	var limited, noticed, refused []string
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -38,6 +38,7 @@
 		}
 		d.writeRow(w, addr)
 		limited = append(limited, d.limitRows(addr)...)
+		noticed = append(noticed, d.noticeRows(addr)...)
 		refused = append(refused, d.partRows(addr)...)
 		if d.Catalog != nil {
 			fleet.add(*d.Catalog)
@@ -52,6 +53,9 @@
 	if err := writeRows(e.out, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING", limited); err != nil {
 		return err
 	}
+	if err := writeRows(e.out, "INSTANCE\tSERVER\tSAYS\tHEARD BY\tAGE\tUNTIL", noticed); err != nil {
+		return err
+	}
 	if err := writeRows(e.out, "INSTANCE\tREFUSED PART\tKEY\tCRASHES\tCOMPANIONS\tAGE\tNEXT TRIAL", refused); err != nil {
 		return err
 	}
@@ -88,6 +92,17 @@
 	return rows
 }
 
+// noticeRows returns a row for each server that said to leave, or that asked the instance for rest.
+func (d dumpSummary) noticeRows(addr string) (rows []string) {
+	for _, l := range d.Notices.Leaving {
+		rows = append(rows, fmt.Sprintf("%s\t%s\tleaves\t%s\t%s\tits end", addr, l.Server, l.HeardBy, l.Age.Round(time.Millisecond)))
+	}
+	for _, r := range d.Notices.Resting {
+		rows = append(rows, fmt.Sprintf("%s\t%s\trest\t%s\t%s\tin %s", addr, r.Server, addr, r.Age.Round(time.Millisecond), r.Left.Round(time.Millisecond)))
+	}
+	return rows
+}
+
 // partRows returns a row for each part of prompts that the instance refuses.
 func (d dumpSummary) partRows(addr string) (rows []string) {
 	for _, p := range d.Quarantine.Parts {
--- a/cli/summary.go
+++ b/cli/summary.go
@@ -5,6 +5,7 @@
 	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/control/limits"
 	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/control/notices"
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
 )
@@ -17,6 +18,8 @@
 	// Catalog is nil for instances that do not follow a store.
 	Catalog *follow.Dump `json:"control.catalog"`
 	Limits  limits.Dump  `json:"control.limits"`
+	// Notices lists what backend servers said of themselves.
+	Notices notices.Dump `json:"control.notices"`
 	// Quarantine lists what is refused because it crashes backend servers.
 	Quarantine quarantine.Dump `json:"control.quarantine"`
 }
--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -73,7 +73,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Limits) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, loads.ID, follow.ID, peerlink.ID}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, loads.ID, follow.ID, peerlink.ID, backend.Port}, OptIn: true,
 		New: func() auburnmoor.Module { return new(Limits) },
 	}
 }
@@ -92,10 +92,15 @@
 	if l.catalog, err = auburnmoor.Require[*follow.Follower](c, follow.ID); err != nil {
 		return err
 	}
+	src, err := auburnmoor.Find[backend.Source](c)
+	if err != nil {
+		return err
+	}
 	l.log, l.now, l.scope, l.table = c.Log, c.Now, c.Scope, ratelimit.NewTable()
 	l.changed, l.granter = make(chan struct{}, 1), ratelimit.NewGranter(c.Self.Name)
 	l.closedUntil, l.permits = map[ratelimit.Key]time.Duration{}, map[ratelimit.Key]uint64{}
 	l.unreadable = map[ratelimit.Key]bool{}
+	src.Notices().Add(l.observe)
 	l.link.Handle(l.receive)
 	l.link.HandlePermits(l)
 	l.members.OnView(l.updateView)
@@ -108,16 +113,16 @@
 	return nil
 }
 
-// Observe records what an answer of a server says of its limit. An answer of a server that did
+// observe records what an answer of a server says of its limit. An answer of a server that did
 // not run the request says nothing by naming none.
-func (l *Limits) Observe(to backend.Endpoint, h backend.Head) {
+func (l *Limits) observe(to backend.Endpoint, h backend.Notice) {
 	key := ratelimit.KeyOf(to.Server, to.Life)
 	if h.Limit.Status == backend.LimitUnreadable {
 		l.recordUnreadable(to.Server, key)
 		return
 	}
 	limit := ratelimit.Limit{Named: h.Limit.Status == backend.LimitNamed, PerSecond: h.Limit.PerSecond}
-	if !limit.Named && (l.known.Load() == 0 || h.NotRun) {
+	if !limit.Named && (l.known.Load() == 0 || h.NotRun || !h.Answers) {
 		return
 	}
 	if l.set(l.now(), key, limit) {
--- a/modules/modules.go
+++ b/modules/modules.go
@@ -9,6 +9,7 @@
 	_ "github.com/auburnmoor/auburnmoor/control/limits"
 	_ "github.com/auburnmoor/auburnmoor/control/loads"
 	_ "github.com/auburnmoor/auburnmoor/control/members"
+	_ "github.com/auburnmoor/auburnmoor/control/notices"
 	_ "github.com/auburnmoor/auburnmoor/control/orders"
 	_ "github.com/auburnmoor/auburnmoor/control/platformapi"
 	_ "github.com/auburnmoor/auburnmoor/control/quarantine"
--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -17,7 +17,11 @@
 const Port auburnmoor.ModuleID = "port.backend"
 
 // Source is implemented by the module that provides the client.
-type Source interface{ Backends() Client }
+type Source interface {
+	Backends() Client
+	// Notices returns the listeners that hear what all answers to the client say of their servers.
+	Notices() *Listeners
+}
 
 // Helper is an engine that prefills a part of a prompt for another engine.
 type Helper struct {
@@ -73,17 +77,7 @@
 	Header http.Header
 	// Sealed is set if the backend server signed the answer.
 	Sealed bool
-	// NotRun is set if the server declares that it did not and will not run the
-	// request.
-	NotRun bool
-	// AtFault is the server that caused a request with helpers to fail; empty if not
-	// reported.
-	AtFault string
-	// RetryAfter is the delay after which the server may accept the request; zero if
-	// not reported.
-	RetryAfter time.Duration
-	// Limit is the limit on requests that the answer names.
-	Limit RateLimit
+	Notice
 }
 
 // RateLimit is the rate of requests that a server says it takes from all instances together, for
--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -37,9 +37,9 @@
 // proxiedCall is a call that another instance makes for this one.
 type proxiedCall struct {
 	owner *PeerProxy
-	// proxy is the instance that makes the call, server the ID of the server called.
+	// proxy is the instance that makes the call, server the one called.
 	proxy  string
-	server string
+	server backend.Endpoint
 	stream grpc.BidiStreamingClient[peerpb.ProxyRequest, peerpb.ProxyReply]
 	cancel context.CancelFunc
 	done   func()
@@ -175,7 +175,7 @@
 		cancel()
 		return nil, 0, err
 	}
-	c := &proxiedCall{owner: p, proxy: name, server: open.Server.Id, stream: stream, cancel: cancel, done: done}
+	c := &proxiedCall{owner: p, proxy: name, server: decodeEndpoint(open.Server), stream: stream, cancel: cancel, done: done}
 	c.lastHeard.Store(int64(p.now()))
 	p.begin(c)
 	refusal, err := c.awaitOpened(open)
@@ -242,8 +242,10 @@
 	case reply.GetHead() == nil:
 		return nil, errors.Mark(errors.New("unexpected reply to a call"), backend.ErrBroken)
 	}
-	c.owner.recordReached(c.server)
-	return &proxiedAnswer{call: c, head: decodeHead(reply.GetHead())}, nil
+	c.owner.recordReached(c.server.Server)
+	head := decodeHead(reply.GetHead())
+	c.owner.notices.Hear(c.server, head.Notice)
+	return &proxiedAnswer{call: c, head: head}, nil
 }
 
 func (c *proxiedCall) sendCall(call backend.Call) error {
--- a/serve/peerproxy/peerproxy.go
+++ b/serve/peerproxy/peerproxy.go
@@ -38,6 +38,8 @@
 	catalog *follow.Follower
 	// direct is the client that uses the connections of this instance.
 	direct backend.Client
+	// notices hear what answers say of their servers. The direct client tells them itself.
+	notices *backend.Listeners
 	// carried is the work that this instance does for others.
 	carried carriedWork
 
@@ -74,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	p.log, p.now, p.scope, p.direct = c.Log, c.Now, c.Scope, src.Backends()
+	p.log, p.now, p.scope, p.direct, p.notices = c.Log, c.Now, c.Scope, src.Backends(), src.Notices()
 	p.services, p.proxies, p.calls = map[string]*servicePaths{}, reach.NewProxies(c.Self.Name), map[*proxiedCall]struct{}{}
 	p.link.HandleProxy(p)
 	p.members.OnView(p.updateView)
--- a/serve/peerproxy/wire.go
+++ b/serve/peerproxy/wire.go
@@ -44,14 +44,18 @@
 	return &peerpb.ProxyHead{
 		Status: int32(h.Status), Headers: encodeHeaders(h.Header), Sealed: h.Sealed, NotRun: h.NotRun, AtFault: h.AtFault,
 		RetryAfterUs: h.RetryAfter.Microseconds(), Limit: peerpb.ServerLimit(h.Limit.Status), LimitPerSecond: h.Limit.PerSecond,
+		Leaving: h.Leaving, Rest: peerpb.ServerRest(h.Rest.Status), RestUs: h.Rest.For.Microseconds(), Answers: h.Answers,
 	}
 }
 
 func decodeHead(h *peerpb.ProxyHead) backend.Head {
 	return backend.Head{
-		Status: int(h.Status), Header: decodeHeaders(h.Headers), Sealed: h.Sealed, NotRun: h.NotRun, AtFault: h.AtFault,
-		RetryAfter: time.Duration(h.RetryAfterUs) * time.Microsecond,
-		Limit:      backend.RateLimit{Status: backend.LimitStatus(h.Limit), PerSecond: h.LimitPerSecond},
+		Status: int(h.Status), Header: decodeHeaders(h.Headers), Sealed: h.Sealed,
+		Notice: backend.Notice{
+			Answers: h.Answers, NotRun: h.NotRun, AtFault: h.AtFault, RetryAfter: time.Duration(h.RetryAfterUs) * time.Microsecond,
+			Limit:   backend.RateLimit{Status: backend.LimitStatus(h.Limit), PerSecond: h.LimitPerSecond},
+			Leaving: h.Leaving, Rest: backend.Rest{Status: backend.RestStatus(h.Rest), For: time.Duration(h.RestUs) * time.Microsecond},
+		},
 	}
 }
 
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -349,7 +349,6 @@
 	}
 	defer answer.Close()
 	h := answer.Head()
-	x.relay.limits.Observe(backend.Endpoint{Server: plan.Writer().ID, Life: plan.Writer().Life, Addr: plan.Writer().Addr}, h)
 	if h.NotRun {
 		return x.handleNotRun(plan, h)
 	}
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/auburnmoor/auburnmoor/control/limits"
 	"github.com/auburnmoor/auburnmoor/control/loads"
 	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/control/notices"
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/away"
@@ -111,7 +112,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Relay) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, limits.ID, peerproxy.ID, peerlink.ID}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, limits.ID, notices.ID, peerproxy.ID, peerlink.ID}, OptIn: true,
 		New: func() auburnmoor.Module { return new(Relay) },
 	}
 }
