--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -106,6 +107,11 @@
 	if err := b.connect(ctx, c.Server); err != nil {
 		return nil, err
 	}
+	c.Header = c.Header.Clone()
+	if c.Header == nil {
+		c.Header = http.Header{}
+	}
+	c.Header.Set(workerserver.SenderHeader, b.self)
 	return b.Client.Do(ctx, c)
 }
 
