DRAIN: a server that says in an answer that it leaves gets no more requests

Callers saw nothing, but servers got requests 2.1 to 2.6 s after an instance had passed on an answer with Server-Leaving: the header was read nowhere, so only the store's list took a server out of use, and it was away or slow at that time.

It stays whatever the entry says, since a life never comes back from leaving; the next life is used at once. The digest of the list ignores it, so that instances do not read the list again. The cell is told at once, neighbours for 1.5 s, and everyone every 4 s, by life and with the word's age; it is forgotten 30 s after it was heard once the server's life is no longer listed.

The client asks guards right before it sends a request, which covers requests that waited or were placed already, repeats, resumed streams and calls carried for others. Renewals and releases of reservations go on: they belong to requests that were sent. An attempt that is held back was not sent, so it costs no retry and no server's health.

--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -91,6 +91,15 @@
 	return true
 }
 
+// MarkLeaving takes a life of a server that said that it leaves out of use, whatever the list says.
+func (f *Follower) MarkLeaving(id string, life backends.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.serverSet.MarkLeaving(f.now(), id, life) {
+		f.publishServers()
+	}
+}
+
 // publishServers publishes the present list of servers. The caller holds f.mu.
 func (f *Follower) publishServers() *backends.Snapshot {
 	snap := f.serverSet.Snapshot()
@@ -237,6 +246,6 @@
 
 func toListedServer(s backends.Server) *peerpb.ListedServer {
 	return &peerpb.ListedServer{
-		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.Leaving, Life: int64(s.Life), Version: s.Version,
+		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(), Life: int64(s.Life), Version: s.Version,
 	}
 }
--- a/control/notices/notices.go
+++ b/control/notices/notices.go
@@ -1,4 +1,5 @@
-// Package notices hears what backend servers say of themselves in their answers.
+// Package notices hears what backend servers say of themselves in their answers, tells the other
+// instances and has this one keep to it.
 package notices
 
 import (
@@ -12,8 +13,10 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/control/loads"
+	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/notice"
-	"github.com/auburnmoor/auburnmoor/internal/wait"
+	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/port/backend"
 )
 
@@ -22,8 +25,16 @@
 
 func init() { auburnmoor.Register(new(Notices)) }
 
-// expireInterval is how often what is no longer needed is forgotten.
-const expireInterval = 200 * time.Millisecond
+const (
+	// batchDelay is how long news are batched into one message.
+	batchDelay = 5 * time.Millisecond
+	// repeatInterval is the interval at which recent news are told to neighbours again, in case
+	// messages were lost. They are recent for repeatFor.
+	repeatInterval = 200 * time.Millisecond
+	repeatFor      = 1500 * time.Millisecond
+	// allEvery is the number of these intervals after which neighbours are told all that is known.
+	allEvery = 20
+)
 
 // Notices is the module "control.notices".
 type Notices struct {
@@ -32,6 +43,12 @@
 	scope   tally.Scope
 	name    string
 	catalog *follow.Follower
+	link    *peerlink.Link
+	members *members.Members
+	loads   *loads.Loads
+	news    chan struct{}
+	// viewChanged is set when instances came or went: new ones know nothing.
+	viewChanged atomic.Bool
 	// known is the number of words in the table. While it is zero, nothing is looked up.
 	known atomic.Int64
 
@@ -44,7 +61,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Notices) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, backend.Port}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{members.ID, loads.ID, follow.ID, peerlink.ID, backend.Port}, OptIn: true,
 		New: func() auburnmoor.Module { return new(Notices) },
 	}
 }
@@ -54,19 +71,32 @@
 	if n.catalog, err = auburnmoor.Require[*follow.Follower](c, follow.ID); err != nil {
 		return err
 	}
+	if n.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
+		return err
+	}
+	if n.members, err = auburnmoor.Require[*members.Members](c, members.ID); err != nil {
+		return err
+	}
+	if n.loads, err = auburnmoor.Require[*loads.Loads](c, loads.ID); err != nil {
+		return err
+	}
 	src, err := auburnmoor.Find[backend.Source](c)
 	if err != nil {
 		return err
 	}
 	n.log, n.now, n.scope, n.name = c.Log, c.Now, c.Scope, c.Self.Name
 	n.table, n.unreadable = notice.NewTable(), map[notice.Key]bool{}
+	n.news = make(chan struct{}, 1)
 	src.Notices().Add(n.hear)
+	src.Guards().Add(n.check)
+	n.link.Handle(n.receive)
+	n.members.OnView(func(members.View) { n.viewChanged.Store(true) })
 	return nil
 }
 
 // Start implements auburnmoor.Starter.
 func (n *Notices) Start(ctx context.Context) error {
-	go wait.Every(ctx, expireInterval, n.expire)
+	go n.run(ctx)
 	return nil
 }
 
@@ -86,16 +116,24 @@
 
 func (n *Notices) hearLeaving(server notice.Key) {
 	now := n.now()
-	n.recordLeaving(server, notice.Leaving{By: n.name, Heard: now, Learned: now})
+	if !n.recordLeaving(server, notice.Leaving{By: n.name, Heard: now, Learned: now}) {
+		return
+	}
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
 }
 
-// recordLeaving records a server's word and reports whether it is new.
+// recordLeaving records a server's word, takes the server out of use and reports whether the word
+// is new.
 func (n *Notices) recordLeaving(server notice.Key, w notice.Leaving) bool {
 	n.mu.Lock()
 	fresh := n.table.RecordLeaving(server, w)
 	n.updateKnown()
 	n.mu.Unlock()
 	if fresh {
+		n.catalog.MarkLeaving(server.Server, server.Life)
 		n.scope.Counter("servers_said_leaving_total").Inc(1)
 		n.log.Info("server says that it leaves", zap.String("server", server.Server), zap.Int64("life", int64(server.Life)),
 			zap.String("heard_by", w.By), zap.Duration("ago", w.Learned-w.Heard))
@@ -155,12 +193,13 @@
 	n.updateKnown()
 }
 
-// listed reports whether a life of a server is in the list.
+// listed reports whether a life of a server is in the list. One that is not known never is: the
+// server that is listed may be another.
 func (n *Notices) listed(server notice.Key) bool {
 	servers := n.catalog.Servers()
 	if servers == nil {
 		return false
 	}
 	s, ok := servers.Get(server.Server)
-	return ok && s.Life == server.Life
+	return ok && server.Life != 0 && s.Life == server.Life
 }
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -27,17 +27,22 @@
 	Slots int
 	// Leaving servers finish their requests and accept no new ones.
 	Leaving bool
+	// said is set if Leaving is what the server said of itself, and its entry does not say so.
+	said bool
 	// unlisted marks a server that is temporarily used although the store does not list it.
 	unlisted bool
 }
 
+// EntryLeaving reports whether the server leaves by its entry, or by an earlier one.
+func (s Server) EntryLeaving() bool { return s.Leaving && !s.said }
+
 // digest is a hash of a server's entry. The sum of the digests of a list does not depend
-// on its order.
+// on its order. What the server said of itself is no part of its entry.
 func (s Server) digest() uint64 {
 	var d digest.Fields
 	d.Reset()
 	d.AddText(s.ID, s.Service, s.Addr, s.DataCentre, s.Version)
-	d.AddNumbers(uint64(s.Life), uint64(s.Slots), digest.Bit(s.Leaving))
+	d.AddNumbers(uint64(s.Life), uint64(s.Slots), digest.Bit(s.EntryLeaving()))
 	return d.Sum64()
 }
 
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -52,6 +52,16 @@
 type departure struct {
 	at   time.Duration
 	life Life
+	// said is set if the server said so itself in an answer, and no entry of it did.
+	said bool
+}
+
+// isOf reports whether a departure is of a life of its server. An answer is of one life exactly.
+func (d departure) isOf(life Life) bool {
+	if d.said {
+		return d.life == life
+	}
+	return d.life.Same(life)
 }
 
 // NewSet returns an empty set.
@@ -80,7 +90,7 @@
 	}
 	for id, v := range before {
 		if _, listed := s.byID[id]; !listed && !newEra {
-			s.departed[id] = departure{now, v.Life}
+			s.departed[id] = departure{at: now, life: v.Life}
 		}
 	}
 	s.expireDepartures(now)
@@ -110,13 +120,53 @@
 func (s *Set) expireDepartures(now time.Duration) {
 	expired := func(d departure) bool { return now-d.at > departureTTL }
 	for id, list := range s.leaving {
-		if s.leaving[id] = slices.DeleteFunc(list, expired); len(s.leaving[id]) == 0 {
+		v := s.byID[id]
+		s.leaving[id] = slices.DeleteFunc(list, func(d departure) bool { return expired(d) && !(d.said && s.holds(v, d)) })
+		if len(s.leaving[id]) == 0 {
 			delete(s.leaving, id)
 		}
+		if v.said && !s.isLeaving(v) {
+			v.Leaving, v.said = false, false
+			s.byID[id] = v
+		}
 	}
 	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return expired(d) })
 }
 
+// holds reports whether what a server said of itself holds as long as its entry v is listed. Lives
+// that are not known cannot be told apart, so their word expires.
+func (s *Set) holds(v Server, d departure) bool { return v.Life != 0 && v.Life == d.life }
+
+// isLeaving reports whether a life of a server announced that it leaves.
+func (s *Set) isLeaving(v Server) bool {
+	return slices.ContainsFunc(s.leaving[v.ID], func(d departure) bool { return d.isOf(v.Life) })
+}
+
+// onlySaidLeaving reports whether a life of a server said that it leaves and no entry did.
+func (s *Set) onlySaidLeaving(v Server) bool {
+	return s.isLeaving(v) && !slices.ContainsFunc(s.leaving[v.ID], func(d departure) bool { return !d.said && d.isOf(v.Life) })
+}
+
+// MarkLeaving records that a server said of itself that it leaves, whatever its entry says, and
+// reports whether that changed the set. The list need not hold its entry yet.
+func (s *Set) MarkLeaving(now time.Duration, id string, life Life) (changed bool) {
+	if slices.ContainsFunc(s.leaving[id], func(d departure) bool { return d.life == life }) {
+		return false
+	}
+	s.expireDepartures(now)
+	s.leaving[id] = append(s.leaving[id], departure{at: now, life: life, said: true})
+	if v, listed := s.byID[id]; listed && v.Life == life && !v.Leaving {
+		v.Leaving, v.said = true, true
+		s.byID[id] = v
+		changed = true
+	}
+	if v, retained := s.retained[id]; retained && v.Life == life {
+		delete(s.retained, id)
+		changed = true
+	}
+	return changed
+}
+
 // recordLeaving records that a life of a server leaves. A known life supersedes a record
 // whose life is unknown, which would match every later life too: it was this life or an
 // earlier one.
@@ -126,11 +176,11 @@
 	}
 	for i, d := range s.leaving[v.ID] {
 		if d.life == v.Life {
-			s.leaving[v.ID][i].at = now
+			s.leaving[v.ID][i] = departure{at: now, life: v.Life}
 			return
 		}
 	}
-	s.leaving[v.ID] = append(s.leaving[v.ID], departure{now, v.Life})
+	s.leaving[v.ID] = append(s.leaving[v.ID], departure{at: now, life: v.Life})
 }
 
 // Apply adopts changes that lead to a position of the same era.
@@ -147,7 +197,7 @@
 			continue
 		}
 		delete(s.retained, c.ID)
-		s.departed[c.ID] = departure{now, s.byID[c.ID].Life}
+		s.departed[c.ID] = departure{at: now, life: s.byID[c.ID].Life}
 		delete(s.byID, c.ID)
 	}
 	return true
@@ -160,8 +210,9 @@
 // can take the new one out of use until its next heartbeat: one server is lost for a
 // second, and a leaving server never gets a request.
 func (s *Set) put(now time.Duration, v Server) {
-	v.Leaving = v.Leaving || slices.ContainsFunc(s.leaving[v.ID], func(d departure) bool { return d.life.Same(v.Life) })
-	if v.Leaving {
+	v.said = !v.Leaving && s.onlySaidLeaving(v)
+	v.Leaving = v.Leaving || s.isLeaving(v)
+	if v.Leaving && !v.said {
 		s.recordLeaving(now, v)
 	}
 	if v.Leaving || !s.presumedStale[v.ID] {
--- a/decide/notice/table.go
+++ b/decide/notice/table.go
@@ -83,6 +83,10 @@
 	return out
 }
 
+// Outdated reports whether a word is too old to hold for a server that is not listed. Instances
+// that tell each other of it forget it by its age, or it would go round for ever.
+func Outdated(now time.Duration, w Leaving) bool { return now-w.Heard >= unlistedFor }
+
 // RecordRest records that a server asked this instance for rest. It returns when the rest ends, and
 // whether the server was not resting. A shorter rest does not end a longer one.
 func (t *Table) RecordRest(now time.Duration, server Key, d time.Duration) (until time.Duration, fresh bool) {
@@ -120,7 +124,7 @@
 // Expire forgets rests that ended, and the words of servers that are gone.
 func (t *Table) Expire(now time.Duration, listed func(Key) bool) {
 	t.endRests(now)
-	maps.DeleteFunc(t.leaving, func(server Key, w Leaving) bool { return now-w.Learned >= unlistedFor && !listed(server) })
+	maps.DeleteFunc(t.leaving, func(server Key, w Leaving) bool { return Outdated(now, w) && !listed(server) })
 }
 
 // Len returns the number of servers that leave and of those that rest, or did lately.
--- a/decide/notice/table_test.go
+++ b/decide/notice/table_test.go
@@ -37,9 +37,9 @@
 			t.RecordLeaving(a, said)
 			t.Expire(time.Hour, all)
 			Expect(t.Leaves(a)).To(BeTrue())
-			t.Expire(31*time.Second, none)
+			t.Expire(30*time.Second, none)
 			Expect(t.Leaves(a)).To(BeTrue())
-			t.Expire(33*time.Second, none)
+			t.Expire(31*time.Second, none)
 			Expect(t.Leaves(a)).To(BeFalse())
 		})
 
--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -21,6 +21,8 @@
 	Backends() Client
 	// Notices returns the listeners that hear what all answers to the client say of their servers.
 	Notices() *Listeners
+	// Guards returns the guards that the client asks right before it sends a request.
+	Guards() *Guards
 }
 
 // Helper is an engine that prefills a part of a prompt for another engine.
--- a/port/backend/notice.go
+++ b/port/backend/notice.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Notice is what an answer says of the server that gave it.
 type Notice struct {
@@ -57,3 +61,26 @@
 		f(from, n)
 	}
 }
+
+// ErrHeldBack marks errors of calls that were not sent because of what the server said of itself.
+// It comes with ErrNotSent.
+var ErrHeldBack = errors.New("the backend server wants no request")
+
+// Guard returns an error marked ErrHeldBack if a server wants no request now.
+type Guard func(to Endpoint) error
+
+// Guards are asked right before a request is sent.
+type Guards struct{ list []Guard }
+
+// Add adds a guard. None may be added once calls are made.
+func (g *Guards) Add(f Guard) { g.list = append(g.list, f) }
+
+// Check returns the first error of a guard, marked ErrNotSent as well.
+func (g *Guards) Check(to Endpoint) error {
+	for _, f := range g.list {
+		if err := f(to); err != nil {
+			return errors.Mark(err, ErrNotSent)
+		}
+	}
+	return nil
+}
--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -132,7 +132,8 @@
 			}
 			return call, nil
 		case refusal == peerpb.ProxyRefusal_PROXY_SERVER_LEAVING:
-			return nil, errors.Mark(errors.Newf("instance %s knows that %s is leaving", name, to.Server), backend.ErrNotSent)
+			err := errors.Newf("instance %s knows that %s is leaving", name, to.Server)
+			return nil, errors.Mark(errors.Mark(err, backend.ErrHeldBack), backend.ErrNotSent)
 		case refusal == peerpb.ProxyRefusal_PROXY_UNREACHABLE:
 			unreachable = append(unreachable, name)
 		default:
@@ -268,6 +269,9 @@
 	if end.PathLost {
 		err = errors.Mark(err, backend.ErrPathLost)
 	}
+	if end.HeldBack {
+		err = errors.Mark(err, backend.ErrHeldBack)
+	}
 	if end.Outcome == peerpb.ProxyOutcome_PROXY_NOT_SENT {
 		return errors.Mark(err, backend.ErrNotSent)
 	}
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -85,10 +85,13 @@
 		return peerpb.ProxyRefusal_PROXY_LEAVING
 	}
 	if servers := p.catalog.Servers(); servers != nil {
-		if s, listed := servers.Get(to.Server); listed && s.Leaving {
+		if s, listed := servers.Get(to.Server); listed && s.Leaving && s.Life.Same(to.Life) {
 			return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
 		}
 	}
+	if p.guards.Check(to) != nil {
+		return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
+	}
 	if !test && p.prefersDirect(to.Server) && p.direct.Connected(to) {
 		return peerpb.ProxyRefusal_PROXY_ACCEPTED
 	}
@@ -162,7 +165,7 @@
 
 // sendEnd sends how a call ended.
 func sendEnd(s serverStream, err error) error {
-	end := &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_BROKEN, Error: err.Error(), PathLost: errors.Is(err, backend.ErrPathLost)}
+	end := &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_BROKEN, Error: err.Error(), PathLost: errors.Is(err, backend.ErrPathLost), HeldBack: errors.Is(err, backend.ErrHeldBack)}
 	switch {
 	case errors.Is(err, io.EOF):
 		end = &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_COMPLETE}
--- a/serve/peerproxy/peerproxy.go
+++ b/serve/peerproxy/peerproxy.go
@@ -40,6 +40,8 @@
 	direct backend.Client
 	// notices hear what answers say of their servers. The direct client tells them itself.
 	notices *backend.Listeners
+	// guards know which servers want no request.
+	guards *backend.Guards
 	// carried is the work that this instance does for others.
 	carried carriedWork
 
@@ -77,6 +79,7 @@
 		return err
 	}
 	p.log, p.now, p.scope, p.direct, p.notices = c.Log, c.Now, c.Scope, src.Backends(), src.Notices()
+	p.guards = src.Guards()
 	p.services, p.proxies, p.calls = map[string]*servicePaths{}, reach.NewProxies(c.Self.Name), map[*proxiedCall]struct{}{}
 	p.link.HandleProxy(p)
 	p.members.OnView(p.updateView)
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -392,6 +392,9 @@
 // classifyError maps an attempt's error to an outcome and records server failures.
 func (x *exchange) classifyError(ctx context.Context, plan spread.Plan, err error) (attempt.Outcome, error) {
 	switch {
+	case errors.Is(err, backend.ErrHeldBack):
+		x.recordHeldBack(plan.Writer().ID)
+		return attempt.NotSent, err
 	case errors.Is(err, backend.ErrNotSent):
 		x.state.AddDialFailure(x.relay.now() - x.sentAt)
 		if errors.Is(err, backend.ErrPathLost) {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -74,6 +74,7 @@
 	limits           *limits.Limits
 	link             *peerlink.Link
 	client           backend.Client
+	guards           *backend.Guards
 	examiner         *examiner
 
 	// active counts the requests in progress, held those of them that are held until
@@ -137,6 +138,11 @@
 	if r.limits, err = auburnmoor.Require[*limits.Limits](c, limits.ID); err != nil {
 		return err
 	}
+	src, err := auburnmoor.Find[backend.Source](c)
+	if err != nil {
+		return err
+	}
+	r.guards = src.Guards()
 	if r.client, err = auburnmoor.Require[*peerproxy.PeerProxy](c, peerproxy.ID); err != nil {
 		return err
 	}
--- a/serve/relay/reserve.go
+++ b/serve/relay/reserve.go
@@ -50,6 +50,9 @@
 // not grant its part, everything is released and an error returned.
 func (x *exchange) reserve(ctx context.Context, plan spread.Plan) (*reservations, error) {
 	r := &reservations{relay: x.relay}
+	if err := x.checkGuards(plan); err != nil {
+		return nil, err
+	}
 	for i, p := range plan.Parts {
 		if p.Reserve > 0 {
 			r.all = append(r.all, backend.Reservation{
@@ -66,12 +69,36 @@
 		r.releaseAll()
 		return nil, errors.Mark(errors.Newf("memory for the prompt was not granted by %v", refused), backend.ErrNotSent)
 	}
+	if err := x.checkGuards(plan); err != nil {
+		r.releaseAll()
+		return nil, err
+	}
 	renewCtx, stop := context.WithCancel(context.Background())
 	r.stop, r.done = stop, make(chan struct{})
 	go r.renew(renewCtx)
 	return r, nil
 }
 
+// checkGuards returns an error if a server of a plan wants no request by now. The client checks the
+// first one again as it sends the request.
+func (x *exchange) checkGuards(plan spread.Plan) error {
+	for _, p := range plan.Parts {
+		if err := x.relay.guards.Check(backend.Endpoint{Server: p.Server.ID, Life: p.Server.Life, Addr: p.Server.Addr}); err != nil {
+			x.recordHeldBack(p.Server.ID)
+			return err
+		}
+	}
+	return nil
+}
+
+// recordHeldBack records that the current attempt was not sent because a server wants no request.
+// It is no failure of a server, and another one is tried at once.
+func (x *exchange) recordHeldBack(server string) {
+	x.avoid = append(x.avoid, server)
+	x.state.AddDialFailure(0)
+	x.relay.count("held_from_servers_total", "service", x.service.Name)
+}
+
 // reserveAll makes or renews all reservations and returns the servers that did not
 // grant theirs.
 func (r *reservations) reserveAll(ctx context.Context) (refused []string) {
