--- a/serve/peerproxy/client.go
+++ b/serve/peerproxy/client.go
@@ -30,9 +30,10 @@
 		return nil, err
 	}
 	c.RemainingTime -= p.now() - began
+	if proxied != nil {
+		return p.sendVia(proxied, c)
+	}
 	switch {
-	case proxied != nil:
-		return proxied.send(c)
 	case ctx.Err() != nil:
 		return nil, errors.Mark(ctx.Err(), backend.ErrNotSent)
 	default:
@@ -40,13 +41,22 @@
 	}
 }
 
+// sendVia sends a call that was opened at another instance, unless the server wants no request by now.
+func (p *PeerProxy) sendVia(proxied *proxiedCall, c backend.Call) (backend.Answer, error) {
+	if err := p.guards.Check(c.Endpoint()); err != nil {
+		proxied.close()
+		return nil, err
+	}
+	return proxied.send(c)
+}
+
 // choosePath returns the call opened at another instance, or nil if this one makes it.
 func (p *PeerProxy) choosePath(ctx context.Context, c backend.Call) (*proxiedCall, error) {
 	to, size := c.Endpoint(), int64(len(c.Body))
 	if !p.prefersDirect(to.Server) {
 		p.probe(to)
 		proxied, err := p.open(ctx, to, size)
-		if err != nil && p.connectsAfterAll(ctx, to) {
+		if err != nil && !saysLeaving(err) && p.connectsAfterAll(ctx, to) {
 			return nil, nil
 		}
 		return proxied, err
@@ -57,6 +67,9 @@
 	return p.connectOrOpen(ctx, to, size)
 }
 
+// saysLeaving reports whether another instance made no call because the server leaves.
+func saysLeaving(err error) bool { return errors.Is(err, backend.ErrHeldBack) }
+
 // connectsAfterAll reports whether this instance connects to a server that no other one calls for
 // it. That it could not connect to others is no reason to refuse a request.
 func (p *PeerProxy) connectsAfterAll(ctx context.Context, to backend.Endpoint) bool {
