BUDGET: a server that asked an instance for rest gets nothing from it until the end

Callers saw nothing, but servers that answered 503 with Retry-After got 3 to 6 requests from the same instance within that time: the time was kept for the request that heard it only, as the moment at which its caller may come back.

An instance now leaves that life of the server alone until the rest ends, a minute at most; a shorter rest does not end a longer one. Placement and permits exclude it, the guard that the client asks right before it sends holds back what was placed, waited or repeats, and an instance that carries calls refuses them for such a server (PROXY_SERVER_RESTING). The rest binds the instance that was asked and the one it carried the call for; it is not told to others.

If all servers of a service rest, requests are refused at once as not run, with the time to the end of the first rest and up to 2 s more at random: the callers of a rest of 3 s would come in one second otherwise. A refusal with a rest of 1.5 s or more no longer has the whole cell pass the server over, nor does the caller get its time while other servers have room.

--- a/control/notices/tell.go
+++ b/control/notices/tell.go
@@ -4,27 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/notice"
 	"github.com/auburnmoor/auburnmoor/peerpb"
-	"github.com/auburnmoor/auburnmoor/port/backend"
 )
 
-// check implements backend.Guard.
-func (n *Notices) check(to backend.Endpoint) error {
-	if n.known.Load() == 0 {
-		return nil
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.table.Leaves(notice.Key{Server: to.Server, Life: to.Life}) {
-		return errors.Mark(errors.Newf("server %s says that it leaves", to.Server), backend.ErrHeldBack)
-	}
-	return nil
-}
-
 func (n *Notices) run(ctx context.Context) {
 	repeat := time.NewTicker(repeatInterval)
 	defer repeat.Stop()
--- a/port/backend/notice.go
+++ b/port/backend/notice.go
@@ -66,6 +66,9 @@
 // It comes with ErrNotSent.
 var ErrHeldBack = errors.New("the backend server wants no request")
 
+// ErrResting marks those of them that end after the rest that the server asked for.
+var ErrResting = errors.New("the backend server asked for rest")
+
 // Guard returns an error marked ErrHeldBack if a server wants no request now.
 type Guard func(to Endpoint) error
 
--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -111,8 +111,8 @@
 func (p *PeerProxy) ask(ctx context.Context, to backend.Endpoint, open *peerpb.ProxyOpen) (*proxiedCall, error) {
 	giveUp := p.now() + openBudget
 	// asked are the instances that did not accept, unreachable those of them that cannot
-	// connect to the server either.
-	var asked, unreachable []string
+	// connect to the server either, resting those from which it wants nothing for a while.
+	var asked, unreachable, resting []string
 	for len(asked) < maxOpenTries && p.now() < giveUp {
 		name, ok := p.chooseProxy(asked)
 		if !ok {
@@ -134,6 +134,8 @@
 		case refusal == peerpb.ProxyRefusal_PROXY_SERVER_LEAVING:
 			err := errors.Newf("instance %s knows that %s is leaving", name, to.Server)
 			return nil, errors.Mark(errors.Mark(err, backend.ErrHeldBack), backend.ErrNotSent)
+		case refusal == peerpb.ProxyRefusal_PROXY_SERVER_RESTING:
+			resting = append(resting, name)
 		case refusal == peerpb.ProxyRefusal_PROXY_UNREACHABLE:
 			unreachable = append(unreachable, name)
 		default:
@@ -141,6 +143,10 @@
 		}
 		asked = append(asked, name)
 	}
+	if len(resting) > 0 {
+		err := errors.Newf("%s asked %v for rest", to.Server, resting)
+		return nil, errors.Mark(errors.Mark(errors.Mark(err, backend.ErrResting), backend.ErrHeldBack), backend.ErrNotSent)
+	}
 	if len(unreachable) > 0 {
 		return nil, errors.Mark(errors.Newf("neither this instance nor %v can connect to %s", unreachable, to.Server), backend.ErrNotSent)
 	}
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -89,7 +89,9 @@
 			return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
 		}
 	}
-	if p.guards.Check(to) != nil {
+	if err := p.guards.Check(to); errors.Is(err, backend.ErrResting) {
+		return peerpb.ProxyRefusal_PROXY_SERVER_RESTING
+	} else if err != nil {
 		return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
 	}
 	if !test && p.prefersDirect(to.Server) && p.direct.Connected(to) {
--- a/serve/peerproxy/client.go
+++ b/serve/peerproxy/client.go
@@ -67,8 +67,11 @@
 	return p.connectOrOpen(ctx, to, size)
 }
 
-// saysLeaving reports whether another instance made no call because the server leaves.
-func saysLeaving(err error) bool { return errors.Is(err, backend.ErrHeldBack) }
+// saysLeaving reports whether another instance made no call because the server leaves. One that the
+// server asked for rest says nothing of other instances.
+func saysLeaving(err error) bool {
+	return errors.Is(err, backend.ErrHeldBack) && !errors.Is(err, backend.ErrResting)
+}
 
 // connectsAfterAll reports whether this instance connects to a server that no other one calls for
 // it. That it could not connect to others is no reason to refuse a request.
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -207,7 +207,7 @@
 		x.splitter.discardPartial()
 		return true
 	case attempt.Refuse:
-		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter)))
+		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter, x.retryAfterAllRest())))
 	case attempt.PassOn:
 		x.reply.respond(x.serverError, x.serverErrorBody)
 		x.warn("server error passed on")
@@ -274,6 +274,9 @@
 		return result.New(result.Overloaded, "the engines are too busy for this prompt (%s): mean prefill backlog %s, room for %d tokens on the emptiest",
 			p.Reason, p.Backlog.Round(time.Millisecond), p.MaxFreeMemory).WithRetryAfter(retryAfterNoRoom)
 	default:
+		if after := x.retryAfterAllRest(); after > 0 {
+			return result.New(result.NoBackend, "all backend servers asked for rest").WithRetryAfter(after)
+		}
 		return result.New(result.NoBackend, "no backend server is ready").WithRetryAfter(retryAfterNoBackend)
 	}
 }
@@ -422,12 +425,15 @@
 
 // handleNotRun handles a server's declaration that it did not run the request.
 func (x *exchange) handleNotRun(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
-	x.retryAfter = max(x.retryAfter, h.RetryAfter)
 	part, found := partAtFault(plan, h.AtFault)
 	if !found {
 		part = plan.Parts[0]
 	}
 	id := part.Server.ID
+	if id == plan.Writer().ID && asksForLongRest(h) {
+		return attempt.NotRun, errors.Newf("server answered %d and asked for %s of rest", h.Status, h.Rest.For)
+	}
+	x.retryAfter = max(x.retryAfter, h.RetryAfter)
 	if x.hadRoom(part) {
 		x.relay.loads.RecordRejection(part.Server, x.relay.catalog.ConfigState() != knowledge.Confirmed)
 	} else if id != plan.Writer().ID {
--- a/serve/relay/filter.go
+++ b/serve/relay/filter.go
@@ -18,6 +18,7 @@
 	suspended      exclusion = "suspended"
 	needsPermit    exclusion = "needs_permit"
 	refusedVersion exclusion = "refused_version"
+	resting        exclusion = "resting"
 )
 
 // serverFilter is one check of a server before it may be chosen.
@@ -98,6 +99,18 @@
 	return eligible
 }
 
+// restFilter excludes servers that asked this instance for rest, until its end.
+type restFilter struct {
+	left func(backends.Server) time.Duration
+}
+
+func (f restFilter) check(s backends.Server) exclusion {
+	if f.left(s) > 0 {
+		return resting
+	}
+	return eligible
+}
+
 // inRotation returns the filters that are given up if they exclude every server; r.mu must be
 // held while they are used.
 func (r *Relay) inRotation(p *pool) filterChain {
@@ -107,8 +120,21 @@
 
 // required returns the filters that are never given up.
 func (r *Relay) required() (c filterChain) {
+	if r.notices.Any() {
+		c = append(c, restFilter{r.notices.RestLeft})
+	}
 	if r.limits.Any() {
 		c = append(c, permitFilter{r.limits.IsLimited})
 	}
 	return c
 }
+
+// permitted returns the filters of servers that may get requests with a permit; r.mu must be held
+// while they are used.
+func (r *Relay) permitted(p *pool) filterChain {
+	c := r.inRotation(p)
+	if r.notices.Any() {
+		c = append(c, restFilter{r.notices.RestLeft})
+	}
+	return c
+}
--- a/serve/relay/permit.go
+++ b/serve/relay/permit.go
@@ -15,6 +15,9 @@
 // placeWithinLimits chooses the servers of the next attempt. A server that names a limit gets
 // requests for which it has a permit, alone and without helpers; the others are chosen as ever.
 func (x *exchange) placeWithinLimits(ctx context.Context) (spread.Plan, spread.Verdict) {
+	if x.restLeft() > 0 {
+		return spread.Plan{}, spread.NoServer
+	}
 	if !x.relay.limits.Any() {
 		return x.place(x.maxHoldTime())
 	}
@@ -65,7 +68,7 @@
 	r.mu.Lock()
 	p := r.pool(x.service.Name)
 	p.syncServers(snap, ready)
-	servers := r.inRotation(p).apply(p.cellServers(snap, c, ready, x.service.Engine == nil))
+	servers := r.permitted(p).apply(p.cellServers(snap, c, ready, x.service.Engine == nil))
 	r.mu.Unlock()
 	return slices.DeleteFunc(r.limits.Limited(servers), func(s backends.Server) bool {
 		return slices.Contains(x.avoid, s.ID) || !r.loads.Total(s.ID).HasSlots(s.Slots)
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -72,6 +72,7 @@
 	members          *members.Members
 	quarantine       *quarantine.Quarantine
 	limits           *limits.Limits
+	notices          *notices.Notices
 	link             *peerlink.Link
 	client           backend.Client
 	guards           *backend.Guards
@@ -138,6 +139,9 @@
 	if r.limits, err = auburnmoor.Require[*limits.Limits](c, limits.ID); err != nil {
 		return err
 	}
+	if r.notices, err = auburnmoor.Require[*notices.Notices](c, notices.ID); err != nil {
+		return err
+	}
 	src, err := auburnmoor.Find[backend.Source](c)
 	if err != nil {
 		return err
