--- a/e2e/heeded_test.go
+++ b/e2e/heeded_test.go
@@ -65,6 +65,7 @@
 		s.plain[0].SetLeaving(true)
 		for i := range 60 {
 			c.send(fmt.Sprint("carried-", i), lookPath, 0)
+			time.Sleep(othersHeedTime / 10)
 		}
 		Expect(told(s.plain[0], noticed)).NotTo(BeEmpty())
 		Expect(c.sentAfter(s.plain[0], firstTold(s.plain[0], noticed), othersHeedTime, anySender)).To(BeEmpty())
