--- a/e2e/heeded_test.go
+++ b/e2e/heeded_test.go
@@ -11,25 +11,6 @@
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
-const (
-	// ownHeedTime is the time within which an instance heeds what a server told it, othersHeedTime
-	// the time for the other instances.
-	ownHeedTime    = 50 * time.Millisecond
-	othersHeedTime = 500 * time.Millisecond
-)
-
-// firstTold is when a server first told an instance something after a time.
-func firstTold(w *workerserver.Server, after time.Time) (first time.Time) {
-	for _, at := range told(w, after) {
-		if first.IsZero() || at.Before(first) {
-			first = at
-		}
-	}
-	return first
-}
-
-var anySender = func(string) bool { return true }
-
 var _ = Describe("what a server says of itself", func() {
 	var s *partitionedSite
 	var c *callers
@@ -51,8 +32,10 @@
 		}
 		c.run("leaving", 30, 4*time.Second, askPath, lookPath, printPath)
 		for _, w := range leaving {
-			Expect(c.sentDespiteNotice(w, noticed, ownHeedTime)).To(BeEmpty())
-			Expect(c.sentAfter(w, firstTold(w, noticed), othersHeedTime, anySender)).To(BeEmpty())
+			Expect(c.sentDespiteNotice(w, noticed, heardTime)).To(BeEmpty())
+			first, ok := firstTold(w, noticed)
+			Expect(ok).To(BeTrue())
+			Expect(c.sentAfter(w, first, newsTime, anyInstance)).To(BeEmpty())
 		}
 		Expect(c.served).To(Equal(c.sent))
 	})
@@ -65,11 +48,12 @@
 		s.plain[0].SetLeaving(true)
 		for i := range 60 {
 			c.send(fmt.Sprint("carried-", i), lookPath, 0)
-			time.Sleep(othersHeedTime / 10)
+			time.Sleep(newsTime / 10)
 		}
-		Expect(told(s.plain[0], noticed)).NotTo(BeEmpty())
-		Expect(c.sentAfter(s.plain[0], firstTold(s.plain[0], noticed), othersHeedTime, anySender)).To(BeEmpty())
-		Expect(c.sentDespiteNotice(s.plain[0], noticed, ownHeedTime)).To(BeEmpty())
+		first, ok := firstTold(s.plain[0], noticed)
+		Expect(ok).To(BeTrue())
+		Expect(c.sentAfter(s.plain[0], first, newsTime, anyInstance)).To(BeEmpty())
+		Expect(c.sentDespiteNotice(s.plain[0], noticed, heardTime)).To(BeEmpty())
 	})
 
 	It("that it leaves, has callers refused at once if all servers of the service say so", func() {
@@ -77,7 +61,7 @@
 			w.SetLeaving(true)
 		}
 		c.run("last", 60, 500*time.Millisecond, lookPath)
-		time.Sleep(othersHeedTime)
+		time.Sleep(newsTime)
 		for i := range platformEntries {
 			began := time.Now()
 			resp, _ := attempt{path: printPath, id: fmt.Sprint("none-", i), key: "k1"}.send(i)
