--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -37,9 +37,9 @@
 // proxiedCall is a call that another instance makes for this one.
 type proxiedCall struct {
 	owner *PeerProxy
-	// proxy is the instance that makes the call, server the ID of the server called.
+	// proxy is the instance that makes the call, server the one called.
 	proxy  string
-	server string
+	server backend.Endpoint
 	stream grpc.BidiStreamingClient[peerpb.ProxyRequest, peerpb.ProxyReply]
 	cancel context.CancelFunc
 	done   func()
@@ -111,8 +111,8 @@
 func (p *PeerProxy) ask(ctx context.Context, to backend.Endpoint, open *peerpb.ProxyOpen) (*proxiedCall, error) {
 	giveUp := p.now() + openBudget
 	// asked are the instances that did not accept, unreachable those of them that cannot
-	// connect to the server either.
-	var asked, unreachable []string
+	// connect to the server either, resting those from which it wants nothing for a while.
+	var asked, unreachable, resting []string
 	for len(asked) < maxOpenTries && p.now() < giveUp {
 		name, ok := p.chooseProxy(asked)
 		if !ok {
@@ -132,7 +132,10 @@
 			}
 			return call, nil
 		case refusal == peerpb.ProxyRefusal_PROXY_SERVER_LEAVING:
-			return nil, errors.Mark(errors.Newf("instance %s knows that %s is leaving", name, to.Server), backend.ErrNotSent)
+			err := errors.Newf("instance %s knows that %s is leaving", name, to.Server)
+			return nil, errors.Mark(errors.Mark(err, backend.ErrHeldBack), backend.ErrNotSent)
+		case refusal == peerpb.ProxyRefusal_PROXY_SERVER_RESTING:
+			resting = append(resting, name)
 		case refusal == peerpb.ProxyRefusal_PROXY_UNREACHABLE:
 			unreachable = append(unreachable, name)
 		default:
@@ -140,6 +143,10 @@
 		}
 		asked = append(asked, name)
 	}
+	if len(resting) > 0 {
+		err := errors.Newf("%s asked %v for rest", to.Server, resting)
+		return nil, errors.Mark(errors.Mark(errors.Mark(err, backend.ErrResting), backend.ErrHeldBack), backend.ErrNotSent)
+	}
 	if len(unreachable) > 0 {
 		return nil, errors.Mark(errors.Newf("neither this instance nor %v can connect to %s", unreachable, to.Server), backend.ErrNotSent)
 	}
@@ -175,7 +182,7 @@
 		cancel()
 		return nil, 0, err
 	}
-	c := &proxiedCall{owner: p, proxy: name, server: open.Server.Id, stream: stream, cancel: cancel, done: done}
+	c := &proxiedCall{owner: p, proxy: name, server: decodeEndpoint(open.Server), stream: stream, cancel: cancel, done: done}
 	c.lastHeard.Store(int64(p.now()))
 	p.begin(c)
 	refusal, err := c.awaitOpened(open)
@@ -242,8 +249,10 @@
 	case reply.GetHead() == nil:
 		return nil, errors.Mark(errors.New("unexpected reply to a call"), backend.ErrBroken)
 	}
-	c.owner.recordReached(c.server)
-	return &proxiedAnswer{call: c, head: decodeHead(reply.GetHead())}, nil
+	c.owner.recordReached(c.server.Server)
+	head := decodeHead(reply.GetHead())
+	c.owner.notices.Hear(c.server, head.Notice)
+	return &proxiedAnswer{call: c, head: head}, nil
 }
 
 func (c *proxiedCall) sendCall(call backend.Call) error {
@@ -266,6 +275,9 @@
 	if end.PathLost {
 		err = errors.Mark(err, backend.ErrPathLost)
 	}
+	if end.HeldBack {
+		err = errors.Mark(err, backend.ErrHeldBack)
+	}
 	if end.Outcome == peerpb.ProxyOutcome_PROXY_NOT_SENT {
 		return errors.Mark(err, backend.ErrNotSent)
 	}
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -214,7 +214,7 @@
 		x.discardPartial()
 		return true
 	case attempt.Refuse:
-		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter)))
+		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter, x.retryAfterAllRest())))
 	case attempt.PassOn:
 		x.reply.respond(x.serverError, x.serverErrorBody)
 		x.warn("server error passed on")
@@ -308,6 +308,9 @@
 		return result.New(result.Overloaded, "the engines are too busy for this prompt (%s): mean prefill backlog %s, room for %d tokens on the emptiest",
 			p.Reason, p.Backlog.Round(time.Millisecond), p.MaxFreeMemory).WithRetryAfter(retryAfterNoRoom)
 	default:
+		if after := x.retryAfterAllRest(); after > 0 {
+			return result.New(result.NoBackend, "all backend servers asked for rest").WithRetryAfter(after)
+		}
 		return result.New(result.NoBackend, "no backend server is ready").WithRetryAfter(retryAfterNoBackend)
 	}
 }
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/auburnmoor/auburnmoor/control/limits"
 	"github.com/auburnmoor/auburnmoor/control/loads"
 	"github.com/auburnmoor/auburnmoor/control/members"
+	"github.com/auburnmoor/auburnmoor/control/notices"
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/away"
@@ -71,8 +73,10 @@
 	members          *members.Members
 	quarantine       *quarantine.Quarantine
 	limits           *limits.Limits
+	notices          *notices.Notices
 	link             *peerlink.Link
 	client           backend.Client
+	guards           *backend.Guards
 	examiner         *examiner
 	// drained ends when the time to drain has passed.
 	drained  context.Context
@@ -114,7 +118,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*Relay) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, limits.ID, peerproxy.ID, peerlink.ID}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{follow.ID, loads.ID, members.ID, quarantine.ID, limits.ID, notices.ID, peerproxy.ID, peerlink.ID}, OptIn: true,
 		New: func() auburnmoor.Module { return new(Relay) },
 	}
 }
@@ -139,6 +143,14 @@
 	if r.limits, err = auburnmoor.Require[*limits.Limits](c, limits.ID); err != nil {
 		return err
 	}
+	if r.notices, err = auburnmoor.Require[*notices.Notices](c, notices.ID); err != nil {
+		return err
+	}
+	src, err := auburnmoor.Find[backend.Source](c)
+	if err != nil {
+		return err
+	}
+	r.guards = src.Guards()
 	if r.client, err = auburnmoor.Require[*peerproxy.PeerProxy](c, peerproxy.ID); err != nil {
 		return err
 	}
@@ -327,26 +339,18 @@
 	if !allCells {
 		share = p.cellServers(snap, c, ready, service.Engine == nil)
 	}
-	if out = r.limits.Unlimited(r.inRotation(p, share)); len(out) == 0 {
+	required := r.required()
+	preferred := slices.Concat(r.inRotation(p), required)
+	if out = preferred.apply(share); len(out) == 0 {
 		share = ready
-		out = r.limits.Unlimited(r.inRotation(p, ready))
+		out = preferred.apply(ready)
 	}
 	if len(out) == 0 {
-		out = r.limits.Unlimited(ready)
+		out = required.apply(ready)
 	}
 	return r.loads.Available(out), len(share)
 }
 
-// inRotation returns the servers neither ejected nor suspended; r.mu must be held.
-func (r *Relay) inRotation(p *pool, servers []backends.Server) (out []backends.Server) {
-	for _, s := range servers {
-		if p.tracker.Usable(r.now(), s.ID) && r.now() >= p.suspended[s.ID] {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // cellShare is the part of a server list that belongs to one cell.
 type cellShare struct {
 	snap         *backends.Snapshot
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -117,7 +117,6 @@
 	}
 	t.answer = answer
 	h := answer.Head()
-	x.relay.limits.Observe(backend.Endpoint{Server: writer.ID, Life: writer.Life, Addr: writer.Addr}, h)
 	if h.NotRun {
 		return x.handleNotRun(t.plan, h)
 	}
@@ -151,6 +150,9 @@
 func (x *exchange) classifyError(t *try, err error) (attempt.Outcome, error) {
 	writer := t.plan.Writer().ID
 	switch {
+	case errors.Is(err, backend.ErrHeldBack):
+		x.recordHeldBack(writer)
+		return attempt.NotSent, err
 	case errors.Is(err, backend.ErrNotSent):
 		x.state.AddDialFailure(x.relay.now() - t.sentAt)
 		if errors.Is(err, backend.ErrPathLost) {
@@ -201,12 +203,15 @@
 
 // handleNotRun handles a server's declaration that it did not run the request.
 func (x *exchange) handleNotRun(plan spread.Plan, h backend.Head) (attempt.Outcome, error) {
-	x.noteRetryAfter(h.RetryAfter)
 	part, found := partAtFault(plan, h.AtFault)
 	if !found {
 		part = plan.Parts[0]
 	}
 	id := part.Server.ID
+	if id == plan.Writer().ID && asksForLongRest(h) {
+		return attempt.NotRun, errors.Newf("server answered %d and asked for %s of rest", h.Status, h.Rest.For)
+	}
+	x.noteRetryAfter(h.RetryAfter)
 	if x.hadRoom(part) {
 		x.relay.loads.RecordRejection(part.Server, x.relay.catalog.ConfigState() != knowledge.Confirmed)
 	} else if id != plan.Writer().ID {
