Soak: series of signals, silent servers, changes of the configuration; the promise "answered"

New kinds, drawn from a random source of their own, so that the other faults of a seed stay as they are: - signals: SIGTERM and SIGHUP in series, to the same instances, draining ones included; - silence: one, half or all servers send nothing for 0.2 to 2 s and go on, at once, at a point of their answers, or with a chunk divided on the link; - reconfigure: ten changes in ten seconds of timeouts, of a route that is moved, weighted and dropped, of a key, and of the size of the configuration.

Callers that keep one connection to an instance until it is closed send each request before the last one is answered.

The promise "answered" fails for a request that was passed on, or left for over 200 ms, and got neither an answer nor a refusal, unless a server or an instance was broken by the plan around it or its time was up. Unlike the older promises it excuses neither signals nor silence nor configurations. "drained" fails also if a process exits that was not asked to, or not with success.

checkDrained and checkRecovered pass over requests that were sent ahead on a connection whose earlier answer announced its end; checkAnswered covers them. checkDenied passes over the route and the key that configurations withdraw.

Streams of the stand-in engines take 320 ms instead of 120 ms.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -16,6 +16,7 @@
 	Seeds     int           `default:"1" help:"Number of seeds, one run each."`
 	Instances int           `default:"5" help:"Processes of the program in a run."`
 	Length    time.Duration `default:"30s" help:"Length of a run."`
+	Planned   bool          `help:"Draw planned work and silent servers only."`
 	Replay    string        `type:"existingfile" help:"Play the plan of this file instead of drawn ones."`
 	Shrink    bool          `help:"Drop faults from a plan that breaks a promise, as long as it does, and print what is left."`
 	Mutant    string        `help:"Promise to break on purpose, to see the checks fail."`
@@ -63,8 +64,12 @@
 		return []soak.Plan{p}, err
 	}
 	var out []soak.Plan
+	draw := soak.Draw
+	if c.Planned {
+		draw = soak.DrawPlanned
+	}
 	for i := range c.Seeds {
-		p, err := soak.Draw(c.Seed+uint64(i), c.Instances, c.Length)
+		p, err := draw(c.Seed+uint64(i), c.Instances, c.Length)
 		if err != nil {
 			return nil, err
 		}
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -36,8 +36,11 @@
 	NeverBack Promise = "never-back"
 	// Leaving: a leaving server gets no new work after leaveDeadline.
 	Leaving Promise = "leaving"
-	// Drained: a graceful shutdown breaks off no request.
+	// Drained: a graceful shutdown breaks off no request and ends by itself.
 	Drained Promise = "drained"
+	// Answered: a request that was read whole ends in an answer or in a refusal, whatever
+	// planned work goes on and however long servers are silent.
+	Answered Promise = "answered"
 	// Limited: a server gets no more than it says that it takes, from all instances together.
 	Limited Promise = "limited"
 	// Contained: a request that crashes engines crashes only a few of them.
@@ -67,6 +70,10 @@
 	limitDelay, limitWindow, limitSlack = time.Second, 4 * time.Second, 2
 	// answerGrace is how far past its deadline a final answer may arrive.
 	answerGrace = 500 * time.Millisecond
+	// lossSlack is how long a connection may take to close under a request that was not read.
+	lossSlack = 200 * time.Millisecond
+	// timeoutMargin is how long before its deadline a request may be given up.
+	timeoutMargin = 100 * time.Millisecond
 	// minAcceptAfterTerm is how long an instance accepts requests after SIGTERM at least.
 	minAcceptAfterTerm = 2 * time.Second
 	// In the recoveryWindow at the end of a run, minServedShare of requests must succeed.
@@ -112,13 +119,16 @@
 func (c *checker) checkAll() {
 	slices.SortFunc(c.records, func(a, b record) int { return a.sent.Compare(b.sent) })
 	runs := c.runCounts()
+	seen := c.seenIDs()
 	for _, r := range c.records {
 		c.checkWhole(r)
 		c.checkOnce(r, runs[r.id])
 		c.checkInTime(r)
 		c.checkDrained(r)
+		c.checkAnswered(r, seen[r.id])
 		c.checkDenied(r)
 	}
+	c.checkExits()
 	c.checkConfiguration()
 	c.checkLeaving()
 	c.checkLimited()
@@ -180,7 +190,7 @@
 // checkDrained checks requests that were in progress at SIGTERM or arrived soon after it.
 func (c *checker) checkDrained(r record) {
 	sigtermAt := r.sentTo.sigtermAtByLife[r.life]
-	if r.Err == nil || sigtermAt.IsZero() || r.done.Before(sigtermAt) || r.sent.After(sigtermAt.Add(minAcceptAfterTerm)) {
+	if r.Err == nil || r.sentAhead || sigtermAt.IsZero() || r.done.Before(sigtermAt) || r.sent.After(sigtermAt.Add(minAcceptAfterTerm)) {
 		return
 	}
 	if r.sentTo.disturbances.undisturbed(r.sent.Add(-settlingTime), r.done) && c.serversUndisturbed(r.sent.Add(-settlingTime), r.done) {
@@ -188,6 +198,60 @@
 	}
 }
 
+// checkAnswered checks the requests that ended without an answer. What servers, instances or
+// connections did to them is an excuse; signals, changes of the configuration and the silence of
+// servers are none.
+func (c *checker) checkAnswered(r record, passedOn bool) {
+	if r.Err == nil || c.timeIsUp(r) || !c.unbroken(r) {
+		return
+	}
+	read := passedOn || !r.sentAhead && r.done.Sub(r.sent) > lossSlack
+	if !read {
+		return
+	}
+	c.addViolation(Answered, r.sent, "%s (%s) at %s, life %d, got no answer after %.3fs, passed on %t, status %d, %d bytes: %v",
+		r.id, r.kind.path, r.sentTo.name, r.life, r.done.Sub(r.sent).Seconds(), passedOn, r.Status, len(r.Body), r.Err)
+}
+
+// timeIsUp reports whether a request has ended no sooner than its deadline or its route's timeout.
+func (c *checker) timeIsUp(r record) bool {
+	limit := deadline
+	if r.probe >= 0 {
+		limit = probeTimeout
+	}
+	if !c.site.shorter.undisturbed(r.sent, r.done) {
+		limit = min(limit, shortTimeoutMS*time.Millisecond)
+	}
+	return r.done.Sub(r.sent) > limit-timeoutMargin
+}
+
+// unbroken reports whether no server and no instance broke off requests around a request.
+func (c *checker) unbroken(r record) bool {
+	from := r.sent.Add(-settlingTime)
+	broken := func(in *instance) bool { return !in.breaks.undisturbed(from, r.done) }
+	return !slices.ContainsFunc(c.fleet.instances, broken) && c.serversUndisturbed(from, r.done)
+}
+
+// seenIDs returns the requests that arrived at servers.
+func (c *checker) seenIDs() map[string]bool {
+	out := map[string]bool{}
+	for _, v := range c.site.allServers() {
+		for _, s := range v.standin.Seen() {
+			out[s.ID] = true
+		}
+	}
+	return out
+}
+
+// checkExits checks that processes exit only if they are asked to, and with success.
+func (c *checker) checkExits() {
+	for _, in := range c.fleet.instances {
+		for _, e := range in.exits {
+			c.addViolation(Drained, e.at, "%s exited: %v", in.name, e.err)
+		}
+	}
+}
+
 func (c *checker) serversUndisturbed(from, to time.Time) bool {
 	for _, v := range c.site.allServers() {
 		if !v.disturbances.undisturbed(from, to) {
@@ -199,7 +263,7 @@
 
 // checkDenied checks requests to the routes that every configuration contains.
 func (c *checker) checkDenied(r record) {
-	if r.probe < 0 && r.Err == nil && (r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized) {
+	if r.probe < 0 && r.kind.alwaysAllowed() && r.Err == nil && (r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized) {
 		c.addViolation(Denied, r.sent, "%s at %s got %d for %s", r.id, r.sentTo.name, r.Status, r.kind.path)
 	}
 }
@@ -307,7 +371,7 @@
 func (c *checker) checkRecovered() {
 	all, good := 0, 0
 	for _, r := range c.records {
-		if r.probe >= 0 || r.sent.Before(c.end.Add(-recoveryWindow)) {
+		if r.probe >= 0 || r.sentAhead || r.sent.Before(c.end.Add(-recoveryWindow)) {
 			continue
 		}
 		all++
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -39,8 +39,19 @@
 	// sigtermAtByLife holds that time for each start.
 	sigtermAt       time.Time
 	sigtermAtByLife map[int]time.Time
-	// disturbances records faults, maintenance records shutdowns and reloads.
-	disturbances, maintenance disturbanceLog
+	// killedLife is the last start whose process the run has killed.
+	killedLife int
+	// exits holds the exits that the run did not cause or that failed.
+	exits []badExit
+	// disturbances records faults, maintenance records shutdowns and reloads, breaks those
+	// faults that break off requests of the instance.
+	disturbances, maintenance, breaks disturbanceLog
+}
+
+// badExit is the exit of a process that was not asked to exit, or did not exit with success.
+type badExit struct {
+	at  time.Time
+	err error
 }
 
 // fleet holds the instances of a run.
@@ -170,7 +181,7 @@
 
 func (f *fleet) restartOnExit(in *instance, cmd *exec.Cmd, log *os.File) {
 	defer f.processes.Done()
-	_ = cmd.Wait()
+	in.noteExit(cmd.Wait(), f.isClosing())
 	_ = log.Close()
 	if _, sigtermAt := in.currentLife(); sigtermAt.IsZero() {
 		in.disturbances.addInstant()
@@ -195,6 +206,17 @@
 	}
 }
 
+// noteExit records the exit of the current process if it is a bad one.
+func (in *instance) noteExit(err error, closing bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	asked := !in.sigtermAt.IsZero() && err == nil
+	if closing || asked || in.killedLife == in.life {
+		return
+	}
+	in.exits = append(in.exits, badExit{time.Now(), err})
+}
+
 // signal sends a signal to the current process and records the disturbance.
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
@@ -210,10 +232,14 @@
 		in.maintenance.addInstant()
 	case syscall.SIGSTOP:
 		in.disturbances.begin()
+		in.breaks.begin()
 	case syscall.SIGCONT:
 		in.disturbances.end()
+		in.breaks.end()
 	default:
+		in.killedLife = in.life
 		in.disturbances.addInstant()
+		in.breaks.addInstant()
 	}
 	// The process may have exited already.
 	_ = in.cmd.Process.Signal(s)
--- a/lab/soak/mutant.go
+++ b/lab/soak/mutant.go
@@ -24,6 +24,8 @@
 	KeepsEntry Mutant = "keeps-entry"
 	// KillsForTerm kills instances instead of terminating them gracefully.
 	KillsForTerm Mutant = "kills-for-term"
+	// HangupEndsDrain kills instances that get SIGHUP while they drain.
+	HangupEndsDrain Mutant = "hangup-ends-drain"
 	// LateAnswers delays traffic between callers and instances.
 	LateAnswers Mutant = "late-answers"
 	// KeepsMemory makes engines keep released memory reserved.
@@ -37,7 +39,7 @@
 )
 
 // Mutants lists all mutants.
-var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, StaysDown}
+var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, HangupEndsDrain, LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, StaysDown}
 
 // Valid reports whether m is one of Mutants.
 func (m Mutant) Valid() bool { return slices.Contains(Mutants, m) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -8,11 +8,13 @@
 	"bytes"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 	"github.com/auburnmoor/auburnmoor/settings"
 )
 
@@ -54,6 +56,12 @@
 	Replace Kind = "replace"
 	// Limit makes backend servers name a limit on the requests that they take.
 	Limit Kind = "limit"
+	// Signals sends a series of SIGTERM and SIGHUP to the same instances.
+	Signals Kind = "signals"
+	// Silence makes backend servers fall silent and go on later, wherever their answers are.
+	Silence Kind = "silence"
+	// Reconfigure changes timeouts, routes, weights and keys again and again, and undoes it.
+	Reconfigure Kind = "reconfigure"
 	// Change adds one route, Changes several in a row.
 	Change  Kind = "change"
 	Changes Kind = "changes"
@@ -98,6 +106,7 @@
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
 	otherKinds       = []Kind{Limit}
+	plannedKinds     = []Kind{Signals, Silence, Reconfigure}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
 
@@ -125,7 +134,72 @@
 		}
 	}
 	p.add(r, quietAtStart, Limit, span)
+	p.addPlanned(rand.New(rand.NewPCG(seed, plannedStream)))
+	return p, p.check()
+}
+
+// plannedStream separates the draws of planned work from those of faults.
+const plannedStream = 3
+
+// Times of planned work.
+const (
+	// plannedFrom is when planned work begins.
+	plannedFrom                          = 2 * time.Second
+	maxReconfigure                       = 10 * time.Second
+	minSilence, maxSilence               = 200 * time.Millisecond, 2 * time.Second
+	minSilencePause, maxExtraPause       = 100 * time.Millisecond, time.Second
+	minSignalsInterval, maxExtraInterval = 4 * time.Second, 4 * time.Second
+)
+
+// silentShares are the fractions of the servers that fall silent at once.
+var silentShares = []float64{0, 0.5, 1}
+
+// silence is a way in which servers fall silent.
+type silence string
+
+// The silences besides those at the points of workerserver.SilencePoint.
+const (
+	// silentLink holds what the server sends, wherever that is.
+	silentLink silence = "link"
+	// silentNow stops the whole server at once.
+	silentNow silence = "now"
+)
+
+// silencesOfServers are the silences that plans draw.
+var silencesOfServers = []silence{
+	silentLink, silentNow, silentLink, silentNow,
+	silence(workerserver.BeforeAccept), silence(workerserver.BeforeHead), silence(workerserver.AfterHead), silence(workerserver.InBody),
+	silence(workerserver.InChunk), silence(workerserver.InEvent), silence(workerserver.BetweenEvents), silence(workerserver.BeforeEnd),
+}
+
+// silence returns the way in which the servers of a Silence fault fall silent.
+func (f Fault) silence() silence { return silencesOfServers[f.Pick%uint64(len(silencesOfServers))] }
+
+// addPlanned adds changes of the configuration, signals and silent servers that overlap.
+func (p *Plan) addPlanned(r *rand.Rand) {
+	end := p.Length.Std() - quietAtEnd
+	for at := plannedFrom; at < end; at += maxReconfigure {
+		p.add(r, at, Reconfigure, min(maxReconfigure, end-at))
+	}
+	for at := termAt; at < end; at += minSignalsInterval + time.Duration(r.Int64N(int64(maxExtraInterval))) {
+		p.add(r, at, Signals, 0)
+	}
+	for at := plannedFrom; at < end-maxSilence; {
+		duration := minSilence + time.Duration(r.Int64N(int64(maxSilence-minSilence)))
+		p.add(r, at, Silence, duration)
+		p.Faults[len(p.Faults)-1].Share = silentShares[r.IntN(len(silentShares))]
+		at += duration + minSilencePause + time.Duration(r.Int64N(int64(maxExtraPause)))
+	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+}
+
+// DrawPlanned returns a plan of a seed that has planned work and silent servers only.
+func DrawPlanned(seed uint64, instances int, length time.Duration) (Plan, error) {
+	p := Plan{Seed: seed, Instances: instances, Length: settings.Duration(length)}
+	if err := p.check(); err != nil {
+		return p, err
+	}
+	p.addPlanned(rand.New(rand.NewPCG(seed, plannedStream)))
 	return p, p.check()
 }
 
@@ -158,7 +232,7 @@
 		return errors.Newf("plan: length is %s, must be at least %s", p.Length.Std(), quietAtStart+maxFaultDuration+quietAtEnd)
 	}
 	for i, f := range p.Faults {
-		if !slices.Contains(slices.Concat(backgroundKinds, overlappingKinds, otherKinds), f.Kind) {
+		if !slices.Contains(slices.Concat(backgroundKinds, overlappingKinds, otherKinds, plannedKinds), f.Kind) {
 			return errors.Newf("plan: fault %d: unknown kind %q", i+1, f.Kind)
 		}
 		if f.At < 0 || f.For < 0 || f.At+f.For > p.Length || f.Share < 0 || f.Share > 1 {
@@ -174,6 +248,25 @@
 // limitRate is the limit that a Limit fault has servers name.
 func (f Fault) limitRate() float64 { return limitRates[f.Pick%uint64(len(limitRates))] }
 
+// signalSeries are the series of signals that instances get.
+var signalSeries = [][]syscall.Signal{
+	{syscall.SIGTERM, syscall.SIGHUP},
+	{syscall.SIGHUP, syscall.SIGTERM},
+	{syscall.SIGTERM, syscall.SIGTERM},
+	{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP},
+	{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM},
+	{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
+}
+
+// signalPauses are the times between two signals of a series.
+var signalPauses = []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, time.Second, 2400 * time.Millisecond}
+
+// signals returns the signals of a Signals fault and the pause after each.
+func (f Fault) signals() ([]syscall.Signal, time.Duration) {
+	n := f.Pick % uint64(len(signalSeries)*len(signalPauses))
+	return signalSeries[n%uint64(len(signalSeries))], signalPauses[n/uint64(len(signalSeries))]
+}
+
 // Format encodes a plan as TOML.
 func (p Plan) Format() ([]byte, error) { return toml.Marshal(p) }
 
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -19,6 +19,9 @@
 	// silent stops forwarding on all connections, delay postpones each chunk.
 	silent atomic.Bool
 	delay  atomic.Int64
+	// While holding is above zero, what the target sends is held back, as if it had fallen
+	// silent; holds counts the chunks that were.
+	holding, holds atomic.Int64
 }
 
 // maxChunk bounds the bytes forwarded at once.
@@ -81,26 +84,28 @@
 	p.conns[client] = target
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	for _, pair := range [][2]net.Conn{{client, target}, {target, client}} {
-		go func() {
-			p.copy(pair[1], pair[0])
-			done <- struct{}{}
-		}()
-	}
+	go func() {
+		p.copy(target, client, p.forward)
+		done <- struct{}{}
+	}()
+	go func() {
+		p.copy(client, target, p.forwardOrHold)
+		done <- struct{}{}
+	}()
 	<-done
 	p.mu.Lock()
 	delete(p.conns, client)
 	p.mu.Unlock()
 }
 
-// copy forwards data until either side closes.
-func (p *proxy) copy(to, from net.Conn) {
+// copy forwards data by the given function until either side closes.
+func (p *proxy) copy(to, from net.Conn, forward func(to net.Conn, chunk []byte) error) {
 	buf := make([]byte, maxChunk)
 	for {
 		n, err := from.Read(buf)
 		p.waitToForward()
 		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			if werr := forward(to, buf[:n]); werr != nil {
 				return
 			}
 		}
@@ -110,6 +115,35 @@
 	}
 }
 
+func (p *proxy) forward(to net.Conn, chunk []byte) error {
+	_, err := to.Write(chunk)
+	return err
+}
+
+// hold lets the target appear silent until release is called as often.
+func (p *proxy) hold() { p.holding.Add(1) }
+
+func (p *proxy) release() { p.holding.Add(-1) }
+
+// chunkParts is the number of places at which a chunk is divided while the target is silent.
+const chunkParts = 4
+
+// forwardOrHold forwards a part of a chunk, nothing of some, and holds the rest for as long as
+// the target is silent.
+func (p *proxy) forwardOrHold(to net.Conn, chunk []byte) error {
+	if p.holding.Load() > 0 {
+		sent := len(chunk) * int(p.holds.Add(1)%chunkParts) / chunkParts
+		if err := p.forward(to, chunk[:sent]); err != nil {
+			return err
+		}
+		chunk = chunk[sent:]
+	}
+	for p.holding.Load() > 0 {
+		time.Sleep(silentPollInterval)
+	}
+	return p.forward(to, chunk)
+}
+
 // waitToForward applies the delay, then blocks while the proxy is silent.
 func (p *proxy) waitToForward() {
 	time.Sleep(time.Duration(p.delay.Load()))
@@ -135,5 +169,6 @@
 func (p *proxy) close() {
 	p.refuse()
 	p.silent.Store(false)
+	p.holding.Store(0)
 	p.reset()
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"sync"
@@ -196,6 +197,12 @@
 	switch f.Kind {
 	case Kill, Term, Reload:
 		r.signal(f)
+	case Signals:
+		r.signalInSeries(f)
+	case Silence:
+		r.silenceServers(f)
+	case Reconfigure:
+		r.reconfigure(f)
 	case Freeze:
 		r.disturbInstances(f, func(in *instance) { in.signal(syscall.SIGSTOP) }, func(in *instance) { in.signal(syscall.SIGCONT) })
 	case StoreDown:
@@ -213,7 +220,7 @@
 	case ResetStore:
 		r.disturbInstances(f, func(in *instance) { in.disturbances.addInstant(); in.storeProxy.reset() }, nil)
 	case ResetCallers:
-		r.disturbInstances(f, func(in *instance) { in.disturbances.addInstant(); in.callerProxy.reset() }, nil)
+		r.disturbInstances(f, func(in *instance) { in.disturbances.addInstant(); in.breaks.addInstant(); in.callerProxy.reset() }, nil)
 	case CutServer:
 		r.disturbServers(f, func(v *server) { v.link.silent.Store(true) }, func(v *server) { v.link.silent.Store(false) })
 	case SlowServer:
@@ -250,6 +257,49 @@
 	}, nil)
 }
 
+// signalInSeries sends several signals to the same instances, draining ones included.
+func (r *run) signalInSeries(f Fault) {
+	series, pause := f.signals()
+	targets := f.targets(len(r.fleet.instances))
+	for _, sig := range series {
+		for _, i := range targets {
+			in := r.fleet.instances[i]
+			_, sigtermAt := in.currentLife()
+			in.signal(sig)
+			if sig == syscall.SIGHUP && !sigtermAt.IsZero() && r.options.Mutant == HangupEndsDrain {
+				in.kill()
+			}
+		}
+		time.Sleep(pause)
+	}
+}
+
+// silenceServers makes servers fall silent. This is no disturbance: it excuses nothing.
+func (r *run) silenceServers(f Fault) {
+	all := r.site.allServers()
+	targets := f.targets(len(all))
+	for _, i := range targets {
+		all[i].fallSilent(f.silence(), f.For.Std())
+	}
+	time.Sleep(f.For.Std())
+	for _, i := range targets {
+		all[i].endSilence(f.silence())
+	}
+}
+
+// reconfigurations is the number of changes of a Reconfigure fault.
+const reconfigurations = 10
+
+// reconfigure changes the configuration several times and undoes it at the end.
+func (r *run) reconfigure(f Fault) {
+	random := rand.New(rand.NewPCG(f.Pick, 8))
+	for range reconfigurations {
+		r.site.reconfigure(drawVariant(random))
+		time.Sleep(f.For.Std() / reconfigurations)
+	}
+	r.site.reconfigure(variant{})
+}
+
 func (r *run) injectStoreFault(f Fault, faults storeserver.Faults) {
 	end := r.site.beginFault(faults)
 	time.Sleep(f.For.Std())
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -12,12 +13,12 @@
 
 // Sizes of the stand-in backend servers.
 const (
-	engineCount, plainServerCount = 5, 4
-	slotsPerServer                = 8
+	engineCount, plainServerCount, secondServerCount = 5, 4, 2
+	slotsPerServer                                   = 8
 	// engineMemory, in tokens, has room for a normal prompt but not for a long one.
 	engineMemory = 100_000
 	eventCount   = 8
-	eventPause   = 15 * time.Millisecond
+	eventPause   = 40 * time.Millisecond
 )
 
 // Values in the configuration of the store.
@@ -25,9 +26,13 @@
 	host, key              = "h.example", "k1"
 	modelService           = "model"
 	plainService           = "registry"
+	secondService          = "archive"
 	routeTimeoutMS         = 8000
 	askPath, lookPath      = "/ask/", "/look/"
 	printPath, addedPrefix = "/print/", "/added-"
+	// swingPath is a route that changes of the configuration move and drop, extraKey a key that
+	// they withdraw.
+	swingPath, extraKey = "/swing/", "k2"
 )
 
 // A request with deadlyBody crashes its engine, and all that runs on it, for crashDuration.
@@ -68,6 +73,29 @@
 	v.standin.SetLimit()
 }
 
+// fallSilent makes the server silent for d, at once or where its next answers come to a point.
+func (v *server) fallSilent(how silence, d time.Duration) {
+	switch how {
+	case silentLink:
+		v.link.hold()
+	case silentNow:
+		v.standin.SilenceNow(d)
+	default:
+		v.standin.Silence(workerserver.SilencePoint(how), d)
+	}
+}
+
+// endSilence ends a silence that is in force or has not begun; one that has begun late goes on.
+func (v *server) endSilence(how silence) {
+	switch how {
+	case silentLink:
+		v.link.release()
+	case silentNow:
+	default:
+		v.standin.ClearSilences()
+	}
+}
+
 // site is the environment of the fleet: the store, the backend servers and the operator.
 type site struct {
 	store        *storeserver.Server
@@ -78,6 +106,9 @@
 	servers    []*server
 	created    int
 	siteConfig storeserver.Site
+	// variant is the change of siteConfig in force, shorter records when timeouts are shorter.
+	variant variant
+	shorter disturbanceLog
 	// addedAt holds when the store acknowledged each added route.
 	addedAt []time.Time
 	// faults are the store faults in progress, queuedWrites wait for their end.
@@ -90,17 +121,22 @@
 	if err := s.store.Start(); err != nil {
 		return nil, err
 	}
-	s.siteConfig = storeserver.Site{Version: 1, Models: []string{modelService}, Plain: []string{plainService}, EngineMemory: engineMemory, Keys: []string{key}}
+	s.siteConfig = storeserver.Site{Version: 1, Models: []string{modelService}, Plain: []string{plainService, secondService}, EngineMemory: engineMemory, Keys: []string{key}}
 	s.siteConfig.Routes = []storeserver.Route{
 		{Name: "ask", Host: host, Prefix: askPath, Service: modelService, Kind: "streaming", TimeoutMS: routeTimeoutMS},
 		{Name: "look", Host: host, Prefix: lookPath, Service: plainService, Kind: "safe", TimeoutMS: routeTimeoutMS},
 		{Name: "print", Host: host, Prefix: printPath, Service: plainService, Kind: "unsafe", TimeoutMS: routeTimeoutMS},
 	}
-	if err := s.store.PutSite(s.siteConfig); err != nil {
+	if err := s.store.PutSite(s.variant.apply(s.siteConfig)); err != nil {
 		return nil, err
 	}
-	for i := range engineCount + plainServerCount {
-		if err := s.addServer(map[bool]string{true: modelService, false: plainService}[i < engineCount]); err != nil {
+	services := slices.Concat(
+		slices.Repeat([]string{modelService}, engineCount),
+		slices.Repeat([]string{plainService}, plainServerCount),
+		slices.Repeat([]string{secondService}, secondServerCount),
+	)
+	for _, service := range services {
+		if err := s.addServer(service); err != nil {
 			return nil, err
 		}
 	}
@@ -208,7 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writeOrQueue(func() {
-		if err := s.store.PutSite(s.siteConfig); err != nil {
+		if err := s.store.PutSite(s.variant.apply(s.siteConfig)); err != nil {
 			panic(err)
 		}
 		for _, v := range s.servers {
@@ -232,7 +268,7 @@
 			Name: fmt.Sprint("added-", n), Host: host, Prefix: routePath(n), Service: plainService, Kind: "safe", TimeoutMS: routeTimeoutMS,
 		})
 		s.addedAt = append(s.addedAt, time.Now())
-		conf := s.siteConfig
+		conf := s.variant.apply(s.siteConfig)
 		if s.mutant == DropsRoute {
 			conf.Routes = conf.Routes[1:]
 		}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -18,7 +18,7 @@
 
 func TestSoak(t *testing.T) { testkit.Suite(t, "soak") }
 
-const length = 24 * time.Second
+const length, plannedLength = 24 * time.Second, 21 * time.Second
 
 func draw(seed uint64) soak.Plan {
 	p, err := soak.Draw(seed, 4, length)
@@ -38,6 +38,16 @@
 		Expect(soak.ParsePlan(raw)).To(Equal(draw(7)))
 	})
 
+	It("of planned work has nothing but signals, silent servers and changes of the configuration", func() {
+		p, err := soak.DrawPlanned(7, 4, length)
+		Expect(err).NotTo(HaveOccurred())
+		kinds := map[soak.Kind]bool{}
+		for _, f := range p.Faults {
+			kinds[f.Kind] = true
+		}
+		Expect(kinds).To(Equal(map[soak.Kind]bool{soak.Signals: true, soak.Silence: true, soak.Reconfigure: true}))
+	})
+
 	It("loses only the removed fault", func() {
 		p := draw(7)
 		reduced := p.Without(0)
@@ -77,6 +87,14 @@
 		Expect(r.Served).To(BeNumerically(">", 500))
 	})
 
+	It("answers all requests under planned work while servers fall silent", func() {
+		p, err := soak.DrawPlanned(1, 4, plannedLength)
+		Expect(err).NotTo(HaveOccurred())
+		r := play(p, "")
+		Expect(r.Violations).To(BeEmpty())
+		Expect(r.Served).To(BeNumerically(">", 500))
+	})
+
 	It("keeps all promises under each regression plan", func() {
 		plans, err := filepath.Glob("regressions/*.toml")
 		Expect(err).NotTo(HaveOccurred())
--- a/lab/soak/traffic.go
+++ b/lab/soak/traffic.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/auburnmoor/auburnmoor/lab/standin/caller"
 )
 
@@ -35,15 +37,22 @@
 	promptTokens int
 	// atMostOnce marks non-repeatable requests.
 	atMostOnce bool
-	percent    int
+	// key is the customer's key.
+	key     string
+	percent int
 }
 
+// alwaysAllowed reports whether every configuration has the route and the key.
+func (s requestKind) alwaysAllowed() bool { return s.path != swingPath && s.key != extraKey }
+
 // requestKinds are the requests that callers send.
 var requestKinds = []requestKind{
-	{path: askPath, promptTokens: normalPrompt, percent: 45},
-	{path: askPath, promptTokens: longPrompt, percent: 5},
-	{path: lookPath, percent: 25},
-	{path: printPath, atMostOnce: true, percent: 25},
+	{path: askPath, promptTokens: normalPrompt, key: key, percent: 40},
+	{path: askPath, promptTokens: longPrompt, key: key, percent: 5},
+	{path: lookPath, key: key, percent: 22},
+	{path: printPath, atMostOnce: true, key: key, percent: 23},
+	{path: swingPath, key: key, percent: 5},
+	{path: askPath, promptTokens: normalPrompt, key: extraKey, percent: 5},
 }
 
 // record is one request and its answer.
@@ -57,6 +66,9 @@
 	life int
 	sent time.Time
 	done time.Time
+	// sentAhead is set if the connection was closed before the answer to an earlier request on it
+	// was complete or after one that said so.
+	sentAhead bool
 	caller.Answer
 }
 
@@ -75,8 +87,9 @@
 	for i := range callerCount {
 		wg.Go(func() { t.runCaller(ctx, i) })
 	}
-	for _, in := range t.fleet.instances {
+	for i, in := range t.fleet.instances {
 		wg.Go(func() { t.probeRoutes(ctx, in) })
+		wg.Go(func() { t.sendAhead(ctx, in, i) })
 	}
 	wg.Wait()
 }
@@ -145,32 +158,91 @@
 			if r.IntN(3) == 0 {
 				k = r.IntN(n)
 			}
-			t.send(ctx, c, in, requestKind{path: routePath(k)}, k)
+			t.send(ctx, c, in, requestKind{path: routePath(k), key: key}, k)
 		}
 		time.Sleep(probeInterval)
 	}
 }
 
 func (t *traffic) send(ctx context.Context, c *caller.Caller, in *instance, s requestKind, probe int) {
-	n := t.sent.Add(1)
-	rec := record{id: fmt.Sprintf("q%d-%d", t.seed, n), kind: s, probe: probe, sentTo: in}
-	rec.life, _ = in.currentLife()
 	limit := deadline
 	if probe >= 0 {
 		limit = probeTimeout
 	}
+	rec, req := t.newRequest(in, s, probe, limit)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit+answerPatience)
 	defer cancel()
-	rec.sent = time.Now()
-	rec.Answer = c.Send(ctx, in.callerProxy.addr(), caller.Request{
-		ID: rec.id, Host: host, Path: fmt.Sprint(s.path, n), Key: key, Body: rec.id, PromptTokens: s.promptTokens, Deadline: limit,
-	})
+	rec.Answer = c.Send(ctx, in.callerProxy.addr(), req)
 	rec.done = time.Now()
+	t.add(rec)
+}
+
+// newRequest returns a request to send now and its record.
+func (t *traffic) newRequest(in *instance, s requestKind, probe int, limit time.Duration) (record, caller.Request) {
+	n := t.sent.Add(1)
+	rec := record{id: fmt.Sprintf("q%d-%d", t.seed, n), kind: s, probe: probe, sentTo: in, sent: time.Now()}
+	rec.life, _ = in.currentLife()
+	return rec, caller.Request{
+		ID: rec.id, Host: host, Path: fmt.Sprint(s.path, n), Key: s.key, Body: rec.id, PromptTokens: s.promptTokens, Deadline: limit,
+	}
+}
+
+func (t *traffic) add(rec record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.records = append(t.records, rec)
 }
 
+// reconnectPause is the time until a caller that sends ahead opens another connection.
+const reconnectPause = 100 * time.Millisecond
+
+// sendAhead uses one connection to an instance for as long as the instance keeps it open, also
+// while it drains, and sends each request before the last one is answered.
+func (t *traffic) sendAhead(ctx context.Context, in *instance, i int) {
+	r := rand.New(rand.NewPCG(t.seed, uint64(i)+aheadStream))
+	for ctx.Err() == nil {
+		if c, err := caller.Dial(in.callerProxy.addr()); err == nil {
+			t.useConnection(ctx, c, in, r)
+			c.Close()
+		}
+		time.Sleep(reconnectPause)
+	}
+}
+
+// aheadStream separates the draws of callers that send ahead from those of others.
+const aheadStream = 1000
+
+// useConnection returns when the connection is closed or the run has ended.
+func (t *traffic) useConnection(ctx context.Context, c *caller.Connection, in *instance, r *rand.Rand) {
+	rec, req := t.newRequest(in, pickKind(r), -1, deadline)
+	if c.Write(req) != nil {
+		return
+	}
+	for {
+		next, nextReq := t.newRequest(in, pickKind(r), -1, deadline)
+		sentNext := ctx.Err() == nil && c.Write(nextReq) == nil
+		var open bool
+		rec.Answer, open = c.Read(deadline + answerPatience)
+		rec.done = time.Now()
+		t.add(rec)
+		if !sentNext {
+			return
+		}
+		if !open {
+			next.sentAhead, next.done, next.Err = true, rec.done, errClosedBefore
+			t.add(next)
+			return
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(maxPause))))
+		// The instance reads the next request only now.
+		next.sent = rec.done
+		rec = next
+	}
+}
+
+// errClosedBefore is the result of a request whose connection was closed before its turn.
+var errClosedBefore = errors.New("the connection was closed before the request was read")
+
 // deadlyInterval is the time between two attempts of a request that crashes engines.
 const deadlyInterval = 100 * time.Millisecond
 
--- a/lab/standin/caller/caller.go
+++ b/lab/standin/caller/caller.go
@@ -49,10 +49,23 @@
 func (c *Caller) Send(ctx context.Context, addr string, r Request) (a Answer) {
 	start := time.Now()
 	defer func() { a.Took = time.Since(start) }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+r.Path, strings.NewReader(r.Body))
+	req, err := r.http(ctx, addr)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return Answer{Err: err}
 	}
+	return readAnswer(resp)
+}
+
+// http returns the request as it is sent to an address.
+func (r Request) http(ctx context.Context, addr string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+r.Path, strings.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
 	// With GetBody set, the transport would resend an attempt whose connection closed.
 	req.GetBody = nil
 	req.Host = r.Host
@@ -62,10 +75,10 @@
 	if r.PromptTokens > 0 {
 		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", r.PromptTokens, answerTokens))
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return Answer{Err: err}
-	}
+	return req, nil
+}
+
+func readAnswer(resp *http.Response) Answer {
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	return Answer{Status: resp.StatusCode, Body: string(raw), Seal: resp.Header.Get("X-Response-Seal"), Err: err}
--- a/lab/standin/storeserver/site.go
+++ b/lab/standin/storeserver/site.go
@@ -19,16 +19,28 @@
 	Kind string
 	// TimeoutMS is the timeout of a request.
 	TimeoutMS int
+	// Split divides the requests between services, by weight; empty sends all to Service.
+	Split []Share
+}
+
+// Share is the weight of a service on a route.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // PutSite writes a configuration to the store.
 func (s *Server) PutSite(c Site) error {
 	var routes, services []any
 	for _, r := range c.Routes {
-		routes = append(routes, map[string]any{
+		spec := map[string]any{
 			"name": r.Name, "hostname": r.Host, "pathPrefix": r.Prefix, "kind": r.Kind, "service": r.Service, "timeoutMs": r.TimeoutMS,
 			"targetLatencyMs": 300, "maxAttempts": 2, "resumable": r.Kind == "streaming", "gapTargetMs": 250,
-		})
+		}
+		if len(r.Split) > 0 {
+			spec["trafficSplit"] = r.Split
+		}
+		routes = append(routes, spec)
 	}
 	for _, name := range c.Models {
 		services = append(services, map[string]any{"name": name, "engine": map[string]any{
