The handler of SIGHUP is installed before anything else of an instance

The handler was installed only after the settings had been read and checked. It now comes first.

A signal between the start of a process and its first statements still ends it, which no program can change; it has no listeners yet. The soak passes over signals in the first 500 ms of a process. A unit test covers both sides.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -24,6 +24,10 @@
 
 // Run serves until SIGINT or SIGTERM, then drains.
 func (c *serveCmd) Run(e *env) error {
+	// The default action of SIGHUP ends the process with its open requests, so the handler
+	// stays until the process exits.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	f, err := settings.Load(c.Config)
 	if err != nil {
 		return usageError(err)
@@ -40,10 +44,6 @@
 		// kills the process on a small machine although half of the heap is garbage.
 		debug.SetMemoryLimit(limit)
 	}
-	// The default action of SIGHUP ends the process with its open requests, so the handler
-	// stays until the process exits.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	p, err := process.New(f, log)
 	if err != nil {
 		return usageError(err)
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -98,6 +98,15 @@
 		Expect(exit(false, false, nil)).To(HaveLen(1))
 		Expect(exit(false, false, errCut)).To(HaveLen(1))
 	})
+	It("passes over a signal to a process that has just started", func() {
+		for sinceStart, bad := range map[time.Duration]int{0: 0, 2 * handlersDelay: 1} {
+			in := &instance{name: "i000", life: 1, startedAt: time.Now().Add(-sinceStart), cmd: exec.Command("true")}
+			Expect(in.cmd.Run()).To(Succeed())
+			in.signal(syscall.SIGHUP)
+			in.noteExit(errCut, false)
+			Expect(in.exits).To(HaveLen(bad))
+		}
+	})
 	It("passes over a drain that succeeded and a process that the run killed", func() {
 		Expect(exit(true, false, nil)).To(BeEmpty())
 		Expect(exit(true, true, errCut)).To(BeEmpty())
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -17,6 +17,10 @@
 // maxInstances bounds the processes of a run.
 const maxInstances = 200
 
+// handlersDelay is the time from the start of a process until its handlers of signals are
+// installed. A signal in that time may end it; it has no requests yet.
+const handlersDelay = 500 * time.Millisecond
+
 // restartDelay is the time from the exit of an instance to its restart.
 const restartDelay = 500 * time.Millisecond
 
@@ -39,7 +43,9 @@
 	// sigtermAtByLife holds that time for each start.
 	sigtermAt       time.Time
 	sigtermAtByLife map[int]time.Time
-	// killedLife is the last start whose process the run has killed.
+	// startedAt is when the current process was started; killedLife is the last start whose
+	// process the run has killed.
+	startedAt  time.Time
 	killedLife int
 	// exits holds the exits that the run did not cause or that failed.
 	exits []badExit
@@ -171,7 +177,7 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, in.name)
 	}
-	in.cmd, in.sigtermAt = cmd, time.Time{}
+	in.cmd, in.sigtermAt, in.startedAt = cmd, time.Time{}, time.Now()
 	in.life++
 	in.disturbances.addInstant()
 	f.processes.Add(1)
@@ -221,6 +227,9 @@
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if time.Since(in.startedAt) < handlersDelay {
+		in.killedLife = in.life
+	}
 	switch s {
 	case syscall.SIGTERM:
 		if in.sigtermAt.IsZero() {
