Soak: "drained" passes over a request whose route's timeout was reached

A request may end when its time is up, also during a drain. Until routes had timeouts below the callers' deadline this could not occur. Requests that are cut before their time still break the promise (unit test of both sides).

--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -78,6 +78,24 @@
 	})
 })
 
+var _ = Describe("the check of drains", func() {
+	check := func(took time.Duration) []Violation {
+		begin := time.Now()
+		in := &instance{name: "i000", sigtermAtByLife: map[int]time.Time{1: begin.Add(time.Millisecond)}}
+		c := &checker{site: &site{}, fleet: &fleet{instances: []*instance{in}}, trafficStart: begin}
+		c.site.shorter.begin()
+		c.checkDrained(record{probe: -1, sentTo: in, life: 1, sent: begin.Add(time.Millisecond), done: begin.Add(took), Answer: caller.Answer{Err: errCut}})
+		return c.violations
+	}
+
+	It("finds a request that was cut before its time was up", func() {
+		Expect(check(shortTimeoutMS * time.Millisecond / 2)).To(HaveLen(1))
+	})
+	It("passes over a stream that reached the timeout of its route", func() {
+		Expect(check((shortTimeoutMS + 10) * time.Millisecond)).To(BeEmpty())
+	})
+})
+
 var _ = Describe("the check of exits", func() {
 	exit := func(sigterm, killed bool, err error) []Violation {
 		in := &instance{name: "i000", life: 1}
