Stand-in servers: answers written byte by byte are in the list of arrivals too

Answers without a length and doubled ones had no status in Arrivals(), so that two specs of the tables could not tell when an instance had been told.

--- a/lab/standin/workerserver/arrivals.go
+++ b/lab/standin/workerserver/arrivals.go
@@ -71,3 +71,10 @@
 	}
 	return w.ResponseWriter.Write(p)
 }
+
+// recordRaw records the status of an answer that is written byte by byte.
+func recordRaw(w http.ResponseWriter) {
+	if sw, ok := w.(*statusWriter); ok {
+		sw.record(http.StatusOK)
+	}
+}
--- a/lab/standin/workerserver/notices_test.go
+++ b/lab/standin/workerserver/notices_test.go
@@ -51,6 +51,7 @@
 		resp, _ := ask(srv, "/", "a", header...)
 		Expect(resp.StatusCode).To(Equal(status))
 		Expect(resp.Header.Get("Server-Leaving")).To(Equal("1"))
+		Expect(srv.Arrivals()[0].Status).To(Equal(status))
 		srv.SetLeaving(false)
 		resp, _ = ask(srv, "/", "b")
 		Expect(resp.Header).NotTo(HaveKey("Server-Leaving"))
--- a/lab/standin/workerserver/unframed.go
+++ b/lab/standin/workerserver/unframed.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		first = 0
 	}
+	recordRaw(w)
 	_, _ = rw.WriteString(head + "\r\n\r\n")
 	for n := first + 1; n <= s.cfg.Events; n++ {
 		ev := Event(id, n)
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -409,8 +409,10 @@
 	case Garbage:
 		_, _ = rw.WriteString("\x00\x01 no answer\r\n\r\n")
 	case Unframed:
+		recordRaw(w)
 		_, _ = rw.WriteString(head + "Connection: close\r\n\r\n" + Body(id))
 	case Extra:
+		recordRaw(w)
 		_, _ = rw.WriteString(framed)
 		_ = rw.Flush()
 		time.Sleep(extraDelay)
