Soak: servers say in their answers that they leave, and ask for rest

A leaving server says so while the store lists it as ready; another takes its place, its entry goes 6 s later. A resting server turns three requests in ten away and asks for 1, 2.5 or 3 s or for something that is no time.

Promises: heard (no request that a caller sent more than 0.5 s after the same process had an answer of the server that says so) and rested (at most two requests from a process from 0.5 s after a refusal to the end of its rest), while the process was neither frozen, restarted nor without processor time and the link to the server was calm. A caller's instance is taken for the one that sends on: links to servers are shared by all instances.

The mutant hides-words has servers say neither, and both checks find it.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -103,6 +103,8 @@
 	violations   []Violation
 	// hostStalls records when the host of the whole run had no processor time for it.
 	hostStalls *disturbanceLog
+	// byID are the records by the ID of the request, nil before they are needed.
+	byID map[string]record
 }
 
 func (c *checker) addViolation(p Promise, at time.Time, format string, args ...any) {
@@ -122,6 +124,8 @@
 	c.checkConfiguration()
 	c.checkLeaving()
 	c.checkLimited()
+	c.checkHeard()
+	c.checkRested()
 	c.checkContained()
 	c.checkRecovered()
 	c.checkExplained()
--- a/lab/soak/mutant.go
+++ b/lab/soak/mutant.go
@@ -37,7 +37,7 @@
 )
 
 // Mutants lists all mutants.
-var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, StaysDown}
+var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, HidesWords, StaysDown}
 
 // Valid reports whether m is one of Mutants.
 func (m Mutant) Valid() bool { return slices.Contains(Mutants, m) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -97,7 +97,7 @@
 // Each scene has one fault of backgroundKinds, overlapped by faults of overlappingKinds.
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
-	otherKinds       = []Kind{Limit}
+	otherKinds       = []Kind{Limit, SayLeaving, AskRest}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
 
@@ -125,6 +125,7 @@
 		}
 	}
 	p.add(r, quietAtStart, Limit, span)
+	p.addNotices(r, span)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p, p.check()
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -230,6 +230,10 @@
 		r.replaceServers(f)
 	case Limit:
 		r.limitServers(f)
+	case SayLeaving:
+		r.sayLeaving(f)
+	case AskRest:
+		r.askRest(f)
 	case Change:
 		r.site.addRoute()
 	case Changes:
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -46,6 +46,10 @@
 	leftAt time.Time
 	// limits are the limits that the server named.
 	limits []namedLimit
+	// saidAt is when the server began to say that it leaves, zero before.
+	saidAt time.Time
+	// rest is the rest that the server asked for last.
+	rest namedRest
 }
 
 // namedLimit is a limit that a server named for a time; to is zero while it does.
--- a/lab/standin/workerserver/arrivals.go
+++ b/lab/standin/workerserver/arrivals.go
@@ -19,6 +19,8 @@
 	// Status is that of the answer, sent at AnsweredAt; zero if its head was not written.
 	Status     int
 	AnsweredAt time.Time
+	// TurnedAway is set if the server turned the request away for rest.
+	TurnedAway bool
 }
 
 // Arrivals returns all calls that reached the server.
@@ -45,11 +47,23 @@
 	s.arrivals[arrival].Status, s.arrivals[arrival].AnsweredAt = status, time.Now()
 }
 
+// recordTurnedAway records that the request of an answer is turned away for rest.
+func (s *Server) recordTurnedAway(w http.ResponseWriter) {
+	sw, ok := w.(*statusWriter)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals[sw.arrival].TurnedAway = true
+}
+
 // statusWriter records the status of an answer.
 type statusWriter struct {
 	http.ResponseWriter
-	record func(status int)
-	done   bool
+	arrival int
+	record  func(status int)
+	done    bool
 }
 
 // Unwrap lets http.ResponseController reach the writer beneath.
--- a/lab/standin/workerserver/rest.go
+++ b/lab/standin/workerserver/rest.go
@@ -60,6 +60,7 @@
 	if !away {
 		return false
 	}
+	s.recordTurnedAway(w)
 	w.Header().Set("X-Not-Run", "1")
 	if retryAfter != "" {
 		w.Header().Set("Retry-After", retryAfter)
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -207,7 +207,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.setNotices(w.Header())
 	arrival := s.recordArrival(r)
-	w = &statusWriter{ResponseWriter: w, record: func(status int) { s.recordStatus(arrival, status) }}
+	w = &statusWriter{ResponseWriter: w, arrival: arrival, record: func(status int) { s.recordStatus(arrival, status) }}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.cfg.ID {
 		s.answerMisdirected(w)
 		return
