--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -105,7 +105,7 @@
 // Each scene has one fault of backgroundKinds, overlapped by faults of overlappingKinds.
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
-	otherKinds       = []Kind{Limit}
+	otherKinds       = []Kind{Limit, SayLeaving, AskRest}
 	plannedKinds     = []Kind{Signals, Silence, Reconfigure}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
@@ -134,6 +134,7 @@
 		}
 	}
 	p.add(r, quietAtStart, Limit, span)
+	p.addNotices(r, span)
 	p.addPlanned(rand.New(rand.NewPCG(seed, plannedStream)))
 	return p, p.check()
 }
