Tests: the end-to-end specs of what servers say run beside the others

They start a site each, which takes about six minutes in all; with the others one after the other the tests would pass their limit of time. Nothing is left out.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The race detector needs a C compiler; everything else needs only Go.
 RACE := $(if $(shell command -v cc),-race)
 
-.PHONY: build run test lint bench bench-bounds faults model-check generate fuzz
+.PHONY: build run test test-packages test-notices lint bench bench-bounds faults model-check generate fuzz
 
 build:
 	go build -o bin/auburnmoor ./cmd/auburnmoor
@@ -11,9 +11,18 @@
 
 test: lint
 	@test ! -s KNOWN-RED.txt || { echo "known failures, passed over:"; cat KNOWN-RED.txt; }
-	LARGE_FLEETS=skip KNOWN_RED=$(CURDIR)/KNOWN-RED.txt go test $(RACE) ./...
+	$(MAKE) -j2 -Otarget test-packages test-notices
 	LARGE_FLEETS=only KNOWN_RED=$(CURDIR)/KNOWN-RED.txt go test ./decide/member ./decide/retry ./decide/ratelimit
 
+# Time limit of the tests of one package.
+TEST_TIMEOUT := 15m
+
+test-packages:
+	LARGE_FLEETS=skip SERVER_NOTICES=skip KNOWN_RED=$(CURDIR)/KNOWN-RED.txt go test $(RACE) -timeout $(TEST_TIMEOUT) ./...
+
+test-notices:
+	SERVER_NOTICES=only KNOWN_RED=$(CURDIR)/KNOWN-RED.txt go test $(RACE) -timeout $(TEST_TIMEOUT) ./e2e
+
 lint:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "gofmt would change: $$files"; exit 1; }
 	go vet ./...
--- a/e2e/heeded_rest_test.go
+++ b/e2e/heeded_rest_test.go
@@ -9,10 +9,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
-var _ = Describe("the rest that servers ask for", func() {
+var _ = Describe("the rest that servers ask for", testkit.ServerNotices, func() {
 	var s *partitionedSite
 	var c *callers
 	BeforeEach(func() {
--- a/e2e/heeded_test.go
+++ b/e2e/heeded_test.go
@@ -7,11 +7,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
-var _ = Describe("what a server says of itself", func() {
+var _ = Describe("what a server says of itself", testkit.ServerNotices, func() {
 	var s *partitionedSite
 	var c *callers
 	BeforeEach(func() {
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
@@ -14,7 +15,7 @@
 // until they send nothing more to it.
 const drainTime = 2 * time.Second
 
-var _ = Describe("a server that says it leaves", func() {
+var _ = Describe("a server that says it leaves", testkit.ServerNotices, func() {
 	// Guards against requests to a server that says in its answers that it leaves while the store still lists it as ready.
 	It("gets no request from instances that passed this on", func() {
 		s := newPartitionedSite()
--- a/e2e/rest_callers_test.go
+++ b/e2e/rest_callers_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
@@ -31,7 +32,7 @@
 	}
 }
 
-var _ = Describe("a rest of servers", func() {
+var _ = Describe("a rest of servers", testkit.ServerNotices, func() {
 	AfterEach(healCuts)
 
 	// Guards against an instance that sends to a resting server for another that has no path to it.
--- a/e2e/rest_test.go
+++ b/e2e/rest_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
@@ -22,7 +23,7 @@
 	returnSpread = 2 * time.Second
 )
 
-var _ = Describe("a server that asked for rest", func() {
+var _ = Describe("a server that asked for rest", testkit.ServerNotices, func() {
 	// Guards against requests to a server that has turned the instance away and said for how long.
 	It("gets none until its end", func() {
 		s := newPartitionedSite()
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -4,6 +4,7 @@
 import (
 	"flag"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -30,18 +31,42 @@
 // these, "skip" the others. All run if it is not set.
 const LargeFleetsVar = "LARGE_FLEETS"
 
-// labelFilter returns the Ginkgo label filter for a value of LargeFleetsVar.
-func labelFilter(selection string) (string, error) {
-	switch selection {
+// ServerNotices labels the end-to-end specs of what servers say of themselves in their answers.
+// Each starts a site of its own, so they run beside the others.
+var ServerNotices = ginkgo.Label(serverNotices)
+
+const serverNotices = "server notices"
+
+// ServerNoticesVar selects specs by that label, with the values of LargeFleetsVar.
+const ServerNoticesVar = "SERVER_NOTICES"
+
+// labelFilter returns the Ginkgo label filter for the value of a variable that selects a label.
+func labelFilter(variable, label string) (string, error) {
+	switch selection := os.Getenv(variable); selection {
 	case "":
 		return "", nil
 	case "only":
-		return largeFleet, nil
+		return "(" + label + ")", nil
 	case "skip":
-		return "!(" + largeFleet + ")", nil
+		return "!(" + label + ")", nil
 	default:
-		return "", errors.Newf("%s is %q, neither only nor skip", LargeFleetsVar, selection)
+		return "", errors.Newf("%s is %q, neither only nor skip", variable, selection)
+	}
+}
+
+// labelFilters returns the filter for all variables that select labels.
+func labelFilters() (string, error) {
+	var filters []string
+	for variable, label := range map[string]string{LargeFleetsVar: largeFleet, ServerNoticesVar: serverNotices} {
+		filter, err := labelFilter(variable, label)
+		if err != nil {
+			return "", err
+		}
+		if filter != "" {
+			filters = append(filters, filter)
+		}
 	}
+	return strings.Join(filters, " && "), nil
 }
 
 // Suite runs the specs of a package in a fixed order and skips the known failures.
@@ -53,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if suite.LabelFilter, err = labelFilter(os.Getenv(LargeFleetsVar)); err != nil {
+	if suite.LabelFilter, err = labelFilters(); err != nil {
 		t.Fatal(err)
 	}
 	for _, k := range known {
