Heads of answers without end: bounded in bytes, lines and time

Heads were read from the connection without a bound, those of answers to orders as well. One reader below the buffer now counts a head up to its empty line. It ends it after 32 KiB, after 256 lines (a parsed line takes some hundred bytes however short it is), or after 3 s in which it keeps coming; a pause counts for 0.1 s, so a server that is silent for two seconds in its head is not cut, which a test plays. Once exceeded the reader returns nothing more: a line reader takes what comes together with an error for a whole line and reads on.

FuzzHead compares the bounded reader with the unbounded one.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,4 @@
 	go test -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
 	go test -run=XXX -fuzz=FuzzServerEntry -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzObjects -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzHead -fuzztime=30s ./platform
--- a/lab/standin/workerserver/orders.go
+++ b/lab/standin/workerserver/orders.go
@@ -18,6 +18,8 @@
 	OrderLate OrderFault = "late"
 	// OrderDropped never executes the order.
 	OrderDropped OrderFault = "dropped"
+	// OrderEndless executes the order and sends a head without an end.
+	OrderEndless OrderFault = "endless"
 )
 
 // orderDelay is how long OrderLate delays an order: long enough that the request it
@@ -79,6 +81,10 @@
 		panic(http.ErrAbortHandler)
 	case OrderDropped:
 		panic(http.ErrAbortHandler)
+	case OrderEndless:
+		s.execute(o)
+		s.writeEndless(w, "", EndlessHead)
+		return
 	}
 	status, free := s.execute(o)
 	if status != http.StatusOK {
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -105,7 +105,9 @@
 	deadlyParts []string
 	// limits are the values of the limit header of each answer.
 	limits []string
-	closed bool
+	// endlessAnswers are the answers without end that were closed.
+	endlessAnswers []EndlessAnswer
+	closed         bool
 }
 
 // Seen is a request as it arrived.
@@ -266,6 +268,8 @@
 		s.writeUnframedStream(w, r, f)
 	case Mute:
 		<-r.Context().Done()
+	case SlowHead, PausedHead, EndlessHead, EndlessLine, EndlessInterim, EndlessTrailer, EndlessExtension, EndlessEvent, EndlessBody, EndlessChunks, EndlessAfter:
+		s.writeEndless(w, id, f)
 	default:
 		s.writeAnswer(w, r, f)
 	}
