--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -37,6 +37,8 @@
 	// With 4,096 slots, the rings of 74 peers took 2.1 MB of an idle instance.
 	defaultRing = 512
 	maxMessage  = 64 << 20
+	// maxMetadata bounds the head and the trailer of a call; the calls here have a few hundred bytes of them.
+	maxMetadata = 16 << 10
 	// idleTimeout is how long an unused connection is kept, sweepInterval how often unused
 	// connections are closed.
 	idleTimeout   = 10 * time.Second
@@ -173,7 +175,7 @@
 	}
 	l.ctx, l.listener = ctx, lis
 	l.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
-		grpc.ReadBufferSize(ioBuffer), grpc.WriteBufferSize(ioBuffer))
+		grpc.MaxHeaderListSize(maxMetadata), grpc.ReadBufferSize(ioBuffer), grpc.WriteBufferSize(ioBuffer))
 	peerpb.RegisterPeerServer(l.server, &server{link: l})
 	go func() { _ = l.server.Serve(lis) }()
 	if err := l.listenDatagrams(); err != nil {
@@ -312,7 +314,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dial),
-		grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer),
+		grpc.WithMaxHeaderListSize(maxMetadata), grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           grpcbackoff.Config{BaseDelay: reconnectMinDelay, Multiplier: reconnectMultiplier, Jitter: reconnectJitter, MaxDelay: reconnectMaxDelay},
 			MinConnectTimeout: dialTimeout,
