--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -59,6 +59,8 @@
 	ForgetHistory bool `json:"forgetHistory"`
 	// NoEra omits the era from the answers.
 	NoEra bool `json:"noEra"`
+	// Endless answers reads with bytes without end.
+	Endless Endless `json:"endless"`
 }
 
 // headerEra carries the era, which grows with each restore, in every answer.
@@ -93,6 +95,8 @@
 
 	era   atomic.Uint64
 	noEra atomic.Bool
+	// endless counts the answers without end that were closed.
+	endless atomic.Int64
 }
 
 // New returns a stopped store.
@@ -166,6 +170,8 @@
 		c.Response().Before(func() { s.setEraHeader(c.Response().Header()) })
 		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		switch {
+		case f.Endless != "" && c.Request().Method == http.MethodGet:
+			return s.answerEndless(c, f.Endless)
 		case f.Silent:
 			<-c.Request().Context().Done()
 			return nil
