Whole answers share a bounded memory, and one that is too large counts as a failure

An answer that isn't a stream is read whole before any of it goes on, so that the request can be sent again. One beyond the bound didn't count against its server either, which stayed in use: 12 requests of 48 reached it where 6 are allowed.

An answer may have less than 4 MiB now; those of the services have about 1 KiB. 8 KiB of each are free, what it needs beyond comes from 6 MiB that all answers being read share. If that doesn't suffice, the largest is given up: one without an end becomes that sooner or later, and small ones neither wait nor fail. An error of a server, which is kept while another attempt is made, may have 8 KiB. Buffers of large answers are used again and leave no garbage behind.

--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -15,14 +15,16 @@
 
 // forwardWhole reads an answer to its end before it sends any of it to the client,
 // so that the request can be retried if the answer breaks off.
-func (x *exchange) forwardWhole(ctx context.Context, plan spread.Plan, answer backend.Answer) (attempt.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+func (x *exchange) forwardWhole(ctx context.Context, cancel context.CancelCauseFunc, plan spread.Plan, answer backend.Answer) (attempt.Outcome, error) {
+	body, err := x.relay.answerRoom.readWhole(answer, func() { cancel(errNoRoom) })
 	h := answer.Head()
 	switch {
+	case errors.Is(err, errAnswerTooLarge), errors.Is(err, errNoRoom):
+		x.relay.countExcess(err)
+		x.recordFailure(plan.Writer().ID)
+		return attempt.Broken, errors.Mark(err, backend.ErrBroken)
 	case err != nil:
 		return x.classifyError(ctx, plan, err)
-	case len(body) > maxAnswerBytes:
-		return attempt.Broken, errors.Newf("answer exceeds %d bytes", maxAnswerBytes)
 	case h.Status < 300 && !h.Sealed, h.Status >= 500 && !h.Sealed:
 		x.recordFailure(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("unsigned answer with status %d", h.Status)
@@ -31,6 +33,10 @@
 		// not declare so: a client could repeat a non-idempotent request that has run.
 		x.recordFailure(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("server answered %d without declaring that the request did not run", h.Status)
+	case h.Status >= 500 && len(body) > smallAnswerBytes:
+		// It would be kept until another attempt has ended.
+		x.recordFault(plan.Writer().ID)
+		return attempt.Broken, errors.Newf("server answered %d with %d bytes", h.Status, len(body))
 	case h.Status >= 500:
 		x.recordFault(plan.Writer().ID)
 		x.serverError, x.serverErrorBody = h, body
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -59,8 +59,6 @@
 	// wholeAnswerFactor is the share of the first-event target after which an
 	// idempotent request without a stream is retried at another server.
 	wholeAnswerFactor = 0.8
-	// maxAnswerBytes bounds the body of an answer that is not a stream.
-	maxAnswerBytes = 16 << 20
 	// maxRandomOffset exceeds the number of servers of any service.
 	maxRandomOffset = 1 << 16
 	// readBufferBytes is the size of one read of a stream; an event has about 100 bytes.
@@ -361,7 +359,7 @@
 		x.recordFailure(plan.Writer().ID)
 		return attempt.Broken, errors.Newf("server answered %d in the middle of a stream", h.Status)
 	}
-	return x.forwardWhole(ctx, plan, answer)
+	return x.forwardWhole(ctx, cancel, plan, answer)
 }
 
 func (x *exchange) newCall(plan spread.Plan, res *reservations) backend.Call {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -73,6 +73,7 @@
 	link             *peerlink.Link
 	client           backend.Client
 	examiner         *examiner
+	answerRoom       room
 
 	// active counts the requests in progress, held those of them that are held until
 	// the engines have capacity, and heldDeep the deep prompts (spread.Deep) of these.
