Events without an end: 32 KiB in place of 1 MiB

A stream whose server never ended an event was read up to 1 MiB of it: 200 at once, the process grew by 474,408 kB (trial of e2e "an answer without end" on the code before). Events have about 100 bytes; they may have 32 KiB now, and a larger one is given up however it arrives. A large event gets the memory of the largest at once, and a stream is read in pieces of 4 KiB in place of 16, so that one without an end leaves less behind. Answers given up for it are counted.

--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -77,6 +77,7 @@
 				}
 			}
 			if feedErr != nil {
+				x.relay.countExcess(feedErr)
 				return x.classifyError(ctx, plan, errors.Mark(feedErr, backend.ErrBroken))
 			}
 		}
--- a/serve/relay/events.go
+++ b/serve/relay/events.go
@@ -9,8 +9,11 @@
 	"github.com/auburnmoor/auburnmoor/decide/sequence"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// Sizes of an event of a stream, in bytes. Most have about 100.
+const (
+	maxEventBytes   = 32 << 10
+	smallEventBytes = 2 * readBufferBytes
+)
 
 var (
 	errEventTooLarge = errors.New("event exceeds the size limit")
@@ -29,13 +32,16 @@
 // feed adds bytes and returns the whole events that are new, or nil. Events that
 // were returned before are dropped; a gap in the numbers is an error.
 func (e *eventSplitter) feed(p []byte) ([]byte, error) {
-	e.buffered = append(e.buffered, p...)
+	e.append(p)
 	var out []byte
 	for {
 		end := bytes.Index(e.buffered, []byte("\n\n"))
 		if end < 0 {
 			break
 		}
+		if end+2 > maxEventBytes {
+			return out, errEventTooLarge
+		}
 		ev := e.buffered[:end+2]
 		e.buffered = e.buffered[end+2:]
 		fresh, err := e.checkOrder(ev)
@@ -52,6 +58,15 @@
 	return out, nil
 }
 
+// append buffers bytes. A large event gets the memory of the largest at once, so that one without an end
+// leaves little garbage behind.
+func (e *eventSplitter) append(p []byte) {
+	if size := len(e.buffered) + len(p); size > smallEventBytes && size > cap(e.buffered) {
+		e.buffered = append(make([]byte, 0, maxEventBytes+len(p)), e.buffered...)
+	}
+	e.buffered = append(e.buffered, p...)
+}
+
 // checkOrder reports whether an event is new. Events without a number always are.
 func (e *eventSplitter) checkOrder(ev []byte) (fresh bool, err error) {
 	raw, ok := eventID(ev)
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -62,7 +62,7 @@
 	// maxRandomOffset exceeds the number of servers of any service.
 	maxRandomOffset = 1 << 16
 	// readBufferBytes is the size of one read of a stream; an event has about 100 bytes.
-	readBufferBytes = 16 << 10
+	readBufferBytes = 4 << 10
 )
 
 // exchange serves one request, from its arrival to its final answer.
--- a/serve/relay/room.go
+++ b/serve/relay/room.go
@@ -20,8 +20,9 @@
 
 // Bounds as metrics name them.
 const (
-	boundBody = "body"
-	boundRoom = "room"
+	boundBody  = "body"
+	boundRoom  = "room"
+	boundEvent = "event"
 )
 
 var (
@@ -194,5 +195,7 @@
 		r.count("answers_over_bound_total", "bound", boundBody)
 	case errors.Is(err, errNoRoom):
 		r.count("answers_over_bound_total", "bound", boundRoom)
+	case errors.Is(err, errEventTooLarge):
+		r.count("answers_over_bound_total", "bound", boundEvent)
 	}
 }
