Fuzz targets for bodies in chunks and for events

FuzzChunks checks that a body in chunks is the same however it arrives, and doesn't look whole without its last byte; FuzzEvents that a stream is split into the same events however it arrives, and keeps no more than the bound.

--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,5 @@
 	go test -run=XXX -fuzz=FuzzServerEntry -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzObjects -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzHead -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzChunks -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzEvents -fuzztime=30s ./serve/relay
