--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -115,7 +115,9 @@
 	rest     *rest
 	arrivals []Arrival
 	silences silences
-	closed   bool
+	// endlessAnswers are the answers without end that were closed.
+	endlessAnswers []EndlessAnswer
+	closed         bool
 }
 
 // Seen is a request as it arrived.
@@ -282,6 +284,8 @@
 		s.writeUnframedStream(w, r, f)
 	case Mute:
 		<-r.Context().Done()
+	case SlowHead, PausedHead, EndlessHead, EndlessLine, EndlessInterim, EndlessTrailer, EndlessExtension, EndlessEvent, EndlessBody, EndlessChunks, EndlessAfter:
+		s.writeEndless(w, id, f)
 	default:
 		s.writeAnswer(w, r, f)
 	}
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -14,13 +14,15 @@
 // forwardWhole reads an answer to its end before it sends any of it to the client,
 // so that the request can be retried if the answer breaks off.
 func (x *exchange) forwardWhole(t *try) (attempt.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(t.answer, maxAnswerBytes+1))
+	body, err := x.relay.answerRoom.readWhole(t.answer, func() { t.cancel(errNoRoom) })
 	h, writer := t.answer.Head(), t.plan.Writer().ID
 	switch {
+	case errors.Is(err, errAnswerTooLarge), errors.Is(err, errNoRoom):
+		x.relay.countExcess(err)
+		x.recordFailure(t, writer)
+		return attempt.Broken, errors.Mark(err, backend.ErrBroken)
 	case err != nil:
 		return x.classifyError(t, err)
-	case len(body) > maxAnswerBytes:
-		return attempt.Broken, errors.Newf("answer exceeds %d bytes", maxAnswerBytes)
 	case h.Status < 300 && !h.Sealed, h.Status >= 500 && !h.Sealed:
 		x.recordFailure(t, writer)
 		return attempt.Broken, errors.Newf("unsigned answer with status %d", h.Status)
@@ -29,6 +31,10 @@
 		// not declare so: a client could repeat a non-idempotent request that has run.
 		x.recordFailure(t, writer)
 		return attempt.Broken, errors.Newf("server answered %d without declaring that the request did not run", h.Status)
+	case h.Status >= 500 && len(body) > smallAnswerBytes:
+		// It would be kept until another attempt has ended.
+		x.recordFault(t, writer)
+		return attempt.Broken, errors.Newf("server answered %d with %d bytes", h.Status, len(body))
 	case h.Status >= 500:
 		x.recordFault(t, writer)
 		x.serverError, x.serverErrorBody = h, body
@@ -95,6 +101,7 @@
 		}
 	}
 	if feedErr != nil {
+		x.relay.countExcess(feedErr)
 		return x.classifyError(t, errors.Mark(feedErr, backend.ErrBroken))
 	}
 	return 0, nil
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -57,12 +57,10 @@
 	// wholeAnswerFactor is the share of the first-event target after which an
 	// idempotent request without a stream is retried at another server.
 	wholeAnswerFactor = 0.8
-	// maxAnswerBytes bounds the body of an answer that is not a stream.
-	maxAnswerBytes = 16 << 20
 	// maxRandomOffset exceeds the number of servers of any service.
 	maxRandomOffset = 1 << 16
 	// readBufferBytes is the size of one read of a stream; an event has about 100 bytes.
-	readBufferBytes = 16 << 10
+	readBufferBytes = 4 << 10
 )
 
 // exchange serves one request, from its arrival to its final answer.
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -78,6 +78,7 @@
 	client           backend.Client
 	guards           *backend.Guards
 	examiner         *examiner
+	answerRoom       room
 	// drained ends when the time to drain has passed.
 	drained  context.Context
 	endDrain context.CancelCauseFunc
