A stream of a service without a model of its engines no longer ends in a panic

Callers of such a stream saw their connection closed after the second event: the pause between events was judged by the engine that the service has not (spread.Short with nil). A configuration that moves or weighs a streaming route to a plain service, or drops its engine, is enough.

--- a/serve/relay/health.go
+++ b/serve/relay/health.go
@@ -70,7 +70,7 @@
 // slow. Pauses in answers to long prompts don't count, as their engines also prefill
 // for others, nor do any while the engines are overloaded.
 func (x *exchange) observePace(t *try) {
-	if x.route.Kind != route.Stream || x.newestGap == 0 || !spread.Short(x.service.Engine, x.req.PromptTokens) {
+	if x.route.Kind != route.Stream || x.service.Engine == nil || x.newestGap == 0 || !spread.Short(x.service.Engine, x.req.PromptTokens) {
 		return
 	}
 	r, id := x.relay, t.plan.Writer().ID
