A standby takes over only once it has what the client lacks, and is waited for

The standby reads its whole answer, or up to an event that the client has not, before it takes over. - An answer whose pieces kept coming ended after 2.25 s without a retry (502). Silence is counted from the last byte, and only answers that are not streams end for it. - 121 of 400 requests reached three servers where two are allowed: a standby that was dropped was not waited for and was counted after it was sent. It is counted before, and waited for. - Races of the two goroutines on what they choose servers by: a standby registers before it chooses, and no other attempt begins until it is done. - A panic in a standby ended the process; one while serving left calls counted and connections open. - No standby was asked for with a borrowed retry; a slow client was taken for a silent server; a server was charged with a failure for a silence after which it went on.

Not changed: with three attempts allowed no third server is asked while the standby is silent.

Modules without peers can be made for tests of the relay. The new specs pass with the race detector.

--- /dev/null
+++ b/control/follow/fixed.go
@@ -0,0 +1,14 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+)
+
+// NewFixed returns a follower of a list of servers that does not change, without a configuration.
+func NewFixed(now func() time.Duration, servers *backends.Snapshot) *Follower {
+	f := &Follower{now: now}
+	f.servers.Store(servers)
+	return f
+}
--- a/decide/attempt/attempt.go
+++ b/decide/attempt/attempt.go
@@ -127,6 +127,13 @@
 	s.mayHaveRun = true
 }
 
+// Unhedge takes back an attempt recorded by Hedge that did not reach its server.
+func (s *State) Unhedge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent--
+}
+
 // Next returns what follows an attempt with the given outcome. It calls budget only if a
 // retry is possible otherwise.
 func (s *State) Next(o Outcome, budget func() bool) Action {
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -14,7 +14,7 @@
 // forwardWhole reads an answer to its end before it sends any of it to the client,
 // so that the request can be retried if the answer breaks off.
 func (x *exchange) forwardWhole(t *try) (attempt.Outcome, error) {
-	body, err := x.relay.answerRoom.readWhole(t.answer, func() { t.cancel(errNoRoom) })
+	body, err := x.wholeBody(t)
 	h, writer := t.answer.Head(), t.plan.Writer().ID
 	switch {
 	case errors.Is(err, errAnswerTooLarge), errors.Is(err, errNoRoom):
@@ -48,6 +48,14 @@
 	return 0, nil
 }
 
+// wholeBody returns the body of an answer, which a standby has read already.
+func (x *exchange) wholeBody(t *try) ([]byte, error) {
+	if t.whole {
+		return t.begun, nil
+	}
+	return x.relay.answerRoom.readWhole(answerReader{x, t}, func() { t.cancel(errNoRoom) })
+}
+
 // impliesNotRun reports whether clients take a status to mean that the request did
 // not run and will not run later.
 func impliesNotRun(status int) bool {
@@ -69,7 +77,7 @@
 	}
 	buf := make([]byte, readBufferBytes)
 	for {
-		n, err := t.answer.Read(buf)
+		n, err := x.read(t, buf)
 		if o, perr := x.forwardPiece(t, buf[:n]); perr != nil {
 			return o, perr
 		}
@@ -117,7 +125,7 @@
 	}
 	out, err := x.splitter.feed(piece)
 	if len(out) > 0 {
-		t.cancelStandby()
+		t.dropStandby()
 	}
 	return out, err
 }
@@ -170,5 +178,7 @@
 	}
 	x.lastHeard.Store(int64(x.lastEvent))
 	x.recordWriting(t)
+	t.sending.Store(true)
+	defer t.sending.Store(false)
 	return x.sink.Write(events)
 }
--- a/serve/relay/budget.go
+++ b/serve/relay/budget.go
@@ -74,13 +74,6 @@
 	return true
 }
 
-// allowsRetry reports whether takeRetry would succeed now.
-func (r *Relay) allowsRetry(service string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.retryBudget(service).Allows(r.now())
-}
-
 // retryBudget returns this instance's part of the shared budget; r.mu must be held.
 func (r *Relay) retryBudget(service string) *retry.Shared {
 	b := r.pool(service).retries
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -79,8 +79,8 @@
 	// timeLimit counts from the arrival of the request.
 	timeLimit time.Duration
 
-	// mu guards avoid, retryAfter and splitter, and the standby of each attempt: an attempt at
-	// another server may be in progress while one goes on.
+	// mu guards avoid, retryAfter and splitter, and the standby of each attempt, which runs beside
+	// the goroutine of the exchange. What else both use changes only while no standby runs.
 	mu sync.Mutex
 	// avoid are the servers that already failed this request.
 	avoid []string
@@ -176,10 +176,7 @@
 	for {
 		x.last = t
 		outcome, err := x.serve(ctx, t)
-		t.close()
-		x.endTracking(t, err == nil)
 		if err == nil {
-			x.endWithout(t)
 			x.answered, x.answeredBy = true, t.plan.Writer().Version
 			x.logAnswered(t.plan)
 			return true
@@ -212,7 +209,7 @@
 		x.discardPartial()
 		return true
 	case attempt.Refuse:
-		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.retryAfter, x.retryAfterAllRest())))
+		x.endWithError(result.New(result.NoBackend, "no backend server ran the request").WithRetryAfter(max(minRetryAfterNotRun, x.longestRetryAfter(), x.retryAfterAllRest())))
 	case attempt.PassOn:
 		x.reply.respond(x.serverError, x.serverErrorBody)
 		x.warn("server error passed on")
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -58,16 +58,23 @@
 	defer x.runsMu.Unlock()
 	r := x.runs[version]
 	if r == nil {
-		r = &quarantine.Run{Service: x.service.Name, Version: version, Parts: x.req.SharedParts, Identity: x.identity}
+		r = x.newRun(version)
 		if x.runs == nil {
 			x.runs = map[string]*quarantine.Run{}
 		}
 		x.runs[version] = r
 	}
-	r.Tries = x.tries
+	if r.Tries != x.tries {
+		// It changes only while no standby runs.
+		r.Tries = x.tries
+	}
 	return r
 }
 
+func (x *exchange) newRun(version string) *quarantine.Run {
+	return &quarantine.Run{Service: x.service.Name, Version: version, Parts: x.req.SharedParts, Identity: x.identity}
+}
+
 // versions returns the software versions of the service's servers.
 func (x *exchange) versions() (out []string) {
 	for _, s := range x.relay.catalog.Servers().Ready(x.service.Name) {
@@ -202,9 +209,9 @@
 
 // watch has the attempt taken back if a part of its prompt is refused meanwhile.
 func (x *exchange) watch(version string, cancel context.CancelCauseFunc) (end func()) {
-	run := *x.features(version)
-	run.Cancel = func() { cancel(errPartRefused) }
-	return x.relay.quarantine.Begin(&run)
+	run := x.newRun(version)
+	run.Tries, run.Cancel = x.tries, func() { cancel(errPartRefused) }
+	return x.relay.quarantine.Begin(run)
 }
 
 // recordWriting tells the quarantine once of an attempt that its server has written for longer
--- a/serve/relay/standby.go
+++ b/serve/relay/standby.go
@@ -1,9 +1,9 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
+	"runtime/debug"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -15,143 +15,223 @@
 	"github.com/auburnmoor/auburnmoor/decide/route"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/eventlog"
+	"github.com/auburnmoor/auburnmoor/port/backend"
 )
 
 // A server that falls silent may go on a moment later. Its attempt therefore ends only once another
-// server answers the request, or continues the stream: the standby takes over with its first whole
-// event, or with the head of an answer that is not a stream. Whoever is first wins.
+// server continues the stream, or has answered the request: the standby takes over with its first
+// event that the client has not, or with its whole answer if that is not a stream. Whoever is first
+// wins.
 
-// errDropped ends a standby that is not needed any more.
-var errDropped = errors.New("the silent server went on")
+// Errors of standbys.
+var (
+	// errDropped ends a standby that is not needed any more.
+	errDropped   = errors.New("the silent server went on")
+	errNoStandby = errors.New("no other server can be asked now")
+)
+
+// standby is the attempt at another server while one is silent. Its fields are guarded by the mutex
+// of the exchange, but for done.
+type standby struct {
+	// try is nil until its server is chosen.
+	try *try
+	// dropped is set once the silent attempt went on or ended.
+	dropped bool
+	// done is closed when the standby has taken over, has failed or was dropped.
+	done chan struct{}
+}
 
-// tryStandby asks another server to answer while an attempt goes on. It returns when the standby
-// has taken over, has failed or was dropped, or at once if none is possible now.
+// tryStandby asks another server while an attempt goes on, and returns when the standby is done. The
+// goroutine of the exchange waits for it before it makes another attempt, so that they never choose
+// servers at the same time.
 func (x *exchange) tryStandby(ctx context.Context, t *try) {
-	if !x.mayHedge() || !x.canRetry() {
+	sb := x.beginStandby(t)
+	if sb == nil {
 		return
 	}
-	x.recordFailure(t, serverIDs(t.plan)...)
-	plan, verdict := x.placeStandby(t)
-	if verdict != spread.Placed {
+	defer x.endStandby(t, sb)
+	s, err := x.placeStandby(ctx, t, sb)
+	if errors.Is(err, errNoStandby) {
 		return
 	}
-	s := x.newTry(ctx, plan)
-	if !x.runStandby(t, s) {
-		x.drop(s)
+	if err == nil {
+		err = x.runStandby(t, sb, s)
+	}
+	if err == nil {
+		return
+	}
+	dropped := errors.Is(context.Cause(s.ctx), errDropped)
+	x.finish(s, false)
+	if !dropped {
+		x.addAvoided(s.plan.Writer().ID)
+	}
+	x.relay.log.Info("standby ended", zap.String("request", x.req.ID), zap.String("server", s.plan.Writer().ID),
+		zap.String("silent", t.plan.Writer().ID), zap.Duration("left", x.remaining()), eventlog.Error(err))
+}
+
+// beginStandby registers a standby of an attempt that goes on and has none.
+func (x *exchange) beginStandby(t *try) *standby {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if t.ended || t.standby != nil {
+		return nil
+	}
+	t.standby = &standby{done: make(chan struct{})}
+	return t.standby
+}
+
+// endStandby ends a standby. A panic in it is logged and leaves the silent attempt as it is.
+func (x *exchange) endStandby(t *try, sb *standby) {
+	if p := recover(); p != nil {
+		x.relay.log.Error("standby panicked", zap.String("request", x.req.ID), zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+		if sb.try != nil {
+			x.finish(sb.try, false)
+		}
 	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if t.standby == sb {
+		t.standby = nil
+	}
+	close(sb.done)
 }
 
 // placeStandby chooses another server than the one that is silent, without helpers.
-func (x *exchange) placeStandby(t *try) (spread.Plan, spread.Verdict) {
+func (x *exchange) placeStandby(ctx context.Context, t *try, sb *standby) (*try, error) {
+	if !x.mayHedge() {
+		return nil, errNoStandby
+	}
 	servers, total := x.relay.candidates(x.service, false)
 	silent := t.plan.Writer().ID
 	servers = slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool { return s.ID == silent })
-	return x.placeAmong(servers, total, 0, true)
+	plan, verdict := x.placeAmong(servers, total, 0, true)
+	if verdict != spread.Placed {
+		return nil, errNoStandby
+	}
+	s := x.newTry(ctx, plan)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	sb.try = s
+	if sb.dropped {
+		s.cancel(errDropped)
+	}
+	return s, nil
 }
 
 // mayHedge reports whether another server may get the request besides the one that has it. A
 // request that may be the cause of crashes waits.
 func (x *exchange) mayHedge() bool {
-	if !x.route.Repeatable() || x.state.Left() == 0 {
+	if !x.route.Repeatable() || x.state.Left() == 0 || x.remaining() <= minRetryTime {
 		return false
 	}
 	return x.relay.quarantine.Empty() || x.assessRequest().Verdict == poison.Clean
 }
 
-// runStandby makes an attempt beside a silent one and reports whether it has taken over.
-func (x *exchange) runStandby(t, s *try) bool {
-	done, registered := x.registerStandby(t, s)
-	if !registered {
-		return false
-	}
-	defer close(done)
-	defer x.unregisterStandby(t, s)
+// runStandby sends the request to the server of a standby and has it take over.
+func (x *exchange) runStandby(t *try, sb *standby, s *try) error {
 	if !x.relay.takeRetry(s.ctx, x.service.Name) {
-		return false
+		return errNoStandby
 	}
 	x.relay.count("standbys_total", "route", x.route.Kind.String())
-	outcome, err := x.send(s, x.state.Left() > 1)
-	if outcome != attempt.NotSent || err == nil {
-		x.state.Hedge()
+	// Counted before it is sent: the attempt that goes on may end meanwhile.
+	x.state.Hedge()
+	more := x.state.Left() > 0
+	if outcome, err := x.send(s, more); err != nil {
+		if outcome == attempt.NotSent {
+			x.state.Unhedge()
+		}
+		return err
 	}
-	if err == nil {
-		err = x.awaitBeginning(s)
+	if err := x.awaitBeginning(s); err != nil {
+		return err
 	}
-	if err == nil && x.takeOver(t, s) {
-		return true
+	if !x.takeOver(t, sb, s) {
+		return errDropped
 	}
-	if err != nil && !errors.Is(context.Cause(s.ctx), errDropped) {
-		x.addAvoided(s.plan.Writer().ID)
-	}
-	x.relay.log.Info("standby ended", zap.String("request", x.req.ID), zap.String("server", s.plan.Writer().ID),
-		zap.String("silent", t.plan.Writer().ID), zap.Duration("left", x.remaining()), eventlog.Error(err))
-	return false
+	return nil
 }
 
-// registerStandby makes s the standby of an attempt that has not ended.
-func (x *exchange) registerStandby(t, s *try) (done chan struct{}, registered bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if t.ended || t.standby != nil {
-		return nil, false
+// awaitBeginning waits until a standby has what the client lacks.
+func (x *exchange) awaitBeginning(s *try) error {
+	h, writer := s.answer.Head(), s.plan.Writer().ID
+	switch {
+	case h.Status >= 500 && h.Sealed && !impliesNotRun(h.Status):
+		x.recordFault(s, writer)
+		return errors.Newf("server answered %d", h.Status)
+	case !h.Sealed || impliesNotRun(h.Status):
+		x.recordFailure(s, writer)
+		return errors.Newf("server answered %d, signed: %t", h.Status, h.Sealed)
+	case x.route.Kind == route.Stream && h.Status < 300:
+		return x.readFirstEvent(s)
+	case x.streamStarted.Load():
+		return errors.Newf("server answered %d to the continuation of a stream", h.Status)
+	default:
+		return x.readAnswer(s)
 	}
-	t.standby, t.standbyDone = s, make(chan struct{})
-	return t.standbyDone, true
 }
 
-// unregisterStandby ends the part of a standby that did not take over.
-func (x *exchange) unregisterStandby(t, s *try) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if t.standby == s {
-		t.standby = nil
+// readAnswer reads the whole answer of a standby.
+func (x *exchange) readAnswer(s *try) error {
+	body, err := x.relay.answerRoom.readWhole(s.answer, func() { s.cancel(errNoRoom) })
+	if err != nil {
+		_, err = x.classifyError(s, err)
+		return err
 	}
+	s.begun, s.whole = body, true
+	return nil
 }
 
-// awaitBeginning waits until the answer of a standby has begun.
-func (x *exchange) awaitBeginning(s *try) error {
-	h := s.answer.Head()
-	if !h.Sealed || h.Status >= 500 || impliesNotRun(h.Status) {
-		x.recordFailure(s, s.plan.Writer().ID)
-		return errors.Newf("server answered %d", h.Status)
-	}
-	if x.route.Kind != route.Stream {
-		return nil
-	}
-	if h.Status >= 300 {
-		return errors.Newf("server answered %d to the continuation of a stream", h.Status)
-	}
-	return x.readFirstEvent(s)
-}
+// maxRepeatedBytes bounds what a standby sends before the first event that the client has not.
+const maxRepeatedBytes = 4 * maxEventBytes
 
-// readFirstEvent reads a stream up to the end of its first event, or to its own end.
+// readFirstEvent reads the stream of a standby up to the end of the first event that the client has
+// not, or to its end if the client has all.
 func (x *exchange) readFirstEvent(s *try) error {
 	buf := make([]byte, readBufferBytes)
 	for {
-		n, err := s.answer.Read(buf)
+		n, readErr := s.answer.Read(buf)
 		s.begun = append(s.begun, buf[:n]...)
+		fresh, err := x.continues(s.begun)
 		switch {
-		case bytes.Contains(s.begun, eventEnd):
+		case err != nil:
+			return x.failStandby(s, err)
+		case fresh:
 			return nil
-		case errors.Is(err, io.EOF) && len(s.begun) == 0:
+		case errors.Is(readErr, io.EOF) && x.streamStarted.Load():
 			return nil
-		case err != nil:
-			_, err = x.classifyError(s, err)
-			return err
-		case len(s.begun) > maxEventBytes:
-			return errEventTooLarge
+		case errors.Is(readErr, io.EOF):
+			return x.failStandby(s, io.ErrUnexpectedEOF)
+		case readErr != nil:
+			return x.failStandby(s, readErr)
+		case len(s.begun) > maxRepeatedBytes:
+			return x.failStandby(s, errEventTooLarge)
 		}
 	}
 }
 
+func (x *exchange) failStandby(s *try, err error) error {
+	_, err = x.classifyError(s, errors.Mark(err, backend.ErrBroken))
+	return err
+}
+
+// continues reports whether the beginning of a stream holds an event that the client has not.
+func (x *exchange) continues(begun []byte) (fresh bool, err error) {
+	x.mu.Lock()
+	ahead := x.splitter
+	x.mu.Unlock()
+	ahead.buffered = nil
+	out, err := ahead.feed(begun)
+	return len(out) > 0, err
+}
+
 // takeOver makes a standby the replacement of an attempt that is still silent.
-func (x *exchange) takeOver(t, s *try) bool {
+func (x *exchange) takeOver(t *try, sb *standby, s *try) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if t.standby != s {
+	if sb.dropped {
 		return false
 	}
-	t.standby, t.replacement = nil, s
+	t.replacement = s
 	t.cancel(errReplaced)
 	return true
 }
@@ -163,27 +243,32 @@
 	if t.replacement != nil {
 		return false
 	}
-	t.cancelStandby()
+	t.ended = true
+	t.dropStandby()
 	return true
 }
 
-// cancelStandby drops the standby of an attempt that went on; the mutex of the exchange must be held.
-func (t *try) cancelStandby() {
-	if t.standby != nil {
-		t.standby.cancel(errDropped)
-		t.standby = nil
+// dropStandby drops the standby of an attempt that went on or ended; the mutex of the exchange must
+// be held.
+func (t *try) dropStandby() {
+	if t.standby == nil {
+		return
+	}
+	t.standby.dropped = true
+	if t.standby.try != nil {
+		t.standby.try.cancel(errDropped)
 	}
 }
 
-// endWithout ends an attempt after which no standby is needed.
+// endWithout ends an attempt after which no standby is needed, and waits for its standby.
 func (x *exchange) endWithout(t *try) {
 	x.mu.Lock()
 	t.ended = true
-	t.cancelStandby()
-	replacement := t.replacement
+	t.dropStandby()
 	x.mu.Unlock()
-	if replacement != nil {
-		x.drop(replacement)
+	if next := x.awaitReplacement(t); next != nil {
+		next.cancel(errDropped)
+		x.finish(next, false)
 	}
 }
 
@@ -191,10 +276,10 @@
 func (x *exchange) awaitReplacement(t *try) *try {
 	x.mu.Lock()
 	t.ended = true
-	pending, done := t.standby != nil, t.standbyDone
+	sb := t.standby
 	x.mu.Unlock()
-	if pending {
-		<-done
+	if sb != nil {
+		<-sb.done
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -207,10 +292,3 @@
 	defer x.mu.Unlock()
 	return t.ended
 }
-
-// drop ends an attempt that is not needed.
-func (x *exchange) drop(s *try) {
-	s.cancel(errDropped)
-	s.close()
-	x.endTracking(s, false)
-}
--- a/serve/relay/timeout.go
+++ b/serve/relay/timeout.go
@@ -34,7 +34,9 @@
 // watchSilence asks another server when nothing comes from those of an attempt within its timeout,
 // which is extended while the engines are overloaded. The attempt goes on meanwhile.
 func (x *exchange) watchSilence(ctx context.Context, t *try) {
-	t.heardAt.Store(int64(x.relay.now()))
+	now := int64(x.relay.now())
+	t.heardAt.Store(now)
+	t.byteAt.Store(now)
 	timeout := x.attemptTimeout(t.plan)
 	// The timer may fire before t.silence is set.
 	armed := make(chan struct{})
@@ -53,6 +55,11 @@
 	if x.streamStarted.Load() {
 		timeout = x.gapTimeout()
 	}
+	if t.sending.Load() {
+		// The client is slow, not the server.
+		t.silence.Reset(attempt.ExtendInterval)
+		return
+	}
 	if left := timeout - (x.relay.now() - time.Duration(t.heardAt.Load())); left > 0 {
 		t.silence.Reset(left)
 		return
@@ -71,23 +78,22 @@
 // maxSoundSilence is how long sound servers fall silent at most.
 const maxSoundSilence = 2 * time.Second
 
-// endIfDead ends an attempt of which the client has nothing yet once its server was silent for
-// longer than a sound one, so that the client can repeat the request itself.
+// endIfDead ends an attempt at a service once its server was silent for longer than a sound one, so
+// that the client, which has nothing of the answer yet, can repeat the request itself.
 func (x *exchange) endIfDead(t *try, timeout time.Duration) {
-	if x.streamStarted.Load() || !x.route.Repeatable() || x.state.Left() == 0 {
+	if x.route.Kind == route.Stream || !x.route.Repeatable() || x.state.Left() == 0 {
+		return
+	}
+	if x.relay.now()-time.Duration(t.byteAt.Load()) <= timeout+maxSoundSilence {
 		return
 	}
-	if x.relay.now()-time.Duration(t.heardAt.Load()) > timeout+maxSoundSilence {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !t.ended && t.replacement == nil {
 		t.cancel(errSilent)
 	}
 }
 
-// canRetry reports whether another attempt would be allowed now. State.Next takes the retry once
-// the attempt has ended.
-func (x *exchange) canRetry() bool {
-	return x.remaining() > minRetryTime && x.relay.allowsRetry(x.service.Name)
-}
-
 // overloaded reports whether the servers of a plan have more work than they can run at
 // once, so that a late answer does not indicate a fault.
 func (x *exchange) overloaded(plan spread.Plan) bool {
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -24,9 +24,10 @@
 	load   *placedLoad
 	res    *reservations
 	// answer is nil until its head has arrived, begun is what was read of its body before the
-	// client gets any of it.
+	// attempt took over, whole whether that is all of it.
 	answer backend.Answer
 	begun  []byte
+	whole  bool
 	// unwatch ends the watch for refused parts of the prompt.
 	unwatch func()
 
@@ -44,16 +45,18 @@
 	// wroteOn is set once the attempt is known not to crash its server.
 	wroteOn bool
 
-	// silence fires when nothing was heard for the timeout of the attempt. heardAt is when
-	// anything last was, or the attempt began, in nanoseconds since the start of the process.
-	silence *time.Timer
-	heardAt atomic.Int64
-	// ended is set once the attempt is over. standby is the attempt at another server while this one is silent, replacement the standby
-	// that takes over; standbyDone closes when it does, has failed or was dropped. All are
-	// guarded by the mutex of the exchange.
-	ended                bool
-	standby, replacement *try
-	standbyDone          chan struct{}
+	// silence fires when nothing was heard for the timeout of the attempt. heardAt is when the
+	// last event or head arrived, or the attempt began, byteAt when anything did, in nanoseconds
+	// since the start of the process. sending is set while the client takes events.
+	silence         *time.Timer
+	heardAt, byteAt atomic.Int64
+	sending         atomic.Bool
+	// ended is set once the attempt is over; no standby begins from then on. standby is the attempt at
+	// another server while this one is silent, replacement the try that takes over. They are guarded
+	// by the mutex of the exchange.
+	ended       bool
+	standby     *standby
+	replacement *try
 }
 
 // newTry begins an attempt at the servers of a plan, whose load is already counted.
@@ -75,10 +78,37 @@
 	t.load.end()
 }
 
-// serve has the answer of an attempt sent to the client.
-func (x *exchange) serve(ctx context.Context, t *try) (attempt.Outcome, error) {
+// serve has the answer of an attempt sent to the client, and ends the attempt.
+func (x *exchange) serve(ctx context.Context, t *try) (o attempt.Outcome, err error) {
+	answered, returned := false, false
 	x.watchSilence(ctx, t)
-	defer t.silence.Stop()
+	defer func() {
+		t.silence.Stop()
+		if !returned {
+			x.abandon(t)
+		}
+		x.finish(t, answered)
+	}()
+	o, err = x.serveAnswer(t)
+	answered, returned = err == nil, true
+	return o, err
+}
+
+// abandon ends an attempt whose serving panicked.
+func (x *exchange) abandon(t *try) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	t.ended = true
+	t.dropStandby()
+}
+
+// finish ends an attempt and the tracking of its servers.
+func (x *exchange) finish(t *try, answered bool) {
+	t.close()
+	x.endTracking(t, answered)
+}
+
+func (x *exchange) serveAnswer(t *try) (attempt.Outcome, error) {
 	if t.answer == nil {
 		if o, err := x.send(t, x.state.Left() > 0); err != nil {
 			return o, err
@@ -96,6 +126,24 @@
 	return x.forwardWhole(t)
 }
 
+// read reads the answer of an attempt and records that something arrived.
+func (x *exchange) read(t *try, p []byte) (int, error) {
+	n, err := t.answer.Read(p)
+	if n > 0 {
+		t.byteAt.Store(int64(x.relay.now()))
+	}
+	return n, err
+}
+
+// answerReader reads the answer of an attempt.
+type answerReader struct {
+	x *exchange
+	t *try
+}
+
+// Read implements io.Reader.
+func (r answerReader) Read(p []byte) (int, error) { return r.x.read(r.t, p) }
+
 // send sends the request and waits for the head of the answer. more is set if another attempt
 // may follow.
 func (x *exchange) send(t *try, more bool) (attempt.Outcome, error) {
@@ -116,6 +164,7 @@
 		return x.classifyError(t, err)
 	}
 	t.answer = answer
+	t.byteAt.Store(int64(x.relay.now()))
 	h := answer.Head()
 	if h.NotRun {
 		return x.handleNotRun(t.plan, h)
@@ -168,6 +217,7 @@
 		x.recordFailure(t, serverIDs(t.plan)...)
 		return attempt.Silent, errors.Mark(errSilent, backend.ErrBroken)
 	case errors.Is(context.Cause(t.ctx), errReplaced):
+		x.recordFailure(t, serverIDs(t.plan)...)
 		return attempt.Silent, errors.Mark(errReplaced, backend.ErrBroken)
 	case t.ctx.Err() != nil:
 		return attempt.Broken, err
@@ -187,6 +237,13 @@
 	x.retryAfter = max(x.retryAfter, d)
 }
 
+// longestRetryAfter returns the longest of the times recorded.
+func (x *exchange) longestRetryAfter() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.retryAfter
+}
+
 // addAvoided records servers that failed this request.
 func (x *exchange) addAvoided(ids ...string) {
 	x.mu.Lock()
