--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -209,8 +209,23 @@
 	if !read {
 		return
 	}
-	c.addViolation(Answered, r.sent, "%s (%s) at %s, life %d, got no answer after %.3fs, passed on %t, status %d, %d bytes: %v",
-		r.id, r.kind.path, r.sentTo.name, r.life, r.done.Sub(r.sent).Seconds(), passedOn, r.Status, len(r.Body), r.Err)
+	c.addViolation(Answered, r.sent, "%s (%s) at %s, life %d, got no answer after %.3fs, passed on %t, status %d, %d bytes: %v; log: %s",
+		r.id, r.kind.path, r.sentTo.name, r.life, r.done.Sub(r.sent).Seconds(), passedOn, r.Status, len(r.Body), r.Err, c.lastLogLine(r))
+}
+
+// lastLogLine returns the last line about a request in the log of its instance.
+func (c *checker) lastLogLine(r record) string {
+	raw, err := os.ReadFile(c.fleet.logPath(r.sentTo))
+	if err != nil {
+		return err.Error()
+	}
+	last := "names no such request"
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, `"`+r.id+`"`) {
+			last = strings.TrimSpace(line)
+		}
+	}
+	return last
 }
 
 // timeIsUp reports whether a request has ended no sooner than its deadline or its route's timeout.
