--- a/cli/serve.go
+++ b/cli/serve.go
@@ -113,7 +113,10 @@
 	}
 	err := p.Stop(ctx)
 	log.Info("stopped", zap.Error(err))
-	return errors.Join(err, p.Close())
+	err = errors.Join(err, p.Close())
+	// Lines are written by a goroutine, which the exit would end. A failed flush can't be logged.
+	_ = log.Sync()
+	return err
 }
 
 type configCmd struct {
