Suspected parts that need more crashes are run by one request of the fleet at a time

Beside crashes of other causes a part of prompts is refused after four to six crashes instead of three.

Now an instance whose request has waited claims the part, as for a trial of a refused one, and after 0.2 s in which the others hear of it that request alone is sent. Its crash ends the claim, so that the next one is sent after the next pause; an answer clears the part; if the attempt ends without either, the permission goes to another request. After a second without a result all are sent, as before. A claim from before the last crash is not taken over from others: told on, it would go round.

--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -31,6 +31,8 @@
 	Cancel func()
 
 	keys *blame.Run
+	// probe is the permission to be the only run with a suspected part.
+	probe blame.Trial
 }
 
 // features returns the keys of the run, computed on first use; no run has none.
@@ -46,7 +48,7 @@
 		}
 	}
 	keys := *r.keys
-	keys.Tries = r.Tries
+	keys.Tries, keys.Probes = r.Tries, r.probe.Part
 	return keys
 }
 
@@ -91,6 +93,25 @@
 	return p
 }
 
+// ProbePart asks whether a run may be the only one with a suspected part.
+func (q *Quarantine) ProbePart(r *Run, part blame.Key) (p blame.Permission) {
+	q.withParts(func(t *blame.Table) { p = t.TryPart(q.now(), part) })
+	if p.Granted {
+		r.probe = p.Trial
+		q.log.Info("suspected part of prompts is run by one request", zap.Stringer("part", part))
+	}
+	return p
+}
+
+// EndProbe gives back the permission of a run that has ended, if it had one.
+func (q *Quarantine) EndProbe(r *Run) {
+	if r.probe.Part == 0 {
+		return
+	}
+	q.withParts(func(t *blame.Table) { t.Return(r.probe) })
+	r.probe = blame.Trial{}
+}
+
 // addCrashOfParts records the crash of a server while it ran a run. q.mu must be held.
 func (q *Quarantine) addCrashOfParts(c poison.Crash, servers int, r *Run) {
 	var fresh blame.Run
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -162,6 +162,89 @@
 		Expect(verdict(7*time.Second, run(30, "dead"))).To(Equal(blame.Refused))
 	})
 
+	// Guards against requests that waited with a suspected part, are sent together and end a server
+	// each, where the part needs more crashes than usual.
+	Describe("of a suspected part that needs more of them", func() {
+		const last = 4500 * ms
+		BeforeEach(func() {
+			for n := range 8 {
+				crash(time.Duration(n)*500*ms, run(n, fmt.Sprint("x", n)))
+			}
+			for n := range 3 {
+				crash(last-time.Duration(2-n)*200*ms, run(10+n, "dead"))
+			}
+			t.Take()
+		})
+		probe := func(now time.Duration) blame.Permission {
+			Expect(verdict(now, run(30, "dead"))).To(Equal(blame.Probe))
+			return t.TryPart(now, part("dead"))
+		}
+		// granted asks until a permission is granted.
+		granted := func(now time.Duration) (time.Duration, blame.Permission) {
+			p := probe(now)
+			if p.Granted {
+				return now, p
+			}
+			p2 := probe(now + p.Wait)
+			Expect(p2.Granted).To(BeTrue())
+			return now + p.Wait, p2
+		}
+
+		It("let one request be sent no sooner than after a pause, then one after each crash", func() {
+			Expect(verdict(last+50*ms, run(30, "dead"))).To(Equal(blame.Suspect))
+			at, p := granted(last + 100*ms)
+			Expect(at).To(BeNumerically(">=", last+300*ms))
+			probing := run(31, "dead")
+			probing.Probes = p.Trial.Part
+			Expect(verdict(at, probing)).To(Equal(blame.Clean))
+			other := probe(at)
+			Expect(other.Granted).To(BeFalse())
+			Expect(other.Wait).To(BeNumerically(">", 0))
+			crash(at+200*ms, run(31, "dead"))
+			Expect(verdict(at+250*ms, run(30, "dead"))).To(Equal(blame.Suspect))
+			granted(at + 350*ms)
+		})
+
+		It("let another request be sent if the first had no result", func() {
+			at, p := granted(last + 100*ms)
+			t.Return(p.Trial)
+			Expect(probe(at + 10*ms).Granted).To(BeTrue())
+			Expect(probe(at + 20*ms).Granted).To(BeFalse())
+		})
+
+		It("keep a later permission if an earlier one is returned", func() {
+			at, p := granted(last + 100*ms)
+			crash(at+200*ms, run(31, "dead"))
+			later, _ := granted(at + 350*ms)
+			t.Return(p.Trial)
+			Expect(probe(later).Granted).To(BeFalse())
+		})
+
+		It("let all be sent if the first has no result for long", func() {
+			at, _ := granted(last + 100*ms)
+			Expect(t.TryPart(at+time.Second, part("dead")).Wait).To(BeZero())
+			Expect(verdict(last+1400*ms, run(30, "dead"))).To(Equal(blame.Clean))
+		})
+
+		It("end the wait by an answer", func() {
+			t.Clear(last+400*ms, run(31, "dead"))
+			Expect(verdict(last+400*ms, run(30, "dead"))).To(Equal(blame.Clean))
+		})
+
+		It("take no permission from before them", func() {
+			at, p := granted(last + 100*ms)
+			two := blame.NewTable(blame.Options{Self: 2})
+			for _, u := range t.All() {
+				two.Merge(at, u)
+			}
+			crash(at+200*ms, run(31, "dead"))
+			two.Merge(at+200*ms, t.Take().Crashes[0])
+			two.Take()
+			two.MergeTrial(at+210*ms, p.Trial)
+			Expect(two.Take().Trials).To(BeEmpty(), "told on, it would go round")
+		})
+	})
+
 	It("explain that a sound request was in them", func() {
 		for at := range 3 {
 			crash(time.Duration(at)*100*ms, run(at, "dead"), run(50, "x"))
--- a/decide/blame/doc.go
+++ b/decide/blame/doc.go
@@ -20,6 +20,10 @@
 //   - The more servers crash without the part, the more of its crashes may be chance, and the more
 //     are needed.
 //
+// Requests with a part in two crashes wait for reports of others. Where more crashes than usual are
+// needed, one request of the whole fleet at a time is run after the wait: sent together, those that
+// waited would end a server each.
+//
 // A refused part is tried again, by one request of the whole fleet at a time, after a time that
 // grows with the span of its crashes. An answer to that clears it.
 //
--- a/decide/blame/key.go
+++ b/decide/blame/key.go
@@ -54,7 +54,8 @@
 	// Request is the whole request.
 	Request Key
 	// Tries is the part that the run is the trial of, zero for none.
-	Tries Key
+	// Probes is the suspected part that only this run of the fleet has, zero for none.
+	Tries, Probes Key
 }
 
 // has reports whether the run has a key.
--- a/decide/blame/suspect.go
+++ b/decide/blame/suspect.go
@@ -71,9 +71,10 @@
 	return r.has(s.part) && !slices.ContainsFunc(s.companions, func(k Key) bool { return !r.has(k) })
 }
 
-// triedBy reports whether a run is the trial of the part, or of one that is in the same crashes.
-func (s *suspect) triedBy(r Run) bool {
-	return r.Tries != 0 && (s.part == r.Tries || slices.Contains(s.companions, r.Tries))
+// concerns reports whether the permission for a part also holds for this one: it is the same, or
+// in the same crashes.
+func (s *suspect) concerns(permitted Key) bool {
+	return permitted != 0 && (s.part == permitted || slices.Contains(s.companions, permitted))
 }
 
 // findSuspects returns the parts in two crashes or more, by key.
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -15,6 +15,8 @@
 	clockError = 5 * time.Millisecond
 	// suspectPause is how long requests with a suspected part wait after its last crash.
 	suspectPause = 300 * time.Millisecond
+	// probeTime is how long after that only one request of the fleet at a time is run.
+	probeTime = time.Second
 	// maxCrashes bounds the crashes kept; those of refused parts are kept longest.
 	maxCrashes = 192
 	// crashRetention is how long a crash is kept, refusedRetention that of a refused part.
@@ -33,6 +35,8 @@
 	Clean Verdict = iota
 	// Due requests may be run as a trial, by one instance.
 	Due
+	// Probe requests may be run one at a time, by one instance.
+	Probe
 	// Suspect requests wait.
 	Suspect
 	// Refused requests must not be run.
@@ -162,10 +166,14 @@
 	suspects := t.findSuspects()
 	for _, p := range r.Parts {
 		s := suspects[p]
-		if s == nil || !s.matches(r) || s.triedBy(r) {
+		if s == nil || !s.matches(r) || s.concerns(r.Tries) {
 			continue
 		}
-		if a := t.assess(now, s); a.Verdict > out.Verdict || a.Verdict == out.Verdict && a.RetryAfter > out.RetryAfter {
+		a := t.assess(now, s)
+		if a.Verdict == Probe && s.concerns(r.Probes) {
+			continue
+		}
+		if a.Verdict > out.Verdict || a.Verdict == out.Verdict && a.RetryAfter > out.RetryAfter {
 			out = a
 		}
 	}
@@ -181,12 +189,26 @@
 		a.Verdict = Due
 	case s.refused:
 		a.Verdict, a.Wait = Suspect, settleTime
-	case now < s.last()+suspectPause:
-		a.Verdict, a.Wait = Suspect, s.last()+suspectPause-now
+	case now < s.last()+s.pause():
+		a.Verdict, a.Wait = Suspect, s.last()+s.pause()-now
+	case s.probed() && now < s.last()+suspectPause+probeTime:
+		a.Verdict = Probe
 	}
 	return a
 }
 
+// probed reports whether requests with the part are run one at a time: more crashes than usual are
+// needed, and requests that waited would be sent together and end a server each.
+func (s *suspect) probed() bool { return s.required > minMoments }
+
+// pause is how long requests wait after the last crash; it takes a probe claimDelay more.
+func (s *suspect) pause() time.Duration {
+	if s.probed() {
+		return suspectPause - claimDelay
+	}
+	return suspectPause
+}
+
 // RefusedPart is a part whose crashes are not chance.
 type RefusedPart struct {
 	Part Key
--- a/decide/blame/trial.go
+++ b/decide/blame/trial.go
@@ -33,6 +33,8 @@
 // Permission is the answer to a request that wants to be a trial.
 type Permission struct {
 	Granted bool
+	// Trial is what was granted.
+	Trial Trial
 	// Wait is how long to wait before asking again, zero if the request is refused.
 	Wait time.Duration
 	// RetryAfter is the time after which the trial of another request is over.
@@ -43,7 +45,7 @@
 // its intention and waits until all others know; of several the least claimant tries.
 func (t *Table) TryPart(now time.Duration, part Key) Permission {
 	tr := t.trials[part]
-	if tr == nil || now-tr.At >= trialTimeout {
+	if tr == nil || t.over(now, tr.Trial) {
 		tr = &trial{Trial: Trial{Part: part, Claimant: t.o.Self, At: now}, pending: true}
 		t.trials[part] = tr
 	}
@@ -58,14 +60,27 @@
 		return Permission{Wait: tr.At + claimDelay - now}
 	default:
 		tr.used = true
-		return Permission{Granted: true}
+		return Permission{Granted: true, Trial: tr.Trial}
+	}
+}
+
+// over reports whether a trial has ended: by a crash with its part, or without a result.
+func (t *Table) over(now time.Duration, tr Trial) bool {
+	s := t.findSuspects()[tr.Part]
+	return now-tr.At >= trialTimeout || s != nil && s.last() > tr.At+clockError
+}
+
+// Return gives back a granted trial, so that another request gets it if there was no result.
+func (t *Table) Return(granted Trial) {
+	if tr := t.trials[granted.Part]; tr != nil && tr.Trial == granted {
+		tr.used = false
 	}
 }
 
 // MergeTrial adds the intention of another instance.
 func (t *Table) MergeTrial(now time.Duration, in Trial) {
 	tr := t.trials[in.Part]
-	if now-in.At >= trialTimeout || tr != nil && now-tr.At < trialTimeout && (tr.used || tr.Claimant <= in.Claimant) {
+	if t.over(now, in) || tr != nil && !t.over(now, tr.Trial) && (tr.used || tr.Claimant <= in.Claimant) {
 		return
 	}
 	t.trials[in.Part] = &trial{Trial: in, pending: true}
--- a/lab/suspects/parts.go
+++ b/lab/suspects/parts.go
@@ -208,7 +208,7 @@
 // features returns what the request of a run has that may crash servers.
 func (x *run) features() blame.Run {
 	r := x.req.prompt.run
-	r.Tries = x.tries
+	r.Tries, r.Probes = x.tries, x.probe.Part
 	return r
 }
 
@@ -227,6 +227,14 @@
 			x.tries = a.Part
 		}
 		return p.Wait, !p.Granted && p.Wait == 0
+	case blame.Probe:
+		p := i.parts.TryPart(now, a.Part)
+		w.scheduleSend(i)
+		if p.Granted {
+			x.probe = p.Trial
+			return w.assessParts(x)
+		}
+		return p.Wait, false
 	default:
 		return a.Wait, false
 	}
--- a/lab/suspects/suspects.go
+++ b/lab/suspects/suspects.go
@@ -150,6 +150,8 @@
 	sawCrash   bool
 	// tries is the refused part that the request is the trial of, zero for none.
 	tries blame.Key
+	// probe is the permission to be the only run of the fleet with a suspected part.
+	probe blame.Trial
 	// firstEvent is when the server began to write, zero before.
 	firstEvent time.Duration
 }
@@ -412,7 +414,8 @@
 	i := x.at
 	i.table.AddCrash(i.localTime(w.now()), x.req.key, poison.Crash{Server: id, Began: i.localTime(x.began), Ended: i.localTime(at)})
 	w.addCrashOfParts(x, id, at)
-	x.sawCrash, x.tries = true, 0
+	i.parts.Return(x.probe)
+	x.sawCrash, x.tries, x.probe = true, 0, blame.Trial{}
 	if i.table.Assess(i.localTime(w.now()), x.req.key, len(w.servers), nil).Verdict != poison.Clean && !x.req.poison && !x.req.suspect {
 		x.req.suspect = true
 		w.res.Suspects++
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -169,6 +169,13 @@
 			return p.Wait, nil
 		}
 		a.RetryAfter = p.RetryAfter
+	case blame.Probe:
+		p := q.ProbePart(run, a.Part)
+		if p.Granted {
+			// Another part may have to be tried as well.
+			return x.assessAt(version)
+		}
+		return p.Wait, nil
 	case blame.Refused:
 	default:
 		return a.Wait, nil
@@ -221,6 +228,7 @@
 // ran the request.
 func (x *exchange) recordCrash(plan spread.Plan) {
 	x.tries = 0
+	defer x.endProbes()
 	x.crashed = x.condition == backend.ServerEnded
 	if !x.crashed {
 		return
@@ -252,8 +260,16 @@
 	return slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool { return load(s.ID).Calls > minCalls })
 }
 
+// endProbes gives back the permissions of the request to run suspected parts.
+func (x *exchange) endProbes() {
+	for _, r := range x.runs {
+		x.relay.quarantine.EndProbe(r)
+	}
+}
+
 // reportToQuarantine reports how the request ended.
 func (x *exchange) reportToQuarantine() {
+	defer x.endProbes()
 	q := x.relay.quarantine
 	switch {
 	case x.answered && !q.Empty():
