--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -53,6 +53,8 @@
 	limits []namedLimit
 	// saidAt is when the server began to say that it leaves, zero before.
 	saidAt time.Time
+	// silences records when the server may be silent.
+	silences disturbanceLog
 	// rest is the rest that the server asked for last.
 	rest namedRest
 }
@@ -79,6 +81,8 @@
 
 // fallSilent makes the server silent for d, at once or where its next answers come to a point.
 func (v *server) fallSilent(how silence, d time.Duration) {
+	// A silence at a point begins within d.
+	v.silences.addSpan(span{time.Now(), time.Now().Add(2 * d)})
 	switch how {
 	case silentLink:
 		v.link.hold()
