--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -95,9 +95,12 @@
 
 // ProbePart asks whether a run may be the only one with a suspected part.
 func (q *Quarantine) ProbePart(r *Run, part blame.Key) (p blame.Permission) {
-	q.withParts(func(t *blame.Table) { p = t.TryPart(q.now(), part) })
+	q.withParts(func(t *blame.Table) {
+		if p = t.TryPart(q.now(), part); p.Granted {
+			r.probe = p.Trial
+		}
+	})
 	if p.Granted {
-		r.probe = p.Trial
 		q.log.Info("suspected part of prompts is run by one request", zap.Stringer("part", part))
 	}
 	return p
@@ -108,8 +111,10 @@
 	if r.probe.Part == 0 {
 		return
 	}
-	q.withParts(func(t *blame.Table) { t.Return(r.probe) })
-	r.probe = blame.Trial{}
+	q.withParts(func(t *blame.Table) {
+		t.Return(r.probe)
+		r.probe = blame.Trial{}
+	})
 }
 
 // addCrashOfParts records the crash of a server while it ran a run. q.mu must be held.
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -237,14 +237,9 @@
 // ran the request.
 func (x *exchange) recordCrash(t *try) {
 	x.tries = 0
-<<<<<<< HEAD
+	defer x.endProbes()
 	t.crashed = t.condition == backend.ServerEnded
 	if !t.crashed {
-=======
-	defer x.endProbes()
-	x.crashed = x.condition == backend.ServerEnded
-	if !x.crashed {
->>>>>>> red
 		return
 	}
 	x.anyCrash = true
@@ -284,6 +279,8 @@
 
 // endProbes gives back the permissions of the request to run suspected parts.
 func (x *exchange) endProbes() {
+	x.runsMu.Lock()
+	defer x.runsMu.Unlock()
 	for _, r := range x.runs {
 		x.relay.quarantine.EndProbe(r)
 	}
