--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -246,6 +246,7 @@
 
 func toListedServer(s backends.Server) *peerpb.ListedServer {
 	return &peerpb.ListedServer{
-		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(), Life: int64(s.Life), Version: s.Version,
+		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(),
+		Life: int64(s.Life), Version: s.Version,
 	}
 }
--- a/control/notices/dump.go
+++ b/control/notices/dump.go
@@ -49,7 +49,9 @@
 	resting := n.table.Resting(now)
 	for _, server := range notice.Sorted(resting) {
 		r := resting[server]
-		d.Resting = append(d.Resting, DumpRest{Server: server.Server, Life: int64(server.Life), Age: now - r.Asked, Left: r.Until - now, Answers: r.Answers})
+		d.Resting = append(d.Resting, DumpRest{
+			Server: server.Server, Life: int64(server.Life), Age: now - r.Asked, Left: r.Until - now, Answers: r.Answers,
+		})
 	}
 	return d
 }
--- a/e2e/endless_test.go
+++ b/e2e/endless_test.go
@@ -210,7 +210,8 @@
 		sent, whole := finish()
 		Eventually(ended, "10s", "50ms").Should(BeNumerically(">=", endedBefore+endlessAtOnce))
 		answers, longest := endlessOf(f, s.plain...)
-		GinkgoWriter.Printf("%s %s: %d kB more than %d, %d answers of %v at most, requests %v, %d of %d streams whole\n", f, path, growth, base, answers, longest, took, whole, sent)
+		GinkgoWriter.Printf("%s %s: %d kB more than %d, %d answers of %v at most, requests %v, %d of %d streams whole\n",
+			f, path, growth, base, answers, longest, took, whole, sent)
 		Expect(growth).To(BeNumerically("<=", maxMemoryGrowth))
 		Expect(longest).To(BeNumerically("<=", maxEndlessTime))
 		Expect(statuses).To(HaveEach(BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusOK)))
--- a/e2e/rest_test.go
+++ b/e2e/rest_test.go
@@ -178,7 +178,9 @@
 		c.run("all", 40, 700*time.Millisecond, lookPath)
 		var last time.Time
 		for i := range platformEntries {
-			end := s.firstRestEnds(fmt.Sprint("entry-", i), begin, map[string]time.Duration{"p0": 20 * time.Second, "p1": 3 * time.Second, "p2": 10 * time.Second})
+			end := s.firstRestEnds(fmt.Sprint("entry-", i), begin, map[string]time.Duration{
+				"p0": 20 * time.Second, "p1": 3 * time.Second, "p2": 10 * time.Second,
+			})
 			left := time.Until(end)
 			wait := c.expectRefusedAtOnce(fmt.Sprint("resting-", i), lookPath, i)
 			Expect(wait).To(And(BeNumerically(">", left-restHeard), BeNumerically("<", left+returnSpread)))
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -69,7 +69,8 @@
 
 // sources are the packages whose log lines and metrics operators read on the
 // platform.
-var sources = []string{"../control/follow", "../control/members", "../control/limits", "../control/loads", "../control/notices", "../control/quarantine", "../peerlink", "../serve/relay", "../serve/peerproxy", "../platform", "../cli", "../eventlog"}
+var sources = []string{"../control/follow", "../control/members", "../control/limits", "../control/loads",
+	"../control/notices", "../control/quarantine", "../peerlink", "../serve/relay", "../serve/peerproxy", "../platform", "../cli", "../eventlog"}
 
 var (
 	eventCalls  = regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|x\.(?:log|warn))\("([^"]+)"|\\"msg\\":\\"([^\\]+)\\"`)
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -194,7 +194,10 @@
 // checkDrained checks requests that were in progress at SIGTERM or arrived soon after it.
 func (c *checker) checkDrained(r record) {
 	sigtermAt := r.sentTo.sigtermAtByLife[r.life]
-	if r.Err == nil || r.sentAhead || c.timeIsUp(r) || sigtermAt.IsZero() || r.done.Before(sigtermAt) || r.sent.After(sigtermAt.Add(minAcceptAfterTerm)) {
+	if r.Err == nil || r.sentAhead || c.timeIsUp(r) {
+		return
+	}
+	if sigtermAt.IsZero() || r.done.Before(sigtermAt) || r.sent.After(sigtermAt.Add(minAcceptAfterTerm)) {
 		return
 	}
 	if r.sentTo.disturbances.undisturbed(r.sent.Add(-settlingTime), r.done) && c.serversUndisturbed(r.sent.Add(-settlingTime), r.done) {
--- a/lab/soak/mutant.go
+++ b/lab/soak/mutant.go
@@ -39,7 +39,8 @@
 )
 
 // Mutants lists all mutants.
-var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, HangupEndsDrain, LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, HidesWords, StaysDown}
+var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, HangupEndsDrain,
+	LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, HidesWords, StaysDown}
 
 // Valid reports whether m is one of Mutants.
 func (m Mutant) Valid() bool { return slices.Contains(Mutants, m) }
