--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -17,6 +17,10 @@
 // maxInstances bounds the processes of a run.
 const maxInstances = 200
 
+// handlersDelay is the time from the start of a process until its handlers of signals are
+// installed. A signal in that time may end it; it has no requests yet.
+const handlersDelay = 500 * time.Millisecond
+
 // restartDelay is the time from the exit of an instance to its restart.
 const restartDelay = 500 * time.Millisecond
 
@@ -39,8 +43,21 @@
 	// sigtermAtByLife holds that time for each start.
 	sigtermAt       time.Time
 	sigtermAtByLife map[int]time.Time
-	// disturbances records faults, maintenance records shutdowns and reloads.
-	disturbances, maintenance disturbanceLog
+	// startedAt is when the current process was started; killedLife is the last start whose
+	// process the run has killed.
+	startedAt  time.Time
+	killedLife int
+	// exits holds the exits that the run did not cause or that failed.
+	exits []badExit
+	// disturbances records faults, maintenance records shutdowns and reloads, breaks those
+	// faults that break off requests of the instance.
+	disturbances, maintenance, breaks disturbanceLog
+}
+
+// badExit is the exit of a process that was not asked to exit, or did not exit with success.
+type badExit struct {
+	at  time.Time
+	err error
 }
 
 // fleet holds the instances of a run.
@@ -160,7 +177,7 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, in.name)
 	}
-	in.cmd, in.sigtermAt = cmd, time.Time{}
+	in.cmd, in.sigtermAt, in.startedAt = cmd, time.Time{}, time.Now()
 	in.life++
 	in.disturbances.addInstant()
 	f.processes.Add(1)
@@ -170,7 +187,7 @@
 
 func (f *fleet) restartOnExit(in *instance, cmd *exec.Cmd, log *os.File) {
 	defer f.processes.Done()
-	_ = cmd.Wait()
+	in.noteExit(cmd.Wait(), f.isClosing())
 	_ = log.Close()
 	if _, sigtermAt := in.currentLife(); sigtermAt.IsZero() {
 		in.disturbances.addInstant()
@@ -195,10 +212,24 @@
 	}
 }
 
+// noteExit records the exit of the current process if it is a bad one.
+func (in *instance) noteExit(err error, closing bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	asked := !in.sigtermAt.IsZero() && err == nil
+	if closing || asked || in.killedLife == in.life {
+		return
+	}
+	in.exits = append(in.exits, badExit{time.Now(), err})
+}
+
 // signal sends a signal to the current process and records the disturbance.
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if time.Since(in.startedAt) < handlersDelay {
+		in.killedLife = in.life
+	}
 	switch s {
 	case syscall.SIGTERM:
 		if in.sigtermAt.IsZero() {
@@ -210,10 +241,14 @@
 		in.maintenance.addInstant()
 	case syscall.SIGSTOP:
 		in.disturbances.begin()
+		in.breaks.begin()
 	case syscall.SIGCONT:
 		in.disturbances.end()
+		in.breaks.end()
 	default:
+		in.killedLife = in.life
 		in.disturbances.addInstant()
+		in.breaks.addInstant()
 	}
 	// The process may have exited already.
 	_ = in.cmd.Process.Signal(s)
--- a/serve/relay/reserve.go
+++ b/serve/relay/reserve.go
@@ -53,11 +53,12 @@
 	if err := x.checkGuards(plan); err != nil {
 		return nil, err
 	}
+	attempt := strconv.FormatInt(x.reservations.Add(1), 10)
 	for i, p := range plan.Parts {
 		if p.Reserve > 0 {
 			r.all = append(r.all, backend.Reservation{
 				Server: p.Server.ID, Life: p.Server.Life, Addr: p.Server.Addr, Tokens: p.Reserve, Hold: reservationTTL,
-				Ticket: x.req.ID + "-" + strconv.Itoa(len(x.avoid)) + "-" + strconv.Itoa(i),
+				Ticket: x.req.ID + "-" + attempt + "-" + strconv.Itoa(i),
 			})
 		}
 	}
@@ -65,7 +66,7 @@
 		return r, nil
 	}
 	if refused := r.reserveAll(ctx); len(refused) > 0 {
-		x.avoid = append(x.avoid, refused...)
+		x.addAvoided(refused...)
 		r.releaseAll()
 		return nil, errors.Mark(errors.Newf("memory for the prompt was not granted by %v", refused), backend.ErrNotSent)
 	}
@@ -94,7 +95,7 @@
 // recordHeldBack records that the current attempt was not sent because a server wants no request.
 // It is no failure of a server, and another one is tried at once.
 func (x *exchange) recordHeldBack(server string) {
-	x.avoid = append(x.avoid, server)
+	x.addAvoided(server)
 	x.state.AddDialFailure(0)
 	x.relay.count("held_from_servers_total", "service", x.service.Name)
 }
