Hold back prompts with the rarer of two suspected parts

Cause: a deadly part that stands first in a prompt takes the place of the part that all other prompts have. Sound prompts beside it put that frequent part into each crash as well, and none has cleared it within 0.3 s. The part was refused only together with it, and prompts with the deadly part alone went on ending servers: the sixth, seventh and eighth.

Of the parts that are in all the same crashes, those that fewer runs in progress have are the likelier cause: a frequent part is in a crash by chance more often. Requests with such a part alone wait for up to 0.6 s, until an answer has cleared the frequent one, and runs without an answer so far are taken back at once, in place of 45 ms later. A run that is taken back needs a retry of the budget and counts as an attempt, unless a server has ended under the request before.

Ruled out: the share of requests that an instance has assessed since the first crash, 0.7 requests in the 0.1 s in question.

--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -29,6 +29,8 @@
 	Tries blame.Key
 	// Cancel takes the request back from its server.
 	Cancel func()
+	// Hold has the request sent again after a wait, if that is possible; it must not block.
+	Hold func()
 
 	keys *blame.Run
 	// probe is the permission to be the only run with a suspected part.
@@ -176,6 +178,9 @@
 			return
 		case <-q.crashed:
 		}
+		for _, r := range q.runsToHold() {
+			r.Hold()
+		}
 		if !wait.For(ctx, assessDelay) {
 			return
 		}
@@ -210,6 +215,27 @@
 	return out
 }
 
+// runsToHold returns runs whose parts may be the cause of crashes. Unlike those to cancel they need
+// not wait for the reports of all instances.
+func (q *Quarantine) runsToHold() (out []*Run) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.Off || len(q.parts.Refused()) == 0 {
+		return nil
+	}
+	var features []blame.Run
+	for r := range q.runs {
+		features = append(features, r.features())
+	}
+	q.parts.SetInProgress(features)
+	for r := range q.runs {
+		if len(r.Parts) > 0 && q.parts.ShouldHold(q.now(), r.features()) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 func (q *Quarantine) sendCrashes(peer string, c blame.Changes) {
 	if !c.Empty() {
 		q.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_CrashReport{CrashReport: encodeCrashes(q.now(), c)}})
--- a/decide/attempt/attempt.go
+++ b/decide/attempt/attempt.go
@@ -25,11 +25,14 @@
 	Silent
 	// ServerError means that the server ran the request and reported its own failure.
 	ServerError
+	// HeldBack means that this instance took the request back from a server that may have begun to
+	// run it.
+	HeldBack
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"not_sent", "not_run", "broken", "silent", "server_error"}[o]
+	return [...]string{"not_sent", "not_run", "broken", "silent", "server_error", "held_back"}[o]
 }
 
 // Action is what to do after a failed attempt.
@@ -75,6 +78,8 @@
 	sent, dialFailures, quickDialFailures int
 	mayHaveRun                            bool
 	forwarded                             bool
+	// serverEnded is set once a server ended while it had the request.
+	serverEnded bool
 }
 
 // New returns the state of a request that has not been sent yet.
@@ -118,6 +123,29 @@
 	return max(0, s.route.MaxAttempts-s.sent-1)
 }
 
+// RecordServerEnd records that a server ended while it had the request. That attempt does not count
+// when the request is held back.
+func (s *State) RecordServerEnd() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serverEnded = true
+}
+
+// MayHoldBack reports whether the request may be taken back from its server and sent once more.
+func (s *State) MayHoldBack() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.route.Repeatable() && !s.forwarded && s.sent+1 < s.heldLimit()
+}
+
+// heldLimit is the number of attempts up to which a request may be held back.
+func (s *State) heldLimit() int {
+	if s.serverEnded {
+		return s.route.MaxAttempts + 1
+	}
+	return s.route.MaxAttempts
+}
+
 // Hedge records an attempt that was sent to another server while the current one goes on. Whichever
 // of the two ends last is the current one from then on.
 func (s *State) Hedge() {
@@ -139,6 +167,7 @@
 func (s *State) Next(o Outcome, budget func() bool) Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	limit := s.route.MaxAttempts
 	switch o {
 	case NotSent:
 		s.dialFailures++
@@ -151,8 +180,12 @@
 	case Broken, Silent, ServerError:
 		s.sent++
 		s.mayHaveRun = true
+	case HeldBack:
+		s.sent++
+		s.mayHaveRun = true
+		limit = s.heldLimit()
 	}
-	if s.mayRepeat(o) && s.sent < s.route.MaxAttempts && budget() {
+	if s.mayRepeat(o) && s.sent < limit && budget() {
 		return Retry
 	}
 	// After the beginning of a stream, the server's error would look like its continuation.
--- a/decide/attempt/attempt_test.go
+++ b/decide/attempt/attempt_test.go
@@ -53,6 +53,30 @@
 		Entry("broken, then failed at the server", idempotent, attempt.Broken, attempt.ServerError, attempt.PassOn),
 	)
 
+	DescribeTable("after it was held back", func(r *route.Route, serverEnded bool, first attempt.Outcome, want bool) {
+		s := attempt.New(r)
+		Expect(s.Next(first, allow)).To(Equal(attempt.Retry))
+		if serverEnded {
+			s.RecordServerEnd()
+		}
+		Expect(s.MayHoldBack()).To(Equal(want))
+		Expect(s.Next(attempt.HeldBack, allow) == attempt.Retry).To(Equal(want))
+		Expect(s.Next(attempt.Broken, allow)).To(Equal(attempt.Fail), "the next attempt is the last")
+	},
+		Entry("at the second server", resumable, false, attempt.Broken, false),
+		Entry("at the second server, where the first has ended", resumable, true, attempt.Broken, true),
+		Entry("a second time", resumable, false, attempt.HeldBack, false),
+		Entry("if it may run only once", once, true, attempt.NotRun, false),
+	)
+
+	It("may be held back at its first server unless its answer has begun", func() {
+		s := attempt.New(resumable)
+		Expect(s.MayHoldBack()).To(BeTrue())
+		s.MarkForwarded()
+		Expect(s.MayHoldBack()).To(BeFalse())
+		Expect(attempt.New(once).MayHoldBack()).To(BeFalse())
+	})
+
 	It("does not retry without budget", func() {
 		Expect(attempt.New(once).Next(attempt.NotRun, deny)).To(Equal(attempt.Refuse))
 		Expect(attempt.New(idempotent).Next(attempt.Broken, deny)).To(Equal(attempt.Fail))
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -111,6 +111,37 @@
 		Expect(verdict(time.Second, run(32, "dead"))).To(Equal(blame.Refused))
 	})
 
+	// Guards against servers that end under prompts with a deadly part alone, while it is refused only
+	// together with a part that most prompts have.
+	Describe("of a part that is rarer than its companion", func() {
+		const last = 200 * ms
+		BeforeEach(func() {
+			for at := range 3 {
+				crash(time.Duration(at)*100*ms, run(at, "frequent", "dead"), run(10+at, "frequent"))
+			}
+			t.SetInProgress([]blame.Run{run(20, "frequent"), run(21, "frequent"), run(22, "dead")})
+		})
+
+		It("have requests with it alone wait, and those at servers be taken back", func() {
+			a := t.Assess(last+100*ms, run(30, "dead"))
+			Expect(a.Verdict).To(Equal(blame.Suspect))
+			Expect(a.Wait).To(Equal(500 * ms))
+			Expect(t.ShouldHold(last, run(22, "dead"))).To(BeTrue())
+			Expect(t.ShouldHold(last, run(23, "dead", "frequent"))).To(BeTrue())
+		})
+
+		It("leave requests with the companion alone", func() {
+			Expect(verdict(last+100*ms, run(30, "frequent"))).To(Equal(blame.Clean))
+			Expect(t.ShouldHold(last, run(20, "frequent"))).To(BeFalse())
+		})
+
+		It("have them wait until the companion is cleared, or for some time", func() {
+			Expect(verdict(last+600*ms, run(30, "dead"))).To(Equal(blame.Clean))
+			t.Clear(last+50*ms, run(20, "frequent"))
+			Expect(verdict(last+400*ms, run(30, "dead"))).To(Equal(blame.Refused))
+		})
+	})
+
 	It("refuse two deadly parts", func() {
 		for at := range 6 {
 			crash(time.Duration(at)*100*ms, run(at, "c", []string{"d1", "d2"}[at%2], fmt.Sprint("x", at)))
--- a/decide/blame/doc.go
+++ b/decide/blame/doc.go
@@ -15,6 +15,8 @@
 //     not cleared. A request is refused if it has the part with all its companions. If one of
 //     them is the cause, the request has it, whichever it is; a sound request that has only some
 //     of them is run, and its answer clears them.
+//   - Of the part and its companions those are the likelier cause that fewer requests have. Until the
+//     others are cleared, requests that have only such ones wait as well.
 //   - Crashes at the same moment are one crash: a rack fails, or an operator ends all servers of a
 //     service. Those at the moment of crashes without the part do not count for it.
 //   - The more servers crash without the part, the more of its crashes may be chance, and the more
--- a/decide/blame/table.go
+++ b/decide/blame/table.go
@@ -17,6 +17,9 @@
 	suspectPause = 300 * time.Millisecond
 	// probeTime is how long after that only one request of the fleet at a time is run.
 	probeTime = time.Second
+	// holdTime is how long after its last crash requests with a rare part wait for another request to
+	// clear the parts beside it: it begins to write, and writes for FreshFor.
+	holdTime = 600 * time.Millisecond
 	// maxCrashes bounds the crashes kept; those of refused parts are kept longest.
 	maxCrashes = 192
 	// crashRetention is how long a crash is kept, refusedRetention that of a refused part.
@@ -70,10 +73,15 @@
 	// suspects are derived from the crashes; nil after a change.
 	suspects map[Key]*suspect
 	trials   map[Key]*trial
+	// rareUntil maps parts that fewer requests have than others in the same crashes to the time until
+	// which requests with them wait.
+	rareUntil map[Key]time.Duration
 }
 
 // NewTable returns an empty table.
-func NewTable(o Options) *Table { return &Table{o: o, trials: map[Key]*trial{}} }
+func NewTable(o Options) *Table {
+	return &Table{o: o, trials: map[Key]*trial{}, rareUntil: map[Key]time.Duration{}}
+}
 
 // Len returns the number of crashes in the table.
 func (t *Table) Len() int { return len(t.crashes) }
@@ -166,10 +174,10 @@
 	suspects := t.findSuspects()
 	for _, p := range r.Parts {
 		s := suspects[p]
-		if s == nil || !s.matches(r) || s.concerns(r.Tries) {
+		if s == nil || s.concerns(r.Tries) {
 			continue
 		}
-		a := t.assess(now, s)
+		a := t.assessFor(now, s, r)
 		if a.Verdict == Probe && s.concerns(r.Probes) {
 			continue
 		}
@@ -180,6 +188,65 @@
 	return out
 }
 
+// assessFor assesses a request that has the suspect.
+func (t *Table) assessFor(now time.Duration, s *suspect, r Run) Assessment {
+	switch {
+	case s.matches(r):
+		return t.assess(now, s)
+	case t.held(now, s):
+		return Assessment{Verdict: Suspect, Part: s.part, Crashes: len(s.crashes), Wait: t.rareUntil[s.part] - now}
+	default:
+		return Assessment{}
+	}
+}
+
+// held reports whether requests with a suspect wait though they lack a companion of it.
+func (t *Table) held(now time.Duration, s *suspect) bool { return now < t.rareUntil[s.part] }
+
+// SetInProgress tells which runs are in progress, to compare how frequent a refused part and its
+// companions are. The more requests have one that is not the cause, the likelier it is in crashes
+// by chance, so the rarer ones are the likelier cause.
+func (t *Table) SetInProgress(runs []Run) {
+	for _, s := range t.findSuspects() {
+		if !s.refused {
+			continue
+		}
+		group := append(slices.Clone(s.companions), s.part)
+		most := 0
+		for _, k := range group {
+			most = max(most, count(runs, k))
+		}
+		for _, k := range group {
+			switch n := count(runs, k); {
+			case n < most:
+				t.rareUntil[k] = s.last() + holdTime
+			case most > 0:
+				delete(t.rareUntil, k)
+			}
+		}
+	}
+}
+
+// count counts the runs that have a key.
+func count(runs []Run, k Key) (n int) {
+	for _, r := range runs {
+		if r.has(k) {
+			n++
+		}
+	}
+	return n
+}
+
+// ShouldHold reports whether a run in progress that has not begun to write is to be taken back: it
+// has a refused part with all its companions, or one of these that is rare.
+func (t *Table) ShouldHold(now time.Duration, r Run) bool {
+	suspects := t.findSuspects()
+	return slices.ContainsFunc(r.Parts, func(p Key) bool {
+		s := suspects[p]
+		return s != nil && !s.concerns(r.Tries) && (s.refused && s.matches(r) || t.held(now, s))
+	})
+}
+
 func (t *Table) assess(now time.Duration, s *suspect) Assessment {
 	a := Assessment{Part: s.part, Crashes: len(s.crashes)}
 	switch {
@@ -292,6 +359,7 @@
 
 // Expire drops old crashes.
 func (t *Table) Expire(now time.Duration) {
+	maps.DeleteFunc(t.rareUntil, func(_ Key, until time.Duration) bool { return now >= until })
 	if len(t.crashes) == 0 || now-t.crashes[0].At < crashRetention {
 		return
 	}
--- a/lab/suspects/parts.go
+++ b/lab/suspects/parts.go
@@ -294,9 +294,14 @@
 	w.after(5*time.Millisecond, w.awaitRefusal)
 }
 
-// scheduleCheck has an instance take back runs whose parts are refused meanwhile.
+// scheduleCheck has an instance hold back runs at once whose parts may be the cause of crashes, and
+// take back those whose parts are refused meanwhile.
 func (w *world) scheduleCheck(i *instance) {
-	if w.o.Prompts.Parts == 0 || i.checkPending {
+	if w.o.Prompts.Parts == 0 {
+		return
+	}
+	w.holdBack(i)
+	if i.checkPending {
 		return
 	}
 	i.checkPending = true
@@ -309,21 +314,62 @@
 	})
 }
 
-func (w *world) takeBack(i *instance) {
+// holdBack takes back runs that have no event yet and places them again, which waits.
+func (w *world) holdBack(i *instance) {
 	if len(i.parts.Refused()) == 0 {
 		return
 	}
+	i.parts.SetInProgress(featuresOf(w.runsAt(i, func(*run) bool { return true })))
+	now := i.localTime(w.now())
+	toHold := func(x *run) bool { return x.mayBeHeld() && w.awaitsEvent(x) && i.parts.ShouldHold(now, x.features()) }
+	for _, x := range w.runsAt(i, toHold) {
+		w.removeRun(x)
+		x.placements++
+		w.place(x)
+	}
+}
+
+// mayBeHeld reports whether a run may be placed once more. A server that crashed under the request does
+// not count.
+func (x *run) mayBeHeld() bool {
+	limit := maxPlacements
+	if x.sawCrash {
+		limit++
+	}
+	return x.placements+1 < limit
+}
+
+// awaitsEvent reports whether a run has no event yet; a server that crashes under it sends none.
+func (w *world) awaitsEvent(x *run) bool { return x.firstEvent == 0 || w.crashing(x.req) }
+
+func featuresOf(runs []*run) (out []blame.Run) {
+	for _, x := range runs {
+		out = append(out, x.features())
+	}
+	return out
+}
+
+// runsAt returns the runs of an instance that a filter keeps, in a fixed order.
+func (w *world) runsAt(i *instance, keep func(*run) bool) (out []*run) {
 	for _, s := range w.servers {
-		var back []*run
 		for x := range s.runs {
-			if x.at == i && i.parts.Assess(i.localTime(w.now()), x.features()).Verdict == blame.Refused {
-				back = append(back, x)
+			if x.at == i && keep(x) {
+				out = append(out, x)
 			}
 		}
-		slices.SortFunc(back, func(a, b *run) int { return slices.Compare(a.req.key[:], b.req.key[:]) })
-		for _, x := range back {
-			w.removeRun(x)
-			w.endAttempt(x, true)
-		}
+	}
+	slices.SortFunc(out, func(a, b *run) int { return slices.Compare(a.req.key[:], b.req.key[:]) })
+	return out
+}
+
+func (w *world) takeBack(i *instance) {
+	if len(i.parts.Refused()) == 0 {
+		return
+	}
+	now := i.localTime(w.now())
+	refused := func(x *run) bool { return i.parts.Assess(now, x.features()).Verdict == blame.Refused }
+	for _, x := range w.runsAt(i, refused) {
+		w.removeRun(x)
+		w.endAttempt(x, true)
 	}
 }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -200,9 +200,7 @@
 
 // handleFailure acts on a failed attempt and reports whether to make another one.
 func (x *exchange) handleFailure(ctx context.Context, t *try, o attempt.Outcome, err error) bool {
-	action := x.state.Next(o, func() bool {
-		return !errors.Is(err, errPartRefused) && x.remaining() > minRetryTime && x.relay.takeRetry(ctx, x.service.Name)
-	})
+	action := x.state.Next(o, func() bool { return x.mayRetry(ctx, err) })
 	x.logFailed(t, o, action, err)
 	switch action {
 	case attempt.Retry:
@@ -219,6 +217,19 @@
 	return false
 }
 
+// mayRetry reports whether the retry budget and the time allow another attempt after an error.
+func (x *exchange) mayRetry(ctx context.Context, err error) bool {
+	switch {
+	case errors.Is(err, errPartRefused) || x.remaining() <= minRetryTime:
+		return false
+	case errors.Is(err, errPartSuspected):
+		// Its retry was taken before it was held back.
+		return true
+	default:
+		return x.relay.takeRetry(ctx, x.service.Name)
+	}
+}
+
 // discardPartial drops the incomplete event at which an attempt broke off.
 func (x *exchange) discardPartial() {
 	x.mu.Lock()
--- a/serve/relay/quarantine.go
+++ b/serve/relay/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -214,13 +215,29 @@
 // errPartRefused ends an attempt at a server when a part of the prompt is refused.
 var errPartRefused = errors.New("servers crash under a part of the prompt")
 
-// watch has the attempt taken back if a part of its prompt is refused meanwhile.
-func (x *exchange) watch(version string, cancel context.CancelCauseFunc) (end func()) {
-	run := x.newRun(version)
-	run.Tries, run.Cancel = x.tries, func() { cancel(errPartRefused) }
+// errPartSuspected ends an attempt at a server when a part of the prompt may crash it. The request
+// is assessed again and sent once more.
+var errPartSuspected = errors.New("servers may crash under a part of the prompt")
+
+// watch has the attempt taken back if a part of its prompt is refused, or suspected, meanwhile.
+func (x *exchange) watch(t *try) (end func()) {
+	run := x.newRun(t.plan.Writer().Version)
+	run.Tries, run.Cancel, run.Hold = x.tries, func() { t.cancel(errPartRefused) }, func() {}
+	if x.state.MayHoldBack() {
+		run.Hold = sync.OnceFunc(func() { go x.holdBack(t) })
+	}
 	return x.relay.quarantine.Begin(run)
 }
 
+// holdBack ends an attempt whose answer has not begun, if the retry budget allows another one.
+func (x *exchange) holdBack(t *try) {
+	if t.byteAt.Load() > 0 || !x.relay.takeRetry(t.ctx, x.service.Name) {
+		return
+	}
+	x.relay.scope.Counter("runs_held_back_total").Inc(1)
+	t.cancel(errPartSuspected)
+}
+
 // recordWriting tells the quarantine once of an attempt that its server has written for longer
 // than it would before a crash.
 func (x *exchange) recordWriting(t *try) {
@@ -243,6 +260,7 @@
 		return
 	}
 	x.anyCrash = true
+	x.state.RecordServerEnd()
 	id := t.plan.Writer().ID
 	c := poison.Crash{Server: poison.ServerHash(id), Began: t.sentAt, Ended: t.brokeAt}
 	var fresh *quarantine.Run
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -156,7 +156,7 @@
 	if x.quarantined(writer.Version) {
 		return attempt.NotSent, errPartRefused
 	}
-	t.unwatch = x.watch(writer.Version, t.cancel)
+	t.unwatch = x.watch(t)
 	t.sentAt = x.relay.now()
 	answer, err := x.relay.client.Do(t.ctx, x.newCall(t, more))
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - t.sentAt)
@@ -213,6 +213,8 @@
 		return attempt.NotSent, err
 	case errors.Is(context.Cause(t.ctx), errPartRefused):
 		return attempt.Broken, errPartRefused
+	case errors.Is(context.Cause(t.ctx), errPartSuspected):
+		return attempt.HeldBack, errPartSuspected
 	case errors.Is(context.Cause(t.ctx), errSilent):
 		x.recordFailure(t, serverIDs(t.plan)...)
 		return attempt.Silent, errors.Mark(errSilent, backend.ErrBroken)
