--- a/peerlink/datagram.go
+++ b/peerlink/datagram.go
@@ -20,15 +20,11 @@
 
 // datagrams carry small envelopes without a connection. A connection takes some 0.1 MB at
 // both ends, and a fleet of 300 instances has 90,000 pairs.
-type datagrams struct{ conn *net.UDPConn }
+type datagrams struct{ conn DatagramConn }
 
 // listenDatagrams also listens for datagrams on the peer address.
 func (l *Link) listenDatagrams() error {
-	addr, err := net.ResolveUDPAddr("udp", l.self.PeerAddr)
-	if err != nil {
-		return err
-	}
-	conn, err := net.ListenUDP("udp", addr)
+	conn, err := l.transport.ListenDatagrams(l.self.PeerAddr)
 	if err != nil {
 		return err
 	}
@@ -37,7 +33,7 @@
 	return nil
 }
 
-func (l *Link) receiveDatagrams(conn *net.UDPConn) {
+func (l *Link) receiveDatagrams(conn DatagramConn) {
 	buf := make([]byte, maxDatagram+1)
 	for {
 		n, _, err := conn.ReadFromUDPAddrPort(buf)
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -20,7 +20,6 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/eventlog"
-	"github.com/auburnmoor/auburnmoor/internal/tcpopt"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/ring"
@@ -103,6 +102,7 @@
 	lender   RetryLender
 	ctx      context.Context
 
+	transport Transport
 	datagrams datagrams
 
 	mu    sync.Mutex
@@ -141,6 +141,7 @@
 	}
 	l.self, l.log, l.peers = c.Self, c.Log, map[string]*peer{}
 	l.resolve = func(string) (string, bool) { return "", false }
+	l.transport = osTransport{}
 	return nil
 }
 
@@ -169,7 +170,7 @@
 
 // Start implements auburnmoor.Starter.
 func (l *Link) Start(ctx context.Context) error {
-	lis, err := net.Listen("tcp", l.self.PeerAddr)
+	lis, err := l.transport.Listen(l.self.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, "listening on the peer address")
 	}
@@ -313,7 +314,7 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(dial),
+		grpc.WithContextDialer(l.dial),
 		grpc.WithMaxHeaderListSize(maxMetadata), grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           grpcbackoff.Config{BaseDelay: reconnectMinDelay, Multiplier: reconnectMultiplier, Jitter: reconnectJitter, MaxDelay: reconnectMaxDelay},
@@ -330,9 +331,10 @@
 	return p, nil
 }
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: tcpopt.UserTimeout(userTimeout)}
-	return d.DialContext(ctx, "tcp", addr)
+func (l *Link) dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return l.transport.Dial(ctx, addr)
 }
 
 // sendLoop sends one instance's envelopes and reconnects with jittered backoff, so
