--- a/peerlink/datagram_test.go
+++ b/peerlink/datagram_test.go
@@ -80,6 +80,13 @@
 		Eventually(received.Load, "5s", "5ms").Should(Equal(int64(2)))
 	})
 
+	// Guards against a connection that nothing closes.
+	It("is not sent over a new connection after the link was closed", func() {
+		Expect(a.Cleanup()).To(Succeed())
+		Expect(a.Send("b", small)).To(BeFalse())
+		Expect(peers()).To(BeZero())
+	})
+
 	It("is not sent to an instance without a known address", func() {
 		Expect(a.SendDatagram("nobody", small)).To(BeFalse())
 	})
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -62,6 +62,9 @@
 	userTimeout = 1500 * time.Millisecond
 )
 
+// errClosed is returned for messages after Cleanup.
+var errClosed = errors.New("the link is closed")
+
 // Handler processes a received envelope; it must not block.
 type Handler func(from string, env *peerpb.Envelope)
 
@@ -107,6 +110,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// closed is set by Cleanup: no connection is opened any more.
+	closed bool
 
 	sentBytes, receivedBytes atomic.Uint64
 	sent, received, dropped  atomic.Uint64
@@ -141,7 +146,6 @@
 	}
 	l.self, l.log, l.peers = c.Self, c.Log, map[string]*peer{}
 	l.resolve = func(string) (string, bool) { return "", false }
-	l.transport = osTransport{}
 	return nil
 }
 
@@ -170,6 +174,9 @@
 
 // Start implements auburnmoor.Starter.
 func (l *Link) Start(ctx context.Context) error {
+	if l.transport == nil {
+		l.transport = osTransport{}
+	}
 	lis, err := l.transport.Listen(l.self.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, "listening on the peer address")
@@ -203,6 +210,7 @@
 func (l *Link) Cleanup() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closed = true
 	for _, p := range l.peers {
 		p.close()
 	}
@@ -304,6 +312,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errClosed
+	}
 	p := l.peers[name]
 	if p != nil && p.addr == addr {
 		p.lastUsed = time.Now()
