Time from the store's word of a version to its adoption: histogram, line, status

An operator could not see which instance hears last, nor why. A version is now sent between instances with the time since a watching instance got it from the store (age_us, zero from instances of the former version). Each instance records the time until it adopts it (config_spread_seconds), logs one that took a second or more with the age of its last confirmation and of the first announcement, and status lists the instances that lag.

Only watches tell when a version was accepted; one that is read in full, and the first one of a process, are not recorded.

--- a/cli/status.go
+++ b/cli/status.go
@@ -30,6 +30,7 @@
 	var failed []string
 	var fleet catalogSpread
 	var limited, noticed, refused []string
+	var catalogs []catalogRow
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -42,6 +43,7 @@
 		refused = append(refused, d.partRows(addr)...)
 		if d.Catalog != nil {
 			fleet.add(*d.Catalog)
+			catalogs = append(catalogs, catalogRow{addr, *d.Catalog})
 		}
 	}
 	if err := w.Flush(); err != nil {
@@ -50,6 +52,9 @@
 	if fleet.instances > 0 {
 		fmt.Fprintln(e.out, fleet)
 	}
+	if err := writeRows(e.out, "LAGGING INSTANCE\tCONFIG\tSTATE\tLAST WORD OF THE STORE", fleet.laggingRows(catalogs)); err != nil {
+		return err
+	}
 	if err := writeRows(e.out, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING", limited); err != nil {
 		return err
 	}
@@ -144,6 +149,25 @@
 	s.instances++
 }
 
+// catalogRow is what one instance knows of the store.
+type catalogRow struct {
+	addr string
+	dump follow.Dump
+}
+
+// laggingRows returns a row for each instance that has not the newest configuration of the fleet, or
+// cannot know whether it has.
+func (s *catalogSpread) laggingRows(all []catalogRow) (rows []string) {
+	for _, r := range all {
+		if r.dump.ConfigVersion == s.newest && r.dump.ConfigState == knowledge.Confirmed {
+			continue
+		}
+		age := time.Duration(r.dump.AgeMS) * time.Millisecond
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s ago", r.addr, r.dump.ConfigVersion, r.dump.ConfigState, age))
+	}
+	return rows
+}
+
 // String formats the summary line of the fleet.
 func (s catalogSpread) String() string {
 	return fmt.Sprintf("%d instances: versions %d to %d, %d not confirmed, the oldest word of the store %s old",
--- a/cli/status_test.go
+++ b/cli/status_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/auburnmoor/auburnmoor/control/follow"
@@ -17,3 +18,19 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+func TestLaggingRows(t *testing.T) {
+	all := []catalogRow{
+		{"a", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 400}},
+		{"b", follow.Dump{ConfigVersion: 7, ConfigState: knowledge.Old, AgeMS: 5200}},
+		{"c", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Old, AgeMS: 4100}},
+	}
+	var s catalogSpread
+	for _, r := range all {
+		s.add(r.dump)
+	}
+	want := []string{"b\t7\told\t5.2s ago", "c\t9\told\t4.1s ago"}
+	if got := s.laggingRows(all); !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -27,6 +27,9 @@
 	at       position.Position
 	digest   uint64
 	deflated []byte
+	// heardAt is when a watching instance got this version from the store, by the local clock, zero if
+	// unknown.
+	heardAt time.Duration
 }
 
 // configID identifies a configuration.
@@ -75,10 +78,11 @@
 				f.advanceConfigAt(c.At)
 				return c.At, nil
 			}
-			return f.applyStoreConfig(&c, c.At, err)
+			return f.applyStoreConfig(&c, c.At, 0, err)
 		},
 		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
-			return f.applyStoreConfig(f.catalog.WatchConfig(ctx, after, wait))
+			c, at, err := f.catalog.WatchConfig(ctx, after, wait)
+			return f.applyStoreConfig(c, at, f.now(), err)
 		},
 	})
 }
@@ -91,9 +95,10 @@
 }
 
 // applyStoreConfig adopts a configuration from the store, nil if nothing changed, and
-// returns the position to watch from. If the newest configuration is unreadable, the one
-// in force stays until the next change: reading again would return the same bytes.
-func (f *Follower) applyStoreConfig(c *catalog.Config, at position.Position, err error) (position.Position, error) {
+// returns the position to watch from. heardAt is when the store reported the change, zero for
+// a read, which does not tell. If the newest configuration is unreadable, the one in force stays
+// until the next change: reading again would return the same bytes.
+func (f *Follower) applyStoreConfig(c *catalog.Config, at position.Position, heardAt time.Duration, err error) (position.Position, error) {
 	if errors.Is(err, catalog.ErrUnreadable) {
 		f.reportUnreadableConfig(at, err)
 		f.advanceConfigAt(at)
@@ -106,7 +111,7 @@
 	if c != nil {
 		f.compareWithStore(c.Config.Version, at)
 	}
-	if c != nil && f.adopt(*c, "store", deflate(c.Raw)) {
+	if c != nil && f.adopt(*c, "store", heardAt, deflate(c.Raw)) {
 		f.sendConfig(f.members.Standing().FirstTargets())
 		f.members.GossipNow()
 	}
@@ -143,11 +148,11 @@
 // adopt puts a configuration into force if it is newer than the current one, and reports
 // whether it did. Versions arrive from reads, watches and peers in any order; an older one
 // that arrives late must not restore what operators removed.
-func (f *Follower) adopt(c catalog.Config, from string, deflated []byte) bool {
+func (f *Follower) adopt(c catalog.Config, from string, heardAt time.Duration, deflated []byte) bool {
 	f.adoptMu.Lock()
 	defer f.adoptMu.Unlock()
 	held := f.configID()
-	next := &content{version: c.Config.Version, at: c.At, digest: xxhash.Sum64(c.Raw), deflated: deflated}
+	next := &content{version: c.Config.Version, at: c.At, digest: xxhash.Sum64(c.Raw), deflated: deflated, heardAt: heardAt}
 	if f.table.Load() != nil && !held.supersededBy(configID{next.version, next.at.Era, next.digest}) {
 		if next.version == held.version && next.digest == held.digest && next.at.Era > held.era {
 			// The same content was written again after the store lost it.
@@ -159,6 +164,9 @@
 	f.encoded.Store(next)
 	f.log.Info("configuration in force", zap.Uint64("version", next.version), zap.String("from", from),
 		zap.Stringer("at", c.At), zap.Int("routes", len(c.Config.Routes)), zap.Int("customers", len(c.Config.Customers)), zap.Int("bytes", len(c.Raw)))
+	if held.version > 0 {
+		f.recordSpread(next, from)
+	}
 	f.updateServing()
 	return true
 }
@@ -180,7 +188,15 @@
 	if raw == nil {
 		return nil
 	}
-	return &peerpb.ConfigReply{Version: raw.version, Content: raw.deflated, Revision: raw.at.Revision, Era: raw.at.Era}
+	return &peerpb.ConfigReply{Version: raw.version, Content: raw.deflated, Revision: raw.at.Revision, Era: raw.at.Era, AgeUs: f.ageUS(raw)}
+}
+
+// ageUS is how long ago the version was heard of from the store, in microseconds, zero if unknown.
+func (f *Follower) ageUS(c *content) int64 {
+	if c.heardAt == 0 {
+		return 0
+	}
+	return max(time.Microsecond, f.now()-c.heardAt).Microseconds()
 }
 
 // adoptFromPeer adopts a newer configuration from a peer and forwards it along the tree
@@ -197,7 +213,7 @@
 		return
 	}
 	first := f.version() == 0
-	if !f.adopt(c, "peer", r.Content) {
+	if !f.adopt(c, "peer", f.heardAt(r), r.Content) {
 		return
 	}
 	f.advanceConfigAt(c.At)
@@ -206,6 +222,15 @@
 	}
 }
 
+// heardAt is when a watching instance got a version from the store, by the local clock, zero if unknown.
+func (f *Follower) heardAt(r *peerpb.ConfigReply) time.Duration {
+	if r.AgeUs <= 0 {
+		return 0
+	}
+	// An instance that has just started may have a clock that is younger than the version.
+	return max(1, f.now()-peerpb.Micros(r.AgeUs))
+}
+
 func (f *Follower) decode(r *peerpb.ConfigReply) (catalog.Config, error) {
 	raw, err := inflate(r.Content)
 	if err != nil {
--- a/control/follow/config_test.go
+++ b/control/follow/config_test.go
@@ -37,7 +37,7 @@
 		f := &Follower{log: zap.NewNop()}
 		f.table.Store(route.NewTable(route.Config{Version: 9}))
 		f.encoded.Store(&content{version: 9})
-		Expect(f.adopt(catalog.Config{Config: route.Config{Version: 8}}, "peer", nil)).To(BeFalse())
+		Expect(f.adopt(catalog.Config{Config: route.Config{Version: 8}}, "peer", 0, nil)).To(BeFalse())
 		Expect(f.version()).To(Equal(uint64(9)))
 	})
 
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -86,18 +86,22 @@
 	f.confirm(newest)
 }
 
-// announcedConfig is a configuration that another instance announced, and when.
+// announcedConfig is a configuration that another instance announced, and when it did so first and
+// last.
 type announcedConfig struct {
-	id configID
-	at time.Duration
+	id        configID
+	first, at time.Duration
 }
 
 // recordNewerConfig records a configuration that another instance announced, unless a
 // newer one was announced recently.
 func (f *Follower) recordNewerConfig(id configID) {
-	next := &announcedConfig{id, f.now()}
 	for {
 		known := f.newerConfig.Load()
+		next := &announcedConfig{id: id, first: f.now(), at: f.now()}
+		if known != nil && known.id == id {
+			next.first = known.first
+		}
 		if known != nil && id.supersededBy(known.id) && next.at-known.at <= f.confirmPolicy.ValidFor || f.newerConfig.CompareAndSwap(known, next) {
 			return
 		}
