Link: connections are closed without holding up all messages

What callers could see: nothing, but for up to 5 s an instance sent nothing to any other, configurations included, after one connection had been idle for 10 s whose peer did not read (frozen, cut off, its window full).

Every message to any instance takes that mutex. The same where an instance's address has changed, and at the end.

Now connections are taken out under the mutex and closed after it.

--- a/peerlink/datagram_test.go
+++ b/peerlink/datagram_test.go
@@ -21,8 +21,14 @@
 
 // startLink starts the link of one instance that resolves names by addrs and delivers to h.
 func startLink(name, addr string, addrs map[string]string, h Handler) *Link {
+	return startLinkOver(nil, name, addr, addrs, h)
+}
+
+// startLinkOver is startLink with other sockets than those of the operating system.
+func startLinkOver(t Transport, name, addr string, addrs map[string]string, h Handler) *Link {
 	l := &Link{
-		RingSize: defaultRing, self: auburnmoor.Identity{Name: name, PeerAddr: addr, Incarnation: 1}, log: zap.NewNop(), peers: map[string]*peer{},
+		transport: t,
+		RingSize:  defaultRing, self: auburnmoor.Identity{Name: name, PeerAddr: addr, Incarnation: 1}, log: zap.NewNop(), peers: map[string]*peer{},
 		resolve: func(name string) (string, bool) { a, ok := addrs[name]; return a, ok },
 	}
 	l.Handle(h)
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -196,22 +198,32 @@
 
 // sweep closes connections that were not used for idleTimeout.
 func (l *Link) sweep(now time.Time) {
+	for _, p := range l.removeIdle(now) {
+		p.close()
+	}
+}
+
+// removeIdle removes the connections that were not used for idleTimeout. Closing one can take seconds
+// if its peer does not read, so that is done without l.mu.
+func (l *Link) removeIdle(now time.Time) (idle []*peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, p := range l.peers {
 		if p.calls == 0 && now.Sub(p.lastUsed) > idleTimeout {
-			p.close()
+			idle = append(idle, p)
 			delete(l.peers, name)
 		}
 	}
+	return idle
 }
 
 // Cleanup implements auburnmoor.Cleaner.
 func (l *Link) Cleanup() error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.closed = true
-	for _, p := range l.peers {
+	open := slices.Collect(maps.Values(l.peers))
+	l.mu.Unlock()
+	for _, p := range open {
 		p.close()
 	}
 	if l.datagrams.conn != nil {
@@ -321,7 +333,7 @@
 		return p, nil
 	}
 	if p != nil {
-		p.close()
+		go p.close()
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
