--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -225,11 +225,14 @@
 	}
 	var features []blame.Run
 	for r := range q.runs {
-		features = append(features, r.features())
+		if len(r.Parts) > 0 {
+			features = append(features, r.features())
+		}
 	}
 	q.parts.SetInProgress(features)
+	now := q.now()
 	for r := range q.runs {
-		if len(r.Parts) > 0 && q.parts.ShouldHold(q.now(), r.features()) {
+		if len(r.Parts) > 0 && q.parts.ShouldHold(now, r.features()) {
 			out = append(out, r)
 		}
 	}
