Quarantine: one walk over the runs with parts for both questions

Which runs to take back and which to hold back asked it each by a loop of its own. Behaviour as before: specs of control/quarantine, lab/suspects and e2e "a prompt part that crashes" pass.

--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -201,42 +201,42 @@
 	return q.parts.Deciding(q.now())
 }
 
-func (q *Quarantine) refusedRuns() (out []*Run) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+// runsWithParts returns the runs whose prompts have shared parts, none if no part is refused. q.mu must
+// be held.
+func (q *Quarantine) runsWithParts() (out []*Run) {
 	if q.Off || len(q.parts.Refused()) == 0 {
 		return nil
 	}
-	for r := range maps.Keys(q.runs) {
-		if len(r.Parts) > 0 && q.parts.Assess(q.now(), r.features()).Verdict == blame.Refused {
+	for r := range q.runs {
+		if len(r.Parts) > 0 {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
+func (q *Quarantine) refusedRuns() []*Run {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	return slices.DeleteFunc(q.runsWithParts(), func(r *Run) bool {
+		return q.parts.Assess(now, r.features()).Verdict != blame.Refused
+	})
+}
+
 // runsToHold returns runs whose parts may be the cause of crashes. Unlike those to cancel they need
 // not wait for the reports of all instances.
-func (q *Quarantine) runsToHold() (out []*Run) {
+func (q *Quarantine) runsToHold() []*Run {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.Off || len(q.parts.Refused()) == 0 {
-		return nil
-	}
-	var features []blame.Run
-	for r := range q.runs {
-		if len(r.Parts) > 0 {
-			features = append(features, r.features())
-		}
+	runs := q.runsWithParts()
+	features := make([]blame.Run, len(runs))
+	for i, r := range runs {
+		features[i] = r.features()
 	}
 	q.parts.SetInProgress(features)
 	now := q.now()
-	for r := range q.runs {
-		if len(r.Parts) > 0 && q.parts.ShouldHold(now, r.features()) {
-			out = append(out, r)
-		}
-	}
-	return out
+	return slices.DeleteFunc(runs, func(r *Run) bool { return !q.parts.ShouldHold(now, r.features()) })
 }
 
 func (q *Quarantine) sendCrashes(peer string, c blame.Changes) {
