--- a/cli/status.go
+++ b/cli/status.go
@@ -30,7 +30,6 @@
 	var failed []string
 	var fleet catalogSpread
 	var limited, noticed, refused []string
-	var catalogs []catalogRow
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -42,8 +41,7 @@
 		noticed = append(noticed, d.noticeRows(addr)...)
 		refused = append(refused, d.partRows(addr)...)
 		if d.Catalog != nil {
-			fleet.add(*d.Catalog)
-			catalogs = append(catalogs, catalogRow{addr, *d.Catalog})
+			fleet.add(addr, *d.Catalog)
 		}
 	}
 	if err := w.Flush(); err != nil {
@@ -52,7 +50,7 @@
 	if fleet.instances > 0 {
 		fmt.Fprintln(e.out, fleet)
 	}
-	if err := writeRows(e.out, "LAGGING INSTANCE\tCONFIG\tSTATE\tLAST WORD OF THE STORE", fleet.laggingRows(catalogs)); err != nil {
+	if err := writeRows(e.out, "LAGGING INSTANCE\tCONFIG\tSTATE\tLAST WORD OF THE STORE", fleet.laggingRows()); err != nil {
 		return err
 	}
 	if err := writeRows(e.out, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING", limited); err != nil {
@@ -135,9 +133,11 @@
 	instances, unconfirmed int
 	oldest, newest         uint64
 	age                    time.Duration
+	rows                   []catalogRow
 }
 
-func (s *catalogSpread) add(d follow.Dump) {
+func (s *catalogSpread) add(addr string, d follow.Dump) {
+	s.rows = append(s.rows, catalogRow{addr, d})
 	if s.instances == 0 || d.ConfigVersion < s.oldest {
 		s.oldest = d.ConfigVersion
 	}
@@ -157,8 +157,8 @@
 
 // laggingRows returns a row for each instance that has not the newest configuration of the fleet, or
 // cannot know whether it has.
-func (s *catalogSpread) laggingRows(all []catalogRow) (rows []string) {
-	for _, r := range all {
+func (s *catalogSpread) laggingRows() (rows []string) {
+	for _, r := range s.rows {
 		if r.dump.ConfigVersion == s.newest && r.dump.ConfigState == knowledge.Confirmed {
 			continue
 		}
--- a/cli/status_test.go
+++ b/cli/status_test.go
@@ -10,9 +10,9 @@
 
 func TestCatalogSpread(t *testing.T) {
 	var s catalogSpread
-	s.add(follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 400})
-	s.add(follow.Dump{ConfigVersion: 7, ConfigState: knowledge.Old, AgeMS: 5200})
-	s.add(follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 100})
+	s.add("a", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 400})
+	s.add("a", follow.Dump{ConfigVersion: 7, ConfigState: knowledge.Old, AgeMS: 5200})
+	s.add("a", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 100})
 	const want = "3 instances: versions 7 to 9, 1 not confirmed, the oldest word of the store 5.2s old"
 	if got := s.String(); got != want {
 		t.Errorf("got %q, want %q", got, want)
@@ -20,17 +20,12 @@
 }
 
 func TestLaggingRows(t *testing.T) {
-	all := []catalogRow{
-		{"a", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 400}},
-		{"b", follow.Dump{ConfigVersion: 7, ConfigState: knowledge.Old, AgeMS: 5200}},
-		{"c", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Old, AgeMS: 4100}},
-	}
 	var s catalogSpread
-	for _, r := range all {
-		s.add(r.dump)
-	}
+	s.add("a", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Confirmed, AgeMS: 400})
+	s.add("b", follow.Dump{ConfigVersion: 7, ConfigState: knowledge.Old, AgeMS: 5200})
+	s.add("c", follow.Dump{ConfigVersion: 9, ConfigState: knowledge.Old, AgeMS: 4100})
 	want := []string{"b\t7\told\t5.2s ago", "c\t9\told\t4.1s ago"}
-	if got := s.laggingRows(all); !slices.Equal(got, want) {
+	if got := s.laggingRows(); !slices.Equal(got, want) {
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
