--- a/lab/propagation/fleet.go
+++ b/lab/propagation/fleet.go
@@ -2,8 +2,8 @@
 // acknowledgement a configuration is in force at each of them, calm and in trouble.
 //
 // The instances run the real modules that propagate configurations, over lab/simnet and in front of
-// lab/simstore. Everything waits by the time package, so that a test of testing/synctest plays a
-// minute of 985 instances in seconds.
+// lab/simstore. Everything waits by the time package, so that a test of testing/synctest plays it in
+// virtual time.
 package propagation
 
 import (
@@ -146,14 +146,14 @@
 	return f
 }
 
-// StartAll starts the instances from index first on within startSpread.
-func (f *Fleet) StartAll(first int) error {
-	for i, in := range f.instances[first:] {
+// startAll starts instances within startSpread.
+func (f *Fleet) startAll(all []*instance) error {
+	for i, in := range all {
 		if err := f.start(in); err != nil {
 			return err
 		}
 		if i%8 == 7 {
-			time.Sleep(startSpread * 8 / time.Duration(len(f.instances)))
+			time.Sleep(startSpread * 8 / time.Duration(len(all)))
 		}
 	}
 	return nil
--- a/lab/propagation/propagation_test.go
+++ b/lab/propagation/propagation_test.go
@@ -23,10 +23,10 @@
 //
 //	go test ./lab/propagation -run TestScenes -v -timeout 2h -args -scene drawn -instances 6,75 -seeds 1000
 var (
-	sceneFlag     = flag.String("scene", "", "scene to play by hand: calm, queued or drawn")
+	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued or drawn")
 	instancesFlag = flag.String("instances", "6", "numbers of instances, separated by commas")
 	firstFlag     = flag.Uint64("first", 1, "first seed")
-	seedsFlag     = flag.Int("seeds", 10, "number of seeds")
+	seedsFlag     = flag.Int("seeds", 2, "number of seeds")
 	atOnceFlag    = flag.Int("at-once", 4, "number of fleets that are played at the same time")
 	logFlag       = flag.String("log", "", "file to write the instances' log lines to")
 )
@@ -63,11 +63,11 @@
 	"calm": propagation.Calm, "queued": propagation.Queued, "drawn": propagation.Drawn,
 }
 
-// TestScenes plays many seeds by hand.
+// TestScenes plays the seeds that the flags choose.
 func TestScenes(t *testing.T) {
 	makeScene := scenes[*sceneFlag]
 	if makeScene == nil {
-		t.Skip("no scene chosen by -scene")
+		t.Fatalf("no scene %q", *sceneFlag)
 	}
 	for n := range strings.SplitSeq(*instancesFlag, ",") {
 		instances, err := strconv.Atoi(n)
--- a/lab/propagation/scene.go
+++ b/lab/propagation/scene.go
@@ -185,15 +185,12 @@
 	defer f.Stop()
 	r := &run{scene: s, fleet: f, meter: newMeter(f), begin: time.Now(), rand: rand.New(rand.NewPCG(s.Seed, 6))}
 	f.Store.Accept(firstVersion, s.Site.Size)
-	for _, in := range f.instances[s.Site.Instances-s.Newcomers:] {
+	for _, in := range r.newcomers() {
 		in.host.SetTrouble(simnet.Trouble{Off: true})
 	}
-	present := f.instances
-	f.instances = present[:s.Site.Instances-s.Newcomers]
-	if err := f.StartAll(0); err != nil {
+	if err := f.startAll(f.instances[:s.Site.Instances-s.Newcomers]); err != nil {
 		return nil, err
 	}
-	f.instances = present
 	events := r.events()
 	end := r.schedule(events)
 	for now := time.Duration(0); now < end && r.err == nil; now = time.Since(r.begin) {
@@ -224,7 +221,7 @@
 		out = append(out, event{k.At, func() { r.strike(k) }})
 	}
 	if s.Newcomers > 0 {
-		out = append(out, event{s.NewcomersAt, r.startNewcomers})
+		out = append(out, event{s.NewcomersAt, func() { r.recover(r.newcomers()) }})
 	}
 	return out
 }
@@ -323,11 +320,9 @@
 	}
 }
 
-func (r *run) startNewcomers() {
-	for _, in := range r.fleet.instances[r.scene.Site.Instances-r.scene.Newcomers:] {
-		in.host.SetTrouble(simnet.Trouble{})
-		r.startIfDown(in)
-	}
+// newcomers are the last instances of the fleet.
+func (r *run) newcomers() []*instance {
+	return r.fleet.instances[r.scene.Site.Instances-r.scene.Newcomers:]
 }
 
 func (r *run) startIfDown(in *instance) {
