--- a/lab/passes/load.go
+++ b/lab/passes/load.go
@@ -63,6 +63,8 @@
 // Kind describes a class of requests.
 type Kind struct {
 	Name string `toml:"name" validate:"required"`
+	// Rank is the priority of the kind; 0 is the most urgent.
+	Rank int `toml:"rank" validate:"min=0"`
 	// PerSecond is the arrival rate before the factors in Bursts.
 	PerSecond float64 `toml:"per_second" validate:"min=0"`
 	// Prompt is the length of prompts in tokens, Events the length of answers in events.
