--- a/decide/spread/distributed.go
+++ b/decide/spread/distributed.go
@@ -49,8 +49,8 @@
 }
 
 func (c *chooser) byFreeMemory(servers []backends.Server) []backends.Server {
-	return slices.SortedFunc(slices.Values(servers), func(a, b backends.Server) int {
-		return cmp.Or(cmp.Compare(c.freeMemory(b), c.freeMemory(a)), cmp.Compare(a.ID, b.ID))
+	return slices.SortedStableFunc(slices.Values(servers), func(a, b backends.Server) int {
+		return cmp.Or(cmp.Compare(c.freeMemory(b), c.freeMemory(a)), c.compareIDs(a, b))
 	})
 }
 
--- a/decide/spread/helpers.go
+++ b/decide/spread/helpers.go
@@ -9,10 +9,11 @@
 )
 
 // shortHelpers returns the engines that prefill parts of a short prompt: only engines that
-// decode nothing and have almost no prefill pending.
+// decode nothing and have almost no prefill pending. While the loads of other instances are not
+// known there are none: an engine rejects the parts beyond its limit, and with them the request.
 func (c *chooser) shortHelpers(writer backends.Server) []backends.Server {
 	want := min(int((c.req.Prompt+partTokens-1)/partTokens)-1, maxHelpers)
-	if want <= 0 || c.req.NoHelpers {
+	if want <= 0 || c.req.NoHelpers || c.req.Rotation != 0 {
 		return nil
 	}
 	idle := c.eligibleHelpers(c.roles.prefillEngines, writer)
@@ -33,12 +34,21 @@
 	free := slices.DeleteFunc(slices.Clone(group), func(s backends.Server) bool {
 		return s.ID == writer.ID || c.load(s.ID).Parts >= int64(max(1, c.engine.Slots))
 	})
-	slices.SortFunc(free, func(a, b backends.Server) int {
+	slices.SortStableFunc(free, func(a, b backends.Server) int {
 		return cmp.Or(
 			cmp.Compare(c.predictPrefillEnd(a, 0), c.predictPrefillEnd(b, 0)),
 			cmp.Compare(c.load(a.ID).Parts, c.load(b.ID).Parts),
-			cmp.Compare(a.ID, b.ID),
+			c.compareIDs(a, b),
 		)
 	})
 	return free
 }
+
+// compareIDs orders equal engines by ID, which is the order of all instances, or not at all while
+// the loads of other instances are not known: then the rotated order stays.
+func (c *chooser) compareIDs(a, b backends.Server) int {
+	if c.req.Rotation != 0 {
+		return 0
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -219,6 +219,24 @@
 		Expect(len(writers)).To(BeNumerically(">=", 6))
 	})
 
+	// Guards against refusals after the loss of all instances: those that had just started all
+	// chose the same helpers, which reject further parts when they have as many as slots.
+	DescribeTable("gives no engine too many parts while instances do not know each other's load", func(instances int, prompt int64) {
+		parts := map[string]int{}
+		for i := range instances {
+			p := must(newFleet(54).place(spread.Request{Prompt: prompt, Answer: 10, Instance: fmt.Sprint("i", i), Rotation: 1 + i*7919}))
+			for _, h := range p.Helpers() {
+				parts[h.Server.ID]++
+			}
+		}
+		for server, n := range parts {
+			Expect(n).To(BeNumerically("<=", engine.Slots), server)
+		}
+	},
+		Entry("short prompts", 68, int64(5000)),
+		Entry("long prompts", 20, int64(24_000)),
+	)
+
 	It("takes the least loaded server of a plain service, among equals one in the same data centre", func() {
 		f := newFleet(3)
 		f.ledger.Add("s00", spread.Load{Calls: 2})
--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -81,7 +81,7 @@
 		return c.instanceChoice(fit, cost), true
 	}
 	return slices.MinFunc(fit, func(a, b backends.Server) int {
-		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre)), c.compareIDs(a, b))
 	}), true
 }
 
