Requests that other instances place at the same time do not all take the last free slots

In a burst of short prompts most writers are full, and the one that frees a slot looked best to every instance until its report had come: eight requests within 16 ms for one slot, which then waited in its queue for up to 1.5 s. Each instance now expects as many unreported requests of the others as it gets itself: the writers have that many free slots more, a slot is taken with a probability that counts them, and engines whose cost differs by less than two answers count as equal, in an order that differs between instances.

Test: decide/spread "places short prompts of several instances at the same moment on different engines" found one engine for 12 instances before, at least six now.

--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -48,6 +48,9 @@
 	Avoid []string
 	// Instance is the name of the instance that places the request.
 	Instance string
+	// Unreported is the expected number of requests that other instances have placed and not
+	// reported yet (Arrivals.Unreported).
+	Unreported float64
 	// DataCentre is preferred among servers with equal load.
 	DataCentre string
 	// NoHelpers places a short prompt on a single engine, as for a retry or for a request
@@ -156,7 +159,7 @@
 	if verdict := c.checkSlots(servers); verdict != Placed {
 		return Plan{Backlog: UnconfirmedPrefill(servers, load), Reason: ForSlot}, verdict
 	}
-	c.roles = divide(servers, load, e.Slots)
+	c.roles = divide(servers, load, e.Slots, int64(r.Unreported))
 	writer, ok := c.writer()
 	if !ok {
 		return c.placeDistributed(servers, c.triedAgain(all, servers))
--- a/decide/spread/roles.go
+++ b/decide/spread/roles.go
@@ -46,8 +46,9 @@
 // divide takes the first servers as writers, as many as the answers in progress need with
 // that number of slots per engine, and the last ones as deepWriters. All instances have
 // the same order of servers and see nearly the same load, so they choose the same ones
-// without coordination.
-func divide(servers []backends.Server, load func(string) Load, slots int) roles {
+// without coordination. The writers have unreported slots more than the answers in progress need:
+// with fewer, all instances that place at the same moment would take the last free ones.
+func divide(servers []backends.Server, load func(string) Load, slots int, unreported int64) roles {
 	n := len(servers)
 	if n < minDividedEngines {
 		return roles{writers: servers, deepWriters: servers, prefillEngines: servers}
@@ -59,7 +60,7 @@
 		deepCalls += l.DeepCalls
 	}
 	writers := min(int(maxWriterShare*float64(n)), max(minWriters, ceilDiv(calls, int64(max(1, writerFillShare*float64(slots))))))
-	writers = min(n-1, max(writers, ceilDiv(calls, int64(max(1, slots)))))
+	writers = min(n-1, max(writers, ceilDiv(calls+unreported, int64(max(1, slots)))))
 	rest := servers[writers:]
 	deepWriters := min(ceilDiv(deepCalls, deepCallsPerWriter), max(1, int(deepWriterShare*float64(len(rest)))))
 	return roles{writers: servers[:writers], deepWriters: rest[len(rest)-deepWriters:], prefillEngines: rest}
--- a/decide/spread/slots.go
+++ b/decide/spread/slots.go
@@ -16,7 +16,7 @@
 //
 // Other instances see a slot as free until a report tells them that it was taken. Each
 // request therefore takes a slot only with the probability at which about one request
-// takes each free slot.
+// takes each free slot, of those that wait and of those that are placed meanwhile.
 func (c *chooser) checkSlots(servers []backends.Server) Verdict {
 	if len(servers) == 0 || c.deep() || c.req.MaxHold <= 0 || c.engine.Slots <= 0 {
 		return Placed
@@ -31,7 +31,7 @@
 			free += max(0, int64(c.engine.Slots)-c.load(s.ID).Calls)
 		}
 	}
-	if free >= need && c.req.Draw*float64(c.req.SlotWaiters) < float64(free) {
+	if free >= need && c.req.Draw*(float64(c.req.SlotWaiters)+c.req.Unreported) < float64(free) {
 		return Placed
 	}
 	if c.req.Waited >= c.req.MaxHold {
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -237,6 +237,20 @@
 		Entry("long prompts", 20, int64(24_000)),
 	)
 
+	// Guards against short prompts that wait for a slot of one engine while others have free ones:
+	// several instances placed them before they heard of each other's.
+	It("places short prompts of several instances at the same moment on different engines", func() {
+		writers := map[string]int{}
+		for i := range 12 {
+			f := newFleet(54)
+			for _, s := range f.servers {
+				f.ledger.Add(s.ID, spread.Load{Calls: 6, HeldTokens: 30_000})
+			}
+			writers[must(f.place(spread.Request{Prompt: 3000, Answer: 10, Instance: fmt.Sprint("i", i), Unreported: 1, DataCentre: "dc-1"})).Writer().ID]++
+		}
+		Expect(len(writers)).To(BeNumerically(">=", 6))
+	})
+
 	It("takes the least loaded server of a plain service, among equals one in the same data centre", func() {
 		f := newFleet(3)
 		f.ledger.Add("s00", spread.Load{Calls: 2})
--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -77,30 +77,41 @@
 		l := c.load(s.ID)
 		return l.Prefill + time.Duration(l.Calls)*callCost + time.Duration(l.DeepCalls)*deepCallCost
 	}
+	return c.instanceChoice(fit, cost), true
+}
+
+// Differences of cost up to which engines count as equally loaded. For prompts that are not deep
+// the difference grows with the number of requests that other instances place at the same time,
+// up to that of two answers in progress.
+const (
+	deepCostTolerance = 100 * time.Millisecond
+	maxCostTolerance  = 2 * callCost
+)
+
+// costTolerance is the difference of cost up to which engines count as equally loaded.
+func (c *chooser) costTolerance() time.Duration {
 	if c.deep() {
-		return c.instanceChoice(fit, cost), true
+		return deepCostTolerance
 	}
-	return slices.MinFunc(fit, func(a, b backends.Server) int {
-		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre)), c.compareIDs(a, b))
-	}), true
+	return min(maxCostTolerance, time.Duration(c.req.Unreported*float64(callCost)))
 }
 
-// costTolerance is the difference up to which engines count as equally loaded when a deep
-// prompt is placed.
-const costTolerance = 100 * time.Millisecond
-
 // instanceChoice returns one of the least loaded engines, in an order that differs between
-// instances. Otherwise two instances that place deep prompts before they hear of each
-// other would both choose the same engine, which has memory for one. The other prompt is
-// prefilled only when the first is answered, seconds later, by engines that decode short
-// answers by then.
+// instances. Otherwise all instances that place prompts before they hear of each other would
+// choose the same engine. A short prompt that finds no slot there waits for the end of an answer
+// though others have slots. A deep one finds no memory: it is prefilled only when the first is
+// answered, seconds later, by engines that decode short answers by then. Of short and long
+// prompts, engines of the same data centre get more.
 func (c *chooser) instanceChoice(fit []backends.Server, cost func(backends.Server) time.Duration) backends.Server {
 	least := cost(fit[0])
 	for _, s := range fit[1:] {
 		least = min(least, cost(s))
 	}
-	fit = slices.DeleteFunc(fit, func(s backends.Server) bool { return cost(s) > least+costTolerance })
+	fit = slices.DeleteFunc(fit, func(s backends.Server) bool { return cost(s) > least+c.costTolerance() })
 	return slices.MinFunc(fit, func(a, b backends.Server) int {
+		if !c.deep() && a.DataCentre != b.DataCentre {
+			return cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre))
+		}
 		return cmp.Compare(c.instanceOrder(a), c.instanceOrder(b))
 	})
 }
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -41,6 +41,8 @@
 	name   string
 	ledger *spread.Ledger
 	queue  *spread.Queue
+	// arrivals is the rate of requests at this instance.
+	arrivals spread.Arrivals
 	// reportPending is set while a report is scheduled.
 	reportPending bool
 }
@@ -74,6 +76,7 @@
 
 func (n *instance) receiveRequest(q *request) {
 	q.at, q.receivedAt = n, n.Now()
+	n.arrivals.Observe(n.Now())
 	n.place(q)
 }
 
@@ -89,7 +92,7 @@
 	turn := spread.NewTurn(n.spec, q.id, q.prompt, q.receivedAt, firstTarget)
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Total, spread.Request{
-		Instance: n.name, FleetSize: len(n.servers), Avoid: q.avoid,
+		Instance: n.name, Unreported: n.arrivals.Unreported(n.Now(), len(n.instances)-1), FleetSize: len(n.servers), Avoid: q.avoid,
 		Prompt: q.prompt, Answer: n.spec.MeanAnswerTokens,
 		FirstTarget: firstTarget, GapTarget: q.kind.Pause.Std(), TightestGap: n.minPause,
 		Waited: waited, MaxHold: spread.MaxHold(firstTarget, left+waited), TimeLeft: left,
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -28,7 +28,7 @@
 	r := x.relay
 	servers = x.withoutRefusing(servers)
 	req := spread.Request{
-		Instance: r.name, DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
+		Instance: r.name, Unreported: r.unreported(x.service.Name), DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
 		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
 		FirstTarget: x.route.FirstEventTarget, GapTarget: x.route.GapTarget, TightestGap: x.service.MinGapTarget,
 		Waited: x.heldFor, MaxHold: maxHold, TimeLeft: x.remaining(),
@@ -58,3 +58,12 @@
 	}
 	return min(x.req.AnswerTokens, x.service.Engine.MeanAnswerTokens)
 }
+
+// unreported is the expected number of requests for a service that cell peers have placed and not
+// reported yet.
+func (r *Relay) unreported(service string) float64 {
+	others := len(r.loads.Cell().Peers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pool(service).arrivals.Unreported(r.now(), others)
+}
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -107,6 +107,8 @@
 	synced *backends.Snapshot
 	// slowDetector learns the usual pause between events of a stream.
 	slowDetector health.SlowDetector
+	// arrivals is the rate of requests for the service at this instance.
+	arrivals spread.Arrivals
 	// meter averages the prefill backlog of the servers over the last seconds.
 	meter spread.Meter
 	// suspended maps servers that refused work or could not be reached to the time
@@ -404,7 +406,9 @@
 func (r *Relay) recordRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pool(service).retries.AddRequest(r.now())
+	p := r.pool(service)
+	p.retries.AddRequest(r.now())
+	p.arrivals.Observe(r.now())
 }
 
 // observeBacklog records the present prefill backlog of a service's servers.
