Load reports of changes go to other data centres through relays (relay_reports)

With relay_reports in [control.loads], one copy of a report of changes goes to one cell peer of each other data centre, another one each time, which passes it on there. Complete reports stay direct. Relayed reports are no heartbeats of their senders: neither for the member table nor for the time for which reported work counts. New cell peers get direct copies for 2 s, because relays may learn of them later than the sender.

--- a/control/loads/cells.go
+++ b/control/loads/cells.go
@@ -3,24 +3,26 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
+	"github.com/auburnmoor/auburnmoor/decide/fanout"
 	"github.com/auburnmoor/auburnmoor/decide/member"
 	"github.com/auburnmoor/auburnmoor/internal/set"
 )
 
-// cellInput is what determines the cell of an instance: the names of the live instances and the
-// number of engines.
+// cellInput is what determines the cell of an instance and the data centres in it: the names of the
+// live instances, their data centres in the same order, and the number of engines.
 type cellInput struct {
-	live    []string
-	engines int
+	live, dataCentres []string
+	engines           int
 }
 
 func (a cellInput) equal(b cellInput) bool {
-	return a.engines == b.engines && slices.Equal(a.live, b.live)
+	return a.engines == b.engines && slices.Equal(a.live, b.live) && slices.Equal(a.dataCentres, b.dataCentres)
 }
 
 // completeReceivers returns the cell peers that get this complete report. l.mu must be held.
@@ -39,9 +41,9 @@
 // updateCell recomputes this instance's cell if the live instances or the number of engines
 // changed.
 func (l *Loads) updateCell(v members.View) {
-	in := cellInput{live: make([]string, len(v.Alive)), engines: l.minReadyServers()}
+	in := cellInput{live: make([]string, len(v.Alive)), dataCentres: make([]string, len(v.Alive)), engines: l.minReadyServers()}
 	for i, m := range v.Alive {
-		in.live[i] = m.Name
+		in.live[i], in.dataCentres[i] = m.Name, m.DataCentre
 	}
 	l.mu.Lock()
 	unchanged := in.equal(l.cellOf)
@@ -61,15 +63,33 @@
 		l.idleReports = 0
 	}
 	l.cell, l.cellPeers, l.cellOf, l.monitors = next, peers, in, neighbours.Near
+	l.located = l.locate(in)
 	l.members.SetNeighbours(neighbours)
 	l.ledger.RetainPeers(peers)
 	l.queue.RetainPeers(peers)
-	for peer := range l.synced {
-		if !peers[peer] {
-			delete(l.synced, peer)
-			delete(l.newestReport, peer)
+	maps.DeleteFunc(l.synced, func(peer string, _ bool) bool { return !peers[peer] })
+	maps.DeleteFunc(l.newestReport, func(peer string, _ reportID) bool { return !peers[peer] })
+}
+
+// locate returns the cell peers with their data centres. l.mu must be held.
+func (l *Loads) locate(in cellInput) []fanout.Peer {
+	since := make(map[string]time.Duration, len(l.located))
+	for _, p := range l.located {
+		since[p.Name] = p.Since
+	}
+	now := l.now()
+	out := make([]fanout.Peer, 0, len(l.cellPeers))
+	for i, name := range in.live {
+		if !l.cellPeers[name] {
+			continue
+		}
+		p := fanout.Peer{Name: name, DataCentre: in.dataCentres[i], Since: now}
+		if at, known := since[name]; known {
+			p.Since = at
 		}
+		out = append(out, p)
 	}
+	return out
 }
 
 // minReadyServers returns the minimum number of ready servers over all model services, or zero
--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -18,6 +18,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/away"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
+	"github.com/auburnmoor/auburnmoor/decide/fanout"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -58,14 +59,19 @@
 
 // Loads is the module "control.loads".
 type Loads struct {
+	// RelayReports sends reports of changes to other data centres through one cell peer in each.
+	// Peers pass on reports whatever their own setting is.
+	RelayReports bool `toml:"relay_reports"`
+
 	log     *zap.Logger
 	link    *peerlink.Link
 	members *members.Members
 	catalog *follow.Follower
 
-	now   func() time.Duration
-	scope tally.Scope
-	dirty chan struct{}
+	now        func() time.Duration
+	scope      tally.Scope
+	dirty      chan struct{}
+	dataCentre string
 
 	mu     sync.Mutex
 	ledger *spread.Ledger
@@ -88,6 +94,11 @@
 	idleReports int
 	// cellOf is what cell was computed from.
 	cellOf cellInput
+	// located are the cell peers with their data centres.
+	located []fanout.Peer
+	// relayRound counts the reports that were planned with relays. Complete reports do not count:
+	// they come at regular intervals, so that some relays would be left out for long.
+	relayRound uint64
 }
 
 // reportID identifies a report of an instance: sequence restarts with each incarnation.
@@ -113,6 +124,7 @@
 		return err
 	}
 	l.log, l.now, l.scope, l.ledger, l.queue = c.Log, c.Now, c.Scope, spread.NewLedger(), spread.NewQueue()
+	l.dataCentre = c.Self.DataCentre
 	l.away = away.NewTable(rand.New(rand.NewPCG(c.Seed, awaySeed)).Float64)
 	l.cell.Count = 1
 	l.dirty, l.synced, l.newestReport = make(chan struct{}, 1), map[string]bool{}, map[string]reportID{}
@@ -283,7 +295,7 @@
 	}
 }
 
-// report sends the changed work to all cell peers, or all work if complete is set.
+// report sends the changed work to the cell peers, or all work if complete is set.
 func (l *Loads) report(complete bool) {
 	l.mu.Lock()
 	now := l.now()
@@ -305,6 +317,7 @@
 		idle := len(changed) == 0 && len(rejected) == 0 && !waiting.HasFirst && waiting.ForSlot == 0
 		peers = l.completeReceivers(idle)
 	}
+	plan := l.planChanges(now, complete)
 	l.mu.Unlock()
 	msg := &peerpb.LoadReport{Complete: complete, Sequence: sequence, ForSlot: int32(waiting.ForSlot)}
 	if waiting.HasFirst {
@@ -312,7 +325,7 @@
 	}
 	encodeWork(msg, changed)
 	encodeRejections(msg, rejected)
-	l.link.SendDatagrams(peers, &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: msg}})
+	l.send(peers, plan, msg)
 }
 
 // withLastChanged adds the current state of the servers in the last report if that was sent within
@@ -344,25 +357,42 @@
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	applied := l.apply(from, env.Incarnation, r, work, rejected)
+	var neighbours []string
+	if applied && r.Relay && !r.Relayed {
+		neighbours = fanout.Neighbours(from, l.dataCentre, l.located)
+	}
+	l.mu.Unlock()
+	l.passOn(neighbours, env)
+}
+
+// apply applies a report unless it is outdated or its sender's work does not count here, and
+// returns whether it did. l.mu must be held.
+func (l *Loads) apply(from string, incarnation uint64, r *peerpb.LoadReport, work map[spread.Key]spread.Work, rejected map[away.Key]time.Duration) bool {
 	if !l.cellPeers[from] {
 		// The sender's member or server list differs for the moment and puts it into this
 		// cell. Its work is not counted until the lists agree.
-		return
+		return false
 	}
-	id := reportID{env.Incarnation, r.Sequence}
-	if last := l.newestReport[from]; last.incarnation == id.incarnation && id.sequence <= last.sequence && id.sequence > 0 {
-		return
+	id, last, now := reportID{incarnation, r.Sequence}, l.newestReport[from], l.now()
+	if last.incarnation == id.incarnation && id.sequence <= last.sequence && id.sequence > 0 {
+		return false
+	}
+	if r.Relayed {
+		// A relay that was frozen passes on reports of processes that have ended.
+		if last.incarnation != id.incarnation || !l.ledger.ApplyRelayed(now, from, work) {
+			return false
+		}
+	} else {
+		l.ledger.ApplyReport(now, from, r.Complete, work)
+		l.synced[from] = l.synced[from] || r.Complete
 	}
 	l.newestReport[from] = id
-	l.ledger.ApplyReport(l.now(), from, r.Complete, work)
-	l.queue.ApplyReport(l.now(), from, decodeWaiting(l.now(), r))
+	l.queue.ApplyReport(now, from, decodeWaiting(now, r))
 	for server, left := range rejected {
-		l.away.ApplyReport(l.now(), server, left)
-	}
-	if r.Complete {
-		l.synced[from] = true
+		l.away.ApplyReport(now, server, left)
 	}
+	return true
 }
 
 // encodeHeldPrompt encodes a held prompt with its waiting time instead of its arrival time,
--- a/control/loads/loads_test.go
+++ b/control/loads/loads_test.go
@@ -94,4 +94,78 @@
 		l.receive("a", &peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: r}})
 		Expect(l.Total("s").Calls).To(BeZero())
 	})
+
+	Describe("that came through a relay", func() {
+		relayed := func(sequence, incarnation uint64, calls uint32) *peerpb.Envelope {
+			env := report(calls)
+			env.Incarnation = incarnation
+			r := env.GetLoadReport()
+			r.Complete, r.Relayed, r.Sequence = false, true, sequence
+			return env
+		}
+		direct := func(sequence, incarnation uint64, calls uint32) *peerpb.Envelope {
+			env := report(calls)
+			env.Incarnation, env.GetLoadReport().Sequence = incarnation, sequence
+			return env
+		}
+
+		It("are ordered with direct ones", func() {
+			l.receive("a", direct(1, 7, 1))
+			l.receive("a", relayed(3, 7, 3))
+			l.receive("a", relayed(2, 7, 2))
+			Expect(l.Total("s").Calls).To(Equal(int64(3)))
+			l.receive("a", direct(3, 7, 5))
+			Expect(l.Total("s").Calls).To(Equal(int64(3)), "the same report on two paths counts once")
+			l.receive("a", direct(4, 7, 4))
+			Expect(l.Total("s").Calls).To(Equal(int64(4)))
+		})
+
+		// Guards against work of a process that has ended, from a relay that was frozen.
+		It("are ignored if the sender has another incarnation by now", func() {
+			l.receive("a", direct(1, 8, 1))
+			l.receive("a", relayed(9, 7, 5))
+			Expect(l.Total("s").Calls).To(Equal(int64(1)))
+			l.receive("a", direct(2, 8, 2))
+			Expect(l.Total("s").Calls).To(Equal(int64(2)))
+		})
+
+		// Guards against work of a peer whose complete reports do not arrive, so that nothing would
+		// correct it.
+		It("do not extend the time for which work of the sender counts", func() {
+			now := time.Second
+			l.now = func() time.Duration { return now }
+			l.receive("a", direct(2, 7, 2))
+			now += peerTimeout - time.Millisecond
+			l.receive("a", relayed(3, 7, 3))
+			l.expire()
+			Expect(l.Total("s").Calls).To(Equal(int64(3)))
+			now += 2 * time.Millisecond
+			l.expire()
+			Expect(l.Total("s").Calls).To(BeZero())
+			l.receive("a", relayed(4, 7, 4))
+			Expect(l.Total("s").Calls).To(BeZero())
+			l.receive("a", direct(5, 7, 5))
+			Expect(l.Total("s").Calls).To(Equal(int64(5)))
+		})
+
+		// Guards against work of a process that has ended, from a relay that was frozen, after the next
+		// process of that name became a cell peer.
+		It("are ignored if no direct report of the sender came before", func() {
+			l.receive("a", relayed(1, 7, 1))
+			Expect(l.Total("s").Calls).To(BeZero())
+		})
+
+		// Guards against an instance that takes engines for idle after its start.
+		It("do not end the wait for complete reports after start", func() {
+			for _, peer := range []string{"a", "b"} {
+				first := direct(1, 7, 0)
+				first.GetLoadReport().Complete = false
+				l.receive(peer, first)
+				complete := relayed(2, 7, 0)
+				complete.GetLoadReport().Complete = true
+				l.receive(peer, complete)
+			}
+			Expect(l.WarmingUp()).To(BeTrue())
+		})
+	})
 })
--- a/control/members/members.go
+++ b/control/members/members.go
@@ -178,9 +178,13 @@
 }
 
 func (m *Members) receive(from string, env *peerpb.Envelope) {
-	m.mu.Lock()
-	m.table.Heard(m.now(), from)
-	m.mu.Unlock()
+	// A relayed report does not show that its sender lives: a relay that was frozen passes on reports
+	// of senders that are gone.
+	if !env.GetLoadReport().GetRelayed() {
+		m.mu.Lock()
+		m.table.Heard(m.now(), from)
+		m.mu.Unlock()
+	}
 	switch {
 	case env.GetGossip() != nil, env.GetMemberStates() != nil:
 		m.inbox.Offer(env)
@@ -443,6 +447,18 @@
 	return out
 }
 
+// HeardDirectly returns when the last message of each of the named members itself arrived, zero for
+// those from which none did.
+func (m *Members) HeardDirectly(names []string) []time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]time.Duration, len(names))
+	for i, name := range names {
+		out[i] = m.table.HeardDirectly(name)
+	}
+	return out
+}
+
 // Leaving reports whether this instance has announced its departure.
 func (m *Members) Leaving() bool {
 	m.mu.Lock()
--- a/decide/member/table.go
+++ b/decide/member/table.go
@@ -275,6 +275,14 @@
 	}
 }
 
+// HeardDirectly returns when the last message of a member itself arrived, zero if none did.
+func (t *Table) HeardDirectly(name string) time.Duration {
+	if e := t.entries[name]; e != nil {
+		return e.heardDirectly
+	}
+	return 0
+}
+
 func sameEngines(a, b []*peerpb.EngineState) bool {
 	return slices.EqualFunc(a, b, func(x, y *peerpb.EngineState) bool {
 		return x.Name == y.Name && x.KvTotal == y.KvTotal && x.Leaving == y.Leaving && x.Addr == y.Addr && slices.Equal(x.Models, y.Models)
--- a/decide/spread/ledger.go
+++ b/decide/spread/ledger.go
@@ -180,9 +180,7 @@
 		known = accounts{}
 		l.peers[peer] = known
 	}
-	for server, w := range reported {
-		l.setPeerWork(now, peer, server, w)
-	}
+	l.setWork(now, peer, reported)
 	if !complete {
 		return
 	}
@@ -193,6 +191,24 @@
 	}
 }
 
+// ApplyRelayed applies a report of changes that came through another instance. It does not extend
+// the time for which the peer's work counts (see Expire). It is ignored, and false is returned, if
+// no work of the peer counts: without complete reports of the peer itself, nothing would correct a
+// lost report.
+func (l *Ledger) ApplyRelayed(now time.Duration, peer string, reported map[Key]Work) bool {
+	if l.peers[peer] == nil {
+		return false
+	}
+	l.setWork(now, peer, reported)
+	return true
+}
+
+func (l *Ledger) setWork(now time.Duration, peer string, reported map[Key]Work) {
+	for server, w := range reported {
+		l.setPeerWork(now, peer, server, w)
+	}
+}
+
 func (l *Ledger) setPeerWork(now time.Duration, peer string, server Key, w Work) {
 	l.change(l.peers[peer], server, func(a *account) {
 		a.load, a.prefills = w.Load, a.prefills[:0]
--- a/peerlink/datagram.go
+++ b/peerlink/datagram.go
@@ -70,7 +70,23 @@
 // SendDatagrams sends one envelope to several instances as SendDatagram does and reports
 // whether it was sent to all of them. The body is encoded only once.
 func (l *Link) SendDatagrams(to []string, env *peerpb.Envelope) bool {
-	raw, err := proto.Marshal(&peerpb.Envelope{From: l.self.Name, Incarnation: l.self.Incarnation, Body: env.Body})
+	return l.sendToAll(to, l.fromSelf(env))
+}
+
+// RelayDatagrams passes an envelope of another instance on to several instances, as SendDatagrams
+// does. The envelope keeps its sender and incarnation.
+func (l *Link) RelayDatagrams(to []string, env *peerpb.Envelope) bool {
+	return l.sendToAll(to, env)
+}
+
+// fromSelf returns an envelope of this instance with a body.
+func (l *Link) fromSelf(env *peerpb.Envelope) *peerpb.Envelope {
+	return &peerpb.Envelope{From: l.self.Name, Incarnation: l.self.Incarnation, Body: env.Body}
+}
+
+// sendToAll sends an envelope to several instances, with each of them as its receiver.
+func (l *Link) sendToAll(to []string, env *peerpb.Envelope) bool {
+	raw, err := proto.Marshal(&peerpb.Envelope{From: env.From, Incarnation: env.Incarnation, Body: env.Body})
 	if err != nil {
 		l.log.Warn("message to other instances cannot be encoded", eventlog.Error(err))
 		return false
@@ -86,11 +102,11 @@
 func (l *Link) sendEncoded(to string, raw []byte, env *peerpb.Envelope) bool {
 	addr, ok := l.datagramAddr(to)
 	if !ok {
-		return l.Send(to, env)
+		return l.enqueue(to, env)
 	}
 	raw = appendReceiver(raw, to)
 	if len(raw) > maxDatagram {
-		return l.Send(to, env)
+		return l.enqueue(to, env)
 	}
 	if _, err := l.datagrams.conn.WriteToUDPAddrPort(raw, addr); err != nil {
 		l.dropped.Add(1)
--- a/peerlink/datagram_test.go
+++ b/peerlink/datagram_test.go
@@ -96,4 +96,24 @@
 	It("is not sent to an instance without a known address", func() {
 		Expect(a.SendDatagram("nobody", small)).To(BeFalse())
 	})
+
+	// Guards against reports that count as those of the instance that passes them on.
+	DescribeTable("of another instance keeps its sender and incarnation when it is passed on", func(content int) {
+		type sender struct {
+			name        string
+			incarnation uint64
+		}
+		senders := make(chan sender, 1)
+		startLink("d", "127.0.0.1:19916", nil, func(from string, env *peerpb.Envelope) { senders <- sender{from, env.Incarnation} })
+		addrs["d"] = "127.0.0.1:19916"
+		env := &peerpb.Envelope{
+			From: "c", Incarnation: 7, To: "a",
+			Body: &peerpb.Envelope_ConfigReply{ConfigReply: &peerpb.ConfigReply{Content: []byte(strings.Repeat("x", content))}},
+		}
+		Expect(a.RelayDatagrams([]string{"d"}, env)).To(BeTrue())
+		Eventually(senders, "5s", "5ms").Should(Receive(Equal(sender{"c", 7})))
+	},
+		Entry("as a datagram", 10),
+		Entry("over a connection, as it is too large for a datagram", 5000),
+	)
 })
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -239,13 +239,16 @@
 func ProvisionalName(addr string) string { return "@" + addr }
 
 // Send queues an envelope for an instance and reports whether it was queued.
-func (l *Link) Send(to string, env *peerpb.Envelope) bool {
+func (l *Link) Send(to string, env *peerpb.Envelope) bool { return l.enqueue(to, l.fromSelf(env)) }
+
+// enqueue queues an envelope with its sender for the connection to an instance.
+func (l *Link) enqueue(to string, env *peerpb.Envelope) bool {
 	p, err := l.peer(to)
 	if err != nil {
 		l.dropped.Add(1)
 		return false
 	}
-	out := &peerpb.Envelope{From: l.self.Name, Incarnation: l.self.Incarnation, To: to, Body: env.Body}
+	out := &peerpb.Envelope{From: env.From, Incarnation: env.Incarnation, To: to, Body: env.Body}
 	if !p.ring.Offer(out) {
 		l.dropped.Add(1)
 		return false
