--- a/control/loads/relay.go
+++ b/control/loads/relay.go
@@ -27,8 +27,8 @@
 	return fanout.Choose(now, l.link.Self(), l.dataCentre, l.located, l.relayRound)
 }
 
-// send sends a report by a plan, or to all peers if the plan has no relays or the copies that
-// relays pass on may not fit into a datagram.
+// send sends a report by a plan, or to all peers if the plan has no relays or the report may not fit
+// into a datagram: a relay would need connections to all its neighbours.
 func (l *Loads) send(peers []string, plan fanout.Plan, r *peerpb.LoadReport) {
 	env := envelopeOf(r)
 	if len(plan.Relays) == 0 {
--- a/serve/entries/entries.go
+++ b/serve/entries/entries.go
@@ -75,8 +75,8 @@
 
 // ChooseLocal returns up to maxAddrs addresses of serving instances: those in the data centre of the
 // caller, and othersPerDataCentre of each other one. If the caller's data centre has fewer than half
-// of the mean of the data centres, further ones are added up to the mean, because its callers
-// would overload it. Without any it returns what Choose does.
+// of the mean of the data centres, the answer is filled up to the mean with further instances
+// elsewhere, because its callers would overload it. If it has none, all others are listed.
 func ChooseLocal(alive []*peerpb.MemberState, dataCentre string, shuffle func(int, func(i, j int))) []string {
 	near, far := divide(alive, dataCentre, shuffle)
 	if len(near) == 0 {
