--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -27,6 +27,9 @@
 	Slots int
 	// Leaving servers finish their requests and accept no new ones.
 	Leaving bool
+	// Cold is what the entry states when it is received. A Set keeps it by its own clock instead, see
+	// Snapshot.ColdUntil.
+	Cold ColdTime
 	// said is set if Leaving is what the server said of itself, and its entry does not say so.
 	said bool
 	// unlisted marks a server that is temporarily used although the store does not list it.
@@ -37,7 +40,8 @@
 func (s Server) EntryLeaving() bool { return s.Leaving && !s.said }
 
 // digest is a hash of a server's entry. The sum of the digests of a list does not depend
-// on its order. What the server said of itself is no part of its entry.
+// on its order. What the server said of itself is no part of its entry, and instances that receive the
+// same entry at different times would differ in its cold time.
 func (s Server) digest() uint64 {
 	var d digest.Fields
 	d.Reset()
@@ -61,6 +65,8 @@
 	Digest   uint64
 	byID     map[string]Server
 	services map[string][]Server
+	// cold holds the servers that are or were cold.
+	cold map[string]sighting
 }
 
 // Ready returns the servers of a service that may get new requests, sorted by ID.
--- /dev/null
+++ b/decide/backends/cold.go
@@ -0,0 +1,92 @@
+package backends
+
+import "time"
+
+// A server that has just started, or whose data centre comes back, is cold for a while and takes only
+// a few requests per second. Its entry, or another instance, states how long it remains cold. A server
+// of which nobody has stated that counts as cold for the usual time of its service from the moment at
+// which its incarnation appeared, unless its Life shows that it has run for longer.
+
+// ColdTime is a statement of how long a server remains cold.
+type ColdTime struct {
+	// Known is unset if nothing was stated.
+	Known bool
+	// Remaining counts from the moment at which the statement is received; zero: it is not cold.
+	Remaining time.Duration
+}
+
+// sighting is what is known of the cold time of one incarnation of a server. Times are by the local
+// clock.
+type sighting struct {
+	life Life
+	// stated is set if the end of the cold time was stated, until is that end.
+	stated bool
+	until  time.Duration
+	// appeared is set if the incarnation was not in the first list; appearedAt is when it was first
+	// listed, and ran for how long it had run by then, zero if unknown.
+	appeared   bool
+	appearedAt time.Duration
+	ran        time.Duration
+}
+
+// coldUntil returns when the server is warm if servers of its service are cold for usual after
+// their start.
+func (g sighting) coldUntil(usual time.Duration) time.Duration {
+	switch {
+	case g.stated:
+		return g.until
+	case g.appeared && g.ran <= usual:
+		return g.appearedAt + usual
+	default:
+		return 0
+	}
+}
+
+// SetClock sets the time of day at which the local clock was zero, to which Life is compared. Without
+// it nothing is derived from Life.
+func (s *Set) SetClock(zero time.Time) { s.clockZero = zero }
+
+// recordSighting updates what is known of a server's cold time from an entry.
+func (s *Set) recordSighting(now time.Duration, v Server) {
+	g, known := s.sightings[v.ID]
+	if !known || !g.life.Same(v.Life) {
+		g = sighting{}
+		if s.listed {
+			g = sighting{appeared: true, appearedAt: now, ran: s.ranFor(now, v.Life)}
+		}
+	}
+	if v.Life != 0 {
+		g.life = v.Life
+	}
+	if v.Cold.Known {
+		g.stated, g.until = true, now+v.Cold.Remaining
+	}
+	s.sightings[v.ID] = g
+}
+
+// ranFor returns how long a server has run, or zero if that is unknown.
+func (s *Set) ranFor(now time.Duration, life Life) time.Duration {
+	if life == 0 || s.clockZero.IsZero() {
+		return 0
+	}
+	return max(0, s.clockZero.Add(now).Sub(time.UnixMilli(int64(life))))
+}
+
+// expireSightings removes those of servers that are gone and whose departure is forgotten. A server
+// that the store lists again in the same incarnation has not become cold.
+func (s *Set) expireSightings() {
+	for id, g := range s.sightings {
+		_, listed := s.byID[id]
+		_, retained := s.retained[id]
+		_, departed := s.departed[id]
+		if !listed && !retained && (!departed || g.life == 0) {
+			delete(s.sightings, id)
+		}
+	}
+}
+
+// ColdUntil returns until when a server is cold by the local clock, zero if it never was, if servers
+// of its service are cold for usual after their start.
+func (s *Snapshot) ColdUntil(id string, usual time.Duration) time.Duration {
+	return s.cold[id].coldUntil(usual)
+}
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -43,7 +43,12 @@
 	// presumedStale holds the listed servers that are not used until distrustUntil.
 	presumedStale map[string]bool
 	// evacuated holds the data centres whose servers get no new requests.
-	evacuated     map[string]bool
+	evacuated map[string]bool
+	// sightings are what is known of the cold times of servers by ID; listed is set once there was a
+	// list, and clockZero is the time of day at which the local clock was zero.
+	sightings     map[string]sighting
+	listed        bool
+	clockZero     time.Time
 	retainUntil   time.Duration
 	distrustUntil time.Duration
 }
@@ -68,7 +73,7 @@
 func NewSet() *Set {
 	return &Set{
 		byID: map[string]Server{}, leaving: map[string][]departure{}, departed: map[string]departure{},
-		retained: map[string]Server{}, presumedStale: map[string]bool{},
+		retained: map[string]Server{}, presumedStale: map[string]bool{}, sightings: map[string]sighting{},
 	}
 }
 
@@ -93,7 +98,9 @@
 			s.departed[id] = departure{at: now, life: v.Life}
 		}
 	}
+	s.listed = true
 	s.expireDepartures(now)
+	s.expireSightings()
 	return true
 }
 
@@ -199,6 +206,9 @@
 		delete(s.retained, c.ID)
 		s.departed[c.ID] = departure{at: now, life: s.byID[c.ID].Life}
 		delete(s.byID, c.ID)
+		if s.sightings[c.ID].life == 0 {
+			delete(s.sightings, c.ID)
+		}
 	}
 	return true
 }
@@ -210,6 +220,8 @@
 // can take the new one out of use until its next heartbeat: one server is lost for a
 // second, and a leaving server never gets a request.
 func (s *Set) put(now time.Duration, v Server) {
+	s.recordSighting(now, v)
+	v.Cold = ColdTime{}
 	v.said = !v.Leaving && s.onlySaidLeaving(v)
 	v.Leaving = v.Leaving || s.isLeaving(v)
 	if v.Leaving && !v.said {
@@ -249,7 +261,12 @@
 
 // Snapshot returns an immutable view of the set.
 func (s *Set) Snapshot() *Snapshot {
-	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}}
+	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, cold: map[string]sighting{}}
+	for id, g := range s.sightings {
+		if g.stated || g.appeared {
+			out.cold[id] = g
+		}
+	}
 	for id, v := range s.byID {
 		out.byID[id] = v
 		out.Digest += v.digest()
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -124,6 +124,11 @@
 	Name string
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// ColdRate is the number of requests per second that a cold server may get from all instances
+	// together; zero sets no limit.
+	ColdRate float64
+	// ColdStart is how long a server is cold after its start.
+	ColdStart time.Duration
 	// MinGapTarget is the shortest GapTarget of the stream routes to the service; zero
 	// if there are none. NewTable sets it.
 	MinGapTarget time.Duration
