--- /dev/null
+++ b/control/follow/cold.go
@@ -0,0 +1,120 @@
+package follow
+
+import (
+	"context"
+	"maps"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/internal/wait"
+	"github.com/auburnmoor/auburnmoor/peerpb"
+)
+
+const (
+	// coldTolerance is how far the end of a cold time may move without being forwarded. Each heartbeat
+	// states the remaining time again, and the store delays it by up to 250 ms when it is slow.
+	coldTolerance = 500 * time.Millisecond
+	// coldReportInterval is how often servers that became cold or warm are looked for.
+	coldReportInterval = 250 * time.Millisecond
+)
+
+// usualColdTime returns how long servers of a service are cold after their start, and whether the
+// requests to its cold servers are limited.
+func (f *Follower) usualColdTime(service string) (d time.Duration, limited bool) {
+	t := f.Table()
+	if t == nil {
+		return 0, false
+	}
+	s, known := t.Service(service)
+	if !known {
+		return 0, false
+	}
+	return s.ColdStart, s.ColdRate > 0
+}
+
+// coldServers returns the cold servers of services that limit the requests to them.
+func (f *Follower) coldServers(now time.Duration, snap *backends.Snapshot) []backends.ColdServer {
+	if snap == nil {
+		return nil
+	}
+	return snap.Cold(now, f.usualColdTime)
+}
+
+// coldMS returns the cold time of a server as told to other instances: zero says nothing, and one
+// that was stated and is over counts as a millisecond.
+func (f *Follower) coldMS(snap *backends.Snapshot, s backends.Server) uint32 {
+	usual, limited := f.usualColdTime(s.Service)
+	if !limited {
+		usual = 0
+	}
+	c := snap.ColdTime(f.now(), s.ID, usual)
+	if !c.Known {
+		return 0
+	}
+	ms := (c.Remaining + time.Millisecond - 1).Milliseconds()
+	return uint32(min(max(1, ms), math.MaxUint32))
+}
+
+// coldTimeFrom returns the cold time that another instance told.
+func coldTimeFrom(s *peerpb.ListedServer) backends.ColdTime {
+	if s.ColdMs == 0 {
+		return backends.ColdTime{}
+	}
+	return backends.ColdTime{Known: true, Remaining: time.Duration(s.ColdMs) * time.Millisecond, FromPeer: true}
+}
+
+// coldTimesChanged reports whether a server became cold, or its cold time ends at another time than
+// forwarded, and records what is forwarded now. The caller holds f.mu.
+func (f *Follower) coldTimesChanged(snap *backends.Snapshot) (changed bool) {
+	now := f.now()
+	maps.DeleteFunc(f.coldForwarded, func(_ string, until time.Duration) bool { return until <= now })
+	for _, s := range f.coldServers(now, snap) {
+		until, forwarded := f.coldForwarded[s.ID]
+		if !forwarded || (s.Until-until).Abs() > coldTolerance {
+			f.coldForwarded[s.ID] = s.Until
+			changed = true
+		}
+	}
+	return changed
+}
+
+// reportColdServers logs servers that become cold or warm and updates their number.
+func (f *Follower) reportColdServers(ctx context.Context) {
+	wait.Every(ctx, coldReportInterval, f.reportCold)
+}
+
+func (f *Follower) reportCold() {
+	now, cold := f.now(), map[string]backends.ColdServer{}
+	for _, s := range f.coldServers(now, f.Servers()) {
+		cold[s.ID] = s
+	}
+	f.mu.Lock()
+	previous := f.coldLogged
+	f.coldLogged = cold
+	f.mu.Unlock()
+	if len(cold) == 0 && len(previous) == 0 {
+		return
+	}
+	for id, s := range cold {
+		if before, logged := previous[id]; !logged || !before.Life.Same(s.Life) {
+			f.log.Info("server is cold", zap.String("server", id), zap.String("service", s.Service), zap.Int64("life", int64(s.Life)), zap.Duration("left", s.Until-now))
+		}
+	}
+	for id, s := range previous {
+		if _, still := cold[id]; !still {
+			f.log.Info("server is no longer cold", zap.String("server", id), zap.String("service", s.Service), zap.Int64("life", int64(s.Life)))
+		}
+	}
+	f.scope.Gauge("servers_cold").Update(float64(len(cold)))
+}
+
+// dumpCold lists the cold servers.
+func (f *Follower) dumpCold(now time.Duration) (out []DumpCold) {
+	for _, s := range f.coldServers(now, f.Servers()) {
+		out = append(out, DumpCold{Server: s.ID, Service: s.Service, LeftMS: (s.Until - now).Milliseconds()})
+	}
+	return out
+}
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -115,6 +115,10 @@
 	// olderStoreVersion is the version of the configuration in the store while it is older
 	// than the one in force, else zero.
 	olderStoreVersion uint64
+	// coldForwarded are the ends of cold times as forwarded last, by server, and coldLogged the
+	// servers that are logged as cold.
+	coldForwarded map[string]time.Duration
+	coldLogged    map[string]backends.ColdServer
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -142,6 +146,8 @@
 	f.confirmPolicy = knowledge.Policy{ValidFor: f.watchPolicy.StaleAfter}
 	f.log, f.now, f.name, f.scope, f.catalog = c.Log, c.Now, c.Self.Name, c.Scope, src.Catalog()
 	f.serverSet, f.unreadableServers = backends.NewSet(), unreadable{}
+	f.serverSet.SetClock(time.Now().Add(-c.Now()))
+	f.coldForwarded, f.coldLogged = map[string]time.Duration{}, map[string]backends.ColdServer{}
 	f.confirmations, f.answeredAt = watch.NewConfirmations(), map[string]time.Duration{}
 	f.inbox = ring.New[peerConfig]("catalog.inbox", inboxSize)
 	f.graceBegan = make(chan struct{}, 1)
@@ -174,6 +180,7 @@
 	go f.syncWithPeers(ctx)
 	go f.bootstrapServers(ctx)
 	go f.endGracePeriods(ctx)
+	go f.reportColdServers(ctx)
 	return nil
 }
 
@@ -230,6 +237,7 @@
 	if f.evacuations != nil {
 		d.Evacuated = f.evacuations.DataCentres
 	}
+	d.Cold = f.dumpCold(now)
 	d.Retained, d.PresumedStale = f.serverSet.Retained(), f.serverSet.PresumedStale()
 	d.ConfigAt, d.OlderStoreVersion, d.Unreadable = f.configAt.String(), f.olderStoreVersion, maps.Clone(f.unreadableServers)
 	return d
@@ -264,10 +272,20 @@
 	Watching bool `json:"watching"`
 	// Confirmations lists watching instances with the age of the store's last answer to them.
 	Confirmations []DumpConfirmation `json:"heard,omitempty"`
+	// Cold lists the cold servers of services whose cold servers take a limited rate.
+	Cold []DumpCold `json:"cold,omitempty"`
 	// Unreadable maps server entries that cannot be read to the reason.
 	Unreadable map[string]string `json:"unreadable,omitempty"`
 }
 
+// DumpCold is a cold server.
+type DumpCold struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	// LeftMS is the time for which it remains cold.
+	LeftMS int64 `json:"left_ms"`
+}
+
 // DumpConfirmation is how long ago the store last answered a watching instance.
 type DumpConfirmation struct {
 	By    string `json:"by"`
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -253,5 +253,5 @@
 	if snap == nil || !have.Before(snap.At) {
 		return
 	}
-	f.sendServers([]string{to}, fullReply(snap, f.ConfirmationAge()))
+	f.sendServers([]string{to}, f.fullReply(snap))
 }
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -45,7 +45,7 @@
 		return f.serverSet.Replace(now, l.Servers, l.At)
 	})
 	if before != nil && (changed || before.At.Era < l.At.Era) {
-		f.sendServers(f.members.Standing().FirstTargets(), fullReply(f.Servers(), f.ConfirmationAge()))
+		f.sendServers(f.members.Standing().FirstTargets(), f.fullReply(f.Servers()))
 	}
 }
 
@@ -60,7 +60,7 @@
 		return f.serverSet.Apply(now, l.Changes, l.At)
 	})
 	if changed {
-		f.sendServers(f.members.Standing().FirstTargets(), changesReply(before, l))
+		f.sendServers(f.members.Standing().FirstTargets(), f.changesReply(before, l))
 	}
 }
 
@@ -72,8 +72,8 @@
 }
 
 // updateServers applies a change to the list of servers, publishes a snapshot and reports
-// whether the content changed. It need not have: several instances forward the same change,
-// each with its own revision.
+// whether the content changed, or the cold time of a server, which is not part of the content. It need
+// not have: several instances forward the same change, each with its own revision.
 func (f *Follower) updateServers(from string, change func(now time.Duration) bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,8 +83,9 @@
 	f.noteGracePeriods()
 	before := f.servers.Load()
 	snap := f.publishServers()
+	coldChanged := f.coldTimesChanged(snap)
 	if before != nil && before.Digest == snap.Digest {
-		return false
+		return coldChanged
 	}
 	f.log.Info("backend servers changed", zap.String("from", from), zap.Stringer("at", snap.At), zap.Int("servers", snap.Len()))
 	f.updateServing()
@@ -201,23 +202,24 @@
 	return held.At.Era == r.Era && after.Era == r.Era && !held.At.Before(after)
 }
 
-func fullReply(snap *backends.Snapshot, age time.Duration) *peerpb.ServersReply {
-	out := &peerpb.ServersReply{Revision: snap.At.Revision, Era: snap.At.Era, AgeUs: age.Microseconds()}
+func (f *Follower) fullReply(snap *backends.Snapshot) *peerpb.ServersReply {
+	out := &peerpb.ServersReply{Revision: snap.At.Revision, Era: snap.At.Era, AgeUs: f.ConfirmationAge().Microseconds()}
 	for _, s := range snap.All() {
-		out.Servers = append(out.Servers, toListedServer(s))
+		out.Servers = append(out.Servers, toListedServer(s, f.coldMS(snap, s)))
 	}
 	return out
 }
 
-func changesReply(before *backends.Snapshot, l catalog.ServerChanges) *peerpb.ServersReply {
+func (f *Follower) changesReply(before *backends.Snapshot, l catalog.ServerChanges) *peerpb.ServersReply {
 	out := &peerpb.ServersReply{
 		Revision: l.At.Revision, Era: l.At.Era, Changes: true, After: before.At.Revision, AfterEra: before.At.Era, AfterDigest: before.Digest,
 	}
+	snap := f.Servers()
 	for _, c := range l.Changes {
 		if c.Server == nil {
 			out.Gone = append(out.Gone, c.ID)
 		} else {
-			out.Servers = append(out.Servers, toListedServer(*c.Server))
+			out.Servers = append(out.Servers, toListedServer(*c.Server, f.coldMS(snap, *c.Server)))
 		}
 	}
 	return out
@@ -239,14 +241,15 @@
 	for _, s := range r.Servers {
 		out = append(out, backends.Server{
 			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life), Version: s.Version,
+			Cold: coldTimeFrom(s),
 		})
 	}
 	return out
 }
 
-func toListedServer(s backends.Server) *peerpb.ListedServer {
+func toListedServer(s backends.Server, coldMS uint32) *peerpb.ListedServer {
 	return &peerpb.ListedServer{
 		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(),
-		Life: int64(s.Life), Version: s.Version,
+		Life: int64(s.Life), Version: s.Version, ColdMs: coldMS,
 	}
 }
--- a/decide/backends/cold.go
+++ b/decide/backends/cold.go
@@ -1,6 +1,10 @@
 package backends
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // A server that has just started, or whose data centre comes back, is cold for a while and takes only
 // a few requests per second. Its entry, or another instance, states how long it remains cold. A server
@@ -13,6 +17,9 @@
 	Known bool
 	// Remaining counts from the moment at which the statement is received; zero: it is not cold.
 	Remaining time.Duration
+	// FromPeer is set if another instance states it. That may have an older entry, so it extends the
+	// cold time known here but does not shorten it.
+	FromPeer bool
 }
 
 // sighting is what is known of the cold time of one incarnation of a server. Times are by the local
@@ -59,7 +66,11 @@
 		g.life = v.Life
 	}
 	if v.Cold.Known {
-		g.stated, g.until = true, now+v.Cold.Remaining
+		until := now + v.Cold.Remaining
+		if v.Cold.FromPeer && g.stated {
+			until = max(until, g.until)
+		}
+		g.stated, g.until = true, until
 	}
 	s.sightings[v.ID] = g
 }
@@ -90,3 +101,33 @@
 func (s *Snapshot) ColdUntil(id string, usual time.Duration) time.Duration {
 	return s.cold[id].coldUntil(usual)
 }
+
+// ColdTime returns what is known at a time of a server's cold time, to be stated to other instances.
+func (s *Snapshot) ColdTime(now time.Duration, id string, usual time.Duration) ColdTime {
+	g, known := s.cold[id]
+	remaining := max(0, g.coldUntil(usual)-now)
+	return ColdTime{Known: known && (g.stated || remaining > 0), Remaining: remaining}
+}
+
+// ColdServer is a server that is cold.
+type ColdServer struct {
+	Server
+	// Until is when it is warm by the local clock.
+	Until time.Duration
+}
+
+// Cold returns the servers that are cold at a time, sorted by ID. The function usual returns how long
+// servers of a service are cold after their start, and whether its cold servers matter.
+func (s *Snapshot) Cold(now time.Duration, usual func(service string) (time.Duration, bool)) (out []ColdServer) {
+	for id := range s.cold {
+		v, listed := s.byID[id]
+		if !listed {
+			continue
+		}
+		if d, matters := usual(v.Service); matters && s.ColdUntil(id, d) > now {
+			out = append(out, ColdServer{v, s.ColdUntil(id, d)})
+		}
+	}
+	slices.SortFunc(out, func(a, b ColdServer) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/decide/backends/cold_test.go
+++ b/decide/backends/cold_test.go
@@ -47,6 +47,48 @@
 		Expect(until()).To(Equal(4 * time.Second))
 	})
 
+	// Guards against a server that is overrun because an instance with an older entry takes it for warm.
+	It("is extended by other instances, but not shortened", func() {
+		fromPeer := func(remaining time.Duration) *backends.Server {
+			v := stating(1, remaining)
+			v.Cold.FromPeer = true
+			return &v
+		}
+		set.Replace(0, nil, at(1))
+		apply(time.Second, fromPeer(4*time.Second), 2)
+		apply(time.Second, fromPeer(0), 3)
+		Expect(until()).To(Equal(5 * time.Second))
+		apply(time.Second, fromPeer(6*time.Second), 4)
+		Expect(until()).To(Equal(7 * time.Second))
+	})
+
+	// Guards against a starting server that other instances take for cold although it said that it is not.
+	It("is stated to other instances also once it is over, if it was stated here", func() {
+		set.Replace(0, []backends.Server{silent(1)}, at(1))
+		stated := func(now time.Duration) backends.ColdTime { return set.Snapshot().ColdTime(now, "a", usual) }
+		Expect(stated(time.Second)).To(Equal(backends.ColdTime{}))
+		started := silent(born(time.Second))
+		apply(time.Second, &started, 2)
+		Expect(stated(2 * time.Second)).To(Equal(backends.ColdTime{Known: true, Remaining: 9 * time.Second}))
+		Expect(stated(time.Minute)).To(Equal(backends.ColdTime{}))
+		warm := stating(started.Life, 0)
+		apply(3*time.Second, &warm, 3)
+		Expect(stated(4 * time.Second)).To(Equal(backends.ColdTime{Known: true}))
+	})
+
+	It("makes it one of the cold servers until its end", func() {
+		other := backends.Server{ID: "b", Service: "other", Cold: backends.ColdTime{Known: true, Remaining: time.Hour}}
+		set.Replace(0, []backends.Server{stating(1, 4*time.Second), other}, at(1))
+		cold := func(now time.Duration) (ids []string) {
+			for _, v := range set.Snapshot().Cold(now, func(service string) (time.Duration, bool) { return usual, service == "s" }) {
+				ids = append(ids, v.ID)
+			}
+			return ids
+		}
+		Expect(cold(3 * time.Second)).To(Equal([]string{"a"}))
+		Expect(cold(4 * time.Second)).To(BeEmpty())
+	})
+
 	// Guards against instances that request each other's list without end, because each received
 	// the same entry at another time.
 	It("is not part of the digest, and not of the server", func() {
