--- a/decide/spread/reason.go
+++ b/decide/spread/reason.go
@@ -19,11 +19,13 @@
 	ForHarm
 	// ForTime: its answer can no longer come in time.
 	ForTime
+	// ForWarmup: the servers that could take it are cold, and this instance has sent them all that it may.
+	ForWarmup
 	// NumReasons is the number of reasons.
 	NumReasons
 )
 
-var reasonNames = [...]string{"none", "turn", "reading", "slot", "memory", "harm", "time"}
+var reasonNames = [...]string{"none", "turn", "reading", "slot", "memory", "harm", "time", "cold"}
 
 // String implements fmt.Stringer.
 func (r Reason) String() string { return reasonNames[r] }
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -117,6 +117,8 @@
 	heldFor time.Duration
 	// permitAfter is the time after which a limited server may take the request.
 	permitAfter time.Duration
+	// cold is what placing the request at cold servers needs. Placing changes it.
+	cold coldState
 	// holdReason is why it was last held.
 	holdReason spread.Reason
 	// started is when serving began, firstLatency the time from then to the first
@@ -317,6 +319,9 @@
 		if after := x.retryAfterAllRest(); after > 0 {
 			return result.New(result.NoBackend, "all backend servers asked for rest").WithRetryAfter(after)
 		}
+		if x.cold.leftOut {
+			return result.New(result.NoBackend, "the backend servers are cold and take no more requests at present").WithRetryAfter(x.retryAfterCold())
+		}
 		return result.New(result.NoBackend, "no backend server is ready").WithRetryAfter(retryAfterNoBackend)
 	}
 }
--- a/serve/relay/filter.go
+++ b/serve/relay/filter.go
@@ -19,6 +19,7 @@
 	needsPermit    exclusion = "needs_permit"
 	refusedVersion exclusion = "refused_version"
 	resting        exclusion = "resting"
+	cold           exclusion = "cold"
 )
 
 // serverFilter is one check of a server before it may be chosen.
@@ -118,23 +119,30 @@
 	return filterChain{ejectedFilter{p.tracker, now}, suspendedFilter{p.suspended, now}}
 }
 
-// required returns the filters that are never given up.
-func (r *Relay) required() (c filterChain) {
+// required returns the filters that are never given up. gate is nil for a service without a limit for
+// cold servers; it comes last, so that it excludes servers that could get the request otherwise.
+func (r *Relay) required(gate *coldGate) (c filterChain) {
 	if r.notices.Any() {
 		c = append(c, restFilter{r.notices.RestLeft})
 	}
 	if r.limits.Any() {
 		c = append(c, permitFilter{r.limits.IsLimited})
 	}
+	if gate != nil {
+		c = append(c, gate)
+	}
 	return c
 }
 
 // permitted returns the filters of servers that may get requests with a permit; r.mu must be held
 // while they are used.
-func (r *Relay) permitted(p *pool) filterChain {
+func (r *Relay) permitted(p *pool, gate *coldGate) filterChain {
 	c := r.inRotation(p)
 	if r.notices.Any() {
 		c = append(c, restFilter{r.notices.RestLeft})
 	}
+	if gate != nil {
+		c = append(c, gate)
+	}
 	return c
 }
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -11,21 +11,29 @@
 // place chooses the servers of the next attempt, from this instance's cell or, for a
 // prompt that exceeds the cell's memory, from all cells.
 func (x *exchange) place(maxHold time.Duration) (spread.Plan, spread.Verdict) {
+	x.cold.leftOut = false
 	p, v := x.placeOn(maxHold, false)
 	if v == spread.TooLarge && x.relay.loads.Cell().Count > 1 {
-		return x.placeOn(maxHold, true)
+		p, v = x.placeOn(maxHold, true)
+	}
+	if v == spread.NoServer && x.cold.leftOut {
+		return x.awaitWarmup(maxHold)
 	}
 	return p, v
 }
 
 func (x *exchange) placeOn(maxHold time.Duration, allCells bool) (spread.Plan, spread.Verdict) {
-	servers, total := x.relay.candidates(x.service, allCells)
+	servers, total, coldLeftOut := x.relay.candidates(x.service, allCells)
+	if coldLeftOut {
+		x.leaveOutCold()
+	}
 	return x.placeAmong(servers, total, maxHold, x.state.Sent() > 0 || x.suspect)
 }
 
 // placeAmong chooses among the given servers of a fleet of the given size.
 func (x *exchange) placeAmong(servers []backends.Server, total int, maxHold time.Duration, noHelpers bool) (spread.Plan, spread.Verdict) {
 	r := x.relay
+	gate := r.lockedColdGate(x.service)
 	servers = x.withoutRefusing(servers)
 	req := spread.Request{
 		Instance: r.name, DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
@@ -35,7 +43,9 @@
 	}
 	if x.service.Engine == nil {
 		return r.loads.Place(func(load func(string) spread.Load, _ *spread.Queue) (spread.Plan, spread.Verdict) {
-			return spread.ChoosePlain(x.isolateSuspect(servers, load), load, req)
+			return x.chooseWithin(gate, servers, func(servers []backends.Server) (spread.Plan, spread.Verdict) {
+				return spread.ChoosePlain(x.isolateSuspect(servers, load), load, req)
+			})
 		})
 	}
 	r.observeBacklog(x.service.Name, servers)
@@ -46,7 +56,9 @@
 	return r.loads.Place(func(load func(string) spread.Load, held *spread.Queue) (spread.Plan, spread.Verdict) {
 		req.MustWait = x.isDeep() && held.MustWait(r.now(), x.turn())
 		req.SlotWaiters = held.SlotWaiters(r.now())
-		return spread.Choose(x.service.Engine, x.isolateSuspect(servers, load), load, req)
+		return x.chooseWithin(gate, servers, func(servers []backends.Server) (spread.Plan, spread.Verdict) {
+			return spread.Choose(x.service.Engine, x.isolateSuspect(servers, load), load, req)
+		})
 	})
 }
 
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -96,6 +96,8 @@
 	fleetAt time.Duration
 	// borrower picks the instances that are asked for a retry.
 	borrower *retry.Borrower
+	// coldQuotas are the requests sent to cold servers.
+	coldQuotas coldQuotas
 }
 
 // pool is what this instance observed of one service's servers.
@@ -324,11 +326,12 @@
 }
 
 // candidates returns the servers of a service that this instance may place requests
-// on, and the number of ready servers they were selected from. These are the ready
+// on, the number of ready servers they were selected from, and whether a server is left out only
+// because it is cold and has got all that it may from this instance. The candidates are the ready
 // servers of the instance's cell, or of all cells with allCells or if the cell has
 // none in rotation. If no server at all is in rotation, every ready one is a candidate.
 // Servers that name a limit are not among them: they need a permit (placePermitted).
-func (r *Relay) candidates(service *route.Service, allCells bool) (out []backends.Server, total int) {
+func (r *Relay) candidates(service *route.Service, allCells bool) (out []backends.Server, total int, coldLeftOut bool) {
 	snap := r.catalog.Servers()
 	ready := snap.Ready(service.Name)
 	c := r.loads.Cell()
@@ -340,7 +343,8 @@
 	if !allCells {
 		share = p.cellServers(snap, c, ready, service.Engine == nil)
 	}
-	required := r.required()
+	gate := r.coldGate(service)
+	required := r.required(gate)
 	preferred := slices.Concat(r.inRotation(p), required)
 	if out = preferred.apply(share); len(out) == 0 {
 		share = ready
@@ -349,7 +353,7 @@
 	if len(out) == 0 {
 		out = required.apply(ready)
 	}
-	return r.loads.Available(out), len(share)
+	return r.loads.Available(out), len(share), gate != nil && gate.excluded
 }
 
 // cellShare is the part of a server list that belongs to one cell.
--- a/serve/relay/standby.go
+++ b/serve/relay/standby.go
@@ -101,7 +101,7 @@
 	if !x.mayHedge() {
 		return nil, errNoStandby
 	}
-	servers, total := x.relay.candidates(x.service, false)
+	servers, total, _ := x.relay.candidates(x.service, false)
 	silent := t.plan.Writer().ID
 	servers = slices.DeleteFunc(slices.Clone(servers), func(s backends.Server) bool { return s.ID == silent })
 	plan, verdict := x.placeAmong(servers, total, 0, true)
--- a/serve/relay/standby_test.go
+++ b/serve/relay/standby_test.go
@@ -43,6 +43,8 @@
 	status    int
 	pieces    []piece
 	panics    bool
+	// err is what the call fails with instead of an answer.
+	err error
 }
 
 var errBrokenOff = errors.Mark(io.ErrUnexpectedEOF, backend.ErrBroken)
@@ -135,6 +137,9 @@
 	case <-ctx.Done():
 		return nil, errors.Mark(ctx.Err(), backend.ErrBroken)
 	}
+	if s.err != nil {
+		return nil, s.err
+	}
 	f.addOpen(1)
 	return &scriptedAnswer{ctx: ctx, status: s.status, left: s.pieces, close: sync.OnceFunc(func() { f.addOpen(-1) })}, nil
 }
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,8 @@
 	cancel context.CancelCauseFunc
 	load   *placedLoad
 	res    *reservations
+	// quota is the attempt's part of the quota of a cold server, nil if its writer is not cold.
+	quota *coldSend
 	// answer is nil until its head has arrived, begun is what was read of its body before the
 	// attempt took over, whole whether that is all of it.
 	answer backend.Answer
@@ -61,7 +64,7 @@
 
 // newTry begins an attempt at the servers of a plan, whose load is already counted.
 func (x *exchange) newTry(ctx context.Context, plan spread.Plan) *try {
-	t := &try{plan: plan, load: &placedLoad{loads: x.relay.loads, plan: plan}, unwatch: func() {}, res: new(reservations)}
+	t := &try{plan: plan, load: &placedLoad{loads: x.relay.loads, plan: plan}, unwatch: func() {}, res: new(reservations), quota: x.takeColdSend()}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	x.beginTracking(t)
 	return t
@@ -74,6 +77,7 @@
 		t.answer.Close()
 	}
 	t.unwatch()
+	t.quota.end()
 	t.res.release()
 	t.load.end()
 }
@@ -158,14 +162,21 @@
 	}
 	t.unwatch = x.watch(t)
 	t.sentAt = x.relay.now()
+	t.quota.sent(t.sentAt)
 	answer, err := x.relay.client.Do(t.ctx, x.newCall(t, more))
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Histogram("server_seconds", buckets.Durations).RecordDuration(x.relay.now() - t.sentAt)
 	if err != nil {
+		if errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrHeldBack) {
+			t.quota.giveBack()
+		}
 		return x.classifyError(t, err)
 	}
 	t.answer = answer
 	t.byteAt.Store(int64(x.relay.now()))
 	h := answer.Head()
+	if h.Status == http.StatusMisdirectedRequest {
+		t.quota.giveBack()
+	}
 	if h.NotRun {
 		return x.handleNotRun(t.plan, h)
 	}
