--- a/control/follow/cold_test.go
+++ b/control/follow/cold_test.go
@@ -10,13 +10,10 @@
 	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
 )
 
-// putColdServer lists a ready server of a service whose entry states for how long it remains cold.
-func putColdServer(srv *storeserver.Server, id string, extra map[string]any) {
-	entry := map[string]any{"service": "s", "address": "127.0.0.1:9", "zone": "z", "slots": 2, "state": "ready", "born": 1_767_225_600_000}
-	for k, v := range extra {
-		entry[k] = v
-	}
-	Expect(srv.Put("servers", id, entry)).To(Succeed())
+// putColdServer lists a ready server that started at a time and states for how long it remains cold, or
+// does not if that is nil.
+func putColdServer(srv *storeserver.Server, id, service string, born time.Time, cold *time.Duration) {
+	Expect(srv.PutEntry(storeserver.Entry{ID: id, Service: service, Addr: "127.0.0.1:9", DataCentre: "z", Slots: 2, Born: born, Cold: cold})).To(Succeed())
 }
 
 // coldLeft returns the times for which the servers are cold according to an instance.
@@ -33,12 +30,12 @@
 var _ = Describe("the cold times of servers", func() {
 	var srv *storeserver.Server
 	var first, second *follow.Follower
+	longAgo := time.Now().Add(-time.Hour)
+	remaining := func(d time.Duration) *time.Duration { return &d }
 	BeforeEach(func() {
 		srv = startStore()
-		Expect(srv.Put("config", "main", map[string]any{"version": 4, "services": []any{
-			map[string]any{"name": "s", "coldStartS": 20, "coldPerS": 6}, map[string]any{"name": "unlimited", "coldStartS": 20},
-		}})).To(Succeed())
-		putColdServer(srv, "a", nil)
+		Expect(srv.PutSite(storeserver.Site{Version: 4, Plain: []string{"s"}, ColdPerSecond: 6, ColdStart: 20 * time.Second})).To(Succeed())
+		putColdServer(srv, "a", "s", longAgo, nil)
 		first = start(srv.Addr())
 		Eventually(first.Ready, "3s", "5ms").Should(BeTrue())
 		// The second instance has nothing but what the first one tells it.
@@ -55,21 +52,20 @@
 	It("reach instances that do not watch the store, with no other change of the list", func() {
 		Expect(coldLeft(second)()).To(BeEmpty())
 		digest := second.Servers().Digest
-		putColdServer(srv, "a", map[string]any{"coldRemainingMs": 8000})
+		putColdServer(srv, "a", "s", longAgo, remaining(8*time.Second))
 		for _, f := range []*follow.Follower{first, second} {
 			Eventually(coldLeft(f), "3s", "5ms").Should(HaveKeyWithValue("a", BeNumerically("~", 7500*time.Millisecond, 500*time.Millisecond)))
 		}
 		Expect(second.Servers().Digest).To(Equal(digest))
-		putColdServer(srv, "a", map[string]any{"coldRemainingMs": 0})
+		putColdServer(srv, "a", "s", longAgo, remaining(0))
 		Eventually(coldLeft(first), "3s", "5ms").Should(BeEmpty())
 	})
 
 	// Guards against a started server that is overrun because its entry states no time.
 	It("are the usual ones of servers that appear, and none of servers that have run for longer", func() {
-		born := time.Now().UnixMilli()
-		putColdServer(srv, "appeared", map[string]any{"born": born})
-		putColdServer(srv, "running", map[string]any{"born": born - 30_000})
-		putColdServer(srv, "unlimited", map[string]any{"born": born, "service": "unlimited"})
+		putColdServer(srv, "appeared", "s", time.Now(), nil)
+		putColdServer(srv, "running", "s", time.Now().Add(-30*time.Second), nil)
+		putColdServer(srv, "unlimited", "other", time.Now(), nil)
 		for _, f := range []*follow.Follower{first, second} {
 			Eventually(coldLeft(f), "3s", "5ms").Should(HaveKeyWithValue("appeared", BeNumerically(">", 15*time.Second)))
 			Eventually(func() int { return f.Servers().Len() }, "3s", "5ms").Should(Equal(4))
@@ -80,7 +76,7 @@
 	// Guards against an instance that starts while a server is cold and overruns it, because its
 	// first list holds that server like all others.
 	It("reach an instance that starts later", func() {
-		putColdServer(srv, "appeared", map[string]any{"born": time.Now().UnixMilli()})
+		putColdServer(srv, "appeared", "s", time.Now(), nil)
 		Eventually(coldLeft(first), "3s", "5ms").Should(HaveKey("appeared"))
 		down := storeserver.New("127.0.0.1:0")
 		Expect(down.Start()).To(Succeed())
--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -32,11 +32,14 @@
 }
 
 // busiestWindow is the greatest number of arrivals in one limitWindow.
-func busiestWindow(at []time.Time) (busiest int) {
+func busiestWindow(at []time.Time) int { return busiest(at, limitWindow) }
+
+// busiest is the greatest number of arrivals in any window of a length.
+func busiest(at []time.Time, window time.Duration) (busiest int) {
 	for i, begin := range at {
 		n := 0
 		for _, t := range at[i:] {
-			if t.Sub(begin) < limitWindow {
+			if t.Sub(begin) < window {
 				n++
 			}
 		}
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -108,14 +108,19 @@
 
 // configure stores the next configuration version, in which one customer has the given key.
 func (s *platformSite) configure(key string) {
+	s.configureWith(storeserver.Site{Keys: []string{key}})
+}
+
+// configureWith stores the next configuration version with the given content and the usual services
+// and routes.
+func (s *platformSite) configureWith(c storeserver.Site) {
 	s.version += 3
 	route := func(name, kind, service string) storeserver.Route {
 		return storeserver.Route{Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Service: service, TimeoutMS: 8000}
 	}
-	Expect(s.store.PutSite(storeserver.Site{
-		Version: s.version, Models: []string{"model"}, Plain: []string{"registry"}, EngineMemory: engineMemory, Keys: []string{key},
-		Routes: []storeserver.Route{route("ask", "streaming", "model"), route("look", "safe", "registry"), route("print", "unsafe", "registry")},
-	})).To(Succeed())
+	c.Version, c.Models, c.Plain, c.EngineMemory = s.version, []string{"model"}, []string{"registry"}, engineMemory
+	c.Routes = []storeserver.Route{route("ask", "streaming", "model"), route("look", "safe", "registry"), route("print", "unsafe", "registry")}
+	Expect(s.store.PutSite(c)).To(Succeed())
 }
 
 func (s *platformSite) startEntry(i int) {
--- a/lab/standin/storeserver/site.go
+++ b/lab/standin/storeserver/site.go
@@ -1,5 +1,7 @@
 package storeserver
 
+import "time"
+
 // Site is a configuration as operators write it.
 type Site struct {
 	Version int
@@ -10,6 +12,19 @@
 	EngineMemory int
 	// Keys are the API keys of the only customer.
 	Keys []string
+	// ColdPerSecond is the number of requests per second that a cold server takes, zero for no limit,
+	// ColdStart how long a server is cold after its start. They apply to all services.
+	ColdPerSecond float64
+	ColdStart     time.Duration
+}
+
+// service returns the configuration of a service without its engine.
+func (c Site) service(name string) map[string]any {
+	spec := map[string]any{"name": name}
+	if c.ColdPerSecond > 0 {
+		spec["coldPerS"], spec["coldStartS"] = c.ColdPerSecond, c.ColdStart.Seconds()
+	}
+	return spec
 }
 
 // Route is one route of a Site.
@@ -43,13 +58,15 @@
 		routes = append(routes, spec)
 	}
 	for _, name := range c.Models {
-		services = append(services, map[string]any{"name": name, "engine": map[string]any{
+		spec := c.service(name)
+		spec["engine"] = map[string]any{
 			"slots": 4, "kvCapacity": c.EngineMemory, "step_ms": 0.5, "read_per_s": 1e6, "pairs_per_m": 0.01, "chunk": 2048, "stride": 10,
 			"usual": map[string]any{"prompt": 1000, "answer": 100},
-		}})
+		}
+		services = append(services, spec)
 	}
 	for _, name := range c.Plain {
-		services = append(services, map[string]any{"name": name})
+		services = append(services, c.service(name))
 	}
 	return s.Put("config", "main", map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
@@ -65,6 +82,10 @@
 	Leaving                       bool
 	// Version is that of the server's software.
 	Version string
+	// Born is when the server started, not stated if zero, Cold for how long it remains cold, not stated
+	// if nil.
+	Born time.Time
+	Cold *time.Duration
 }
 
 // PutEntry writes the entry of a backend server.
@@ -73,7 +94,14 @@
 	if e.Leaving {
 		state = "draining"
 	}
-	return s.Put("servers", e.ID, map[string]any{"service": e.Service, "address": e.Addr, "zone": e.DataCentre, "slots": e.Slots, "state": state, "version": e.Version})
+	spec := map[string]any{"service": e.Service, "address": e.Addr, "zone": e.DataCentre, "slots": e.Slots, "state": state, "version": e.Version}
+	if !e.Born.IsZero() {
+		spec["born"] = e.Born.UnixMilli()
+	}
+	if e.Cold != nil {
+		spec["coldRemainingMs"] = e.Cold.Milliseconds()
+	}
+	return s.Put("servers", e.ID, spec)
 }
 
 // RemoveEntry removes the entry of a backend server.
