--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -65,7 +65,7 @@
 	Digest   uint64
 	byID     map[string]Server
 	services map[string][]Server
-	// cold holds the servers that are or were cold.
+	// cold holds the servers that may be cold or have been so, by ID.
 	cold map[string]sighting
 }
 
