Held prompts go by the priority of their customer or route

Ranks reached the engines and the permits of limited servers only; where prompts wait for their turn at the instances, a customer's priority had no effect. Test: decide/spread "go by priority, but behind one that can still be in time" did not compile before, and fails without the comparison.

--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -399,7 +399,7 @@
 // because instances have no common clock.
 func encodeHeldPrompt(now time.Duration, t spread.Turn) *peerpb.HeldPrompt {
 	return &peerpb.HeldPrompt{
-		Request: t.Request, Weight: t.Weight, WaitedUs: (now - t.Arrived).Microseconds(),
+		Request: t.Request, Weight: t.Weight, Rank: int32(t.Rank), WaitedUs: (now - t.Arrived).Microseconds(),
 		UsefulUs: t.FirstTarget.Microseconds(), LateAfterUs: t.LateAfter.Microseconds(),
 	}
 }
@@ -408,7 +408,7 @@
 	w := spread.Waiting{ForSlot: int(r.ForSlot)}
 	if h := r.Held; h != nil {
 		w.First, w.HasFirst = spread.Turn{
-			Request: h.Request, Weight: h.Weight, Arrived: now - peerpb.Micros(h.WaitedUs), FirstTarget: peerpb.Micros(h.UsefulUs), LateAfter: peerpb.Micros(h.LateAfterUs),
+			Request: h.Request, Weight: h.Weight, Rank: int(h.Rank), Arrived: now - peerpb.Micros(h.WaitedUs), FirstTarget: peerpb.Micros(h.UsefulUs), LateAfter: peerpb.Micros(h.LateAfterUs),
 		}, true
 	}
 	return w
--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -16,6 +16,8 @@
 	Request string
 	// Weight is the length in tokens by which the prompt is queued.
 	Weight int64
+	// Rank is the priority of the prompt's customer or route; 0 is the most urgent.
+	Rank int
 	// Arrived is when the prompt arrived, by the clock of the instance that compares.
 	Arrived time.Duration
 	// FirstTarget is the target for the time to the first event, LateAfter the wait after
@@ -28,10 +30,10 @@
 // always has a shorter one. By arrival alone all prompts of a burst would be late.
 const ageingFactor = 5
 
-// NewTurn returns the turn of a prompt that arrived at arrived and whose first event is
-// due within target.
-func NewTurn(e *route.Engine, request string, prompt int64, arrived, target time.Duration) Turn {
-	t := Turn{Request: request, Weight: weight(e, prompt), Arrived: arrived, FirstTarget: target}
+// NewTurn returns the turn of a prompt of a rank that arrived at arrived and whose first event
+// is due within target.
+func NewTurn(e *route.Engine, request string, prompt int64, rank int, arrived, target time.Duration) Turn {
+	t := Turn{Request: request, Weight: weight(e, prompt), Rank: rank, Arrived: arrived, FirstTarget: target}
 	if target > 0 {
 		t.LateAfter = lateAfter(e, prompt, target)
 	}
@@ -43,8 +45,8 @@
 	return t.FirstTarget > 0 && now-t.Arrived > t.LateAfter
 }
 
-// rank is the weight, reduced by ageing.
-func (t Turn) rank(now time.Duration) float64 {
+// agedWeight is the weight, reduced by ageing.
+func (t Turn) agedWeight(now time.Duration) float64 {
 	if t.FirstTarget <= 0 {
 		return float64(t.Weight)
 	}
@@ -52,13 +54,13 @@
 }
 
 // precedes reports whether t goes before o. A prompt that can still be in time goes first,
-// then the one of lower rank, since a prompt of half the length takes a quarter of the
-// engines' time.
+// then the one of higher priority, then the one of lower aged weight, since a prompt of half the
+// length takes a quarter of the engines' time.
 func (t Turn) precedes(now time.Duration, o Turn) bool {
 	if t.late(now) != o.late(now) {
 		return o.late(now)
 	}
-	return cmp.Or(cmp.Compare(t.rank(now), o.rank(now)), cmp.Compare(t.Request, o.Request)) < 0
+	return cmp.Or(cmp.Compare(t.Rank, o.Rank), cmp.Compare(t.agedWeight(now), o.agedWeight(now)), cmp.Compare(t.Request, o.Request)) < 0
 }
 
 // TurnTTL is how long a peer's report of what it holds back counts; a peer that
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -89,7 +89,7 @@
 	}
 	n.ledger.Advance(n.Now())
 	waited, firstTarget := n.Now()-q.receivedAt, q.kind.First.Std()
-	turn := spread.NewTurn(n.spec, q.id, q.prompt, q.receivedAt, firstTarget)
+	turn := spread.NewTurn(n.spec, q.id, q.prompt, q.kind.Rank, q.receivedAt, firstTarget)
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Total, spread.Request{
 		Instance: n.name, Unreported: n.arrivals.Unreported(n.Now(), len(n.instances)-1), FleetSize: len(n.servers), Avoid: q.avoid,
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -92,7 +92,7 @@
 
 // turn is the request's position among the held deep prompts of all instances.
 func (x *exchange) turn() spread.Turn {
-	return spread.NewTurn(x.service.Engine, x.req.ID, x.req.PromptTokens, x.started, x.route.FirstEventTarget)
+	return spread.NewTurn(x.service.Engine, x.req.ID, x.req.PromptTokens, x.rank, x.started, x.route.FirstEventTarget)
 }
 
 // logHeld logs that a request is held and why.
