Equal engines of other data centres are chosen by the instance's own order

Two engines that are both elsewhere compared as equal whatever their order, so that the first of the list decided, for all instances alike. Found by reading. Test: decide/spread "uses the engines of all other data centres if its own has none" found one data centre of three before.

--- a/decide/spread/arrivals.go
+++ b/decide/spread/arrivals.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// reportDelay is about the time until another instance knows of a placed request: reports are
-// batched for 2 ms, and the rest is the way and the wake-ups of both processes.
+// reportDelay is the estimated time from placing a request until another instance counts it:
+// reports are batched for 2 ms, and the rest is network delay and the scheduling of both processes.
 const reportDelay = 12 * time.Millisecond
 
 // arrivalTimeConstant is the time constant of the rate of Arrivals; bursts rise within a second.
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -251,6 +251,15 @@
 		Expect(len(writers)).To(BeNumerically(">=", 6))
 	})
 
+	// Guards against a choice among equal engines that depends on their order in the list.
+	It("uses the engines of all other data centres if its own has none", func() {
+		used := map[string]bool{}
+		for i := range 30 {
+			used[must(newFleet(6).place(spread.Request{Prompt: 3000, Answer: 10, Instance: fmt.Sprint("i", i), Unreported: 1, DataCentre: "elsewhere"})).Writer().DataCentre] = true
+		}
+		Expect(used).To(HaveLen(3))
+	})
+
 	It("takes the least loaded server of a plain service, among equals one in the same data centre", func() {
 		f := newFleet(3)
 		f.ledger.Add("s00", spread.Load{Calls: 2})
--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -100,8 +100,8 @@
 // instances. Otherwise all instances that place prompts before they hear of each other would
 // choose the same engine. A short prompt that finds no slot there waits for the end of an answer
 // though others have slots. A deep one finds no memory: it is prefilled only when the first is
-// answered, seconds later, by engines that decode short answers by then. Of short and long
-// prompts, engines of the same data centre get more.
+// answered, seconds later, by engines that decode short answers by then. Prompts that are not
+// deep go to an engine in this instance's data centre if one is among the least loaded.
 func (c *chooser) instanceChoice(fit []backends.Server, cost func(backends.Server) time.Duration) backends.Server {
 	least := cost(fit[0])
 	for _, s := range fit[1:] {
@@ -109,10 +109,11 @@
 	}
 	fit = slices.DeleteFunc(fit, func(s backends.Server) bool { return cost(s) > least+c.costTolerance() })
 	return slices.MinFunc(fit, func(a, b backends.Server) int {
-		if !c.deep() && a.DataCentre != b.DataCentre {
-			return cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre))
+		distance := 0
+		if !c.deep() {
+			distance = cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre))
 		}
-		return cmp.Compare(c.instanceOrder(a), c.instanceOrder(b))
+		return cmp.Or(distance, cmp.Compare(c.instanceOrder(a), c.instanceOrder(b)))
 	})
 }
 
