Prompts that wait for cold servers do not hold up others; servers out of rotation do not replace cold ones

A deep prompt that waited only for this instance's quota kept its turn, so that prompts of other instances and services waited behind it. Where the servers in rotation were all cold, ejected ones were used instead of holding the prompt. Both found by reading; no test of its own yet, the tests of serve/relay pass.

--- a/serve/relay/budget.go
+++ b/serve/relay/budget.go
@@ -85,7 +85,8 @@
 	return b
 }
 
-// retryFleet returns the instances that share the retry budgets; r.mu must be held.
+// retryFleet returns the instances that share the retry budgets and the quotas of cold servers; r.mu
+// must be held.
 func (r *Relay) retryFleet() retry.Fleet {
 	if now := r.now(); r.fleet.Size == 0 || now-r.fleetAt >= fleetInterval {
 		roster := r.members.Roster(2 * r.RetryWindow.Std())
--- a/serve/relay/cold.go
+++ b/serve/relay/cold.go
@@ -46,22 +46,22 @@
 	excluded bool
 }
 
-// coldGate returns the gate of a service, or nil if its cold servers have no limit; r.mu must be held.
-func (r *Relay) coldGate(service *route.Service) *coldGate {
+// newColdGate returns the gate of a service, or nil if its cold servers have no limit; r.mu must be held.
+func (r *Relay) newColdGate(service *route.Service) *coldGate {
 	if service.ColdRate <= 0 {
 		return nil
 	}
 	return &coldGate{quotas: &r.coldQuotas, snap: r.catalog.Servers(), service: service, fleet: member.Roster(r.retryFleet()), now: r.now()}
 }
 
-// lockedColdGate is coldGate for callers that do not hold r.mu.
-func (r *Relay) lockedColdGate(service *route.Service) *coldGate {
+// lockAndMakeColdGate is newColdGate for callers that do not hold r.mu.
+func (r *Relay) lockAndMakeColdGate(service *route.Service) *coldGate {
 	if service.ColdRate <= 0 {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.coldGate(service)
+	return r.newColdGate(service)
 }
 
 func (g *coldGate) isCold(s backends.Server) bool {
@@ -207,7 +207,7 @@
 // retryAfterCold returns when the caller may come back if all servers are cold: between the time at which
 // the first quota is free again and a second, so that callers do not all come back at once.
 func (x *exchange) retryAfterCold() time.Duration {
-	gate := x.relay.lockedColdGate(x.service)
+	gate := x.relay.lockAndMakeColdGate(x.service)
 	if gate == nil {
 		return retryAfterNoBackend
 	}
--- a/serve/relay/cold_test.go
+++ b/serve/relay/cold_test.go
@@ -179,7 +179,7 @@
 
 	It("counts requests as their writer only", func() {
 		x := newCold(route.Stream, 1, []string{"b"})
-		gate := x.relay.lockedColdGate(x.service)
+		gate := x.relay.lockAndMakeColdGate(x.service)
 		a, b := backends.Server{ID: "a"}, backends.Server{ID: "b"}
 		choose := func(parts ...backends.Server) func([]backends.Server) (spread.Plan, spread.Verdict) {
 			return func(servers []backends.Server) (spread.Plan, spread.Verdict) {
@@ -209,7 +209,7 @@
 
 	It("is excluded by the last of the required filters", func() {
 		x := newCold(route.Idempotent, 0.5, []string{"a"})
-		gate := x.relay.lockedColdGate(x.service)
+		gate := x.relay.lockAndMakeColdGate(x.service)
 		gate.fleet = member.Roster{Size: 1}
 		Expect(gate.check(backends.Server{ID: "b"})).To(Equal(eligible))
 		Expect(gate.excluded).To(BeFalse())
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -47,9 +47,7 @@
 	x.logHeld(plan)
 	began := r.now()
 	for verdict == spread.Hold {
-		if x.isDeep() {
-			r.loads.Hold(x.turn())
-		}
+		x.updateTurn(plan.Reason)
 		if !wait.For(ctx, rand.N(2*recheckInterval)) {
 			return plan, verdict
 		}
@@ -95,6 +93,18 @@
 	return spread.NewTurn(x.service.Engine, x.req.ID, x.req.PromptTokens, x.rank, x.started, x.route.FirstEventTarget)
 }
 
+// updateTurn keeps a held deep prompt in the queue of all instances. Prompts of others need not wait
+// for one that waits only for this instance's quota of requests to cold servers.
+func (x *exchange) updateTurn(waitsFor spread.Reason) {
+	switch {
+	case !x.isDeep():
+	case waitsFor == spread.ForWarmup:
+		x.relay.loads.Release(x.req.ID)
+	default:
+		x.relay.loads.Hold(x.turn())
+	}
+}
+
 // logHeld logs that a request is held and why.
 func (x *exchange) logHeld(plan spread.Plan) {
 	x.relay.log.Info("held back", zap.String("request", x.req.ID), zap.Int64("prompt", x.req.PromptTokens),
--- a/serve/relay/permit.go
+++ b/serve/relay/permit.go
@@ -68,7 +68,7 @@
 	r.mu.Lock()
 	p := r.pool(x.service.Name)
 	p.syncServers(snap, ready)
-	servers := r.permitted(p, r.coldGate(x.service)).apply(p.cellServers(snap, c, ready, x.service.Engine == nil))
+	servers := r.permitted(p, r.newColdGate(x.service)).apply(p.cellServers(snap, c, ready, x.service.Engine == nil))
 	r.mu.Unlock()
 	avoided := x.avoided()
 	return slices.DeleteFunc(r.limits.Limited(servers), func(s backends.Server) bool {
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -33,7 +33,7 @@
 // placeAmong chooses among the given servers of a fleet of the given size.
 func (x *exchange) placeAmong(servers []backends.Server, total int, maxHold time.Duration, noHelpers bool) (spread.Plan, spread.Verdict) {
 	r := x.relay
-	gate := r.lockedColdGate(x.service)
+	gate := r.lockAndMakeColdGate(x.service)
 	servers = x.withoutRefusing(servers)
 	req := spread.Request{
 		Instance: r.name, Unreported: r.unreported(x.service.Name), DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -331,7 +331,8 @@
 // on, the number of ready servers they were selected from, and whether a server is left out only
 // because it is cold and has got all that it may from this instance. The candidates are the ready
 // servers of the instance's cell, or of all cells with allCells or if the cell has
-// none in rotation. If no server at all is in rotation, every ready one is a candidate.
+// none in rotation. If no server at all is in rotation, every ready one is a candidate; servers out of rotation do not
+// take the place of cold ones.
 // Servers that name a limit are not among them: they need a permit (placePermitted).
 func (r *Relay) candidates(service *route.Service, allCells bool) (out []backends.Server, total int, coldLeftOut bool) {
 	snap := r.catalog.Servers()
@@ -345,14 +346,14 @@
 	if !allCells {
 		share = p.cellServers(snap, c, ready, service.Engine == nil)
 	}
-	gate := r.coldGate(service)
+	gate := r.newColdGate(service)
 	required := r.required(gate)
 	preferred := slices.Concat(r.inRotation(p), required)
 	if out = preferred.apply(share); len(out) == 0 {
 		share = ready
 		out = preferred.apply(ready)
 	}
-	if len(out) == 0 {
+	if len(out) == 0 && (gate == nil || !gate.excluded) {
 		out = required.apply(ready)
 	}
 	return r.loads.Available(out), len(share), gate != nil && gate.excluded
