--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -72,8 +72,9 @@
 }
 
 // updateServers applies a change to the list of servers, publishes a snapshot and reports
-// whether the content changed, or the cold time of a server, which is not part of the content. It need
-// not have: several instances forward the same change, each with its own revision.
+// whether the content or the end of a server's cold time changed. The latter is not part of the
+// content. Neither may have changed: several instances forward the same change, each with its own
+// revision.
 func (f *Follower) updateServers(from string, change func(now time.Duration) bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/decide/warmup/warmup.go
+++ b/decide/warmup/warmup.go
@@ -43,7 +43,8 @@
 
 // Quota returns how many requests this instance may send to a cold server in any second, so that all
 // instances together send no more than perSecond. All quotas are equal but for a remainder: one more
-// for a block of ranks that depends on the server. now is the time since the start of this instance.
+// for a block of ranks that depends on the server. The rate is rounded down, so that a rate below one
+// sends cold servers nothing. now is the time since the start of this instance.
 func Quota(now time.Duration, s Server, perSecond float64, fleet member.Roster) int {
 	if now < SettleTime || fleet.Incomplete || fleet.Size <= 0 || perSecond < 1 {
 		return 0
@@ -108,8 +109,8 @@
 	}
 }
 
-// NextFree returns the time until a further request may be sent to a server, as far as that is known:
-// zero if it may be sent now, and Window if the quota is zero or no request was sent yet.
+// NextFree returns the time until a further request may be sent to a server: zero if it may be sent
+// now, and Window if the quota is zero or all requests that count are still to be sent.
 func (l *Limiter) NextFree(now time.Duration, s Server, quota int) time.Duration {
 	list := l.expire(now, s)
 	if quota > 0 && len(list) < quota {
