Engines of equal cost are taken in the common order while few requests are placed at a time

The order of each instance's own also applied where nothing is placed at the same time, so that an idle instance always used the same engine of three. e2e "gets neither resumed streams nor parts of prompts nor reservations of that instance" failed: none of 60 requests came to the first engine. Below one unreported request the choice is as it was.

--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -77,9 +77,23 @@
 		l := c.load(s.ID)
 		return l.Prefill + time.Duration(l.Calls)*callCost + time.Duration(l.DeepCalls)*deepCallCost
 	}
-	return c.instanceChoice(fit, cost), true
+	if c.deep() || c.req.Unreported >= minUnreported {
+		return c.instanceChoice(fit, cost), true
+	}
+	return slices.MinFunc(fit, func(a, b backends.Server) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), c.compareDistance(a, b), c.compareIDs(a, b))
+	}), true
 }
 
+// compareDistance prefers engines in this instance's data centre.
+func (c *chooser) compareDistance(a, b backends.Server) int {
+	return cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre))
+}
+
+// minUnreported is the number of requests placed by others at the same time from which an instance
+// chooses by an order of its own; with fewer, the engine with the lowest cost is seldom taken twice.
+const minUnreported = 1
+
 // Differences of cost up to which engines count as equally loaded. For prompts that are not deep
 // the difference grows with the number of requests that other instances place at the same time,
 // up to that of two answers in progress.
@@ -111,7 +125,7 @@
 	return slices.MinFunc(fit, func(a, b backends.Server) int {
 		distance := 0
 		if !c.deep() {
-			distance = cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre))
+			distance = c.compareDistance(a, b)
 		}
 		return cmp.Or(distance, cmp.Compare(c.instanceOrder(a), c.instanceOrder(b)))
 	})
