Link: its address is free once it is closed

A server that is stopped before it serves does not know its listener, which stayed open until the goroutine ran: the next link at that address could not start (three specs in a row, beside load).

--- a/peerlink/datagram_test.go
+++ b/peerlink/datagram_test.go
@@ -93,6 +93,14 @@
 		Expect(peers()).To(BeZero())
 	})
 
+	// Guards against an address that stays in use after the link has ended: the server had not begun
+	// to serve its listener yet.
+	It("can be sent by the next link at an address as soon as the last one was closed", func() {
+		for range 300 {
+			Expect(startLink("e", "127.0.0.1:19917", addrs, func(string, *peerpb.Envelope) {}).Cleanup()).To(Succeed())
+		}
+	})
+
 	It("is not sent to an instance without a known address", func() {
 		Expect(a.SendDatagram("nobody", small)).To(BeFalse())
 	})
--- a/peerlink/peerlink.go
+++ b/peerlink/peerlink.go
@@ -231,6 +231,8 @@
 	}
 	if l.server != nil {
 		l.server.Stop()
+		// A server that has not begun to serve yet does not know its listener.
+		_ = l.listener.Close()
 	}
 	return nil
 }
