--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -121,14 +121,19 @@
 	for _, s := range fit[1:] {
 		least = min(least, cost(s))
 	}
-	fit = slices.DeleteFunc(fit, func(s backends.Server) bool { return cost(s) > least+c.costTolerance() })
-	return slices.MinFunc(fit, func(a, b backends.Server) int {
+	deep, limit := c.deep(), least+c.costTolerance()
+	fit = slices.DeleteFunc(fit, func(s backends.Server) bool { return cost(s) > limit })
+	best, bestOrder := fit[0], c.instanceOrder(fit[0])
+	for _, s := range fit[1:] {
 		distance := 0
-		if !c.deep() {
-			distance = c.compareDistance(a, b)
+		if !deep {
+			distance = c.compareDistance(s, best)
 		}
-		return cmp.Or(distance, cmp.Compare(c.instanceOrder(a), c.instanceOrder(b)))
-	})
+		if order := c.instanceOrder(s); cmp.Or(distance, cmp.Compare(order, bestOrder)) < 0 {
+			best, bestOrder = s, order
+		}
+	}
+	return best
 }
 
 // instanceOrder is the position of an engine in the order of this instance.
