--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
+	"github.com/auburnmoor/auburnmoor/decide/admission"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/blame"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
@@ -121,6 +122,8 @@
 	cold coldState
 	// holdReason is why it was last held.
 	holdReason spread.Reason
+	// admission is the last decision of the admission chain.
+	admission admission.Decision
 	// started is when serving began, firstLatency the time from then to the first
 	// event or to the whole answer.
 	started, firstLatency time.Duration
@@ -313,6 +316,9 @@
 	case spread.TooLarge:
 		return result.New(result.TooLongForFleet, "all engines together lack the memory for this prompt")
 	case spread.Overloaded:
+		if x.admission.Refuse {
+			return x.admissionError()
+		}
 		return result.New(result.Overloaded, "the engines are too busy for this prompt (%s): mean prefill backlog %s, room for %d tokens on the emptiest",
 			p.Reason, p.Backlog.Round(time.Millisecond), p.MaxFreeMemory).WithRetryAfter(retryAfterNoRoom)
 	default:
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -47,6 +47,9 @@
 	x.logHeld(plan)
 	began := r.now()
 	for verdict == spread.Hold {
+		if x.refusedByAdmission() {
+			return plan, spread.Overloaded
+		}
 		x.updateTurn(plan.Reason)
 		if !wait.For(ctx, rand.N(2*recheckInterval)) {
 			return plan, verdict
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/control/notices"
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
+	"github.com/auburnmoor/auburnmoor/decide/admission"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
 	"github.com/auburnmoor/auburnmoor/decide/away"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
@@ -79,6 +80,8 @@
 	guards           *backend.Guards
 	examiner         *examiner
 	answerRoom       room
+	// admission are the checks of requests that would be held, none without the settings that ask for them.
+	admission admission.Chain
 	// drained ends when the time to drain has passed.
 	drained  context.Context
 	endDrain context.CancelCauseFunc
