--- a/control/loads/relay.go
+++ b/control/loads/relay.go
@@ -16,6 +16,13 @@
 	if complete || !l.RelayReports {
 		return fanout.Plan{}
 	}
+	l.updateHeardAt()
+	l.relayRound++
+	return fanout.Choose(now, l.link.Self(), l.dataCentre, l.located, l.relayRound)
+}
+
+// updateHeardAt records when each cell peer was last heard from directly. l.mu must be held.
+func (l *Loads) updateHeardAt() {
 	names := make([]string, len(l.located))
 	for i, p := range l.located {
 		names[i] = p.Name
@@ -23,8 +30,6 @@
 	for i, at := range l.members.HeardDirectly(names) {
 		l.located[i].HeardAt = at
 	}
-	l.relayRound++
-	return fanout.Choose(now, l.link.Self(), l.dataCentre, l.located, l.relayRound)
 }
 
 // send sends a report by a plan, or to all peers if the plan has no relays or the report may not fit
