Instances that start serve no request before they know which data centres are evacuated

The test failed before: an instance was ready as soon as it had a configuration and a list of servers, and sent requests to servers of an evacuated data centre until the store or a peer answered for the evacuations. Cause: Ready did not depend on the evacuations, which are read by a loop of their own.

--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -96,6 +96,9 @@
 		return false
 	}
 	f.evacuations = &e
+	// The servers must be out of use before the instance serves requests.
+	defer f.updateServing()
+	defer f.evacuationsKnown.Store(true)
 	if previous == nil && len(e.DataCentres) == 0 || previous != nil && slices.Equal(previous.DataCentres, e.DataCentres) {
 		return false
 	}
--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -56,4 +57,33 @@
 		srv.SetFaults(storeserver.Faults{ForgetHistory: true})
 		Eventually(readyCounts(fleet), "5s", "10ms").Should(Equal(ready(0)))
 	})
+
+	// Guards against requests to servers of an evacuated data centre from an instance that has just
+	// started: it had the list of servers and not yet that of the evacuations.
+	It("is awaited by an instance that starts in it", func() {
+		srv := startStore()
+		evacuate(srv, "z")
+		srv.SetFaults(storeserver.Faults{SilentKind: "evacuations"})
+		f := startFleetWith([]string{srv.Addr()}, shortWait+"\nevacuations = true")[0]
+		Eventually(f.Servers, "5s", "5ms").ShouldNot(BeNil())
+		Eventually(f.Table, "5s", "5ms").ShouldNot(BeNil())
+		Consistently(f.Ready, "1s", "5ms").Should(BeFalse())
+		srv.SetFaults(storeserver.Faults{})
+		Eventually(f.Ready, "5s", "5ms").Should(BeTrue())
+		Expect(f.Servers().Ready("s")).To(BeEmpty())
+	})
+
+	// Guards against instances that start while the store is away and that learn of the evacuation from
+	// peers only after the list of servers.
+	It("is known to an instance that starts while the store is away", func() {
+		srv := startStore()
+		evacuate(srv, "z")
+		all := start(srv.Addr())
+		Eventually(readyCounts(all), "10s", "20ms").Should(Equal(ready(0)))
+		srv.SetFaults(storeserver.Faults{Silent: true})
+		late := startWith(srv.Addr(), "late", fmt.Sprintf("127.0.0.1:%d", fleetPort+n), fmt.Sprintf("127.0.0.1:%d", fleetPort), shortWait+"\nevacuations = true")
+		sends := func() bool { return late.Ready() && len(late.Servers().Ready("s")) > 0 }
+		Consistently(sends, "3s", "2ms").Should(BeFalse())
+		Expect(late.Ready()).To(BeTrue())
+	})
 })
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -79,6 +79,8 @@
 	table   atomic.Pointer[route.Table]
 	encoded atomic.Pointer[content]
 	servers atomic.Pointer[backends.Snapshot]
+	// evacuationsKnown is set once a state of the evacuations is known.
+	evacuationsKnown atomic.Bool
 	// confirmedAt is when the store last confirmed the local content to a watching instance,
 	// in nanoseconds since the start; zero before the first time.
 	confirmedAt atomic.Int64
@@ -190,8 +192,11 @@
 // Servers returns the current list of servers, or nil if there is none yet.
 func (f *Follower) Servers() *backends.Snapshot { return f.servers.Load() }
 
-// Ready reports whether requests can be served.
-func (f *Follower) Ready() bool { return f.Table() != nil && f.Servers() != nil }
+// Ready reports whether requests can be served. Where data centres are evacuated, that needs to be known
+// of which: an instance that starts would otherwise send requests to their servers.
+func (f *Follower) Ready() bool {
+	return f.Table() != nil && f.Servers() != nil && (!f.Evacuations || f.evacuationsKnown.Load())
+}
 
 // ConfirmationAge is the time since the store last confirmed the local configuration and list of
 // servers to a watching instance.
--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -49,6 +49,8 @@
 	Down bool `json:"down"`
 	// Silent accepts calls and never answers.
 	Silent bool `json:"silent"`
+	// SilentKind leaves the calls for one kind of object unanswered.
+	SilentKind string `json:"silentKind"`
 	// Mute keeps a watch that has events to report open without ever answering it.
 	Mute bool `json:"mute"`
 	// LoseReplies drops the replies to this many writes after they took effect.
@@ -172,7 +174,7 @@
 		switch {
 		case f.Endless != "" && c.Request().Method == http.MethodGet:
 			return s.answerEndless(c, f.Endless)
-		case f.Silent:
+		case f.Silent, f.SilentKind != "" && f.SilentKind == c.Param("kind"):
 			<-c.Request().Context().Done()
 			return nil
 		case f.Down:
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -228,10 +228,10 @@
 
 // newExchange checks a request against the configuration in force.
 func (r *Relay) newExchange(req *Request, sink Sink) (*exchange, *result.Error) {
-	table := r.catalog.Table()
-	if table == nil || r.catalog.Servers() == nil {
+	if !r.catalog.Ready() {
 		return nil, result.New(result.NoConfiguration, "no configuration received yet").WithRetryAfter(retryAfterNoConfig)
 	}
+	table := r.catalog.Table()
 	rt, customer, refusal := authorize(table, req)
 	if refusal != nil {
 		return nil, r.retryableIfStale(refusal)
