Evacuations are read in their newest state when an instance starts

The test failed before: instances that all started soon after the acknowledgement of an evacuation read a list that lagged, and sent requests to its servers until the first watch. Cause: the first read allowed the store to answer with a stale list, as for servers, whose changes peers repair.

--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -18,8 +18,10 @@
 	f.follow(ctx, source{
 		name: sourceEvacuations,
 		held: f.evacuationsAt,
-		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
-			e, err := f.catalog.Evacuations(ctx, staleOK)
+		// The newest state is read even where an older one would do: if all instances start at once, none
+		// can tell the others of an evacuation that the older state lacks.
+		read: func(ctx context.Context, _ bool) (position.Position, error) {
+			e, err := f.catalog.Evacuations(ctx, false)
 			if err != nil {
 				return position.Position{}, err
 			}
--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -86,4 +86,18 @@
 		Consistently(sends, "3s", "2ms").Should(BeFalse())
 		Expect(late.Ready()).To(BeTrue())
 	})
+
+	// Guards against a restart of all instances soon after the acknowledgement, in which all of them read
+	// a list that lags by seconds and none knows of the evacuation.
+	It("is read in its newest state by instances that all start in it", func() {
+		srv := startStore()
+		srv.Copy()
+		evacuate(srv, "z")
+		srv.SetFaults(storeserver.Faults{Stale: true})
+		fleet := start(srv.Addr())
+		for _, f := range fleet {
+			Eventually(f.Ready, "5s", "1ms").Should(BeTrue())
+			Expect(f.Servers().Ready("s")).To(BeEmpty())
+		}
+	})
 })
--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -53,6 +53,8 @@
 	SilentKind string `json:"silentKind"`
 	// Mute keeps a watch that has events to report open without ever answering it.
 	Mute bool `json:"mute"`
+	// Stale answers the lists that may be stale from the last copy.
+	Stale bool `json:"stale"`
 	// LoseReplies drops the replies to this many writes after they took effect.
 	LoseReplies int `json:"loseReplies"`
 	// DelayMS delays every call.
@@ -245,8 +247,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := page{Items: []Object{}, StoreRevision: s.revision}
-	for name, o := range s.objects[kind] {
+	objects, out := s.objects[kind], page{Items: []Object{}, StoreRevision: s.revision}
+	if s.faults.Stale && c.QueryParam("allowStale") != "" {
+		objects, out.StoreRevision = s.backup.objects[kind], s.backup.revision
+	}
+	for name, o := range objects {
 		if name > c.QueryParam("after") {
 			out.Items = append(out.Items, o)
 		}
