Evacuations that a restored store lost hold until they had the time to be written again

The test failed before: the store was restored from a copy made before an evacuation, and instances sent requests to its servers at once although nobody had taken it back. Cause: the list of the new era replaced that of the last one, while servers and the configuration of the last era are retained.

--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -101,10 +101,11 @@
 	// The servers must be out of use before the instance serves requests.
 	defer f.updateServing()
 	defer f.evacuationsKnown.Store(true)
+	f.serverSet.SetEvacuated(f.now(), e.DataCentres, previous != nil && previous.At.Era < e.At.Era)
+	f.noteGracePeriods()
 	if previous == nil && len(e.DataCentres) == 0 || previous != nil && slices.Equal(previous.DataCentres, e.DataCentres) {
 		return false
 	}
-	f.serverSet.SetEvacuated(e.DataCentres)
 	if f.servers.Load() != nil {
 		f.publishServers()
 	}
--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -100,4 +100,18 @@
 			Expect(f.Servers().Ready("s")).To(BeEmpty())
 		}
 	})
+
+	It("holds after the store was restored from an older copy and until it is written again", func() {
+		srv := startStore()
+		srv.Copy()
+		fleet := start(srv.Addr())
+		Eventually(readyCounts(fleet), "10s", "20ms").Should(Equal(ready(1)))
+		Eventually(watchers(fleet), "10s", "50ms").Should(Equal(5))
+		evacuate(srv, "z")
+		Eventually(readyCounts(fleet), "2s", "5ms").Should(Equal(ready(0)))
+		srv.Restore()
+		Consistently(readyCounts(fleet), "1s", "5ms").Should(Equal(ready(0)))
+		evacuate(srv, "z")
+		Consistently(readyCounts(fleet), "3s", "5ms").Should(Equal(ready(0)))
+	})
 })
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -142,12 +142,12 @@
 		snap := f.publishServers()
 		f.log.Info("grace period of backend servers ended after the store lost writes", zap.Stringer("at", snap.At), zap.Int("servers", snap.Len()))
 	}
-	return f.serverSet.Retained()+f.serverSet.PresumedStale() > 0
+	return f.serverSet.InGracePeriod()
 }
 
 // noteGracePeriods signals that grace periods may have begun. The caller holds f.mu.
 func (f *Follower) noteGracePeriods() {
-	if f.serverSet.Retained()+f.serverSet.PresumedStale() == 0 {
+	if !f.serverSet.InGracePeriod() {
 		return
 	}
 	select {
--- a/decide/backends/backends_test.go
+++ b/decide/backends/backends_test.go
@@ -49,10 +49,10 @@
 		near.DataCentre, far.DataCentre = "dc-1", "dc-2"
 		set := backends.NewSet()
 		set.Replace(0, []backends.Server{near}, at(5))
-		set.SetEvacuated([]string{"dc-1"})
+		set.SetEvacuated(0, []string{"dc-1"}, false)
 		set.Apply(0, []backends.Change{{ID: "b", Server: &far}}, at(6))
 		Expect(set.Snapshot().Ready("s")).To(Equal([]backends.Server{far}))
-		set.SetEvacuated(nil)
+		set.SetEvacuated(0, nil, false)
 		Expect(set.Snapshot().Ready("s")).To(Equal([]backends.Server{near, far}))
 	})
 
--- /dev/null
+++ b/decide/backends/evacuated_test.go
@@ -0,0 +1,50 @@
+package backends_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
+)
+
+var _ = Describe("an evacuated data centre", func() {
+	const now = 10 * time.Second
+	a := backends.Server{ID: "a", Life: 1000, Service: "s", DataCentre: "dc-1"}
+	var set *backends.Set
+	ready := func() int { return len(set.Snapshot().Ready("s")) }
+	BeforeEach(func() {
+		set = backends.NewSet()
+		set.Replace(0, []backends.Server{a}, at(5))
+		set.SetEvacuated(0, []string{"dc-1"}, false)
+	})
+
+	// Guards against requests to its servers after a restore of the store from a copy made before the
+	// evacuation, which nobody took back.
+	It("remains so in a new era until the evacuation has had the time to be written again", func() {
+		set.SetEvacuated(now, nil, true)
+		Expect(set.InGracePeriod()).To(BeTrue())
+		set.SetEvacuated(now+time.Second, nil, false)
+		Expect(ready()).To(BeZero())
+		Expect(set.EndGracePeriods(now + 1999*time.Millisecond)).To(BeFalse())
+		Expect(set.EndGracePeriods(now + 2*time.Second)).To(BeTrue())
+		Expect(ready()).To(Equal(1))
+	})
+
+	It("remains so in a new era in which the evacuation is written again, until that is taken back", func() {
+		set.SetEvacuated(now, nil, true)
+		set.SetEvacuated(now+time.Second, []string{"dc-1"}, false)
+		Expect(set.EndGracePeriods(now + time.Hour)).To(BeFalse())
+		Expect(ready()).To(BeZero())
+		set.SetEvacuated(now+time.Hour, nil, false)
+		Expect(ready()).To(Equal(1))
+	})
+
+	It("remains so in a second new era", func() {
+		set.SetEvacuated(now, nil, true)
+		set.SetEvacuated(now+time.Second, nil, true)
+		Expect(set.EndGracePeriods(now + 2*time.Second)).To(BeFalse())
+		Expect(ready()).To(BeZero())
+	})
+})
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
-	"github.com/auburnmoor/auburnmoor/internal/set"
 )
 
 const (
@@ -42,8 +41,7 @@
 	retained map[string]Server
 	// presumedStale holds the listed servers that are not used until distrustUntil.
 	presumedStale map[string]bool
-	// evacuated holds the data centres whose servers get no new requests.
-	evacuated map[string]bool
+	evacuations
 	// sightings are what is known of the cold times of servers by ID; listed is set once there was a
 	// list, and clockZero is the time of day at which the local clock was zero.
 	sightings     map[string]sighting
@@ -74,6 +72,7 @@
 	return &Set{
 		byID: map[string]Server{}, leaving: map[string][]departure{}, departed: map[string]departure{},
 		retained: map[string]Server{}, presumedStale: map[string]bool{}, sightings: map[string]sighting{},
+		evacuations: evacuations{retainedEvacuations: map[string]bool{}},
 	}
 }
 
@@ -244,12 +243,12 @@
 		clear(s.presumedStale)
 		changed = true
 	}
-	return changed
+	return s.endRetainedEvacuations(now) || changed
 }
 
-// SetEvacuated sets the data centres whose servers get no new requests.
-func (s *Set) SetEvacuated(dataCentres []string) {
-	s.evacuated = set.Of(dataCentres)
+// InGracePeriod reports whether any grace period of a new era is in progress.
+func (s *Set) InGracePeriod() bool {
+	return len(s.retained)+len(s.presumedStale)+len(s.retainedEvacuations) > 0
 }
 
 // Retained counts the servers that are used although the store does not list them.
@@ -270,7 +269,7 @@
 	for id, v := range s.byID {
 		out.byID[id] = v
 		out.Digest += v.digest()
-		if !v.Leaving && !s.presumedStale[id] && !s.evacuated[v.DataCentre] {
+		if !v.Leaving && !s.presumedStale[id] && !s.isEvacuated(v.DataCentre) {
 			out.services[v.Service] = append(out.services[v.Service], v)
 		}
 	}
@@ -280,7 +279,7 @@
 			out.Digest -= listed.digest()
 		}
 		out.byID[id] = v
-		if !s.evacuated[v.DataCentre] {
+		if !s.isEvacuated(v.DataCentre) {
 			out.services[v.Service] = append(out.services[v.Service], v)
 		}
 	}
