Requests that waited for a permit are not sent to servers that went out of use meanwhile

The test failed before: a request can wait for the permit of a server for seconds, and was sent to it although its data centre had been evacuated, or the server had begun to leave. Cause: the servers were chosen from the list as it was before the wait.

--- a/control/follow/fixed.go
+++ b/control/follow/fixed.go
@@ -9,6 +9,9 @@
 // NewFixed returns a follower of a list of servers that does not change, without a configuration.
 func NewFixed(now func() time.Duration, servers *backends.Snapshot) *Follower {
 	f := &Follower{now: now}
-	f.servers.Store(servers)
+	f.Fix(servers)
 	return f
 }
+
+// Fix replaces the list of a follower that NewFixed returned.
+func (f *Follower) Fix(servers *backends.Snapshot) { f.servers.Store(servers) }
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -3,6 +3,8 @@
 package backends
 
 import (
+	"slices"
+
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/internal/digest"
 )
@@ -72,6 +74,11 @@
 // Ready returns the servers of a service that may get new requests, sorted by ID.
 func (s *Snapshot) Ready(service string) []Server { return s.services[service] }
 
+// IsReady reports whether a life of a server may get new requests.
+func (s *Snapshot) IsReady(v Server) bool {
+	return slices.ContainsFunc(s.services[v.Service], func(o Server) bool { return o.ID == v.ID && o.Life.Same(v.Life) })
+}
+
 // Get returns a server by ID, including leaving ones.
 func (s *Snapshot) Get(id string) (Server, bool) {
 	v, ok := s.byID[id]
--- a/serve/relay/permit.go
+++ b/serve/relay/permit.go
@@ -92,9 +92,19 @@
 			x.permitAfter = after
 			continue
 		}
-		if plan, verdict := x.placeAmong([]backends.Server{s}, 1, 0, true); verdict == spread.Placed {
+		if plan, ok := x.placeGranted(s); ok {
 			return plan, true
 		}
 	}
 	return spread.Plan{}, false
 }
+
+// placeGranted places the request on a server for which it has a permit, unless the server went out of use
+// while the request waited for that.
+func (x *exchange) placeGranted(s backends.Server) (spread.Plan, bool) {
+	if !x.relay.catalog.Servers().IsReady(s) {
+		return spread.Plan{}, false
+	}
+	plan, verdict := x.placeAmong([]backends.Server{s}, 1, 0, true)
+	return plan, verdict == spread.Placed
+}
