Prompts that need servers of evacuated data centres are refused for now, not for good

The test failed before: a prompt that only fits the engines of several data centres together was refused with too_long_for_fleet, which callers do not repeat, while one of these was evacuated. Cause: only servers in use counted for what all engines can hold. Such refusals now name the evacuation (no_backend, not run, with a time to come back).

--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -67,6 +67,9 @@
 	Digest   uint64
 	byID     map[string]Server
 	services map[string][]Server
+	// evacuated counts the servers by service that get no new requests only because their data centre is
+	// evacuated.
+	evacuated map[string]int
 	// cold holds the servers that may be cold or have been so, by ID.
 	cold map[string]sighting
 }
@@ -79,6 +82,18 @@
 	return slices.ContainsFunc(s.services[v.Service], func(o Server) bool { return o.ID == v.ID && o.Life.Same(v.Life) })
 }
 
+// Evacuated counts the servers of a service that could get new requests if no data centre were evacuated,
+// and do not.
+func (s *Snapshot) Evacuated(service string) int { return s.evacuated[service] }
+
+func (s *Snapshot) add(v Server, evacuated bool) {
+	if evacuated {
+		s.evacuated[v.Service]++
+		return
+	}
+	s.services[v.Service] = append(s.services[v.Service], v)
+}
+
 // Get returns a server by ID, including leaving ones.
 func (s *Snapshot) Get(id string) (Server, bool) {
 	v, ok := s.byID[id]
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -260,7 +260,7 @@
 
 // Snapshot returns an immutable view of the set.
 func (s *Set) Snapshot() *Snapshot {
-	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, cold: map[string]sighting{}}
+	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, evacuated: map[string]int{}, cold: map[string]sighting{}}
 	for id, g := range s.sightings {
 		if g.stated || g.appeared {
 			out.cold[id] = g
@@ -269,8 +269,8 @@
 	for id, v := range s.byID {
 		out.byID[id] = v
 		out.Digest += v.digest()
-		if !v.Leaving && !s.presumedStale[id] && !s.isEvacuated(v.DataCentre) {
-			out.services[v.Service] = append(out.services[v.Service], v)
+		if !v.Leaving && !s.presumedStale[id] {
+			out.add(v, s.isEvacuated(v.DataCentre))
 		}
 	}
 	for id, v := range s.retained {
@@ -279,9 +279,7 @@
 			out.Digest -= listed.digest()
 		}
 		out.byID[id] = v
-		if !s.isEvacuated(v.DataCentre) {
-			out.services[v.Service] = append(out.services[v.Service], v)
-		}
+		out.add(v, s.isEvacuated(v.DataCentre))
 	}
 	for _, list := range out.services {
 		slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
--- a/serve/relay/evacuated_test.go
+++ b/serve/relay/evacuated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,6 +10,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/result"
 )
 
 // evacuate takes the servers of the given data centres out of use. Each server is in the data centre that
@@ -26,6 +28,60 @@
 }
 
 var _ = Describe("a request while data centres are evacuated", func() {
+	expectRefused := func(x *scriptedExchange) {
+		calls, _ := x.servers.counts()
+		Expect(calls).To(BeZero())
+		Expect(x.sink.refused).NotTo(BeNil())
+		Expect(x.sink.refused.Code).To(Equal(result.NoBackend))
+		Expect(x.sink.refused.NotRun).To(BeTrue())
+		Expect(x.sink.refused.RetryAfter).To(BeNumerically(">", 0))
+		Expect(x.sink.refused.Error()).To(ContainSubstring("evacuated"))
+	}
+
+	// Guards against requests that are held although no server can take them.
+	DescribeTable("is refused at once if no server is left", func(kind route.Kind) {
+		x := newScripted(kind, allRetries)
+		x.evacuate("a", "b", "c")
+		began := time.Now()
+		x.play()
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		expectRefused(x)
+	},
+		Entry("with a prompt", route.Stream),
+		Entry("without a prompt", route.Idempotent),
+	)
+
+	// Guards against prompts that are refused for good, because the servers of the evacuated data centres
+	// do not count for what all engines together can hold.
+	It("is refused for now if its prompt needs their memory", func() {
+		x := newScripted(route.Stream, allRetries)
+		x.req.PromptTokens = 1_500_000
+		x.evacuate("a", "b")
+		x.play()
+		expectRefused(x)
+	})
+
+	It("is refused for good if its prompt is too large for all engines", func() {
+		x := newScripted(route.Stream, allRetries)
+		x.req.PromptTokens = 6_000_000
+		x.evacuate("a", "b")
+		x.play()
+		Expect(x.sink.refused.Code).To(Equal(result.TooLongForFleet))
+	})
+
+	// Guards against held prompts that are sent to a server that was evacuated meanwhile, or that wait for
+	// it until the end of their time.
+	It("that is held is refused once no server is left", func() {
+		x := newCold(route.Stream, 0.5, []string{"a", "b", "c"})
+		x.route.FirstEventTarget = 10 * time.Second
+		began := time.Now()
+		time.AfterFunc(50*time.Millisecond, func() { x.evacuate("a", "b", "c") })
+		x.play()
+		Expect(time.Since(began)).To(And(BeNumerically(">", 50*time.Millisecond), BeNumerically("<", 250*time.Millisecond)))
+		Expect(x.heldFor).To(BeNumerically(">", 0))
+		expectRefused(x)
+	})
+
 	// Guards against requests that wait for a permit of a server for seconds and are sent although the
 	// server went out of use meanwhile.
 	It("is not placed on a server that was evacuated while it waited for a permit", func() {
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -16,12 +16,27 @@
 	if v == spread.TooLarge && x.relay.loads.Cell().Count > 1 {
 		p, v = x.placeOn(maxHold, true)
 	}
+	if v == spread.TooLarge && x.fitsWithEvacuated() {
+		return p, spread.NoServer
+	}
 	if v == spread.NoServer && x.cold.leftOut {
 		return x.awaitWarmup(maxHold)
 	}
 	return p, v
 }
 
+// fitsWithEvacuated reports whether the engines could hold the prompt, which is too large for those in use,
+// together with those of evacuated data centres.
+func (x *exchange) fitsWithEvacuated() bool {
+	snap := x.relay.catalog.Servers()
+	evacuated, ready := snap.Evacuated(x.service.Name), snap.Ready(x.service.Name)
+	if evacuated == 0 {
+		return false
+	}
+	_, v := x.placeAmong(ready, len(ready)+evacuated, 0, true)
+	return v != spread.TooLarge
+}
+
 func (x *exchange) placeOn(maxHold time.Duration, allCells bool) (spread.Plan, spread.Verdict) {
 	servers, total, coldLeftOut := x.relay.candidates(x.service, allCells)
 	if coldLeftOut {
