Held prompts do not wait for their turn while all servers are evacuated

The test failed before: a deep prompt that other held ones precede was held for 0.9 s and then refused, although no server was left that any of them could wait for. Cause: the order of held prompts is checked before the servers.

--- a/serve/relay/evacuated_test.go
+++ b/serve/relay/evacuated_test.go
@@ -69,6 +69,21 @@
 		Expect(x.sink.refused.Code).To(Equal(result.TooLongForFleet))
 	})
 
+	// Guards against prompts that wait for their turn although nothing is left to wait for.
+	It("is refused at once even if other prompts are held before it", func() {
+		x := newScripted(route.Stream, allRetries)
+		x.req.PromptTokens = 900_000
+		Expect(x.isDeep()).To(BeTrue())
+		before := x.another("first")
+		before.req.PromptTokens, before.started = 500_000, x.relay.now()-time.Millisecond
+		x.started = x.relay.now()
+		x.relay.loads.Hold(before.turn())
+		x.evacuate("a", "b", "c")
+		x.play()
+		Expect(x.heldFor).To(BeZero())
+		expectRefused(x)
+	})
+
 	// Guards against held prompts that are sent to a server that was evacuated meanwhile, or that wait for
 	// it until the end of their time.
 	It("that is held is refused once no server is left", func() {
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -12,6 +12,9 @@
 // prompt that exceeds the cell's memory, from all cells.
 func (x *exchange) place(maxHold time.Duration) (spread.Plan, spread.Verdict) {
 	x.cold.leftOut = false
+	if x.allEvacuated() {
+		return spread.Plan{}, spread.NoServer
+	}
 	p, v := x.placeOn(maxHold, false)
 	if v == spread.TooLarge && x.relay.loads.Cell().Count > 1 {
 		p, v = x.placeOn(maxHold, true)
@@ -25,6 +28,13 @@
 	return p, v
 }
 
+// allEvacuated reports whether no server can take the request because of evacuations. It need not wait for
+// its turn then.
+func (x *exchange) allEvacuated() bool {
+	snap := x.relay.catalog.Servers()
+	return len(snap.Ready(x.service.Name)) == 0 && snap.Evacuated(x.service.Name) > 0
+}
+
 // fitsWithEvacuated reports whether the engines could hold the prompt, which is too large for those in use,
 // together with those of evacuated data centres.
 func (x *exchange) fitsWithEvacuated() bool {
