--- a/cli/status.go
+++ b/cli/status.go
@@ -50,6 +50,9 @@
 	if fleet.instances > 0 {
 		fmt.Fprintln(e.out, fleet)
 	}
+	if line := fleet.evacuationLine(); line != "" {
+		fmt.Fprintln(e.out, line)
+	}
 	if err := writeRows(e.out, "LAGGING INSTANCE\tCONFIG\tSTATE\tLAST WORD OF THE STORE", fleet.laggingRows()); err != nil {
 		return err
 	}
--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -98,6 +98,7 @@
 		return false
 	}
 	f.evacuations = &e
+	f.evacuatedSince = sinceOf(e.DataCentres, f.evacuatedSince, f.now())
 	// The servers must be out of use before the instance serves requests.
 	defer f.updateServing()
 	defer f.evacuationsKnown.Store(true)
@@ -129,3 +130,30 @@
 	}
 	return &peerpb.Evacuations{Era: f.evacuations.At.Era, Revision: f.evacuations.At.Revision, DataCentres: f.evacuations.DataCentres}
 }
+
+// sinceOf returns since when each data centre is evacuated, if it is so now.
+func sinceOf(dataCentres []string, before map[string]time.Duration, now time.Duration) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, name := range dataCentres {
+		out[name] = now
+		if at, known := before[name]; known {
+			out[name] = at
+		}
+	}
+	return out
+}
+
+// DumpEvacuated is an evacuated data centre.
+type DumpEvacuated struct {
+	DataCentre string `json:"data_centre"`
+	// AgeMS is the time since the instance first knew of the evacuation.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// dumpEvacuated returns the evacuated data centres, sorted by name. The caller holds f.mu.
+func (f *Follower) dumpEvacuated(now time.Duration) (out []DumpEvacuated) {
+	for _, name := range slices.Sorted(maps.Keys(f.evacuatedSince)) {
+		out = append(out, DumpEvacuated{DataCentre: name, AgeMS: (now - f.evacuatedSince[name]).Milliseconds()})
+	}
+	return out
+}
--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -34,8 +34,13 @@
 		Eventually(readyCounts(fleet), "2s", "5ms").Should(Equal(ready(0)))
 		putServer(srv, "b", "ready")
 		Consistently(readyCounts(fleet), "500ms", "10ms").Should(Equal(ready(0)))
+		for _, e := range fleet[0].Dump().(follow.Dump).Evacuated {
+			Expect(e.DataCentre).To(BeElementOf("elsewhere", "z"))
+			Expect(e.AgeMS).To(BeNumerically("~", 600, 500))
+		}
 		srv.Delete("evacuations", "z")
 		Eventually(readyCounts(fleet), "2s", "5ms").Should(Equal(ready(2)))
+		Expect(fleet[0].Dump().(follow.Dump).Evacuated).To(HaveLen(1))
 	})
 
 	It("is known to an instance that starts in it", func() {
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -111,7 +111,9 @@
 	confirmations *watch.Confirmations
 	// evacuations is the newest known state, nil if there is none yet.
 	evacuations *catalog.Evacuations
-	answeredAt  map[string]time.Duration
+	// evacuatedSince is when the instance first knew of each evacuation in force.
+	evacuatedSince map[string]time.Duration
+	answeredAt     map[string]time.Duration
 	// era is the store era that confirmations and answeredAt belong to.
 	era uint64
 	// olderStoreVersion is the version of the configuration in the store while it is older
@@ -239,9 +241,7 @@
 	for _, h := range f.confirmations.Newest(now, maxConfirmations) {
 		d.Confirmations = append(d.Confirmations, DumpConfirmation{By: h.By, AgeMS: (now - h.At).Milliseconds()})
 	}
-	if f.evacuations != nil {
-		d.Evacuated = f.evacuations.DataCentres
-	}
+	d.Evacuated = f.dumpEvacuated(now)
 	d.Cold = f.dumpCold(now)
 	d.Retained, d.PresumedStale = f.serverSet.Retained(), f.serverSet.PresumedStale()
 	d.ConfigAt, d.OlderStoreVersion, d.Unreadable = f.configAt.String(), f.olderStoreVersion, maps.Clone(f.unreadableServers)
@@ -269,7 +269,7 @@
 	PresumedStale int   `json:"doubted,omitempty"`
 	AgeMS         int64 `json:"age_ms"`
 	// Evacuated are the data centres whose servers get no new requests.
-	Evacuated []string `json:"evacuated,omitempty"`
+	Evacuated []DumpEvacuated `json:"evacuated,omitempty"`
 	// Rank is the position of the instance among those of its data centre, of which the
 	// first Watchers watch the store.
 	Rank     int  `json:"rank"`
