Where data centres are evacuated, watches wait for three seconds at most

The test failed before: the store answered none of the watching instances, and others took their place only after 6.7 s at a stable_after of 6 s, while an evacuation must be in force within 5 s. Cause: the wait of a watch, from which the takeover follows, was derived from stable_after alone.

The virtual fleet evacuates data centres while instances are cut off, killed or do not hear from the store.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -38,6 +38,10 @@
 	// minWait bounds the rate of calls if StableAfter is short, and maxWait is the longest
 	// wait that a store allows.
 	minWait, maxWait = 500 * time.Millisecond, 30 * time.Second
+	// maxEvacuationWait is the longest wait where data centres are evacuated. Instances that take over from
+	// watching ones begin watchSlack and propagationTime after it, and an evacuation must be in force at all
+	// instances within five seconds.
+	maxEvacuationWait = 3 * time.Second
 	// resyncTime bounds reading the full state and sending it to peers: a little over 4 ms
 	// on small instances, with a reserve for busy ones.
 	resyncTime = 300 * time.Millisecond
@@ -171,7 +175,11 @@
 	if f.StableAfter == 0 {
 		return defaultWait
 	}
-	return min(maxWait, max(minWait, f.StableAfter.Std()-watchSlack-resyncTime))
+	longest := maxWait
+	if f.Evacuations {
+		longest = maxEvacuationWait
+	}
+	return min(longest, max(minWait, f.StableAfter.Std()-watchSlack-resyncTime))
 }
 
 // Start implements auburnmoor.Starter.
--- a/lab/propagation/fleet.go
+++ b/lab/propagation/fleet.go
@@ -85,9 +85,11 @@
 	// Log receives the lines of all instances.
 	Log *zap.Logger
 
-	seeds     []string
-	instances []*instance
-	stopping  sync.WaitGroup
+	// evacuations has the instances follow the evacuations of data centres.
+	evacuations bool
+	seeds       []string
+	instances   []*instance
+	stopping    sync.WaitGroup
 }
 
 // instance is one instance with its machine.
@@ -195,7 +197,7 @@
 		m.Configure(f.Store, in.host, f.seeds)
 		p.client = m
 	case *follow.Follower:
-		m.StableAfter = settings.Duration(f.Site.StableAfter)
+		m.StableAfter, m.Evacuations = settings.Duration(f.Site.StableAfter), f.evacuations
 	case *members.Members:
 		m.FewListed = true
 		m.PollList = settings.Duration(20 * time.Second)
--- a/lab/propagation/propagation_test.go
+++ b/lab/propagation/propagation_test.go
@@ -23,7 +23,7 @@
 //
 //	go test ./lab/propagation -run TestScenes -v -timeout 2h -args -scene drawn -instances 6,75 -seeds 1000
 var (
-	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued or drawn")
+	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn or evacuation")
 	instancesFlag = flag.String("instances", "6", "numbers of instances, separated by commas")
 	firstFlag     = flag.Uint64("first", 1, "first seed")
 	seedsFlag     = flag.Int("seeds", 2, "number of seeds")
@@ -65,6 +65,9 @@
 
 // TestScenes plays the seeds that the flags choose.
 func TestScenes(t *testing.T) {
+	if *sceneFlag == "evacuation" {
+		t.Skip("played by TestEvacuations")
+	}
 	makeScene := scenes[*sceneFlag]
 	if makeScene == nil {
 		t.Fatalf("no scene %q", *sceneFlag)
--- a/lab/simstore/client.go
+++ b/lab/simstore/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -330,16 +331,38 @@
 	}
 }
 
-// Evacuations implements catalog.Catalog: there are none.
+// Evacuations implements catalog.Catalog.
 func (c *Client) Evacuations(ctx context.Context, _ bool) (catalog.Evacuations, error) {
-	<-ctx.Done()
-	return catalog.Evacuations{}, ctx.Err()
+	k, err := c.begin(ctx)
+	if err != nil {
+		return catalog.Evacuations{}, err
+	}
+	out := c.store.evacuations()
+	if err := k.finish(ctx, smallAnswer); err != nil {
+		return catalog.Evacuations{}, err
+	}
+	return out, c.accept(out.At)
 }
 
-// WatchEvacuations implements catalog.Catalog: there are none.
-func (c *Client) WatchEvacuations(ctx context.Context, _ position.Position, _ time.Duration) (catalog.EvacuationChanges, error) {
-	<-ctx.Done()
-	return catalog.EvacuationChanges{}, ctx.Err()
+func (s *Store) evacuations() catalog.Evacuations {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return catalog.Evacuations{DataCentres: s.evacuated, At: s.position()}
+}
+
+// WatchEvacuations implements catalog.Catalog. A change is answered with the state of all data centres.
+func (c *Client) WatchEvacuations(ctx context.Context, after position.Position, wait time.Duration) (catalog.EvacuationChanges, error) {
+	at, changed, err := c.watch(ctx, after, wait, func(s *Store) int64 { return s.evacuationRevision })
+	out := catalog.EvacuationChanges{At: at}
+	if err != nil || !changed {
+		return out, err
+	}
+	state := c.store.evacuations()
+	out.At = state.At
+	for _, name := range c.store.dataCentres {
+		out.Changes = append(out.Changes, catalog.EvacuationChange{DataCentre: name, Evacuated: slices.Contains(state.DataCentres, name)})
+	}
+	return out, nil
 }
 
 // Decode implements catalog.Catalog.
--- a/lab/simstore/store.go
+++ b/lab/simstore/store.go
@@ -54,6 +54,10 @@
 	version  uint64
 	// configRevision is the revision of the last change of the configuration.
 	configRevision int64
+	// evacuated holds the evacuated data centres, sorted, and evacuationRevision is the revision of the
+	// last change of them.
+	evacuated          []string
+	evacuationRevision int64
 	// oldest is the revision from which the history is complete.
 	oldest int64
 }
@@ -65,11 +69,12 @@
 	state
 	era    uint64
 	backup state
-	// servers do not change.
-	servers []backends.Server
-	entries map[string]instances.Instance
-	configs map[uint64]*config
-	trouble Trouble
+	// servers and dataCentres do not change.
+	servers     []backends.Server
+	dataCentres []string
+	entries     map[string]instances.Instance
+	configs     map[uint64]*config
+	trouble     Trouble
 	// affected reports whether an instance is in trouble.
 	affected func(instance string) bool
 	// changed is closed with every change of the state or the trouble.
@@ -94,19 +99,19 @@
 	ConfigBytes int
 }
 
-// service is the only service of the store's routes.
-const service = "s"
+// Service is the only service of the store's routes.
+const Service = "s"
 
 // New returns a store with servers in the given data centres and without a configuration.
 func New(seed uint64, size Size, dataCentres []string) *Store {
 	s := &Store{
 		rand: rand.New(rand.NewPCG(seed, 2)), entries: map[string]instances.Instance{}, configs: map[uint64]*config{},
-		changed: make(chan struct{}), affected: func(string) bool { return false },
+		changed: make(chan struct{}), affected: func(string) bool { return false }, dataCentres: dataCentres,
 	}
 	s.era = 1
 	for i := range size.Servers {
 		s.servers = append(s.servers, backends.Server{
-			ID: fmt.Sprintf("srv-%d", i), Service: service, Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)], Slots: 10,
+			ID: fmt.Sprintf("srv-%d", i), Service: Service, Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)], Slots: 10,
 		})
 	}
 	return s
@@ -124,18 +129,28 @@
 	return time.Now()
 }
 
+// SetEvacuated replaces the evacuated data centres and returns when that was acknowledged.
+func (s *Store) SetEvacuated(dataCentres ...string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.evacuated, s.evacuationRevision = slices.Sorted(slices.Values(dataCentres)), s.revision
+	s.notify()
+	return time.Now()
+}
+
 // makeConfig returns a configuration whose encoding repeats itself as real ones do.
 func makeConfig(version uint64, size Size) *config {
 	c := route.Config{Version: version}
 	for i := range size.Routes {
 		name := fmt.Sprintf("route-%d", i)
-		c.Routes = append(c.Routes, route.Route{Name: name, Host: "api.example", Prefix: "/" + name + "/", Shares: []route.Share{{Service: service, Weight: 1}}, Timeout: 10 * time.Second, MaxAttempts: 2})
+		c.Routes = append(c.Routes, route.Route{Name: name, Host: "api.example", Prefix: "/" + name + "/", Shares: []route.Share{{Service: Service, Weight: 1}}, Timeout: 10 * time.Second, MaxAttempts: 2})
 	}
 	for i := range size.Customers {
 		name := fmt.Sprintf("customer-%d", i)
 		c.Customers = append(c.Customers, route.Customer{Name: name, Keys: []string{"key-" + name}})
 	}
-	c.Services = []route.Service{{Name: service, Engine: &route.Engine{Slots: 10, KVCacheTokens: 315_000}}}
+	c.Services = []route.Service{{Name: Service, Engine: &route.Engine{Slots: 10, KVCacheTokens: 315_000}}}
 	var raw bytes.Buffer
 	fmt.Fprintf(&raw, "%d\n", version)
 	for r := rand.New(rand.NewPCG(version, 3)); raw.Len() < size.ConfigBytes; {
