Servers of a data centre that is taken back count as cold until their entries had the time to arrive

The test failed before: servers that become cold while their data centre is evacuated got requests without a limit from the moment at which it was taken back until their entries said that they are cold. Cause: both are watched apart from each other, and a watch of servers may follow another after half a second. Only services with a rate for cold servers are concerned.

--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/internal/digest"
@@ -72,6 +73,8 @@
 	evacuated map[string]int
 	// cold holds the servers that may be cold or have been so, by ID.
 	cold map[string]sighting
+	// returningUntil is until when the servers of a data centre count as cold because it came back.
+	returningUntil map[string]time.Duration
 }
 
 // Ready returns the servers of a service that may get new requests, sorted by ID.
--- a/decide/backends/cold.go
+++ b/decide/backends/cold.go
@@ -99,7 +99,7 @@
 // ColdUntil returns until when a server is cold by the local clock, zero if it never was, if servers
 // of its service are cold for usual after their start.
 func (s *Snapshot) ColdUntil(id string, usual time.Duration) time.Duration {
-	return s.cold[id].coldUntil(usual)
+	return max(s.cold[id].coldUntil(usual), s.returningUntil[s.byID[id].DataCentre])
 }
 
 // ColdTime returns what is known at a time of a server's cold time, to be stated to other instances.
--- a/decide/backends/evacuated.go
+++ b/decide/backends/evacuated.go
@@ -14,8 +14,14 @@
 	// retainEvacuationsUntil.
 	retainedEvacuations    map[string]bool
 	retainEvacuationsUntil time.Duration
+	// returningUntil is until when the servers of data centres that came back count as cold.
+	returningUntil map[string]time.Duration
 }
 
+// returnTime is for how long the servers of a data centre that comes back count as cold whatever is known of
+// them. Their entries, which say whether they are, arrive by another watch within that time.
+const returnTime = 2 * time.Second
+
 // SetEvacuated sets the data centres whose servers get no new requests. A new era of the store, which
 // was restored from an older copy, may lack evacuations that nobody took back. They hold until there was
 // the time to write them again.
@@ -26,7 +32,19 @@
 		s.retainEvacuationsUntil = now + rewriteTimeout
 	}
 	maps.DeleteFunc(s.retainedEvacuations, func(dataCentre string, _ bool) bool { return listed[dataCentre] })
+	before := s.evacuated
 	s.evacuated = listed
+	s.noteReturns(now, before)
+}
+
+// noteReturns records which of the given data centres are no longer evacuated.
+func (s *Set) noteReturns(now time.Duration, before map[string]bool) {
+	maps.DeleteFunc(s.returningUntil, func(_ string, until time.Duration) bool { return until <= now })
+	for dataCentre := range before {
+		if !s.isEvacuated(dataCentre) {
+			s.returningUntil[dataCentre] = now + returnTime
+		}
+	}
 }
 
 func (s *Set) isEvacuated(dataCentre string) bool {
@@ -39,6 +57,8 @@
 	if len(s.retainedEvacuations) == 0 || now < s.retainEvacuationsUntil {
 		return false
 	}
-	clear(s.retainedEvacuations)
+	before := s.retainedEvacuations
+	s.retainedEvacuations = map[string]bool{}
+	s.noteReturns(now, before)
 	return true
 }
--- a/decide/backends/evacuated_test.go
+++ b/decide/backends/evacuated_test.go
@@ -47,4 +47,34 @@
 		Expect(set.EndGracePeriods(now + 2*time.Second)).To(BeFalse())
 		Expect(ready()).To(BeZero())
 	})
+
+	// Guards against servers that crash as their data centre comes back: they have become cold, and the
+	// entries that say so arrive after the end of the evacuation.
+	It("has cold servers until their entries have had the time to arrive", func() {
+		const usual = time.Minute
+		set.SetEvacuated(now, nil, false)
+		Expect(set.Snapshot().ColdUntil("a", usual)).To(Equal(now + 2*time.Second))
+		cold := a
+		cold.Cold = backends.ColdTime{Known: true, Remaining: 10 * time.Second}
+		set.Apply(now+time.Second, []backends.Change{{ID: "a", Server: &cold}}, at(6))
+		Expect(set.Snapshot().ColdUntil("a", usual)).To(Equal(now + 11*time.Second))
+	})
+
+	// Guards against a cold time that is forgotten while the data centre is evacuated.
+	It("has servers that stay cold by their entries", func() {
+		cold := a
+		cold.Cold = backends.ColdTime{Known: true, Remaining: 10 * time.Second}
+		set.Apply(now, []backends.Change{{ID: "a", Server: &cold}}, at(6))
+		set.SetEvacuated(now+time.Second, nil, false)
+		Expect(set.Snapshot().ColdUntil("a", time.Minute)).To(Equal(now + 10*time.Second))
+	})
+
+	It("that comes back changes nothing for servers elsewhere", func() {
+		b := backends.Server{ID: "b", Life: 1000, Service: "s", DataCentre: "dc-2"}
+		set = backends.NewSet()
+		set.Replace(0, []backends.Server{a, b}, at(5))
+		set.SetEvacuated(0, []string{"dc-1"}, false)
+		set.SetEvacuated(now, nil, false)
+		Expect(set.Snapshot().ColdUntil("b", time.Minute)).To(BeZero())
+	})
 })
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -72,7 +72,7 @@
 	return &Set{
 		byID: map[string]Server{}, leaving: map[string][]departure{}, departed: map[string]departure{},
 		retained: map[string]Server{}, presumedStale: map[string]bool{}, sightings: map[string]sighting{},
-		evacuations: evacuations{retainedEvacuations: map[string]bool{}},
+		evacuations: evacuations{retainedEvacuations: map[string]bool{}, returningUntil: map[string]time.Duration{}},
 	}
 }
 
@@ -260,7 +260,7 @@
 
 // Snapshot returns an immutable view of the set.
 func (s *Set) Snapshot() *Snapshot {
-	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, evacuated: map[string]int{}, cold: map[string]sighting{}}
+	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, evacuated: map[string]int{}, cold: map[string]sighting{}, returningUntil: maps.Clone(s.returningUntil)}
 	for id, g := range s.sightings {
 		if g.stated || g.appeared {
 			out.cold[id] = g
