--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -18,8 +18,10 @@
 	f.follow(ctx, source{
 		name: sourceEvacuations,
 		held: f.evacuationsAt,
-		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
-			e, err := f.catalog.Evacuations(ctx, staleOK)
+		// The newest state is read even where an older one would do: if all instances start at once, none
+		// can tell the others of an evacuation that the older state lacks.
+		read: func(ctx context.Context, _ bool) (position.Position, error) {
+			e, err := f.catalog.Evacuations(ctx, false)
 			if err != nil {
 				return position.Position{}, err
 			}
@@ -96,10 +98,15 @@
 		return false
 	}
 	f.evacuations = &e
+	f.evacuatedSince = sinceOf(e.DataCentres, f.evacuatedSince, f.now())
+	// The servers must be out of use before the instance serves requests.
+	defer f.updateServing()
+	defer f.evacuationsKnown.Store(true)
+	f.serverSet.SetEvacuated(f.now(), e.DataCentres, previous != nil && previous.At.Era < e.At.Era)
+	f.noteGracePeriods()
 	if previous == nil && len(e.DataCentres) == 0 || previous != nil && slices.Equal(previous.DataCentres, e.DataCentres) {
 		return false
 	}
-	f.serverSet.SetEvacuated(e.DataCentres)
 	if f.servers.Load() != nil {
 		f.publishServers()
 	}
@@ -123,3 +130,30 @@
 	}
 	return &peerpb.Evacuations{Era: f.evacuations.At.Era, Revision: f.evacuations.At.Revision, DataCentres: f.evacuations.DataCentres}
 }
+
+// sinceOf returns since when each data centre is evacuated, if it is so now.
+func sinceOf(dataCentres []string, before map[string]time.Duration, now time.Duration) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, name := range dataCentres {
+		out[name] = now
+		if at, known := before[name]; known {
+			out[name] = at
+		}
+	}
+	return out
+}
+
+// DumpEvacuated is an evacuated data centre.
+type DumpEvacuated struct {
+	DataCentre string `json:"data_centre"`
+	// AgeMS is the time since the instance first knew of the evacuation.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// dumpEvacuated returns the evacuated data centres, sorted by name. The caller holds f.mu.
+func (f *Follower) dumpEvacuated(now time.Duration) (out []DumpEvacuated) {
+	for _, name := range slices.Sorted(maps.Keys(f.evacuatedSince)) {
+		out = append(out, DumpEvacuated{DataCentre: name, AgeMS: (now - f.evacuatedSince[name]).Milliseconds()})
+	}
+	return out
+}
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -38,6 +38,10 @@
 	// minWait bounds the rate of calls if StableAfter is short, and maxWait is the longest
 	// wait that a store allows.
 	minWait, maxWait = 500 * time.Millisecond, 30 * time.Second
+	// maxEvacuationWait is the longest wait where data centres are evacuated. Instances that take over from
+	// watching ones begin watchSlack and propagationTime after it, and an evacuation must be in force at all
+	// instances within five seconds.
+	maxEvacuationWait = 3 * time.Second
 	// resyncTime bounds reading the full state and sending it to peers: a little over 4 ms
 	// on small instances, with a reserve for busy ones.
 	resyncTime = 300 * time.Millisecond
@@ -79,6 +83,8 @@
 	table   atomic.Pointer[route.Table]
 	encoded atomic.Pointer[content]
 	servers atomic.Pointer[backends.Snapshot]
+	// evacuationsKnown is set once a state of the evacuations is known.
+	evacuationsKnown atomic.Bool
 	// confirmedAt is when the store last confirmed the local content to a watching instance,
 	// in nanoseconds since the start; zero before the first time.
 	confirmedAt atomic.Int64
@@ -109,7 +115,9 @@
 	confirmations *watch.Confirmations
 	// evacuations is the newest known state, nil if there is none yet.
 	evacuations *catalog.Evacuations
-	answeredAt  map[string]time.Duration
+	// evacuatedSince is when the instance first knew of each evacuation in force.
+	evacuatedSince map[string]time.Duration
+	answeredAt     map[string]time.Duration
 	// era is the store era that confirmations and answeredAt belong to.
 	era uint64
 	// olderStoreVersion is the version of the configuration in the store while it is older
@@ -167,7 +175,11 @@
 	if f.StableAfter == 0 {
 		return defaultWait
 	}
-	return min(maxWait, max(minWait, f.StableAfter.Std()-watchSlack-resyncTime))
+	longest := maxWait
+	if f.Evacuations {
+		longest = maxEvacuationWait
+	}
+	return min(longest, max(minWait, f.StableAfter.Std()-watchSlack-resyncTime))
 }
 
 // Start implements auburnmoor.Starter.
@@ -190,8 +202,11 @@
 // Servers returns the current list of servers, or nil if there is none yet.
 func (f *Follower) Servers() *backends.Snapshot { return f.servers.Load() }
 
-// Ready reports whether requests can be served.
-func (f *Follower) Ready() bool { return f.Table() != nil && f.Servers() != nil }
+// Ready reports whether requests can be served. Where data centres are evacuated, that needs to be known
+// of which: an instance that starts would otherwise send requests to their servers.
+func (f *Follower) Ready() bool {
+	return f.Table() != nil && f.Servers() != nil && (!f.Evacuations || f.evacuationsKnown.Load())
+}
 
 // ConfirmationAge is the time since the store last confirmed the local configuration and list of
 // servers to a watching instance.
@@ -234,9 +249,7 @@
 	for _, h := range f.confirmations.Newest(now, maxConfirmations) {
 		d.Confirmations = append(d.Confirmations, DumpConfirmation{By: h.By, AgeMS: (now - h.At).Milliseconds()})
 	}
-	if f.evacuations != nil {
-		d.Evacuated = f.evacuations.DataCentres
-	}
+	d.Evacuated = f.dumpEvacuated(now)
 	d.Cold = f.dumpCold(now)
 	d.Retained, d.PresumedStale = f.serverSet.Retained(), f.serverSet.PresumedStale()
 	d.ConfigAt, d.OlderStoreVersion, d.Unreadable = f.configAt.String(), f.olderStoreVersion, maps.Clone(f.unreadableServers)
@@ -264,7 +277,7 @@
 	PresumedStale int   `json:"doubted,omitempty"`
 	AgeMS         int64 `json:"age_ms"`
 	// Evacuated are the data centres whose servers get no new requests.
-	Evacuated []string `json:"evacuated,omitempty"`
+	Evacuated []DumpEvacuated `json:"evacuated,omitempty"`
 	// Rank is the position of the instance among those of its data centre, of which the
 	// first Watchers watch the store.
 	Rank     int  `json:"rank"`
