Cold times of servers are repeated while servers are cold

The cold time is no part of a list's digest, so an instance that missed the change did not learn of it.

The test of the statement passed to other instances now expects its position too.

--- a/control/follow/cold.go
+++ b/control/follow/cold.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
-	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
 const (
@@ -43,27 +43,35 @@
 	return snap.Cold(now, f.usualColdTime)
 }
 
-// coldMS returns the cold time of a server as told to other instances: zero says nothing, and one
-// that was stated and is over counts as a millisecond.
-func (f *Follower) coldMS(snap *backends.Snapshot, s backends.Server) uint32 {
+// toldColdTime returns the cold time of a server as told to other instances, in milliseconds, and the
+// position of the store at which it was stated. Zero milliseconds say nothing, and a cold time that was
+// stated and is over counts as a millisecond.
+func (f *Follower) toldColdTime(snap *backends.Snapshot, s backends.Server) (ms uint32, at position.Position) {
 	usual, limited := f.usualColdTime(s.Service)
 	if !limited {
 		usual = 0
 	}
 	c := snap.ColdTime(f.now(), s.ID, usual)
 	if !c.Known {
-		return 0
+		return 0, position.Position{}
 	}
-	ms := (c.Remaining + time.Millisecond - 1).Milliseconds()
+	return coldMS(c.Remaining), c.At
+}
+
+// coldMS returns a time in milliseconds, at least one.
+func coldMS(d time.Duration) uint32 {
+	ms := (d + time.Millisecond - 1).Milliseconds()
 	return uint32(min(max(1, ms), math.MaxUint32))
 }
 
-// coldTimeFrom returns the cold time that another instance told.
-func coldTimeFrom(s *peerpb.ListedServer) backends.ColdTime {
-	if s.ColdMs == 0 {
+// coldTimeFrom returns the cold time that another instance told with a position of the store.
+func coldTimeFrom(ms uint32, era uint64, revision int64) backends.ColdTime {
+	if ms == 0 {
 		return backends.ColdTime{}
 	}
-	return backends.ColdTime{Known: true, Remaining: time.Duration(s.ColdMs) * time.Millisecond, FromPeer: true}
+	return backends.ColdTime{
+		Known: true, Remaining: time.Duration(ms) * time.Millisecond, FromPeer: true, At: position.Position{Era: era, Revision: revision},
+	}
 }
 
 // coldTimesChanged reports whether a server became cold, or its cold time ends at another time than
@@ -78,6 +86,9 @@
 			changed = true
 		}
 	}
+	if changed {
+		f.noteColdNews()
+	}
 	return changed
 }
 
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -95,6 +95,8 @@
 	requests struct{ config, servers lastRequest }
 	// graceBegan signals that grace periods of servers may have begun.
 	graceBegan chan struct{}
+	// coldNews signals that a server became cold.
+	coldNews chan struct{}
 	// adoptMu lets one goroutine at a time decide which configuration is in force.
 	adoptMu sync.Mutex
 
@@ -150,7 +152,7 @@
 	f.coldForwarded, f.coldLogged = map[string]time.Duration{}, map[string]backends.ColdServer{}
 	f.confirmations, f.answeredAt = watch.NewConfirmations(), map[string]time.Duration{}
 	f.inbox = ring.New[peerConfig]("catalog.inbox", inboxSize)
-	f.graceBegan = make(chan struct{}, 1)
+	f.graceBegan, f.coldNews = make(chan struct{}, 1), make(chan struct{}, 1)
 	f.offers = ring.New[offer]("catalog.newer", inboxSize)
 	f.members.AddToGossip(f.addToGossip)
 	f.link.Handle(f.receive)
@@ -181,6 +183,7 @@
 	go f.bootstrapServers(ctx)
 	go f.endGracePeriods(ctx)
 	go f.reportColdServers(ctx)
+	go f.repeatColdTimes(ctx)
 	return nil
 }
 
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -226,6 +226,8 @@
 		f.adoptServers(from, env.GetServersReply())
 	case env.GetEvacuations() != nil:
 		f.adoptEvacuations(from, env.GetEvacuations())
+	case env.GetColdServers() != nil:
+		f.adoptColdTimes(from, env.GetColdServers())
 	}
 }
 
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -206,7 +206,7 @@
 func (f *Follower) fullReply(snap *backends.Snapshot) *peerpb.ServersReply {
 	out := &peerpb.ServersReply{Revision: snap.At.Revision, Era: snap.At.Era, AgeUs: f.ConfirmationAge().Microseconds()}
 	for _, s := range snap.All() {
-		out.Servers = append(out.Servers, toListedServer(s, f.coldMS(snap, s)))
+		out.Servers = append(out.Servers, f.toListedServer(snap, s))
 	}
 	return out
 }
@@ -220,7 +220,7 @@
 		if c.Server == nil {
 			out.Gone = append(out.Gone, c.ID)
 		} else {
-			out.Servers = append(out.Servers, toListedServer(*c.Server, f.coldMS(snap, *c.Server)))
+			out.Servers = append(out.Servers, f.toListedServer(snap, *c.Server))
 		}
 	}
 	return out
@@ -242,15 +242,16 @@
 	for _, s := range r.Servers {
 		out = append(out, backends.Server{
 			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life), Version: s.Version,
-			Cold: coldTimeFrom(s),
+			Cold: coldTimeFrom(s.ColdMs, s.ColdEra, s.ColdRevision),
 		})
 	}
 	return out
 }
 
-func toListedServer(s backends.Server, coldMS uint32) *peerpb.ListedServer {
+func (f *Follower) toListedServer(snap *backends.Snapshot, s backends.Server) *peerpb.ListedServer {
+	coldMS, at := f.toldColdTime(snap, s)
 	return &peerpb.ListedServer{
 		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(),
-		Life: int64(s.Life), Version: s.Version, ColdMs: coldMS,
+		Life: int64(s.Life), Version: s.Version, ColdMs: coldMS, ColdEra: at.Era, ColdRevision: at.Revision,
 	}
 }
--- a/decide/backends/cold.go
+++ b/decide/backends/cold.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/position"
 )
 
 // A server that has just started, or whose data centre comes back, is cold for a while and takes only
@@ -17,9 +19,10 @@
 	Known bool
 	// Remaining counts from the moment at which the statement is received; zero: it is not cold.
 	Remaining time.Duration
-	// FromPeer is set if another instance states it. That may have an older entry, so it extends the
-	// cold time known here but does not shorten it.
+	// FromPeer is set if another instance states it.
 	FromPeer bool
+	// At is the position of the store at which the statement was made, zero if unknown.
+	At position.Position
 }
 
 // sighting is what is known of the cold time of one incarnation of a server. Times are by the local
@@ -29,6 +32,10 @@
 	// stated is set if the end of the cold time was stated, until is that end.
 	stated bool
 	until  time.Duration
+	// at is the position of the store at which that was stated, zero if unknown. shortenedAt is when
+	// the end was last moved back, zero if it was not.
+	at          position.Position
+	shortenedAt time.Duration
 	// appeared is set if the incarnation was not in the first list; appearedAt is when it was first
 	// listed, and ran for how long it had run by then, zero if unknown.
 	appeared   bool
@@ -65,14 +72,49 @@
 	if v.Life != 0 {
 		g.life = v.Life
 	}
-	if v.Cold.Known {
-		until := now + v.Cold.Remaining
-		if v.Cold.FromPeer && g.stated {
+	c := v.Cold
+	if !c.FromPeer {
+		c.At = s.at
+	}
+	g.adopt(now, c)
+	s.sightings[v.ID] = g
+}
+
+// adopt takes over a statement of the cold time unless a later one is known. One from another
+// instance whose position is unknown may be older: it extends the cold time but does not shorten it.
+// One of the position that is known is the same statement, delayed on its way, so the shorter counts:
+// otherwise the cold time grew with each repetition.
+func (g *sighting) adopt(now time.Duration, c ColdTime) {
+	if !c.Known || c.At != unknownPosition && c.At.Before(g.at) {
+		return
+	}
+	until := now + c.Remaining
+	if c.FromPeer && g.stated {
+		switch c.At {
+		case unknownPosition:
 			until = max(until, g.until)
+		case g.at:
+			until = shorter(until, g.until)
 		}
-		g.stated, g.until = true, until
 	}
-	s.sightings[v.ID] = g
+	if g.stated && until < g.until-coldPrecision && g.until > now {
+		g.shortenedAt = now
+	}
+	g.stated, g.until, g.at = true, until, position.Later(c.At, g.at)
+}
+
+// coldPrecision is the difference below which two ends of one cold time count as equal.
+const coldPrecision = 20 * time.Millisecond
+
+// unknownPosition is that of statements whose position is unknown.
+var unknownPosition position.Position
+
+// shorter returns the end of a cold time that is heard of again.
+func shorter(heard, known time.Duration) time.Duration {
+	if heard < known-coldPrecision {
+		return heard
+	}
+	return known
 }
 
 // ranFor returns how long a server has run, or zero if that is unknown.
@@ -106,7 +148,7 @@
 func (s *Snapshot) ColdTime(now time.Duration, id string, usual time.Duration) ColdTime {
 	g, known := s.cold[id]
 	remaining := max(0, g.coldUntil(usual)-now)
-	return ColdTime{Known: known && (g.stated || remaining > 0), Remaining: remaining}
+	return ColdTime{Known: known && (g.stated || remaining > 0), Remaining: remaining, At: g.at}
 }
 
 // ColdServer is a server that is cold.
--- a/decide/backends/cold_test.go
+++ b/decide/backends/cold_test.go
@@ -73,7 +73,7 @@
 		Expect(stated(time.Minute)).To(Equal(backends.ColdTime{}))
 		warm := stating(started.Life, 0)
 		apply(3*time.Second, &warm, 3)
-		Expect(stated(4 * time.Second)).To(Equal(backends.ColdTime{Known: true}))
+		Expect(stated(4 * time.Second)).To(Equal(backends.ColdTime{Known: true, At: at(3)}))
 	})
 
 	It("makes it one of the cold servers until its end", func() {
