Servers that started shortly before an instance count as cold in its first list

By their Life, for the rest of their service's usual time, in a deployment that had run before. Before, an instance that restarted overran a server that had just started and whose entry states no cold time.

--- a/decide/backends/cold.go
+++ b/decide/backends/cold.go
@@ -11,7 +11,12 @@
 // A server that has just started, or whose data centre comes back, is cold for a while and takes only
 // a few requests per second. Its entry, or another instance, states how long it remains cold. A server
 // of which nobody has stated that counts as cold for the usual time of its service from the moment at
-// which its incarnation appeared, unless its Life shows that it has run for longer.
+// which its incarnation appeared, unless its Life shows that it has run for longer. One of the first list
+// counts as cold for the rest of that time, from its Life, if this instance started after it in a
+// deployment that had run before: when all servers and instances start together, none counts as cold.
+
+// startSpread is the time within which the servers of a deployment start that is started as a whole.
+const startSpread = 10 * time.Second
 
 // ColdTime is a statement of how long a server remains cold.
 type ColdTime struct {
@@ -41,6 +46,10 @@
 	appeared   bool
 	appearedAt time.Duration
 	ran        time.Duration
+	// preceded is set if the incarnation was in the first list and had started before this instance;
+	// oldest is for how long the first server of that list to start had run.
+	preceded bool
+	oldest   time.Duration
 }
 
 // coldUntil returns when the server is warm if servers of its service are cold for usual after
@@ -51,6 +60,8 @@
 		return g.until
 	case g.appeared && g.ran <= usual:
 		return g.appearedAt + usual
+	case g.preceded && g.ran <= usual && g.oldest > usual+startSpread:
+		return g.appearedAt + usual - g.ran
 	default:
 		return 0
 	}
@@ -64,10 +75,8 @@
 func (s *Set) recordSighting(now time.Duration, v Server) {
 	g, known := s.sightings[v.ID]
 	if !known || !g.life.Same(v.Life) {
-		g = sighting{}
-		if s.listed {
-			g = sighting{appeared: true, appearedAt: now, ran: s.ranFor(now, v.Life)}
-		}
+		g = sighting{appeared: s.listed, appearedAt: now, ran: s.ranFor(now, v.Life)}
+		g.preceded = !s.listed && g.ran > now
 	}
 	if v.Life != 0 {
 		g.life = v.Life
@@ -125,6 +134,18 @@
 	return max(0, s.clockZero.Add(now).Sub(time.UnixMilli(int64(life))))
 }
 
+// recordOldest records for how long the first server of the first list to start had run.
+func (s *Set) recordOldest() {
+	oldest := time.Duration(0)
+	for _, g := range s.sightings {
+		oldest = max(oldest, g.ran)
+	}
+	for id, g := range s.sightings {
+		g.oldest = oldest
+		s.sightings[id] = g
+	}
+}
+
 // expireSightings removes those of servers that are gone and whose departure is forgotten. A server
 // that the store lists again in the same incarnation has not become cold.
 func (s *Set) expireSightings() {
@@ -145,8 +166,12 @@
 }
 
 // ColdTime returns what is known at a time of a server's cold time, to be stated to other instances.
+// What follows from Life alone is not stated: they derive it themselves, by their own clocks.
 func (s *Snapshot) ColdTime(now time.Duration, id string, usual time.Duration) ColdTime {
 	g, known := s.cold[id]
+	if !g.stated && !g.appeared {
+		return ColdTime{}
+	}
 	remaining := max(0, g.coldUntil(usual)-now)
 	return ColdTime{Known: known && (g.stated || remaining > 0), Remaining: remaining, At: g.at}
 }
--- a/decide/backends/cold_test.go
+++ b/decide/backends/cold_test.go
@@ -128,6 +128,44 @@
 		Entry("if it is not listed", func() {}),
 	)
 
+	Describe("in the first list", func() {
+		long := backends.Server{ID: "long", Service: "s", Life: born(-time.Hour)}
+		first := func(now time.Duration, others ...backends.Server) {
+			set.Replace(now, append(others, silent(born(-4*time.Second))), at(1))
+		}
+
+		// Guards against a started server that is overrun by an instance that starts after it.
+		It("is the rest of the usual one if the instance started after it", func() {
+			first(time.Second, long)
+			Expect(until()).To(Equal(6 * time.Second))
+			Expect(set.Snapshot().ColdUntil("long", usual)).To(BeZero())
+			Expect(set.Snapshot().ColdUntil("a", 4*time.Second)).To(BeZero())
+			Expect(set.Snapshot().ColdTime(time.Second, "a", usual)).To(Equal(backends.ColdTime{}))
+		})
+
+		// Guards against a server that said that it is warm and stays unused.
+		It("is what its entry states", func() {
+			set.Replace(time.Second, []backends.Server{long, {ID: "a", Service: "s", Life: born(-4 * time.Second), Cold: backends.ColdTime{Known: true}}}, at(1))
+			Expect(until()).To(Equal(time.Second))
+		})
+
+		// Guards against a deployment that serves nothing at its start.
+		It("is none if all servers started together", func() {
+			first(time.Second, backends.Server{ID: "b", Service: "s", Life: born(-15 * time.Second)}, backends.Server{ID: "c", Service: "s", Life: born(500 * time.Millisecond)})
+			Expect(until()).To(BeZero())
+		})
+
+		// Guards against a wrong clock that takes warm servers out of use for long.
+		DescribeTable("is never longer than the usual one, whatever the clock", func(wrong time.Duration) {
+			set.SetClock(zero.Add(wrong))
+			first(time.Second, long)
+			Expect(until()).To(BeNumerically("<=", time.Second+usual))
+		},
+			Entry("an hour slow", -time.Hour), Entry("a little slow", -3*time.Second), Entry("a day slow", -24*time.Hour),
+			Entry("a little fast", 3*time.Second), Entry("an hour fast", time.Hour),
+		)
+	})
+
 	It("is the usual one if it returns to the list and restarts cannot be told apart", func() {
 		set.Replace(0, []backends.Server{silent(0)}, at(1))
 		apply(time.Second, nil, 2)
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -98,6 +98,9 @@
 			s.departed[id] = departure{at: now, life: v.Life}
 		}
 	}
+	if !s.listed {
+		s.recordOldest()
+	}
 	s.listed = true
 	s.expireDepartures(now)
 	s.expireSightings()
@@ -263,7 +266,7 @@
 func (s *Set) Snapshot() *Snapshot {
 	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, cold: map[string]sighting{}}
 	for id, g := range s.sightings {
-		if g.stated || g.appeared {
+		if g.stated || g.appeared || g.preceded {
 			out.cold[id] = g
 		}
 	}
