X-Cold-Ms in a server's responses states its remaining cold time

It is decoded with the other words of servers, in health responses and all others, and taken over by control/notices unless it agrees with what is known.

--- a/control/follow/cold.go
+++ b/control/follow/cold.go
@@ -92,6 +92,22 @@
 	return changed
 }
 
+// StateCold takes over what a server states in an answer of its remaining cold time, unless that agrees
+// with what is known.
+func (f *Follower) StateCold(id string, life backends.Life, remaining time.Duration) {
+	snap := f.Servers()
+	if snap == nil {
+		return
+	}
+	s, _ := snap.Get(id)
+	usual, limited := f.usualColdTime(s.Service)
+	known := max(0, snap.ColdUntil(id, usual)-f.now())
+	if !limited || (remaining-known).Abs() <= coldTolerance {
+		return
+	}
+	f.updateServers("answer", func(now time.Duration) bool { return f.serverSet.StateCold(now, id, life, remaining) })
+}
+
 // reportColdServers logs servers that become cold or warm and updates their number.
 func (f *Follower) reportColdServers(ctx context.Context) {
 	wait.Every(ctx, coldReportInterval, f.reportCold)
--- a/control/follow/coldrepeat_test.go
+++ b/control/follow/coldrepeat_test.go
@@ -56,6 +56,26 @@
 		}
 	})
 
+	// Guards against a server that states in its answers that it is cold and is overrun, and against work
+	// for each answer.
+	It("take over what servers state in answers", func() {
+		f, to := follower(0), follower(0)
+		f.StateCold(id(5), 1<<40, 4*time.Second)
+		f.StateCold(id(6), 1, 4*time.Second)
+		f.StateCold("unknown", 1<<40, 4*time.Second)
+		known := f.Servers()
+		f.StateCold(id(5), 1<<40, 4*time.Second-coldTolerance)
+		Expect(f.Servers()).To(BeIdenticalTo(known))
+		for _, m := range f.coldMessages(time.Hour, known) {
+			to.adoptColdTimes("peer", m)
+		}
+		for _, g := range []*Follower{f, to} {
+			Expect(g.coldServers(g.now(), g.Servers())).To(HaveExactElements(HaveField("ID", id(5))))
+		}
+		f.StateCold(id(5), 1<<40, 0)
+		Expect(f.coldServers(f.now(), f.Servers())).To(BeEmpty())
+	})
+
 	It("are ignored if they are malformed", func() {
 		f := follower(0)
 		f.adoptColdTimes("peer", &peerpb.ColdServers{Servers: []*peerpb.ColdServer{nil, {Id: id(1), Life: 1 << 40}, {Id: id(2), ColdMs: 5}}})
--- a/control/notices/notices.go
+++ b/control/notices/notices.go
@@ -106,6 +106,9 @@
 	if said.Leaving {
 		n.hearLeaving(server)
 	}
+	if said.Cold.Known {
+		n.catalog.StateCold(from.Server, from.Life, said.Cold.Remaining)
+	}
 	switch said.Rest.Status {
 	case backend.RestAsked:
 		n.hearRest(server, said.Rest.For)
--- a/decide/backends/coldstatement.go
+++ b/decide/backends/coldstatement.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/position"
 )
 
 // The cold time of a server is no part of the digest of a list, so an instance that missed the change
@@ -56,3 +58,16 @@
 	}
 	return changed
 }
+
+// StateCold takes over what a listed incarnation of a server itself states of its cold time. That is
+// later than what its entry stated.
+func (s *Set) StateCold(now time.Duration, id string, life Life, remaining time.Duration) (changed bool) {
+	v, listed := s.byID[id]
+	if !listed || v.Life != life {
+		return false
+	}
+	g := s.sightings[id]
+	g.adopt(now, ColdTime{Known: true, Remaining: remaining, At: position.Later(s.at, g.at)})
+	s.sightings[id] = g
+	return true
+}
--- a/port/backend/notice.go
+++ b/port/backend/notice.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/decide/backends"
 )
 
 // Notice is what an answer says of the server that gave it.
@@ -26,6 +28,8 @@
 	Leaving bool
 	// Rest is the time in which the server wants no request of this instance.
 	Rest Rest
+	// Cold is for how long the server says that it remains cold.
+	Cold backends.ColdTime
 }
 
 // Rest is the time in which a server that turned a request away wants none.
