--- a/cli/status.go
+++ b/cli/status.go
@@ -30,6 +30,7 @@
 	var failed []string
 	var fleet catalogSpread
 	var limited, noticed, refused []string
+	cold := coldTable{}
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -42,6 +43,7 @@
 		refused = append(refused, d.partRows(addr)...)
 		if d.Catalog != nil {
 			fleet.add(addr, *d.Catalog)
+			cold.add(*d.Catalog)
 		}
 	}
 	if err := w.Flush(); err != nil {
@@ -53,6 +55,9 @@
 	if err := writeRows(e.out, "LAGGING INSTANCE\tCONFIG\tSTATE\tLAST WORD OF THE STORE", fleet.laggingRows()); err != nil {
 		return err
 	}
+	if err := writeRows(e.out, coldHead, cold.rows(fleet.instances)); err != nil {
+		return err
+	}
 	if err := writeRows(e.out, "INSTANCE\tSERVER\tLIMIT/S\tAGE\tOWNER\tPERMITS\tWAITING", limited); err != nil {
 		return err
 	}
--- a/cli/status_test.go
+++ b/cli/status_test.go
@@ -29,3 +29,15 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// TestColdRows guards against an instance that does not know of a cold server and goes unnoticed.
+func TestColdRows(t *testing.T) {
+	table := coldTable{}
+	table.add(follow.Dump{Cold: []follow.DumpCold{{Server: "e1", Service: "model", LeftMS: 2400}, {Server: "e0", Service: "model", LeftMS: 900}}})
+	table.add(follow.Dump{Cold: []follow.DumpCold{{Server: "e1", Service: "model", LeftMS: 2500}}})
+	table.add(follow.Dump{})
+	want := []string{"e0\tmodel\t900ms\t1 of 3", "e1\tmodel\t2.5s\t2 of 3"}
+	if got := table.rows(3); !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
