--- a/serve/relay/cold_test.go
+++ b/serve/relay/cold_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
@@ -160,6 +161,8 @@
 	// Guards against a quota that is used up by attempts that never reach the server.
 	DescribeTable("does not count an attempt", func(counts int, s script) {
 		x := newCold(route.Once, 9, all, repeat(s, 9)...)
+		scope := tally.NewTestScope("", nil)
+		x.relay.scope = scope
 		x.play()
 		calls, _ := x.servers.counts()
 		Expect(calls).To(BeNumerically(">", 0))
@@ -168,6 +171,11 @@
 			total += countedSends(x.relay, id, 9)
 		}
 		Expect(total).To(Equal(counts * calls))
+		sent := int64(0)
+		if c := scope.Snapshot().Counters()["requests_to_cold_servers_total+service="+x.service.Name]; c != nil {
+			sent = c.Value()
+		}
+		Expect(sent).To(BeEquivalentTo(counts * calls))
 	},
 		Entry("that was not sent", 0, script{err: errors.Mark(errors.New("no connection"), backend.ErrNotSent)}),
 		Entry("that a server held back", 0, script{err: errors.Mark(errors.New("leaving"), backend.ErrHeldBack)}),
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -169,6 +169,7 @@
 		if errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrHeldBack) {
 			t.quota.giveBack()
 		}
+		x.countColdSend(t)
 		return x.classifyError(t, err)
 	}
 	t.answer = answer
@@ -177,6 +178,7 @@
 	if h.Status == http.StatusMisdirectedRequest {
 		t.quota.giveBack()
 	}
+	x.countColdSend(t)
 	if h.NotRun {
 		return x.handleNotRun(t.plan, h)
 	}
