--- a/decide/warmup/fleet_test.go
+++ b/decide/warmup/fleet_test.go
@@ -27,6 +27,8 @@
 	tick = 10 * time.Millisecond
 	// up is how long instances have run at the beginning, span how long the simulation lasts.
 	up, span = time.Minute, 6 * time.Second
+	// restarts is the number of instances that restart while servers are cold.
+	restarts = 3
 	// heartbeat is the interval at which servers state their cold time again.
 	heartbeat = time.Second
 )
@@ -49,6 +51,8 @@
 	roster   member.Roster
 	// offset is the time for which the instance had run at the beginning.
 	offset time.Duration
+	// restartAt is when it restarts, zero if it does not.
+	restartAt time.Duration
 	// repeatAt is when it next repeats statements, next when its next request to each server comes.
 	repeatAt time.Duration
 	next     []time.Duration
@@ -89,6 +93,9 @@
 		for range f.servers {
 			in.next = append(in.next, f.pause())
 		}
+		if i < restarts {
+			in.restartAt = tick + time.Duration(f.draw.Int64N(int64(coldTime/tick)))*tick
+		}
 		f.number[m.Name] = i
 		f.instances = append(f.instances, in)
 	}
@@ -117,15 +124,30 @@
 	}
 	f.publish(now, in)
 	var told []backends.Change
-	for _, c := range m.changes {
-		s := *c.Server
-		s.Cold = in.snap.ColdTime(now+in.offset, s.ID, coldTime)
-		s.Cold.FromPeer = true
+	for _, s := range f.told(now, in) {
 		told = append(told, backends.Change{ID: s.ID, Server: &s})
 	}
 	f.send(to, fleetMessage{at: m.at, changes: told})
 }
 
+// told returns the servers as an instance tells others of them.
+func (f *fleet) told(now time.Duration, in *fleetInstance) (out []backends.Server) {
+	for _, s := range f.servers {
+		s.Cold = in.snap.ColdTime(now+in.offset, s.ID, coldTime)
+		s.Cold.FromPeer = true
+		out = append(out, s)
+	}
+	return out
+}
+
+// restart replaces an instance by one that has nothing but the list of another.
+func (f *fleet) restart(now time.Duration, in *fleetInstance) {
+	peer := f.instances[restarts+f.draw.IntN(fleetSize-restarts)]
+	in.offset, in.set, in.limiter = -now, backends.NewSet(), warmup.NewLimiter()
+	in.set.Replace(0, f.told(now, peer), peer.snap.At)
+	f.publish(now, in)
+}
+
 func (f *fleet) deliver(now time.Duration) {
 	due := f.messages
 	f.messages = nil
@@ -219,6 +241,9 @@
 			f.announce(now)
 		}
 		for _, in := range f.instances {
+			if now > 0 && now == in.restartAt {
+				f.restart(now, in)
+			}
 			f.repeat(now, in)
 			f.request(now, in)
 		}
@@ -247,7 +272,7 @@
 }
 
 // TestFleetWithLosses guards against a cold server that is overrun by instances that missed the message
-// that it became cold, and against servers that stay unused after they are warm.
+// that it became cold or that restart, and against servers that stay unused after they are warm.
 func TestFleetWithLosses(t *testing.T) {
 	const seeds, workers = 1000, 2
 	var wait sync.WaitGroup
