--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -134,6 +134,7 @@
 	c.checkConfiguration()
 	c.checkLeaving()
 	c.checkLimited()
+	c.checkPaced()
 	c.checkHeard()
 	c.checkRested()
 	c.checkContained()
@@ -349,13 +350,13 @@
 func (c *checker) checkLimited() {
 	for _, v := range c.site.allServers() {
 		for _, l := range v.limits {
-			c.checkLimit(v, l)
+			c.checkLimit(Limited, v, l)
 		}
 	}
 }
 
-// checkLimit checks the windows that begin with a request while a server names a limit.
-func (c *checker) checkLimit(v *server, l namedLimit) {
+// checkLimit checks the windows that begin with a request while a server takes a limited rate.
+func (c *checker) checkLimit(p Promise, v *server, l namedLimit) {
 	var at []time.Time
 	for _, s := range v.standin.Seen() {
 		if s.At.After(l.from.Add(limitDelay)) && s.At.Before(l.to) {
@@ -371,7 +372,7 @@
 		if float64(n) <= limitWindow.Seconds()*l.perSecond+limitSlack || !c.boundsApplyToAll(last) || !v.disturbances.undisturbed(begin, last) {
 			continue
 		}
-		c.addViolation(Limited, last, "%s got %d requests in %s and had named a limit of %g a second", v.id, n, limitWindow, l.perSecond)
+		c.addViolation(p, last, "%s got %d requests in %s and takes %g a second", v.id, n, limitWindow, l.perSecond)
 		return
 	}
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -71,7 +71,7 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return Result{}, errors.Wrap(err, "soak")
 	}
-	s, err := newSite(o.Mutant)
+	s, err := newSite(o.Mutant, p.hasCold())
 	if err != nil {
 		return Result{}, err
 	}
@@ -241,6 +241,8 @@
 		r.sayLeaving(f)
 	case AskRest:
 		r.askRest(f)
+	case Cold:
+		r.coolServers(f)
 	case Change:
 		r.site.addRoute()
 	case Changes:
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -51,6 +51,8 @@
 	leftAt time.Time
 	// limits are the limits that the server named.
 	limits []namedLimit
+	// colds are the times at which the server was cold, with its rate.
+	colds []namedLimit
 	// saidAt is when the server began to say that it leaves, zero before.
 	saidAt time.Time
 	// silences records when the server may be silent.
@@ -124,12 +126,15 @@
 	queuedWrites []func()
 }
 
-func newSite(m Mutant) (*site, error) {
+func newSite(m Mutant, limitsCold bool) (*site, error) {
 	s := &site{store: storeserver.New("127.0.0.1:0"), mutant: m}
 	if err := s.store.Start(); err != nil {
 		return nil, err
 	}
 	s.siteConfig = storeserver.Site{Version: 1, Models: []string{modelService}, Plain: []string{plainService, secondService}, EngineMemory: engineMemory, Keys: []string{key}}
+	if limitsCold {
+		s.siteConfig.ColdPerSecond, s.siteConfig.ColdStart = coldPerSecond, usualColdStart
+	}
 	s.siteConfig.Routes = []storeserver.Route{
 		{Name: "ask", Host: host, Prefix: askPath, Service: modelService, Kind: "streaming", TimeoutMS: routeTimeoutMS},
 		{Name: "look", Host: host, Prefix: lookPath, Service: plainService, Kind: "safe", TimeoutMS: routeTimeoutMS},
@@ -177,8 +182,14 @@
 
 // announce writes the entry of a server to the store. It panics on an error, which is a
 // defect of the test.
-func (s *site) announce(v *server) {
-	if err := s.store.PutEntry(storeserver.Entry{ID: v.id, Service: v.service, Addr: v.link.addr(), DataCentre: v.dataCentre, Slots: slotsPerServer, Leaving: !v.leftAt.IsZero()}); err != nil {
+func (s *site) announce(v *server) { s.put(s.entry(v)) }
+
+func (s *site) entry(v *server) storeserver.Entry {
+	return storeserver.Entry{ID: v.id, Service: v.service, Addr: v.link.addr(), DataCentre: v.dataCentre, Slots: slotsPerServer, Leaving: !v.leftAt.IsZero()}
+}
+
+func (s *site) put(e storeserver.Entry) {
+	if err := s.store.PutEntry(e); err != nil {
 		panic(err)
 	}
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -115,6 +115,13 @@
 		Expect(play(p, "").Violations).To(BeEmpty())
 	})
 
+	It("detects cold servers that get more than their rate", func() {
+		p := draw(3)
+		p.Faults = []soak.Fault{{Kind: soak.Cold, At: settings.Duration(6 * time.Second), Share: 1}}
+		Expect(play(p, soak.HidesCold).Violated(soak.Paced)).To(BeTrue())
+		Expect(play(p, "").Violations).To(BeEmpty())
+	})
+
 	It("detects a configuration that takes effect too late", func() {
 		Expect(play(draw(3), soak.LateConfig).Violated(soak.InForce)).To(BeTrue())
 	})
