Cold servers of other cells may get requests of instances that have a quota for them

Quotas below one per second belong to some instances of the whole fleet. Those that belong to none of a server's cell were lost in fleets of several cells.

--- a/serve/relay/cold_test.go
+++ b/serve/relay/cold_test.go
@@ -215,6 +215,32 @@
 		Expect(gate.check(b)).To(Equal(eligible))
 	})
 
+	// Guards against quota that is lost because no instance of the server's cell has it.
+	It("of another cell is a candidate while this instance has a quota for it", func() {
+		x := newCold(route.Idempotent, 2, []string{"b", "c"})
+		r, ready := x.relay, x.relay.catalog.Servers().Ready("s")
+		cell := r.loads.Cell()
+		x.relay.pool("s").share = cellShare{x.relay.catalog.Servers(), cell.Index, cell.Count, ready[:1]}
+		candidates := func() (ids []string) {
+			servers, _, coldLeftOut := r.candidates(x.service, false)
+			Expect(coldLeftOut).To(BeFalse())
+			for _, s := range servers {
+				ids = append(ids, s.ID)
+			}
+			return ids
+		}
+		Expect(candidates()).To(Equal(all))
+		for range 2 {
+			_, ok := r.lockAndMakeColdGate(x.service).take(ready[1])
+			Expect(ok).To(BeTrue())
+		}
+		Expect(candidates()).To(Equal([]string{"a", "c"}))
+		r.fleet = retry.Fleet{Size: 1, Incomplete: true}
+		Expect(candidates()).To(Equal([]string{"a"}))
+		x.service.ColdRate = 0
+		Expect(candidates()).To(Equal([]string{"a"}))
+	})
+
 	It("is excluded by the last of the required filters", func() {
 		x := newCold(route.Idempotent, 0.5, []string{"a"})
 		gate := x.relay.lockAndMakeColdGate(x.service)
--- a/serve/relay/coldgate.go
+++ b/serve/relay/coldgate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
@@ -63,6 +64,32 @@
 	return e
 }
 
+// beyondCell returns the cold servers of other cells. Quotas below one per second belong to some
+// instances of all cells, and those of a server that no instance of its cell has are lost unless others
+// use them.
+func (g *coldGate) beyondCell(share, ready []backends.Server) (out []backends.Server) {
+	if g == nil || len(share) == len(ready) {
+		return nil
+	}
+	for _, s := range ready {
+		if g.isCold(s) && !slices.ContainsFunc(share, func(o backends.Server) bool { return o.ID == s.ID }) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// free returns those of some cold servers that pass the other filters and of which this instance has a
+// quota that is not used up. That the others are left out does not count.
+func (g *coldGate) free(servers []backends.Server, filters filterChain) []backends.Server {
+	if len(servers) == 0 {
+		return nil
+	}
+	excluded := g.excluded
+	defer func() { g.excluded = excluded }()
+	return filters.apply(servers)
+}
+
 // take takes a request to a server from the quota and reports whether the request may be sent. The send
 // is nil if the server is not cold.
 func (g *coldGate) take(s backends.Server) (send *coldSend, ok bool) {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -334,7 +335,8 @@
 // on, the number of ready servers they were selected from, and whether a server is left out only
 // because it is cold and has got all that it may from this instance. The candidates are the ready
 // servers of the instance's cell, or of all cells with allCells or if the cell has
-// none in rotation. If no server at all is in rotation, every ready one is a candidate; servers out of rotation do not
+// none in rotation, and the cold servers of other cells that may get a request of this instance.
+// If no server at all is in rotation, every ready one is a candidate; servers out of rotation do not
 // take the place of cold ones.
 // Servers that name a limit are not among them: they need a permit (placePermitted).
 func (r *Relay) candidates(service *route.Service, allCells bool) (out []backends.Server, total int, coldLeftOut bool) {
@@ -355,6 +357,9 @@
 	if out = preferred.apply(share); len(out) == 0 {
 		share = ready
 		out = preferred.apply(ready)
+	} else if more := gate.free(gate.beyondCell(share, ready), preferred); len(more) > 0 {
+		out = slices.Concat(out, more)
+		slices.SortFunc(out, func(a, b backends.Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	if len(out) == 0 && (gate == nil || !gate.excluded) {
 		out = required.apply(ready)
