--- a/control/follow/cold_test.go
+++ b/control/follow/cold_test.go
@@ -85,4 +85,14 @@
 		third := startAt(down.Addr(), "g", "127.0.0.1:19802")
 		Eventually(coldLeft(third), "10s", "5ms").Should(HaveKeyWithValue("appeared", BeNumerically(">", 5*time.Second)))
 	})
+
+	// Guards against an instance that starts after a server and overruns it, because its first list
+	// holds that server like all others and nobody states the time.
+	It("are the rest of the usual ones of servers that started shortly before the instance", func() {
+		putColdServer(srv, "young", "s", time.Now().Add(-2*time.Second), nil)
+		alone := startIn(srv.Addr(), "h", "127.0.0.1:19803", "127.0.0.1:19803")
+		Eventually(alone.Ready, "3s", "5ms").Should(BeTrue())
+		Expect(coldLeft(alone)()).To(HaveLen(1))
+		Expect(coldLeft(alone)()).To(HaveKeyWithValue("young", BeNumerically("~", 17500*time.Millisecond, 1500*time.Millisecond)))
+	})
 })
