--- a/decide/warmup/fleet_test.go
+++ b/decide/warmup/fleet_test.go
@@ -72,19 +72,26 @@
 	lateWarm int
 }
 
+// fleetMembers are the instances, standings their places among those of their data centres.
+var fleetMembers, standings = func() (members []watch.Member, all []watch.Standing) {
+	for i := range fleetSize {
+		members = append(members, watch.Member{Name: fmt.Sprint("i", i), DataCentre: fmt.Sprint("dc-", i%fleetCentres)})
+	}
+	for _, m := range members {
+		all = append(all, watch.StandingOf(m, members))
+	}
+	return members, all
+}()
+
 func newFleet(seed uint64) *fleet {
 	f := &fleet{draw: rand.New(rand.NewPCG(seed, 5)), number: map[string]int{}}
 	for i := range 2 {
 		f.servers = append(f.servers, backends.Server{ID: fmt.Sprint("s", i, "-", seed), Service: "s", Life: backends.Life(1 + seed)})
 	}
 	f.sends = make([][]time.Duration, len(f.servers))
-	var members []watch.Member
-	for i := range fleetSize {
-		members = append(members, watch.Member{Name: fmt.Sprint("i", i), DataCentre: fmt.Sprint("dc-", i%fleetCentres)})
-	}
-	for i, m := range members {
+	for i, m := range fleetMembers {
 		in := &fleetInstance{
-			name: m.Name, standing: watch.StandingOf(m, members), store: i%fleetCentres > 0, set: backends.NewSet(), limiter: warmup.NewLimiter(),
+			name: m.Name, standing: standings[i], store: i%fleetCentres > 0, set: backends.NewSet(), limiter: warmup.NewLimiter(),
 			roster: member.Roster{Size: fleetSize, Rank: i}, offset: up + time.Duration(f.draw.Int64N(int64(time.Second))),
 		}
 		in.set.Replace(up, f.servers, position.Position{Revision: 1})
