--- a/decide/backends/cold.go
+++ b/decide/backends/cold.go
@@ -4,12 +4,19 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/position"
 )
 
 // A server that has just started, or whose data centre comes back, is cold for a while and takes only
 // a few requests per second. Its entry, or another instance, states how long it remains cold. A server
 // of which nobody has stated that counts as cold for the usual time of its service from the moment at
-// which its incarnation appeared, unless its Life shows that it has run for longer.
+// which its incarnation appeared, unless its Life shows that it has run for longer. One of the first list
+// counts as cold for the rest of that time, from its Life, if this instance started after it in a
+// deployment that had run before: when all servers and instances start together, none counts as cold.
+
+// startSpread is the time within which the servers of a deployment start that is started as a whole.
+const startSpread = 10 * time.Second
 
 // ColdTime is a statement of how long a server remains cold.
 type ColdTime struct {
@@ -17,9 +24,10 @@
 	Known bool
 	// Remaining counts from the moment at which the statement is received; zero: it is not cold.
 	Remaining time.Duration
-	// FromPeer is set if another instance states it. That may have an older entry, so it extends the
-	// cold time known here but does not shorten it.
+	// FromPeer is set if another instance states it.
 	FromPeer bool
+	// At is the position of the store at which the statement was made, zero if unknown.
+	At position.Position
 }
 
 // sighting is what is known of the cold time of one incarnation of a server. Times are by the local
@@ -29,11 +37,19 @@
 	// stated is set if the end of the cold time was stated, until is that end.
 	stated bool
 	until  time.Duration
+	// at is the position of the store at which that was stated, zero if unknown. shortenedAt is when
+	// the end was last moved back, zero if it was not.
+	at          position.Position
+	shortenedAt time.Duration
 	// appeared is set if the incarnation was not in the first list; appearedAt is when it was first
 	// listed, and ran for how long it had run by then, zero if unknown.
 	appeared   bool
 	appearedAt time.Duration
 	ran        time.Duration
+	// preceded is set if the incarnation was in the first list and had started before this instance;
+	// oldest is for how long the first server of that list to start had run.
+	preceded bool
+	oldest   time.Duration
 }
 
 // coldUntil returns when the server is warm if servers of its service are cold for usual after
@@ -44,6 +60,8 @@
 		return g.until
 	case g.appeared && g.ran <= usual:
 		return g.appearedAt + usual
+	case g.preceded && g.ran <= usual && g.oldest > usual+startSpread:
+		return g.appearedAt + usual - g.ran
 	default:
 		return 0
 	}
@@ -57,22 +75,55 @@
 func (s *Set) recordSighting(now time.Duration, v Server) {
 	g, known := s.sightings[v.ID]
 	if !known || !g.life.Same(v.Life) {
-		g = sighting{}
-		if s.listed {
-			g = sighting{appeared: true, appearedAt: now, ran: s.ranFor(now, v.Life)}
-		}
+		g = sighting{appeared: s.listed, appearedAt: now, ran: s.ranFor(now, v.Life)}
+		g.preceded = !s.listed && g.ran > now
 	}
 	if v.Life != 0 {
 		g.life = v.Life
 	}
-	if v.Cold.Known {
-		until := now + v.Cold.Remaining
-		if v.Cold.FromPeer && g.stated {
+	c := v.Cold
+	if !c.FromPeer {
+		c.At = s.at
+	}
+	g.adopt(now, c)
+	s.sightings[v.ID] = g
+}
+
+// adopt takes over a statement of the cold time unless a later one is known. One from another
+// instance whose position is unknown may be older: it extends the cold time but does not shorten it.
+// One of the position that is known is the same statement, delayed on its way, so the shorter counts:
+// otherwise the cold time grew with each repetition.
+func (g *sighting) adopt(now time.Duration, c ColdTime) {
+	if !c.Known || c.At != unknownPosition && c.At.Before(g.at) {
+		return
+	}
+	until := now + c.Remaining
+	if c.FromPeer && g.stated {
+		switch c.At {
+		case unknownPosition:
 			until = max(until, g.until)
+		case g.at:
+			until = shorter(until, g.until)
 		}
-		g.stated, g.until = true, until
 	}
-	s.sightings[v.ID] = g
+	if g.stated && until < g.until-coldPrecision && g.until > now {
+		g.shortenedAt = now
+	}
+	g.stated, g.until, g.at = true, until, position.Later(c.At, g.at)
+}
+
+// coldPrecision is the difference below which two ends of one cold time count as equal.
+const coldPrecision = 20 * time.Millisecond
+
+// unknownPosition is that of statements whose position is unknown.
+var unknownPosition position.Position
+
+// shorter returns the end of a cold time that is heard of again.
+func shorter(heard, known time.Duration) time.Duration {
+	if heard < known-coldPrecision {
+		return heard
+	}
+	return known
 }
 
 // ranFor returns how long a server has run, or zero if that is unknown.
@@ -83,6 +134,18 @@
 	return max(0, s.clockZero.Add(now).Sub(time.UnixMilli(int64(life))))
 }
 
+// recordOldest records for how long the first server of the first list to start had run.
+func (s *Set) recordOldest() {
+	oldest := time.Duration(0)
+	for _, g := range s.sightings {
+		oldest = max(oldest, g.ran)
+	}
+	for id, g := range s.sightings {
+		g.oldest = oldest
+		s.sightings[id] = g
+	}
+}
+
 // expireSightings removes those of servers that are gone and whose departure is forgotten. A server
 // that the store lists again in the same incarnation has not become cold.
 func (s *Set) expireSightings() {
@@ -103,10 +166,14 @@
 }
 
 // ColdTime returns what is known at a time of a server's cold time, to be stated to other instances.
+// What follows from Life alone is not stated: they derive it themselves, by their own clocks.
 func (s *Snapshot) ColdTime(now time.Duration, id string, usual time.Duration) ColdTime {
 	g, known := s.cold[id]
+	if !g.stated && !g.appeared {
+		return ColdTime{}
+	}
 	remaining := max(0, g.coldUntil(usual)-now)
-	return ColdTime{Known: known && (g.stated || remaining > 0), Remaining: remaining}
+	return ColdTime{Known: known && (g.stated || remaining > 0), Remaining: remaining, At: g.at}
 }
 
 // ColdServer is a server that is cold.
--- a/serve/relay/cold_test.go
+++ b/serve/relay/cold_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/decide/attempt"
@@ -160,6 +161,8 @@
 	// Guards against a quota that is used up by attempts that never reach the server.
 	DescribeTable("does not count an attempt", func(counts int, s script) {
 		x := newCold(route.Once, 9, all, repeat(s, 9)...)
+		scope := tally.NewTestScope("", nil)
+		x.relay.scope = scope
 		x.play()
 		calls, _ := x.servers.counts()
 		Expect(calls).To(BeNumerically(">", 0))
@@ -168,6 +171,11 @@
 			total += countedSends(x.relay, id, 9)
 		}
 		Expect(total).To(Equal(counts * calls))
+		sent := int64(0)
+		if c := scope.Snapshot().Counters()["requests_to_cold_servers_total+service="+x.service.Name]; c != nil {
+			sent = c.Value()
+		}
+		Expect(sent).To(BeEquivalentTo(counts * calls))
 	},
 		Entry("that was not sent", 0, script{err: errors.Mark(errors.New("no connection"), backend.ErrNotSent)}),
 		Entry("that a server held back", 0, script{err: errors.Mark(errors.New("leaving"), backend.ErrHeldBack)}),
@@ -207,6 +215,32 @@
 		Expect(gate.check(b)).To(Equal(eligible))
 	})
 
+	// Guards against quota that is lost because no instance of the server's cell has it.
+	It("of another cell is a candidate while this instance has a quota for it", func() {
+		x := newCold(route.Idempotent, 2, []string{"b", "c"})
+		r, ready := x.relay, x.relay.catalog.Servers().Ready("s")
+		cell := r.loads.Cell()
+		x.relay.pool("s").share = cellShare{x.relay.catalog.Servers(), cell.Index, cell.Count, ready[:1]}
+		candidates := func() (ids []string) {
+			servers, _, coldLeftOut := r.candidates(x.service, false)
+			Expect(coldLeftOut).To(BeFalse())
+			for _, s := range servers {
+				ids = append(ids, s.ID)
+			}
+			return ids
+		}
+		Expect(candidates()).To(Equal(all))
+		for range 2 {
+			_, ok := r.lockAndMakeColdGate(x.service).take(ready[1])
+			Expect(ok).To(BeTrue())
+		}
+		Expect(candidates()).To(Equal([]string{"a", "c"}))
+		r.fleet = retry.Fleet{Size: 1, Incomplete: true}
+		Expect(candidates()).To(Equal([]string{"a"}))
+		x.service.ColdRate = 0
+		Expect(candidates()).To(Equal([]string{"a"}))
+	})
+
 	It("is excluded by the last of the required filters", func() {
 		x := newCold(route.Idempotent, 0.5, []string{"a"})
 		gate := x.relay.lockAndMakeColdGate(x.service)
