Fair shares: usage and shares of customers, and a check of held requests (decide/fairshare)

Each instance adds up the prefill time of the prompts that all instances of its cell placed for each customer, with exponential decay, and computes max-min fair shares from it.

--- /dev/null
+++ b/decide/fairshare/shares.go
@@ -0,0 +1,193 @@
+package fairshare
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/admission"
+)
+
+const (
+	// demandFactor is the demand of a customer in multiples of its usage. What others leave unused of
+	// equal shares is computed from it: a customer whose prompts had to wait may want that much more.
+	demandFactor = 2
+	// overFactor is the usage, in shares, above which a customer is over its share, and withinFactor
+	// that below which it no longer is. Usage of equal customers differs by chance: a few deep
+	// prompts of very different lengths make up the usage of each.
+	overFactor, withinFactor = 2, 1.5
+	// refreshInterval is how long computed shares are used.
+	refreshInterval = 10 * time.Millisecond
+	// lastCheck is the longest time until a held request is checked again (twice the mean interval).
+	lastCheck = 30 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time to come back of a refused request.
+	minRetryAfter, maxRetryAfter = 150 * time.Millisecond, 10 * time.Second
+)
+
+// shares is the state computed from the usage.
+type shares struct {
+	valid bool
+	at    time.Duration
+	// level is the share of each customer in seconds.
+	level float64
+	over  map[uint32]bool
+	// changed are the customers that went over their share or are no longer over it.
+	changed []Change
+}
+
+// Change tells that a customer went over its share, or is no longer over it.
+type Change struct {
+	Customer     uint32
+	Over         bool
+	Usage, Share time.Duration
+}
+
+// refresh computes the shares at most once in refreshInterval.
+func (t *Table) refresh(now time.Duration) {
+	s := &t.shares
+	if s.valid && now-s.at < refreshInterval {
+		return
+	}
+	s.valid, s.at = true, now
+	usage := make(map[uint32]float64, len(t.total))
+	values := make([]float64, 0, len(t.total))
+	for c, a := range t.total {
+		if v := a.value(now); v >= minUsage.Seconds() {
+			usage[c] = v
+			values = append(values, v)
+		}
+	}
+	s.level = maxMinLevel(values)
+	for c, v := range usage {
+		if !s.over[c] && v > overFactor*s.level {
+			s.set(c, true, v)
+		}
+	}
+	for c := range s.over {
+		if usage[c] < withinFactor*s.level || usage[c] == 0 {
+			s.set(c, false, usage[c])
+		}
+	}
+}
+
+func (s *shares) set(customer uint32, over bool, usage float64) {
+	if over {
+		s.over[customer] = true
+	} else {
+		delete(s.over, customer)
+	}
+	if len(s.changed) < MaxCustomers {
+		s.changed = append(s.changed, Change{customer, over, duration(usage), duration(s.level)})
+	}
+}
+
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// maxMinLevel returns the share of each customer: the sum of all usage is divided equally, and what a
+// customer does not want of its part (demandFactor) is divided among the others.
+func maxMinLevel(usage []float64) float64 {
+	slices.Sort(usage)
+	left := 0.0
+	for _, v := range usage {
+		left += v
+	}
+	for i, v := range usage {
+		equal := left / float64(len(usage)-i)
+		if demandFactor*v >= equal {
+			return equal
+		}
+		left -= demandFactor * v
+	}
+	return left
+}
+
+// Over reports whether a customer uses more than its share while deep prompts of others wait.
+func (t *Table) Over(now time.Duration, customer uint32) bool {
+	return t.delaysOthers(now, customer, true)
+}
+
+// delaysOthers reports whether a customer uses more than its share while requests of the same sort wait,
+// deep prompts or others, whose customers are within theirs.
+func (t *Table) delaysOthers(now time.Duration, customer uint32, deep bool) bool {
+	if customer == 0 {
+		return false
+	}
+	t.refresh(now)
+	return t.shares.over[customer] && (t.waitsHere(deep) || deep && t.waitsAtPeers(now))
+}
+
+func (t *Table) waitsHere(deep bool) bool {
+	for c := range t.waiting(deep) {
+		if !t.shares.over[c] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) waitsAtPeers(now time.Duration) bool {
+	for _, p := range t.peers {
+		if p.waits && now-p.heardAt <= waitingTTL {
+			return true
+		}
+	}
+	return false
+}
+
+// Check implements admission.Check: it refuses a request of a customer over its share that has waited for
+// its target or would soon be sent anyway, whatever its place in the order.
+func (t *Table) Check(now time.Duration, r admission.Request) admission.Decision {
+	if !lastChance(r) || !t.delaysOthers(now, r.Customer, r.Deep) {
+		return admission.Decision{}
+	}
+	return admission.Decision{Refuse: true, Reason: admission.ShareExceeded, RetryAfter: t.retryAfter(now, r.Customer)}
+}
+
+func lastChance(r admission.Request) bool {
+	return r.FirstTarget > 0 && r.Waited >= r.FirstTarget || r.Waited+lastCheck >= r.MaxHold
+}
+
+// retryAfter is the time after which the customer's usage has decayed to its share.
+func (t *Table) retryAfter(now time.Duration, customer uint32) time.Duration {
+	used := t.total[customer].value(now)
+	wait := time.Duration(math.Log(max(1, used/max(t.shares.level, minUsage.Seconds()))) * float64(UsageTimeConstant))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// TakeChanges returns the customers that went over their share, or are no longer over it, since the last call.
+func (t *Table) TakeChanges() []Change {
+	out := t.shares.changed
+	t.shares.changed = nil
+	return out
+}
+
+// Status is the usage of one customer.
+type Status struct {
+	Usage
+	Share time.Duration
+	Over  bool
+	// Waiting counts its requests that this instance holds.
+	Waiting int
+}
+
+// Status returns the customers by usage, the most first.
+func (t *Table) Status(now time.Duration) []Status {
+	t.refresh(now)
+	var all []Usage
+	for c, a := range t.total {
+		all = append(all, Usage{c, duration(a.value(now))})
+	}
+	sortByUsage(all)
+	out := make([]Status, len(all))
+	for i, u := range all {
+		out[i] = Status{Usage: u, Share: duration(t.shares.level), Over: t.shares.over[u.Customer], Waiting: t.deep[u.Customer] + t.forSlot[u.Customer]}
+	}
+	return out
+}
+
+func sortByUsage(all []Usage) {
+	slices.SortFunc(all, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(a.Customer, b.Customer))
+	})
+}
