--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -8,8 +8,8 @@
 	"github.com/auburnmoor/auburnmoor/decide/route"
 )
 
-// Turn is the position of a held prompt in the order of all instances. Its fields do not
-// change with time, so every instance computes the order by itself and a prompt is not
+// Turn is the position of a held prompt in the order of all instances. Its fields, except
+// OverShare, do not change with time, so every instance computes the order by itself and a prompt is not
 // reported again as its rank changes; such reports were half of all messages between 75
 // instances.
 type Turn struct {
@@ -23,6 +23,9 @@
 	// FirstTarget is the target for the time to the first event, LateAfter the wait after
 	// which it can no longer be met; both are zero if there is no target.
 	FirstTarget, LateAfter time.Duration
+	// OverShare is set while the prompt's customer uses more than its share and others wait. It may change;
+	// peers are then sent the prompt again.
+	OverShare bool
 }
 
 // ageingFactor ranks a prompt that has waited for its whole target like one of a sixth of
@@ -54,11 +57,16 @@
 }
 
 // precedes reports whether t goes before o. A prompt that can still be in time goes first,
-// then the one of higher priority, then the one of lower aged weight, since a prompt of half the
-// length takes a quarter of the engines' time.
+// then the one of higher priority, then, of two that can still be in time, the one of a customer within its
+// share, then the one of lower aged weight, since a prompt of half the length takes a quarter of the
+// engines' time.
 func (t Turn) precedes(now time.Duration, o Turn) bool {
-	if t.late(now) != o.late(now) {
-		return o.late(now)
+	late := t.late(now)
+	if late != o.late(now) {
+		return !late
+	}
+	if t.Rank == o.Rank && t.OverShare != o.OverShare && !late {
+		return o.OverShare
 	}
 	return cmp.Or(cmp.Compare(t.Rank, o.Rank), cmp.Compare(t.agedWeight(now), o.agedWeight(now)), cmp.Compare(t.Request, o.Request)) < 0
 }
--- a/decide/spread/turn_test.go
+++ b/decide/spread/turn_test.go
@@ -50,6 +50,34 @@
 		Expect(q.MustWait(0, late)).To(BeTrue())
 	})
 
+	// Guards against a customer whose many short prompts hold up those of all others.
+	It("go by the shares of their customers, among equal ranks and while they can be in time", func() {
+		within, over := waitedTurn("x", 200_000, time.Second), waitedTurn("y", 120_000, time.Second)
+		over.OverShare = true
+		q := spread.NewQueue()
+		q.ApplyReport(0, "b", held(within))
+		Expect(q.MustWait(0, over)).To(BeTrue())
+		urgent := over
+		urgent.Rank = -1
+		Expect(q.MustWait(0, urgent)).To(BeFalse())
+		q.ApplyReport(0, "b", held(over))
+		Expect(q.MustWait(0, within)).To(BeFalse())
+		late := waitedTurn("x", 200_000, 4*time.Second)
+		Expect(q.MustWait(0, late)).To(BeTrue())
+		lateOver := over
+		lateOver.Arrived = -4 * time.Second
+		q.ApplyReport(0, "b", held(lateOver))
+		Expect(q.MustWait(0, late)).To(BeTrue(), "late ones go by length alone")
+	})
+
+	It("are reported again when their customer goes over its share", func() {
+		q, t := spread.NewQueue(), waitedTurn("x", 200_000, 0)
+		q.Hold(t)
+		q.TakeState(0)
+		t.OverShare = true
+		Expect(q.Update(0, func(q *spread.Queue) { q.Hold(t) })).To(BeTrue())
+	})
+
 	It("have one order even if they are equally long", func() {
 		a := spread.NewQueue()
 		a.ApplyReport(0, "b", held(turn("y", 100_000)))
