Fair shares: a customer that has crowded out others is over its share

With a demand of at most twice the usage, the share of one with 20 times the usage of others was most of all.

--- a/decide/fairshare/shares.go
+++ b/decide/fairshare/shares.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// demandFactor is the demand of a customer in multiples of its usage. What others leave unused of
-	// equal shares is computed from it: a customer whose prompts had to wait may want that much more.
-	demandFactor = 2
+	// demandFactor is the largest demand assumed of a customer, in multiples of its usage; what it leaves
+	// unused of an equal share is lent to others. With 2, a customer that had crowded out the others
+	// was taken to use only what they left.
+	demandFactor = 10
 	// overFactor is the usage, in shares, above which a customer is over its share, and withinFactor
 	// that below which it no longer is. Usage of equal customers differs by chance: a few deep
 	// prompts of very different lengths make up the usage of each.
@@ -43,8 +44,8 @@
 	Usage, Share time.Duration
 }
 
-// refresh computes the shares at most once in refreshInterval.
-func (t *Table) refresh(now time.Duration) {
+// Refresh computes the shares, at most once in refreshInterval.
+func (t *Table) Refresh(now time.Duration) {
 	s := &t.shares
 	if s.valid && now-s.at < refreshInterval {
 		return
@@ -102,19 +103,17 @@
 	return left
 }
 
-// Over reports whether a customer uses more than its share while deep prompts of others wait.
+// Over reports whether a customer uses more than its share. This has no effect while nobody else waits:
+// instances order held prompts by it, and Check refuses none.
 func (t *Table) Over(now time.Duration, customer uint32) bool {
-	return t.delaysOthers(now, customer, true)
+	t.Refresh(now)
+	return t.shares.over[customer]
 }
 
 // delaysOthers reports whether a customer uses more than its share while requests of the same sort wait,
 // deep prompts or others, whose customers are within theirs.
 func (t *Table) delaysOthers(now time.Duration, customer uint32, deep bool) bool {
-	if customer == 0 {
-		return false
-	}
-	t.refresh(now)
-	return t.shares.over[customer] && (t.waitsHere(deep) || deep && t.waitsAtPeers(now))
+	return t.Over(now, customer) && (t.waitsHere(deep) || deep && t.waitsAtPeers(now))
 }
 
 func (t *Table) waitsHere(deep bool) bool {
@@ -173,7 +172,7 @@
 
 // Status returns the customers by usage, the most first.
 func (t *Table) Status(now time.Duration) []Status {
-	t.refresh(now)
+	t.Refresh(now)
 	var all []Usage
 	for c, a := range t.total {
 		all = append(all, Usage{c, duration(a.value(now))})
