--- a/control/loads/cells.go
+++ b/control/loads/cells.go
@@ -67,6 +67,9 @@
 	l.members.SetNeighbours(neighbours)
 	l.ledger.RetainPeers(peers)
 	l.queue.RetainPeers(peers)
+	if l.shares != nil {
+		l.shares.RetainPeers(l.now(), peers)
+	}
 	maps.DeleteFunc(l.synced, func(peer string, _ bool) bool { return !peers[peer] })
 	maps.DeleteFunc(l.newestReport, func(peer string, _ reportID) bool { return !peers[peer] })
 }
--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -18,6 +18,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/away"
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/cell"
+	"github.com/auburnmoor/auburnmoor/decide/fairshare"
 	"github.com/auburnmoor/auburnmoor/decide/fanout"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/peerlink"
@@ -77,6 +78,8 @@
 	ledger *spread.Ledger
 	queue  *spread.Queue
 	away   *away.Table
+	// shares is the usage of customers, nil without KeepShares.
+	shares *fairshare.Table
 	// lastChanged is the work that changed before the last report, which was sent at lastReportAt;
 	// reportCount is the number of reports sent.
 	lastChanged  map[spread.Key]spread.Work
@@ -278,6 +281,7 @@
 			l.updateCell(l.members.View())
 			l.report(true)
 			l.expire()
+			l.expireShares()
 		case <-l.dirty:
 			time.Sleep(batchDelay)
 			l.report(false)
@@ -318,8 +322,9 @@
 		peers = l.completeReceivers(idle)
 	}
 	plan := l.planChanges(now, complete)
-	l.mu.Unlock()
 	msg := &peerpb.LoadReport{Complete: complete, Sequence: sequence, ForSlot: int32(waiting.ForSlot)}
+	l.addUsage(now, msg, waiting)
+	l.mu.Unlock()
 	if waiting.HasFirst {
 		msg.Held = encodeHeldPrompt(now, waiting.First)
 	}
@@ -389,6 +394,7 @@
 	}
 	l.newestReport[from] = id
 	l.queue.ApplyReport(now, from, decodeWaiting(now, r))
+	l.applyUsage(now, from, r)
 	for server, left := range rejected {
 		l.away.ApplyReport(now, server, left)
 	}
@@ -400,7 +406,7 @@
 func encodeHeldPrompt(now time.Duration, t spread.Turn) *peerpb.HeldPrompt {
 	return &peerpb.HeldPrompt{
 		Request: t.Request, Weight: t.Weight, Rank: int32(t.Rank), WaitedUs: (now - t.Arrived).Microseconds(),
-		UsefulUs: t.FirstTarget.Microseconds(), LateAfterUs: t.LateAfter.Microseconds(),
+		UsefulUs: t.FirstTarget.Microseconds(), LateAfterUs: t.LateAfter.Microseconds(), OverShare: t.OverShare,
 	}
 }
 
@@ -409,6 +415,7 @@
 	if h := r.Held; h != nil {
 		w.First, w.HasFirst = spread.Turn{
 			Request: h.Request, Weight: h.Weight, Rank: int(h.Rank), Arrived: now - peerpb.Micros(h.WaitedUs), FirstTarget: peerpb.Micros(h.UsefulUs), LateAfter: peerpb.Micros(h.LateAfterUs),
+			OverShare: h.OverShare,
 		}, true
 	}
 	return w
@@ -418,7 +425,7 @@
 func (l *Loads) Dump() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := Dump{Cell: l.cell.Index, Cells: l.cell.Count, CellPeers: l.cell.Peers, Totals: map[string]spread.Load{}, Own: map[string]spread.Load{}}
+	d := Dump{Cell: l.cell.Index, Cells: l.cell.Count, CellPeers: l.cell.Peers, Totals: map[string]spread.Load{}, Own: map[string]spread.Load{}, Customers: l.dumpShares()}
 	l.ledger.Advance(l.now())
 	list := l.catalog.Servers()
 	if list == nil {
@@ -450,4 +457,6 @@
 	// PassedOver lists the servers that are not used because they rejected work of this
 	// instance or of a cell peer.
 	PassedOver []string `json:"passed_over,omitempty"`
+	// Customers are the customers with their usage and share, if shares are kept.
+	Customers []CustomerDump `json:"customers,omitempty"`
 }
--- a/control/loads/report.go
+++ b/control/loads/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/away"
+	"github.com/auburnmoor/auburnmoor/decide/fairshare"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
@@ -98,3 +99,24 @@
 	}
 	return out, true
 }
+
+// encodeUsage adds the usage of customers to a report.
+func encodeUsage(r *peerpb.LoadReport, usage []fairshare.Usage) {
+	for _, u := range usage {
+		r.Customers = append(r.Customers, u.Customer)
+		r.CustomerPrefill = append(r.CustomerPrefill, uint32(u.Prefill.Milliseconds()))
+	}
+}
+
+// decodeUsage decodes what encodeUsage added, at most fairshare.MaxEntries, or nothing if the columns
+// differ in length.
+func decodeUsage(r *peerpb.LoadReport) []fairshare.Usage {
+	if len(r.Customers) != len(r.CustomerPrefill) {
+		return nil
+	}
+	out := make([]fairshare.Usage, min(len(r.Customers), fairshare.MaxEntries))
+	for i := range out {
+		out[i] = fairshare.Usage{Customer: r.Customers[i], Prefill: time.Duration(r.CustomerPrefill[i]) * time.Millisecond}
+	}
+	return out
+}
