Setting fair_shares: a customer over its share no longer holds up others

Held prompts of customers over their share follow those of others, and are refused with share_exceeded once they have waited for their target or nearly used up their hold time.

--- a/serve/relay/admission.go
+++ b/serve/relay/admission.go
@@ -22,7 +22,7 @@
 
 func (x *exchange) admissionRequest() admission.Request {
 	return admission.Request{
-		Customer: admission.CustomerKey(x.customer), Rank: x.rank, Deep: x.isDeep(),
+		Customer: x.customerKey(), Rank: x.rank, Deep: x.isDeep(),
 		Prefill: spread.PrefillTime(x.service.Engine, x.req.PromptTokens),
 		Waited:  x.heldFor, MaxHold: x.maxHoldTime(), FirstTarget: x.route.FirstEventTarget,
 	}
@@ -36,3 +36,26 @@
 	}
 	return result.New(result.Overloaded, "the engines will not have capacity for this prompt in its time").WithRetryAfter(d.RetryAfter)
 }
+
+// customerKey is the request's customer in load reports.
+func (x *exchange) customerKey() uint32 { return admission.CustomerKey(x.customer) }
+
+// waitForShare records whether the request waits for capacity that its customer shares with others.
+func (x *exchange) waitForShare(waits bool) {
+	if x.waitsForShare == waits || x.service.Engine == nil {
+		return
+	}
+	x.waitsForShare = waits
+	n := -1
+	if waits {
+		n = 1
+	}
+	x.relay.loads.HoldFor(x.customerKey(), x.isDeep(), n)
+}
+
+// recordUsage records the prefill of a placed prompt for its customer.
+func (x *exchange) recordUsage(p spread.Plan, v spread.Verdict) {
+	if v == spread.Placed && x.service.Engine != nil {
+		x.relay.loads.RecordUsage(x.customerKey(), p)
+	}
+}
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -124,6 +124,8 @@
 	holdReason spread.Reason
 	// admission is the last decision of the admission chain.
 	admission admission.Decision
+	// waitsForShare is set while loads.HoldFor counts the request.
+	waitsForShare bool
 	// started is when serving began, firstLatency the time from then to the first
 	// event or to the whole answer.
 	started, firstLatency time.Duration
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -80,10 +80,16 @@
 func (x *exchange) joinQueue() (leave func()) {
 	l := x.relay.loads
 	if x.isDeep() {
-		return func() { l.Release(x.req.ID) }
+		return func() {
+			l.Release(x.req.ID)
+			x.waitForShare(false)
+		}
 	}
 	l.WaitForSlot(1)
-	return func() { l.WaitForSlot(-1) }
+	return func() {
+		l.WaitForSlot(-1)
+		x.waitForShare(false)
+	}
 }
 
 // isDeep reports whether the request has a deep prompt, as defined by spread.Deep.
@@ -93,12 +99,15 @@
 
 // turn is the request's position among the held deep prompts of all instances.
 func (x *exchange) turn() spread.Turn {
-	return spread.NewTurn(x.service.Engine, x.req.ID, x.req.PromptTokens, x.rank, x.started, x.route.FirstEventTarget)
+	t := spread.NewTurn(x.service.Engine, x.req.ID, x.req.PromptTokens, x.rank, x.started, x.route.FirstEventTarget)
+	t.OverShare = x.relay.loads.OverShare(x.customerKey())
+	return t
 }
 
 // updateTurn keeps a held deep prompt in the queue of all instances. Prompts of others need not wait
 // for one that waits only for this instance's quota of requests to cold servers.
 func (x *exchange) updateTurn(waitsFor spread.Reason) {
+	x.waitForShare(waitsFor != spread.ForWarmup)
 	switch {
 	case !x.isDeep():
 	case waitsFor == spread.ForWarmup:
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -53,13 +53,19 @@
 	if r.loads.WarmingUp() {
 		req.Rotation = 1 + rand.IntN(maxRandomOffset)
 	}
-	return r.loads.Place(func(load func(string) spread.Load, held *spread.Queue) (spread.Plan, spread.Verdict) {
-		req.MustWait = x.isDeep() && held.MustWait(r.now(), x.turn())
+	var turn spread.Turn
+	if x.isDeep() {
+		turn = x.turn()
+	}
+	plan, verdict := r.loads.Place(func(load func(string) spread.Load, held *spread.Queue) (spread.Plan, spread.Verdict) {
+		req.MustWait = x.isDeep() && held.MustWait(r.now(), turn)
 		req.SlotWaiters = held.SlotWaiters(r.now())
 		return x.chooseWithin(gate, servers, func(servers []backends.Server) (spread.Plan, spread.Verdict) {
 			return spread.Choose(x.service.Engine, x.isolateSuspect(servers, load), load, req)
 		})
 	})
+	x.recordUsage(plan, verdict)
+	return plan, verdict
 }
 
 // answerTokens estimates the length of the answer. Answers seldom reach the client's
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -64,6 +64,9 @@
 	// FirstStart is set if no instance ran before this one started, so that none can have made
 	// retries.
 	FirstStart bool `toml:"first_start"`
+	// FairShares refuses and delays prompts of customers that use more than their share while prompts of
+	// others wait.
+	FairShares bool `toml:"fair_shares"`
 
 	log              *zap.Logger
 	now              func() time.Duration
@@ -175,6 +178,10 @@
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
 	r.borrower = retry.NewBorrower(rand.New(rand.NewPCG(c.Seed, 7)))
 	r.link.HandleRetryLoans(r)
+	if r.FairShares {
+		r.loads.KeepShares()
+		r.admission = append(r.admission, r.loads)
+	}
 	return nil
 }
 
