Fair shares: usage decays over ten seconds, and over the share is three times the mean of the others

Factors of the share itself could not be exceeded with two or three customers, and with a decay of four seconds equal customers at six instances were over it by chance.

--- a/decide/fairshare/fairshare.go
+++ b/decide/fairshare/fairshare.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// UsageTimeConstant is the time constant of the exponential decay of usage.
-	UsageTimeConstant = 4 * time.Second
+	// UsageTimeConstant is the time constant of the exponential decay of usage. With 4 s, the few deep
+	// prompts that make up the usage of a customer made equal ones differ too much.
+	UsageTimeConstant = 10 * time.Second
 	// PeerTimeout is how long the usage of a silent peer counts: two of its complete reports in a row
 	// may be lost.
 	PeerTimeout = 2500 * time.Millisecond
--- a/decide/fairshare/shares.go
+++ b/decide/fairshare/shares.go
@@ -14,16 +14,17 @@
 	// unused of an equal share is lent to others. With 2, a customer that had crowded out the others
 	// was taken to use only what they left.
 	demandFactor = 10
-	// overFactor is the usage, in shares, above which a customer is over its share, and withinFactor
-	// that below which it no longer is. Usage of equal customers differs by chance: a few deep
-	// prompts of very different lengths make up the usage of each.
-	overFactor, withinFactor = 2, 1.5
+	// overFactor is the usage, in multiples of the mean usage of the others, above which a customer is over
+	// its share, and withinFactor that below which it no longer is. Usage of equal customers differs
+	// by chance: a few deep prompts of very different lengths make up the usage of each. With 2, equal
+	// customers lost 0.005 more of the value at six instances.
+	overFactor, withinFactor = 3, 2
 	// refreshInterval is how long computed shares are used.
 	refreshInterval = 10 * time.Millisecond
 	// lastCheck is the longest time until a held request is checked again (twice the mean interval).
 	lastCheck = 30 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time to come back of a refused request.
-	minRetryAfter, maxRetryAfter = 150 * time.Millisecond, 10 * time.Second
+	minRetryAfter, maxRetryAfter = 150 * time.Millisecond, 30 * time.Second
 )
 
 // shares is the state computed from the usage.
@@ -60,13 +61,14 @@
 		}
 	}
 	s.level = maxMinLevel(values)
+	over, within := s.level*inShares(overFactor, len(values)), s.level*inShares(withinFactor, len(values))
 	for c, v := range usage {
-		if !s.over[c] && v > overFactor*s.level {
+		if !s.over[c] && v > over {
 			s.set(c, true, v)
 		}
 	}
 	for c := range s.over {
-		if usage[c] < withinFactor*s.level || usage[c] == 0 {
+		if usage[c] < within || usage[c] == 0 {
 			s.set(c, false, usage[c])
 		}
 	}
@@ -83,6 +85,11 @@
 	}
 }
 
+// inShares converts a multiple of the mean usage of the others into one of the mean of all n customers.
+func inShares(factor float64, n int) float64 {
+	return factor * float64(n) / (float64(n-1) + factor)
+}
+
 func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
 // maxMinLevel returns the share of each customer: the sum of all usage is divided equally, and what a
--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -23,8 +23,8 @@
 	// FirstTarget is the target for the time to the first event, LateAfter the wait after
 	// which it can no longer be met; both are zero if there is no target.
 	FirstTarget, LateAfter time.Duration
-	// OverShare is set while the prompt's customer uses more than its share and others wait. It may change;
-	// peers are then sent the prompt again.
+	// OverShare is set while the prompt's customer uses more than its share. When it changes, peers are
+	// sent the prompt again.
 	OverShare bool
 }
 
