--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -45,10 +45,12 @@
 	arrivals spread.Arrivals
 	// reportPending is set while a report is scheduled.
 	reportPending bool
+	// fairness keeps the shares of customers, nil without them.
+	fairness *fairness
 }
 
 func newInstance(w *world, i int) *instance {
-	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger(), queue: spread.NewQueue()}
+	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger(), queue: spread.NewQueue(), fairness: newFairness(w.load.Customers)}
 }
 
 // scheduleReport sends this instance's state to its peers after gatherDelay, unless
@@ -63,11 +65,13 @@
 		n.reports++
 		loads := n.ledger.TakeChanged(n.Now())
 		waiting := n.queue.TakeState(n.Now())
+		applyUsage := n.fairness.report(n, false, waiting)
 		n.After(n.load.Peers.Std(), func() {
 			for _, o := range n.instances {
 				if o != n {
 					o.ledger.ApplyReport(n.Now(), n.name, false, loads)
 					o.queue.ApplyReport(n.Now(), n.name, waiting)
+					applyUsage(o)
 				}
 			}
 		})
@@ -90,14 +94,22 @@
 	n.ledger.Advance(n.Now())
 	waited, firstTarget := n.Now()-q.receivedAt, q.kind.First.Std()
 	turn := spread.NewTurn(n.spec, q.id, q.prompt, q.kind.Rank, q.receivedAt, firstTarget)
+	turn.OverShare = n.fairness.over(n.Now(), q)
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
+	maxHold := spread.MaxHold(firstTarget, left+waited)
 	plan, verdict := spread.Choose(n.spec, n.servers, n.ledger.Total, spread.Request{
 		Instance: n.name, Unreported: n.arrivals.Unreported(n.Now(), len(n.instances)-1), FleetSize: len(n.servers), Avoid: q.avoid,
 		Prompt: q.prompt, Answer: n.spec.MeanAnswerTokens,
 		FirstTarget: firstTarget, GapTarget: q.kind.Pause.Std(), TightestGap: n.minPause,
-		Waited: waited, MaxHold: spread.MaxHold(firstTarget, left+waited), TimeLeft: left,
+		Waited: waited, MaxHold: maxHold, TimeLeft: left,
 		MustWait: n.queue.MustWait(n.Now(), turn), SlotWaiters: n.queue.SlotWaiters(n.Now()), Draw: n.rand.Float64(),
 	})
+	retryAfter := clientRetryDelay
+	if verdict == spread.Hold {
+		if d := n.fairness.check(n.Now(), q, n.deep(q), waited, maxHold); d.Refuse {
+			verdict, retryAfter = spread.Overloaded, d.RetryAfter
+		}
+	}
 	n.setOnHold(q, turn, verdict == spread.Hold)
 	switch verdict {
 	case spread.Placed:
@@ -106,7 +118,7 @@
 		q.holdReason = plan.Reason
 		n.After(time.Duration(n.rand.Int64N(int64(2*meanRetryDelay))), func() { n.place(q) })
 	default:
-		n.refuse(q)
+		n.refuse(q, retryAfter)
 	}
 }
 
@@ -129,23 +141,26 @@
 			queue.WaitForSlot(-1)
 		}
 	})
+	if onHold != q.onHold {
+		n.fairness.wait(q, n.deep(q), holdCount(onHold))
+	}
 	q.onHold = onHold
 	if report {
 		n.scheduleReport()
 	}
 }
 
-// refuse refuses a request; its client retries once if it has enough time left.
-func (n *instance) refuse(q *request) {
+// refuse refuses a request; its client retries once after the given time, if enough is left.
+func (n *instance) refuse(q *request, retryAfter time.Duration) {
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
-	if q.retried || clientRetryDelay > time.Duration(maxRetryShare*float64(left)) {
+	if q.retried || retryAfter > time.Duration(maxRetryShare*float64(left)) {
 		q.result.Refused++
 		q.result.RefusedAfter[q.holdReason]++
 		return
 	}
 	q.retried = true
 	other := n.instances[n.rand.IntN(len(n.instances))]
-	n.After(clientRetryDelay, func() { other.receiveRequest(q) })
+	n.After(retryAfter, func() { other.receiveRequest(q) })
 }
 
 // send sends a request to the engines of its plan. If one of them refuses to reserve
@@ -166,6 +181,7 @@
 		plan.Parts[i].Recorded = n.ledger.Place(n.Now(), p)
 	}
 	n.After(n.load.Hop.Std(), func() { n.world.enqueueRequest(q) })
+	n.fairness.place(n.Now(), q, plan)
 	n.scheduleReport()
 	n.watch(q)
 }
--- a/lab/passes/load.go
+++ b/lab/passes/load.go
@@ -28,6 +28,8 @@
 	Bursts  int    `toml:"bursts" validate:"min=1,max=100"`
 	Engines Engine `toml:"engines"`
 	Kinds   []Kind `toml:"kind" validate:"min=1,dive"`
+	// Customers are none unless a load or an option names them.
+	Customers Customers `toml:"customers"`
 }
 
 // Engine describes the engines, which are identical.
--- a/lab/passes/result.go
+++ b/lab/passes/result.go
@@ -123,7 +123,9 @@
 	Whole, Worst, WorstKind float64
 	// Reports is the number of reports per second that an instance sends to its peers.
 	Reports float64
-	runs    int
+	// Customers are the values of the load's customers.
+	Customers []value
+	runs      int
 }
 
 // Score returns the mean of the three shares.
@@ -182,6 +184,12 @@
 		out.WorstKind += r.WorstKind * float64(r.runs)
 		out.Reports += r.Reports * float64(r.runs)
 	}
+	out.Customers = make([]value, len(runs[0].Customers))
+	for _, r := range runs {
+		for i, v := range r.Customers {
+			out.Customers[i].add(v)
+		}
+	}
 	n := float64(out.runs)
 	out.Whole, out.Worst, out.WorstKind, out.Reports = out.Whole/n, out.Worst/n, out.WorstKind/n, out.Reports/n
 	return out
@@ -207,6 +215,9 @@
 			r.Share(), r.Answered(), r.Large, r.Largest, r.FirstP50.Milliseconds(), r.FirstP99.Milliseconds(), r.GapP99.Milliseconds(), r.refusedAfter())
 	}
 	fmt.Fprintf(w, "%s\tall\t\t\t\t\t\t%.3f\t\t\t\tworst windows %.3f, worst kind %.3f, %.0f reports a second of an instance\n", s.Load, s.Whole, s.Worst, s.WorstKind, s.Reports)
+	if line := s.customersLine(); line != "" {
+		fmt.Fprintf(w, "%s\t%s\n", s.Load, line)
+	}
 	return w.Flush()
 }
 
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -33,6 +33,8 @@
 	arrived time.Duration
 	prompt  int64
 	events  int
+	// customer is the number of its customer, or noCustomer.
+	customer int
 	// retried is set after the first refusal; a client retries only once.
 	retried bool
 	// onHold is set while its instance holds it back.
@@ -61,6 +63,8 @@
 	// minPause is the shortest Pause of all kinds.
 	minPause time.Duration
 	windows  []value
+	// customers are the values of each customer.
+	customers []value
 	// reports counts the reports that instances sent to all of their peers.
 	reports int
 	// requests are all requests of the run.
@@ -79,6 +83,8 @@
 	for i := range l.Instances {
 		w.instances = append(w.instances, newInstance(w, i))
 	}
+	w.customers = make([]value, l.Customers.Count)
+	w.startFairness(seed)
 	w.minPause = l.Kinds[0].Pause.Std()
 	for _, k := range l.Kinds {
 		w.minPause = min(w.minPause, k.Pause.Std())
@@ -88,7 +94,8 @@
 	for i := range l.Kinds {
 		res := &Result{Kind: l.Kinds[i].Name, RefusedAfter: map[spread.Reason]int{}}
 		results = append(results, res)
-		w.arrivals(&l.Kinds[i], res, rand.New(rand.NewPCG(seed, uint64(i))), length, rate)
+		w.draw(arrivals{kind: &l.Kinds[i], result: res, length: length, rate: rate, customer: w.customer(seed, i)}, rand.New(rand.NewPCG(seed, uint64(i))))
+		w.greedyArrivals(seed, i, res, length, rate)
 	}
 	w.RunUntil(length+drainTime, vtime.Always)
 	for _, q := range w.requests {
@@ -96,53 +103,70 @@
 	}
 	s := summarize(l.Name, results, w.windows)
 	s.Reports = float64(w.reports) / float64(l.Instances) / length.Seconds()
+	s.Customers = w.customers
 	return s
 }
 
-// arrivals draws the requests of a kind: a Poisson process at the peak rate, thinned
-// to the rate of each span.
-func (w *world) arrivals(k *Kind, res *Result, r *rand.Rand, length time.Duration, rate float64) {
-	peak := slices.Max(k.Bursts)
+// arrivals are the requests of a kind that arrive from a time on until the end of a run.
+type arrivals struct {
+	kind         *Kind
+	result       *Result
+	prefix       string
+	from, length time.Duration
+	// rate is a factor of the kind's rate.
+	rate     float64
+	customer func() int
+}
+
+// draw draws arrivals: a Poisson process at the peak rate, thinned to the rate of each span.
+func (w *world) draw(a arrivals, r *rand.Rand) {
+	k, peak := a.kind, slices.Max(a.kind.Bursts)
 	if k.PerSecond*peak <= 0 {
 		return
 	}
-	for t := time.Duration(0); ; {
-		t += time.Duration(r.ExpFloat64() / (k.PerSecond * rate * peak) * float64(time.Second))
-		if t >= length {
+	for t := a.from; ; {
+		t += time.Duration(r.ExpFloat64() / (k.PerSecond * a.rate * peak) * float64(time.Second))
+		if t >= a.length {
 			return
 		}
-		if r.Float64() > k.Bursts[int(time.Duration(len(k.Bursts))*t/length)]/peak {
+		if r.Float64() > k.Bursts[int(time.Duration(len(k.Bursts))*t/a.length)]/peak {
 			continue
 		}
 		q := &request{
-			id: fmt.Sprintf("%s-%d", k.Name, t), kind: k, result: res, arrived: t, window: int(t / window),
-			prompt: max(40, int64(draw(r, k.Prompt))), events: max(1, int(draw(r, k.Events))),
+			id: fmt.Sprintf("%s%s-%d", a.prefix, k.Name, t), kind: k, result: a.result, arrived: t, window: int(t / window),
+			prompt: max(40, int64(drawLength(r, k.Prompt))), events: max(1, int(drawLength(r, k.Events))), customer: a.customer(),
 		}
 		at := w.instances[r.IntN(len(w.instances))]
 		w.requests = append(w.requests, q)
 		w.At(t, func() {
-			res.Asked++
+			a.result.Asked++
 			w.addOffered(q)
 			at.receiveRequest(q)
 		})
 	}
 }
 
-// draw returns a log-normal length with the mean of l, capped at its maximum.
-func draw(r *rand.Rand, l Length) float64 {
+// drawLength returns a log-normal length with the mean of l, capped at its maximum.
+func drawLength(r *rand.Rand, l Length) float64 {
 	return min(l.Max, l.Mean*math.Exp(l.Sigma*r.NormFloat64()-l.Sigma*l.Sigma/2))
 }
 
 func (w *world) addOffered(q *request) {
 	v := value{Offered: q.kind.valueOf(q.prompt, q.kind.AnswerValue)}
-	q.result.Value.add(v)
-	w.windows[q.window].add(v)
+	w.addValue(q, v)
 }
 
 func (w *world) addEarned(q *request, base float64) {
 	v := value{Earned: q.kind.valueOf(q.prompt, base)}
+	w.addValue(q, v)
+}
+
+func (w *world) addValue(q *request, v value) {
 	q.result.Value.add(v)
 	w.windows[q.window].add(v)
+	if w.countsForCustomer(q) {
+		w.customers[q.customer].add(v)
+	}
 }
 
 // startPass starts a pass on an engine that is idle and has work.
