--- a/cli/passes.go
+++ b/cli/passes.go
@@ -6,16 +6,21 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnmoor/auburnmoor/lab/passes"
+	"github.com/auburnmoor/auburnmoor/settings"
 )
 
 type passesCmd struct {
-	Load     []string      `help:"Loads: names of those that come with the program, or files. All that come with it by default, unless some are drawn."`
-	Draw     int           `help:"Number of deployments to draw beside them."`
-	Seed     uint64        `default:"1" help:"Seed of the drawn deployments and first seed of the runs."`
-	Seeds    int           `default:"1" help:"Number of runs of each load, each with a seed of its own."`
-	Rate     float64       `default:"1" help:"Factor of the loads' rates."`
-	Duration time.Duration `default:"34s" help:"Virtual time of a run; bursts fill equal spans of it."`
-	Lines    bool          `help:"Print a line for each load only."`
+	Load        []string      `help:"Loads: names of those that come with the program, or files. All that come with it by default, unless some are drawn."`
+	Draw        int           `help:"Number of deployments to draw beside them."`
+	Seed        uint64        `default:"1" help:"Seed of the drawn deployments and first seed of the runs."`
+	Seeds       int           `default:"1" help:"Number of runs of each load, each with a seed of its own."`
+	Rate        float64       `default:"1" help:"Factor of the loads' rates."`
+	Duration    time.Duration `default:"34s" help:"Virtual time of a run; bursts fill equal spans of it."`
+	Customers   int           `help:"Number of customers who send equal parts of each load; none by default."`
+	Greedy      float64       `help:"How many times its part the first customer sends, if more than 1."`
+	GreedyAfter time.Duration `default:"3s" help:"From when the first customer sends more; the values of customers count from a second later on."`
+	FairShares  bool          `help:"Apply fair shares of customers, as the setting fair_shares does."`
+	Lines       bool          `help:"Print a line for each load only."`
 }
 
 // Validate implements kong.Validatable.
@@ -27,6 +32,10 @@
 		return errors.Newf("--seeds: %d is below 1", c.Seeds)
 	case !(c.Rate > 0):
 		return errors.Newf("--rate: %v is not above 0", c.Rate)
+	case c.Customers < 0:
+		return errors.Newf("--customers: %d is negative", c.Customers)
+	case c.Customers == 0 && (c.Greedy > 1 || c.FairShares):
+		return errors.New("--greedy and --fair-shares need --customers")
 	case c.Duration <= 0:
 		return errors.Newf("--duration: %v is not above 0", c.Duration)
 	default:
@@ -66,5 +75,20 @@
 		}
 		out = append(out, l)
 	}
-	return append(out, passes.Draw(c.Draw, c.Seed)...), nil
+	out = append(out, passes.Draw(c.Draw, c.Seed)...)
+	for i := range out {
+		c.setCustomers(&out[i])
+	}
+	return out, nil
+}
+
+// setCustomers replaces the customers of a load, if the command names any.
+func (c *passesCmd) setCustomers(l *passes.Load) {
+	if c.Customers == 0 {
+		return
+	}
+	l.Customers = passes.Customers{
+		Count: c.Customers, Greedy: c.Greedy, GreedyAfter: settings.Duration(c.GreedyAfter), FairShares: c.FairShares,
+		Settle: settings.Duration(time.Second),
+	}
 }
