--- a/cli/status.go
+++ b/cli/status.go
@@ -29,7 +29,7 @@
 	fmt.Fprintln(w, "INSTANCE\tCONFIG\tMEMBERS\tENGINES\tOWNED\tREQUESTS\tANSWERED\tREFUSED\tFAILED")
 	var failed []string
 	var fleet catalogSpread
-	var limited, noticed, refused []string
+	var limited, noticed, refused, customers []string
 	for _, addr := range c.Addrs {
 		d, err := fetchStatus(e.ctx, addr)
 		if err != nil {
@@ -40,6 +40,7 @@
 		limited = append(limited, d.limitRows(addr)...)
 		noticed = append(noticed, d.noticeRows(addr)...)
 		refused = append(refused, d.partRows(addr)...)
+		customers = append(customers, d.customerRows(addr)...)
 		if d.Catalog != nil {
 			fleet.add(addr, *d.Catalog)
 		}
@@ -62,6 +63,9 @@
 	if err := writeRows(e.out, "INSTANCE\tREFUSED PART\tKEY\tCRASHES\tCOMPANIONS\tAGE\tNEXT TRIAL", refused); err != nil {
 		return err
 	}
+	if err := writeRows(e.out, "INSTANCE\tCUSTOMER\tUSAGE\tSHARE\tOVER\tHELD", customers); err != nil {
+		return err
+	}
 	if len(failed) > 0 {
 		return errors.New(strings.Join(failed, "; "))
 	}
@@ -115,6 +119,22 @@
 	return rows
 }
 
+// maxCustomerRows bounds the customers listed for an instance, those with the most usage.
+const maxCustomerRows = 8
+
+// customerRows returns a row for each of the customers with the most usage of the engines, as the instance
+// counts it.
+func (d dumpSummary) customerRows(addr string) (rows []string) {
+	for _, c := range d.Loads.Customers[:min(len(d.Loads.Customers), maxCustomerRows)] {
+		over := "no"
+		if c.Over {
+			over = "yes"
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d ms\t%d ms\t%s\t%d", addr, c.Customer, c.UsageMS, c.ShareMS, over, c.Held))
+	}
+	return rows
+}
+
 // writeRows writes a table, if it has any rows.
 func writeRows(out io.Writer, head string, rows []string) error {
 	if len(rows) == 0 {
--- a/cli/status_test.go
+++ b/cli/status_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/auburnmoor/auburnmoor/control/follow"
+	"github.com/auburnmoor/auburnmoor/control/loads"
 	"github.com/auburnmoor/auburnmoor/decide/knowledge"
 )
 
@@ -29,3 +30,13 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+func TestCustomerRows(t *testing.T) {
+	var d dumpSummary
+	d.Loads.Customers = make([]loads.CustomerDump, 20)
+	d.Loads.Customers[0] = loads.CustomerDump{Customer: "c", UsageMS: 5000, ShareMS: 1200, Over: true, Held: 3}
+	got := d.customerRows("a")
+	if len(got) != maxCustomerRows || got[0] != "a\tc\t5000 ms\t1200 ms\tyes\t3" {
+		t.Errorf("got %q", got)
+	}
+}
--- a/cli/summary.go
+++ b/cli/summary.go
@@ -4,6 +4,7 @@
 	"github.com/auburnmoor/auburnmoor/control/config"
 	"github.com/auburnmoor/auburnmoor/control/follow"
 	"github.com/auburnmoor/auburnmoor/control/limits"
+	"github.com/auburnmoor/auburnmoor/control/loads"
 	"github.com/auburnmoor/auburnmoor/control/members"
 	"github.com/auburnmoor/auburnmoor/control/notices"
 	"github.com/auburnmoor/auburnmoor/control/quarantine"
@@ -22,4 +23,6 @@
 	Notices notices.Dump `json:"control.notices"`
 	// Quarantine lists what is refused because it crashes backend servers.
 	Quarantine quarantine.Dump `json:"control.quarantine"`
+	// Loads lists the customers with their shares.
+	Loads loads.Dump `json:"control.loads"`
 }
