--- a/serve/relay/admission.go
+++ b/serve/relay/admission.go
@@ -6,6 +6,12 @@
 	"github.com/auburnmoor/auburnmoor/result"
 )
 
+// keepShares switches fair shares of customers on.
+func (r *Relay) keepShares() {
+	r.loads.KeepShares()
+	r.admission = append(r.admission, r.loads)
+}
+
 // refusedByAdmission reports whether the request, which would be held, is refused instead, and records
 // the decision for admissionError.
 func (x *exchange) refusedByAdmission() bool {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -179,8 +179,7 @@
 	r.borrower = retry.NewBorrower(rand.New(rand.NewPCG(c.Seed, 7)))
 	r.link.HandleRetryLoans(r)
 	if r.FairShares {
-		r.loads.KeepShares()
-		r.admission = append(r.admission, r.loads)
+		r.keepShares()
 	}
 	return nil
 }
