--- a/result/result.go
+++ b/result/result.go
@@ -81,7 +81,7 @@
 	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, true, "The headers exceed the limit of this instance."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, true, "The queues of the candidate engines are full."},
 	{CannotFinishInTime, "cannot_finish_in_time", http.StatusTooManyRequests, true, "The predicted completion lies beyond the request's time limit."},
-	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, true, "The customer already holds its share while others wait."},
+	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, true, "The customer already holds its share, or has used more than its share, while others wait."},
 	{TooLongForFleet, "too_long_for_fleet", http.StatusRequestEntityTooLarge, true, "No engine, and no set of engines, has enough memory for the prompt."},
 	{NoBackend, "no_backend", http.StatusServiceUnavailable, true, "No backend server of this service is ready."},
 	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, true, "The instance has not received a configuration yet."},
