--- a/control/loads/shares.go
+++ b/control/loads/shares.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// expireShares forgets silent peers, and logs the customers that went over their share or are no longer
-// over it.
+// expireShares forgets silent peers, and logs the customers that use more than their share while others wait
+// or are no longer over it.
 func (l *Loads) expireShares() {
 	l.mu.Lock()
 	if l.shares == nil {
@@ -85,14 +85,13 @@
 	}
 	now := l.now()
 	l.shares.Expire(now)
-	l.shares.Refresh(now)
-	changes := l.shares.TakeChanges()
+	changes := l.shares.TakeChanges(now)
 	names := l.customerNames()
 	l.mu.Unlock()
 	for _, c := range changes {
 		message := "customer is within its share again"
 		if c.Over {
-			message = "customer uses more than its share"
+			message = "customer uses more than its share while others wait"
 		}
 		l.log.Info(message, zap.String("customer", names[c.Customer]), zap.Duration("usage", c.Usage), zap.Duration("share", c.Share))
 	}
--- a/decide/fairshare/fairshare.go
+++ b/decide/fairshare/fairshare.go
@@ -85,7 +85,7 @@
 	return &Table{
 		own: map[uint32]own{}, peers: map[string]*peer{}, total: map[uint32]amount{},
 		deep: map[uint32]int{}, forSlot: map[uint32]int{},
-		shares: shares{over: map[uint32]bool{}},
+		shares: shares{over: map[uint32]bool{}, told: map[uint32]bool{}},
 	}
 }
 
--- a/decide/fairshare/shares.go
+++ b/decide/fairshare/shares.go
@@ -34,11 +34,11 @@
 	// level is the share of each customer in seconds.
 	level float64
 	over  map[uint32]bool
-	// changed are the customers that went over their share or are no longer over it.
-	changed []Change
+	// told are the customers of whom TakeChanges told that they delay others.
+	told map[uint32]bool
 }
 
-// Change tells that a customer went over its share, or is no longer over it.
+// Change tells that a customer uses more than its share while others wait, or is no longer over its share.
 type Change struct {
 	Customer     uint32
 	Over         bool
@@ -63,28 +63,17 @@
 	s.level = maxMinLevel(values)
 	over, within := s.level*inShares(overFactor, len(values)), s.level*inShares(withinFactor, len(values))
 	for c, v := range usage {
-		if !s.over[c] && v > over {
-			s.set(c, true, v)
+		if v > over {
+			s.over[c] = true
 		}
 	}
 	for c := range s.over {
 		if usage[c] < within || usage[c] == 0 {
-			s.set(c, false, usage[c])
+			delete(s.over, c)
 		}
 	}
 }
 
-func (s *shares) set(customer uint32, over bool, usage float64) {
-	if over {
-		s.over[customer] = true
-	} else {
-		delete(s.over, customer)
-	}
-	if len(s.changed) < MaxCustomers {
-		s.changed = append(s.changed, Change{customer, over, duration(usage), duration(s.level)})
-	}
-}
-
 // inShares converts a multiple of the mean usage of the others into one of the mean of all n customers.
 func inShares(factor float64, n int) float64 {
 	return factor * float64(n) / (float64(n-1) + factor)
@@ -161,10 +150,25 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// TakeChanges returns the customers that went over their share, or are no longer over it, since the last call.
-func (t *Table) TakeChanges() []Change {
-	out := t.shares.changed
-	t.shares.changed = nil
+// TakeChanges returns what changed since the last call.
+func (t *Table) TakeChanges(now time.Duration) (out []Change) {
+	t.Refresh(now)
+	s := &t.shares
+	change := func(customer uint32, over bool) {
+		out = append(out, Change{customer, over, duration(t.total[customer].value(now)), duration(s.level)})
+	}
+	for c := range s.over {
+		if !s.told[c] && (t.delaysOthers(now, c, true) || t.delaysOthers(now, c, false)) {
+			s.told[c] = true
+			change(c, true)
+		}
+	}
+	for c := range s.told {
+		if !s.over[c] {
+			delete(s.told, c)
+			change(c, false)
+		}
+	}
 	return out
 }
 
