--- a/lab/standin/storeserver/site.go
+++ b/lab/standin/storeserver/site.go
@@ -10,8 +10,9 @@
 	Models, Plain []string
 	// EngineMemory is the KV memory of one engine, in tokens.
 	EngineMemory int
-	// Keys are the API keys of the only customer.
-	Keys []string
+	// Keys are the API keys of the customer "school". Customers are the names of further ones, whose keys
+	// are their names.
+	Keys, Customers []string
 	// ColdPerSecond is the number of requests per second that a cold server takes, zero for no limit,
 	// ColdStart how long a server is cold after its start. They apply to all services.
 	ColdPerSecond float64
@@ -68,10 +69,14 @@
 	for _, name := range c.Plain {
 		services = append(services, c.service(name))
 	}
+	customers := []any{map[string]any{"name": "school", "apiKeys": c.Keys}}
+	for _, name := range c.Customers {
+		customers = append(customers, map[string]any{"name": name, "apiKeys": []string{name}})
+	}
 	return s.Put("config", "main", map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "school", "apiKeys": c.Keys}},
+		"tenants": customers,
 	})
 }
 
