--- /dev/null
+++ b/decide/fairshare/shares.go
@@ -0,0 +1,203 @@
+package fairshare
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/decide/admission"
+)
+
+const (
+	// demandFactor is the largest demand assumed of a customer, in multiples of its usage; what it leaves
+	// unused of an equal share is lent to others. With 2, a customer that had crowded out the others
+	// was taken to use only what they left.
+	demandFactor = 10
+	// overFactor is the usage, in multiples of the mean usage of the others, above which a customer is over
+	// its share, and withinFactor that below which it no longer is. Usage of equal customers differs
+	// by chance: a few deep prompts of very different lengths make up the usage of each. With 2, equal
+	// customers lost 0.005 more of the value at six instances.
+	overFactor, withinFactor = 3, 2
+	// refreshInterval is how long computed shares are used.
+	refreshInterval = 10 * time.Millisecond
+	// lastCheck is the longest time until a held request is checked again (twice the mean interval).
+	lastCheck = 30 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time to come back of a refused request.
+	minRetryAfter, maxRetryAfter = 150 * time.Millisecond, 30 * time.Second
+)
+
+// shares is the state computed from the usage.
+type shares struct {
+	valid bool
+	at    time.Duration
+	// level is the share of each customer in seconds.
+	level float64
+	over  map[uint32]bool
+	// told are the customers of whom TakeChanges told that they delay others.
+	told map[uint32]bool
+}
+
+// Change tells that a customer uses more than its share while others wait, or is no longer over its share.
+type Change struct {
+	Customer     uint32
+	Over         bool
+	Usage, Share time.Duration
+}
+
+// Refresh computes the shares, at most once in refreshInterval.
+func (t *Table) Refresh(now time.Duration) {
+	s := &t.shares
+	if s.valid && now-s.at < refreshInterval {
+		return
+	}
+	s.valid, s.at = true, now
+	usage := make(map[uint32]float64, len(t.total))
+	values := make([]float64, 0, len(t.total))
+	for c, a := range t.total {
+		if v := a.value(now); v >= minUsage.Seconds() {
+			usage[c] = v
+			values = append(values, v)
+		}
+	}
+	s.level = maxMinLevel(values)
+	over, within := s.level*inShares(overFactor, len(values)), s.level*inShares(withinFactor, len(values))
+	for c, v := range usage {
+		if v > over {
+			s.over[c] = true
+		}
+	}
+	for c := range s.over {
+		if usage[c] < within || usage[c] == 0 {
+			delete(s.over, c)
+		}
+	}
+}
+
+// inShares converts a multiple of the mean usage of the others into one of the mean of all n customers.
+func inShares(factor float64, n int) float64 {
+	return factor * float64(n) / (float64(n-1) + factor)
+}
+
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// maxMinLevel returns the share of each customer: the sum of all usage is divided equally, and what a
+// customer does not want of its part (demandFactor) is divided among the others.
+func maxMinLevel(usage []float64) float64 {
+	slices.Sort(usage)
+	left := 0.0
+	for _, v := range usage {
+		left += v
+	}
+	for i, v := range usage {
+		equal := left / float64(len(usage)-i)
+		if demandFactor*v >= equal {
+			return equal
+		}
+		left -= demandFactor * v
+	}
+	return left
+}
+
+// Over reports whether a customer uses more than its share. This has no effect while nobody else waits:
+// instances order held prompts by it, and Check refuses none.
+func (t *Table) Over(now time.Duration, customer uint32) bool {
+	t.Refresh(now)
+	return t.shares.over[customer]
+}
+
+// delaysOthers reports whether a customer uses more than its share while requests of the same sort wait,
+// deep prompts or others, whose customers are within theirs.
+func (t *Table) delaysOthers(now time.Duration, customer uint32, deep bool) bool {
+	return t.Over(now, customer) && (t.waitsHere(deep) || deep && t.waitsAtPeers(now))
+}
+
+func (t *Table) waitsHere(deep bool) bool {
+	for c := range t.waiting(deep) {
+		if !t.shares.over[c] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) waitsAtPeers(now time.Duration) bool {
+	for _, p := range t.peers {
+		if p.waits && now-p.heardAt <= waitingTTL {
+			return true
+		}
+	}
+	return false
+}
+
+// Check implements admission.Check: it refuses a request of a customer over its share that has waited for
+// its target or would soon be sent anyway, whatever its place in the order.
+func (t *Table) Check(now time.Duration, r admission.Request) admission.Decision {
+	if !lastChance(r) || !t.delaysOthers(now, r.Customer, r.Deep) {
+		return admission.Decision{}
+	}
+	return admission.Decision{Refuse: true, Reason: admission.ShareExceeded, RetryAfter: t.retryAfter(now, r.Customer)}
+}
+
+func lastChance(r admission.Request) bool {
+	return r.FirstTarget > 0 && r.Waited >= r.FirstTarget || r.Waited+lastCheck >= r.MaxHold
+}
+
+// retryAfter is the time after which the customer's usage has decayed to its share.
+func (t *Table) retryAfter(now time.Duration, customer uint32) time.Duration {
+	used := t.total[customer].value(now)
+	wait := time.Duration(math.Log(max(1, used/max(t.shares.level, minUsage.Seconds()))) * float64(UsageTimeConstant))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// TakeChanges returns what changed since the last call.
+func (t *Table) TakeChanges(now time.Duration) (out []Change) {
+	t.Refresh(now)
+	s := &t.shares
+	change := func(customer uint32, over bool) {
+		out = append(out, Change{customer, over, duration(t.total[customer].value(now)), duration(s.level)})
+	}
+	for c := range s.over {
+		if !s.told[c] && (t.delaysOthers(now, c, true) || t.delaysOthers(now, c, false)) {
+			s.told[c] = true
+			change(c, true)
+		}
+	}
+	for c := range s.told {
+		if !s.over[c] {
+			delete(s.told, c)
+			change(c, false)
+		}
+	}
+	return out
+}
+
+// Status is the usage of one customer.
+type Status struct {
+	Usage
+	Share time.Duration
+	Over  bool
+	// Waiting counts its requests that this instance holds.
+	Waiting int
+}
+
+// Status returns the customers by usage, the most first.
+func (t *Table) Status(now time.Duration) []Status {
+	t.Refresh(now)
+	var all []Usage
+	for c, a := range t.total {
+		all = append(all, Usage{c, duration(a.value(now))})
+	}
+	sortByUsage(all)
+	out := make([]Status, len(all))
+	for i, u := range all {
+		out[i] = Status{Usage: u, Share: duration(t.shares.level), Over: t.shares.over[u.Customer], Waiting: t.deep[u.Customer] + t.forSlot[u.Customer]}
+	}
+	return out
+}
+
+func sortByUsage(all []Usage) {
+	slices.SortFunc(all, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(a.Customer, b.Customer))
+	})
+}
