--- a/decide/fairshare/shares.go
+++ b/decide/fairshare/shares.go
@@ -16,8 +16,7 @@
 	demandFactor = 10
 	// overFactor is the usage, in multiples of the mean usage of the others, above which a customer is over
 	// its share, and withinFactor that below which it no longer is. Usage of equal customers differs
-	// by chance: a few deep prompts of very different lengths make up the usage of each. With 2, equal
-	// customers lost 0.005 more of the value at six instances.
+	// by chance: a few deep prompts of very different lengths make up the usage of each.
 	overFactor, withinFactor = 3, 2
 	// refreshInterval is how long computed shares are used.
 	refreshInterval = 10 * time.Millisecond
@@ -45,8 +44,8 @@
 	Usage, Share time.Duration
 }
 
-// Refresh computes the shares, at most once in refreshInterval.
-func (t *Table) Refresh(now time.Duration) {
+// refresh computes the shares, at most once in refreshInterval.
+func (t *Table) refresh(now time.Duration) {
 	s := &t.shares
 	if s.valid && now-s.at < refreshInterval {
 		return
@@ -102,7 +101,7 @@
 // Over reports whether a customer uses more than its share. This has no effect while nobody else waits:
 // instances order held prompts by it, and Check refuses none.
 func (t *Table) Over(now time.Duration, customer uint32) bool {
-	t.Refresh(now)
+	t.refresh(now)
 	return t.shares.over[customer]
 }
 
@@ -152,7 +151,7 @@
 
 // TakeChanges returns what changed since the last call.
 func (t *Table) TakeChanges(now time.Duration) (out []Change) {
-	t.Refresh(now)
+	t.refresh(now)
 	s := &t.shares
 	change := func(customer uint32, over bool) {
 		out = append(out, Change{customer, over, duration(t.total[customer].value(now)), duration(s.level)})
@@ -183,7 +182,7 @@
 
 // Status returns the customers by usage, the most first.
 func (t *Table) Status(now time.Duration) []Status {
-	t.Refresh(now)
+	t.refresh(now)
 	var all []Usage
 	for c, a := range t.total {
 		all = append(all, Usage{c, duration(a.value(now))})
--- a/e2e/fair_shares_test.go
+++ b/e2e/fair_shares_test.go
@@ -51,7 +51,8 @@
 	}
 
 	BeforeEach(func() {
-		s = newPlatformSiteUsing(firstStart+"fair_shares = true\n", 2, workerserver.Config{Events: streamEvents, EventPause: 60 * time.Millisecond, Memory: engineMemory})
+		engine := workerserver.Config{Events: streamEvents, EventPause: 60 * time.Millisecond, Memory: engineMemory}
+		s = newPlatformSiteUsing(firstStart+"fair_shares = true\n", 2, engine)
 		DeferCleanup(func() { s.close() })
 		var names []string
 		calls = nil
