Soak: evacuations of data centres that other failures cut halfway

Each drawn plan evacuates a data centre while the store goes away, instances are killed, links to the store are cut, another data centre follows, or the evacuation is taken back and repeated. No request may reach its servers later than five seconds after the acknowledgement.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -134,6 +134,7 @@
 	c.checkConfiguration()
 	c.checkLeaving()
 	c.checkLimited()
+	c.checkEvacuated()
 	c.checkHeard()
 	c.checkRested()
 	c.checkContained()
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -52,6 +52,8 @@
 	// disturbances records faults, maintenance records shutdowns and reloads, breaks those
 	// faults that break off requests of the instance.
 	disturbances, maintenance, breaks disturbanceLog
+	// freezes records when the process was stopped.
+	freezes disturbanceLog
 }
 
 // badExit is the exit of a process that was not asked to exit, or did not exit with success.
@@ -138,6 +140,7 @@
 ready = %q
 [control.catalog]
 stable_after = "3s"
+evacuations = true
 [control.members]
 few_listed = true
 poll_list = "20s"
@@ -242,9 +245,11 @@
 	case syscall.SIGSTOP:
 		in.disturbances.begin()
 		in.breaks.begin()
+		in.freezes.begin()
 	case syscall.SIGCONT:
 		in.disturbances.end()
 		in.breaks.end()
+		in.freezes.end()
 	default:
 		in.killedLife = in.life
 		in.disturbances.addInstant()
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -105,7 +105,7 @@
 // Each scene has one fault of backgroundKinds, overlapped by faults of overlappingKinds.
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
-	otherKinds       = []Kind{Limit, SayLeaving, AskRest}
+	otherKinds       = []Kind{Limit, SayLeaving, AskRest, Evacuation}
 	plannedKinds     = []Kind{Signals, Silence, Reconfigure}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
@@ -135,6 +135,7 @@
 	}
 	p.add(r, quietAtStart, Limit, span)
 	p.addNotices(r, span)
+	p.addEvacuation(rand.New(rand.NewPCG(seed, evacuationStream)))
 	p.addPlanned(rand.New(rand.NewPCG(seed, plannedStream)))
 	return p, p.check()
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -237,6 +237,8 @@
 		r.replaceServers(f)
 	case Limit:
 		r.limitServers(f)
+	case Evacuation:
+		r.evacuate(f)
 	case SayLeaving:
 		r.sayLeaving(f)
 	case AskRest:
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -117,6 +117,9 @@
 	// variant is the change of siteConfig in force, shorter records when timeouts are shorter.
 	variant variant
 	shorter disturbanceLog
+	// evacuations are those so far, restores records when the store was restored from a copy.
+	evacuations []evacuationSpan
+	restores    disturbanceLog
 	// addedAt holds when the store acknowledged each added route.
 	addedAt []time.Time
 	// faults are the store faults in progress, queuedWrites wait for their end.
@@ -247,6 +250,8 @@
 func (s *site) restoreCopy() {
 	s.disturbances.begin()
 	defer s.disturbances.end()
+	s.restores.begin()
+	defer s.restores.end()
 	s.store.Restore()
 	time.Sleep(rewriteDelay)
 	s.mu.Lock()
@@ -262,6 +267,7 @@
 				s.store.RemoveEntry(v.id)
 			}
 		}
+		s.rewriteEvacuations()
 	})
 }
 
