--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -135,6 +135,7 @@
 	c.checkLeaving()
 	c.checkLimited()
 	c.checkPaced()
+	c.checkEvacuated()
 	c.checkHeard()
 	c.checkRested()
 	c.checkContained()
