--- a/lab/soak/cold.go
+++ b/lab/soak/cold.go
@@ -16,8 +16,8 @@
 const HidesCold Mutant = "hides-cold"
 
 const (
-	// coldPerSecond is the rate of cold servers, coldLasts how long they say that they stay cold.
-	coldPerSecond, coldLasts = 1, 6 * time.Second
+	// coldRate is the rate of cold servers, coldLasts how long they say that they stay cold.
+	coldRate, coldLasts = 1, 6 * time.Second
 	// usualColdStart is how long servers count as cold that say nothing of it.
 	usualColdStart = time.Second
 	// coldOutage is how long servers are away that come back cold.
@@ -73,7 +73,7 @@
 			e.Cold = &lasts
 		}
 		now := time.Now()
-		v.colds = append(v.colds, namedLimit{perSecond: coldPerSecond, from: now, to: now.Add(lasts)})
+		v.colds = append(v.colds, namedLimit{perSecond: coldRate, from: now, to: now.Add(lasts)})
 		s.put(e)
 	})
 }
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -133,7 +133,7 @@
 	}
 	s.siteConfig = storeserver.Site{Version: 1, Models: []string{modelService}, Plain: []string{plainService, secondService}, EngineMemory: engineMemory, Keys: []string{key}}
 	if limitsCold {
-		s.siteConfig.ColdPerSecond, s.siteConfig.ColdStart = coldPerSecond, usualColdStart
+		s.siteConfig.ColdPerSecond, s.siteConfig.ColdStart = coldRate, usualColdStart
 	}
 	s.siteConfig.Routes = []storeserver.Route{
 		{Name: "ask", Host: host, Prefix: askPath, Service: modelService, Kind: "streaming", TimeoutMS: routeTimeoutMS},
