Held work of all instances, and a forecast of when it is released

An instance knew only the first prompt that each of the others holds back, not how much work they hold or how fast it is released, so it could not tell whether a prompt would be placed in its time. decide/forecast measures both and refuses deep prompts that would not. spread.Queue counts held prompts only if it is asked to.

--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -23,6 +23,8 @@
 	// FirstTarget is the target for the time to the first event, LateAfter the wait after
 	// which it can no longer be met; both are zero if there is no target.
 	FirstTarget, LateAfter time.Duration
+	// Prefill is the time that one idle engine takes to prefill the prompt. Peers are not sent it.
+	Prefill time.Duration
 }
 
 // ageingFactor ranks a prompt that has waited for its whole target like one of a sixth of
@@ -33,7 +35,7 @@
 // NewTurn returns the turn of a prompt of a rank that arrived at arrived and whose first event
 // is due within target.
 func NewTurn(e *route.Engine, request string, prompt int64, rank int, arrived, target time.Duration) Turn {
-	t := Turn{Request: request, Weight: weight(e, prompt), Rank: rank, Arrived: arrived, FirstTarget: target}
+	t := Turn{Request: request, Weight: weight(e, prompt), Rank: rank, Arrived: arrived, FirstTarget: target, Prefill: PrefillTime(e, prompt)}
 	if target > 0 {
 		t.LateAfter = lateAfter(e, prompt, target)
 	}
@@ -77,6 +79,8 @@
 	HasFirst bool
 	// ForSlot is the number of requests that wait for a free slot.
 	ForSlot int
+	// Held counts all of the deep prompts, if CountHeld was called.
+	Held HeldWork
 }
 
 type peerWaiting struct {
@@ -99,6 +103,8 @@
 	// lastSent is when peers were last sent the local state.
 	lastSent time.Duration
 	peers    map[string]peerWaiting
+	// countHeld is set by CountHeld.
+	countHeld bool
 }
 
 // NewQueue returns an empty queue.
@@ -116,7 +122,7 @@
 
 // LocalState returns what this instance holds back.
 func (q *Queue) LocalState(now time.Duration) Waiting {
-	w := Waiting{ForSlot: q.forSlot}
+	w := Waiting{ForSlot: q.forSlot, Held: q.localHeld()}
 	for _, t := range q.local {
 		if !w.HasFirst || t.precedes(now, w.First) {
 			w.First, w.HasFirst = t, true
