--- a/cli/passes.go
+++ b/cli/passes.go
@@ -9,13 +9,14 @@
 )
 
 type passesCmd struct {
-	Load     []string      `help:"Loads: names of those that come with the program, or files. All that come with it by default, unless some are drawn."`
-	Draw     int           `help:"Number of deployments to draw beside them."`
-	Seed     uint64        `default:"1" help:"Seed of the drawn deployments and first seed of the runs."`
-	Seeds    int           `default:"1" help:"Number of runs of each load, each with a seed of its own."`
-	Rate     float64       `default:"1" help:"Factor of the loads' rates."`
-	Duration time.Duration `default:"34s" help:"Virtual time of a run; bursts fill equal spans of it."`
-	Lines    bool          `help:"Print a line for each load only."`
+	Load          []string      `help:"Loads: names of those that come with the program, or files. All that come with it by default, unless some are drawn."`
+	Draw          int           `help:"Number of deployments to draw beside them."`
+	Seed          uint64        `default:"1" help:"Seed of the drawn deployments and first seed of the runs."`
+	Seeds         int           `default:"1" help:"Number of runs of each load, each with a seed of its own."`
+	Rate          float64       `default:"1" help:"Factor of the loads' rates."`
+	Duration      time.Duration `default:"34s" help:"Virtual time of a run; bursts fill equal spans of it."`
+	EarlyRefusals bool          `help:"Refuse requests early that cannot be placed in their time."`
+	Lines         bool          `help:"Print a line for each load only."`
 }
 
 // Validate implements kong.Validatable.
@@ -66,5 +67,9 @@
 		}
 		out = append(out, l)
 	}
-	return append(out, passes.Draw(c.Draw, c.Seed)...), nil
+	out = append(out, passes.Draw(c.Draw, c.Seed)...)
+	for i := range out {
+		out[i].EarlyRefusals = out[i].EarlyRefusals || c.EarlyRefusals
+	}
+	return out, nil
 }
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/auburnmoor/auburnmoor/decide/forecast"
 	"github.com/auburnmoor/auburnmoor/decide/spread"
 )
 
@@ -43,12 +44,19 @@
 	queue  *spread.Queue
 	// arrivals is the rate of requests at this instance.
 	arrivals spread.Arrivals
+	// forecast refuses requests early; nil without Load.EarlyRefusals.
+	forecast *forecast.Forecast
 	// reportPending is set while a report is scheduled.
 	reportPending bool
 }
 
 func newInstance(w *world, i int) *instance {
-	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger(), queue: spread.NewQueue()}
+	n := &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger(), queue: spread.NewQueue()}
+	if w.load.EarlyRefusals {
+		n.forecast = forecast.New()
+		n.queue.CountHeld()
+	}
+	return n
 }
 
 // scheduleReport sends this instance's state to its peers after gatherDelay, unless
@@ -68,6 +76,7 @@
 				if o != n {
 					o.ledger.ApplyReport(n.Now(), n.name, false, loads)
 					o.queue.ApplyReport(n.Now(), n.name, waiting)
+					o.observeHeld(n.name, waiting)
 				}
 			}
 		})
@@ -98,9 +107,13 @@
 		Waited: waited, MaxHold: spread.MaxHold(firstTarget, left+waited), TimeLeft: left,
 		MustWait: n.queue.MustWait(n.Now(), turn), SlotWaiters: n.queue.SlotWaiters(n.Now()), Draw: n.rand.Float64(),
 	})
+	if verdict == spread.Hold && n.refusedEarly(q, turn, waited, left) {
+		verdict = spread.Overloaded
+	}
 	n.setOnHold(q, turn, verdict == spread.Hold)
 	switch verdict {
 	case spread.Placed:
+		n.recordPlaced(q, waited, left)
 		n.send(q, plan)
 	case spread.Hold:
 		q.holdReason = plan.Reason
@@ -130,6 +143,7 @@
 		}
 	})
 	q.onHold = onHold
+	n.observeHeld(n.name, n.queue.LocalState(n.Now()))
 	if report {
 		n.scheduleReport()
 	}
@@ -138,14 +152,19 @@
 // refuse refuses a request; its client retries once if it has enough time left.
 func (n *instance) refuse(q *request) {
 	left := q.kind.Deadline.Std() - (n.Now() - q.arrived)
-	if q.retried || clientRetryDelay > time.Duration(maxRetryShare*float64(left)) {
+	delay := n.retryAfter(q, left)
+	n.recordRefusal(q)
+	if q.retried || delay > time.Duration(maxRetryShare*float64(left)) {
 		q.result.Refused++
 		q.result.RefusedAfter[q.holdReason]++
 		return
 	}
 	q.retried = true
 	other := n.instances[n.rand.IntN(len(n.instances))]
-	n.After(clientRetryDelay, func() { other.receiveRequest(q) })
+	n.After(delay, func() {
+		q.cameBack = n.Now()
+		other.receiveRequest(q)
+	})
 }
 
 // send sends a request to the engines of its plan. If one of them refuses to reserve
--- a/lab/passes/load.go
+++ b/lab/passes/load.go
@@ -28,6 +28,9 @@
 	Bursts  int    `toml:"bursts" validate:"min=1,max=100"`
 	Engines Engine `toml:"engines"`
 	Kinds   []Kind `toml:"kind" validate:"min=1,dive"`
+	// EarlyRefusals lets instances refuse requests early, and clients come back when the refusal
+	// tells them to.
+	EarlyRefusals bool `toml:"early_refusals"`
 }
 
 // Engine describes the engines, which are identical.
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -44,6 +44,11 @@
 	ended      bool
 	// answered is set when the answer is complete.
 	answered bool
+	// early is set if the last refusal was one by the forecast, cameBack is when the client came back.
+	early    bool
+	cameBack time.Duration
+	// placed tells whether it was placed within the time for which it may be held, by attempt of the client.
+	placed [2]bool
 }
 
 // kvTokens returns the memory in tokens of the request on the engine that decodes.
@@ -65,11 +70,18 @@
 	reports int
 	// requests are all requests of the run.
 	requests []*request
+	// refusals are all refusals for lack of capacity.
+	refusals []refusal
 }
 
 // Run simulates a load for a length of virtual time, with its arrival rates
 // multiplied by rate. It is deterministic for a seed.
 func Run(l Load, seed uint64, length time.Duration, rate float64) Summary {
+	s, _ := run(l, seed, length, rate)
+	return s
+}
+
+func run(l Load, seed uint64, length time.Duration, rate float64) (Summary, *world) {
 	w := &world{load: l, spec: l.Engines.spec(), engines: map[string]*engine{}, rand: rand.New(rand.NewPCG(seed, math.MaxUint64))}
 	for i := range l.Engines.Count {
 		id := fmt.Sprintf("e%03d", i)
@@ -96,7 +108,7 @@
 	}
 	s := summarize(l.Name, results, w.windows)
 	s.Reports = float64(w.reports) / float64(l.Instances) / length.Seconds()
-	return s
+	return s, w
 }
 
 // arrivals draws the requests of a kind: a Poisson process at the peak rate, thinned
