Setting early_refusals: deep prompts that will not be placed in their time are refused at once

Their callers waited for the whole hold time and were refused then, with a fixed time to come back at which the wave still lasted. The time now follows from the held work and its release rate.

--- a/decide/forecast/forecast_test.go
+++ b/decide/forecast/forecast_test.go
@@ -102,8 +102,10 @@
 		Entry("a prompt behind more work than is released in its time", deep(2*time.Second, 200*time.Second), true),
 		Entry("not one behind less", deep(2*time.Second, 100*time.Second), false),
 		Entry("not one that has just arrived", deep(0, 300*time.Second), false),
-		Entry("not one behind a single prompt", admission.Request{Deep: true, Waited: 2 * time.Second, Latest: 8 * time.Second, Ahead: time.Hour, AheadPrompts: 1}, false),
-		Entry("not one that waits for a slot", admission.Request{Waited: 2 * time.Second, Latest: 8 * time.Second, Ahead: 300 * time.Second, AheadPrompts: 40}, false),
+		Entry("not one behind a single prompt",
+			admission.Request{Deep: true, Waited: 2 * time.Second, Latest: 8 * time.Second, Ahead: time.Hour, AheadPrompts: 1}, false),
+		Entry("not one that waits for a slot",
+			admission.Request{Waited: 2 * time.Second, Latest: 8 * time.Second, Ahead: 300 * time.Second, AheadPrompts: 40}, false),
 	)
 
 	// Guards against refusals by a rate that rests on two or three prompts.
@@ -120,7 +122,8 @@
 
 	// Guards against callers that all come back at the moment at which the engines are free again.
 	It("spreads the returns of callers over the time that the held work takes", func() {
-		Expect(f.RetryAfter(now, 20*time.Second, time.Minute, 0)).To(BeNumerically("~", 2*time.Second, 200*time.Millisecond), "half of the rate is needed for what is added")
+		// Half of the rate is needed for what is added.
+		Expect(f.RetryAfter(now, 20*time.Second, time.Minute, 0)).To(BeNumerically("~", 2*time.Second, 200*time.Millisecond))
 		Expect(f.RetryAfter(now, 20*time.Second, time.Minute, 0.99)).To(BeNumerically("~", 4*time.Second, 400*time.Millisecond))
 	})
 
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -122,6 +122,8 @@
 	cold coldState
 	// holdReason is why it was last held.
 	holdReason spread.Reason
+	// forecast is what was expected of the wait when the request was first held; zero if nothing was.
+	forecast time.Duration
 	// admission is the last decision of the admission chain.
 	admission admission.Decision
 	// started is when serving began, firstLatency the time from then to the first
@@ -320,7 +322,7 @@
 			return x.admissionError()
 		}
 		return result.New(result.Overloaded, "the engines are too busy for this prompt (%s): mean prefill backlog %s, room for %d tokens on the emptiest",
-			p.Reason, p.Backlog.Round(time.Millisecond), p.MaxFreeMemory).WithRetryAfter(retryAfterNoRoom)
+			p.Reason, p.Backlog.Round(time.Millisecond), p.MaxFreeMemory).WithRetryAfter(x.retryAfterNoCapacity())
 	default:
 		if after := x.retryAfterAllRest(); after > 0 {
 			return result.New(result.NoBackend, "all backend servers asked for rest").WithRetryAfter(after)
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -64,6 +64,9 @@
 	// FirstStart is set if no instance ran before this one started, so that none can have made
 	// retries.
 	FirstStart bool `toml:"first_start"`
+	// EarlyRefusals refuses deep prompts that are not expected to be placed in time, and tells callers
+	// when engines are expected to have capacity.
+	EarlyRefusals bool `toml:"early_refusals"`
 
 	log              *zap.Logger
 	now              func() time.Duration
@@ -173,6 +176,7 @@
 	r.examiner = &examiner{examine: r.client.Examine, crashes: r.scope.Counter("server_crashes_total")}
 	r.drained, r.endDrain = context.WithCancelCause(context.Background())
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
+	r.enableEarlyRefusals()
 	r.borrower = retry.NewBorrower(rand.New(rand.NewPCG(c.Seed, 7)))
 	r.link.HandleRetryLoans(r)
 	return nil
