--- a/control/loads/shares.go
+++ b/control/loads/shares.go
@@ -89,14 +89,19 @@
 	names := l.customerNames()
 	l.mu.Unlock()
 	for _, c := range changes {
-		message := "customer is within its share again"
-		if c.Over {
-			message = "customer uses more than its share while others wait"
-		}
-		l.log.Info(message, zap.String("customer", names[c.Customer]), zap.Duration("usage", c.Usage), zap.Duration("share", c.Share))
+		l.logShare(names[c.Customer], c)
 	}
 }
 
+func (l *Loads) logShare(customer string, c fairshare.Change) {
+	fields := []zap.Field{zap.String("customer", customer), zap.Duration("usage", c.Usage), zap.Duration("share", c.Share)}
+	if c.Over {
+		l.log.Info("customer uses more than its share while others wait", fields...)
+		return
+	}
+	l.log.Info("customer is within its share again", fields...)
+}
+
 // customerNames returns the configured customers by their keys.
 func (l *Loads) customerNames() map[uint32]string {
 	names := map[uint32]string{}
