--- a/decide/admission/admission.go
+++ b/decide/admission/admission.go
@@ -20,12 +20,8 @@
 type Request struct {
 	// Customer is the CustomerKey of its customer.
 	Customer uint32
-	// Rank is its priority; 0 is the most urgent.
-	Rank int
 	// Deep is set for prompts that queue at the instances (spread.Deep); others wait for a free slot.
 	Deep bool
-	// Prefill is the time that one idle engine takes to prefill the prompt.
-	Prefill time.Duration
 	// Waited is for how long it has been held, MaxHold for how long it may be.
 	Waited, MaxHold time.Duration
 	// FirstTarget is the target for the time to the first event; zero if there is none.
@@ -41,20 +37,14 @@
 	NoReason Reason = iota
 	// ShareExceeded: its customer uses more than its share while requests of others wait.
 	ShareExceeded
-	// NoCapacityInTime: servers are not expected to have capacity for it before it must be refused anyway.
-	NoCapacityInTime
 )
 
 // String returns the reason for logs and metrics.
 func (r Reason) String() string {
-	switch r {
-	case ShareExceeded:
+	if r == ShareExceeded {
 		return "share_exceeded"
-	case NoCapacityInTime:
-		return "no_capacity_in_time"
-	default:
-		return "none"
 	}
+	return "none"
 }
 
 // Decision is the outcome of a check. The zero value holds the request.
--- a/serve/relay/admission.go
+++ b/serve/relay/admission.go
@@ -28,19 +28,14 @@
 
 func (x *exchange) admissionRequest() admission.Request {
 	return admission.Request{
-		Customer: x.customerKey(), Rank: x.rank, Deep: x.isDeep(),
-		Prefill: spread.PrefillTime(x.service.Engine, x.req.PromptTokens),
-		Waited:  x.heldFor, MaxHold: x.maxHoldTime(), FirstTarget: x.route.FirstEventTarget,
+		Customer: x.customerKey(), Deep: x.isDeep(),
+		Waited: x.heldFor, MaxHold: x.maxHoldTime(), FirstTarget: x.route.FirstEventTarget,
 	}
 }
 
-// admissionError is the refusal of a request by a check of the admission chain.
+// admissionError is the refusal of a request by the admission chain.
 func (x *exchange) admissionError() *result.Error {
-	d := x.admission
-	if d.Reason == admission.ShareExceeded {
-		return result.New(result.ShareExceeded, "the customer uses more than its share of the engines while others wait").WithRetryAfter(d.RetryAfter)
-	}
-	return result.New(result.Overloaded, "the engines will not have capacity for this prompt in its time").WithRetryAfter(d.RetryAfter)
+	return result.New(result.ShareExceeded, "the customer uses more than its share of the engines while others wait").WithRetryAfter(x.admission.RetryAfter)
 }
 
 // customerKey is the request's customer in load reports.
