--- a/lab/passes/customers.go
+++ b/lab/passes/customers.go
@@ -101,7 +101,7 @@
 		return admission.Decision{}
 	}
 	return f.table.Check(now, admission.Request{
-		Customer: customerKey(q.customer), Rank: q.kind.Rank, Deep: deep, Waited: waited, MaxHold: maxHold, FirstTarget: q.kind.First.Std(),
+		Customer: customerKey(q.customer), Deep: deep, Waited: waited, MaxHold: maxHold, FirstTarget: q.kind.First.Std(),
 	})
 }
 
