--- a/cli/evacuated.go
+++ b/cli/evacuated.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// evacuationLine lists the evacuated data centres, since when the first instance knows of each, and the
-// instances that do not. It is empty if no instance knows of any.
+// evacuationLine lists the evacuated data centres, for how long the first instance has known of each, and
+// the instances that do not know of it. It is empty if no instance knows of any.
 func (s *catalogSpread) evacuationLine() string {
 	since, knownBy := map[string]time.Duration{}, map[string][]string{}
 	for _, r := range s.rows {
--- a/cli/passes.go
+++ b/cli/passes.go
@@ -18,7 +18,7 @@
 	Duration    time.Duration `default:"34s" help:"Virtual time of a run; bursts fill equal spans of it."`
 	Customers   int           `help:"Number of customers who send equal parts of each load; none by default."`
 	Greedy      float64       `help:"How many times its part the first customer sends, if more than 1."`
-	GreedyAfter time.Duration `default:"3s" help:"From when the first customer sends more; the values of customers count from a second later on."`
+	GreedyAfter time.Duration `default:"3s" help:"When the first customer begins to send more; values of customers count from a second after it."`
 	FairShares  bool          `help:"Apply fair shares of customers, as the setting fair_shares does."`
 	Lines       bool          `help:"Print a line for each load only."`
 }
--- a/cli/status_cold.go
+++ b/cli/status_cold.go
@@ -15,10 +15,12 @@
 // coldTable holds the cold servers of a fleet by ID.
 type coldTable map[string]coldServer
 
-// coldServer is a server that instances take for cold: for how long at most, and how many of them.
+// coldServer is a server that instances take for cold.
 type coldServer struct {
-	service   string
-	left      time.Duration
+	service string
+	// left is the longest time for which an instance takes it for cold.
+	left time.Duration
+	// instances counts those that do.
 	instances int
 }
 
@@ -32,7 +34,7 @@
 	}
 }
 
-// rows returns a row for each cold server of a fleet of so many instances.
+// rows returns a row for each cold server of a fleet of a number of instances.
 func (t coldTable) rows(instances int) (rows []string) {
 	for _, id := range slices.Sorted(maps.Keys(t)) {
 		s := t[id]
--- a/control/follow/cold.go
+++ b/control/follow/cold.go
@@ -43,10 +43,10 @@
 	return snap.Cold(now, f.usualColdTime)
 }
 
-// toldColdTime returns the cold time of a server as told to other instances, in milliseconds, and the
-// position of the store at which it was stated. Zero milliseconds say nothing, and a cold time that was
-// stated and is over counts as a millisecond.
-func (f *Follower) toldColdTime(snap *backends.Snapshot, s backends.Server) (ms uint32, at position.Position) {
+// coldTimeForPeers returns the cold time of a server for other instances, in milliseconds, and the position
+// of the store at which it was stated. Zero means that nothing was stated, so a cold time that is over is
+// one millisecond.
+func (f *Follower) coldTimeForPeers(snap *backends.Snapshot, s backends.Server) (ms uint32, at position.Position) {
 	usual, limited := f.usualColdTime(s.Service)
 	if !limited {
 		usual = 0
@@ -64,7 +64,7 @@
 	return uint32(min(max(1, ms), math.MaxUint32))
 }
 
-// coldTimeFrom returns the cold time that another instance told with a position of the store.
+// coldTimeFrom returns the cold time that another instance stated with a position of the store.
 func coldTimeFrom(ms uint32, era uint64, revision int64) backends.ColdTime {
 	if ms == 0 {
 		return backends.ColdTime{}
@@ -74,8 +74,8 @@
 	}
 }
 
-// coldTimesChanged reports whether a server became cold, or its cold time ends at another time than
-// forwarded, and records what is forwarded now. The caller holds f.mu.
+// coldTimesChanged reports whether a server became cold, or the end of its cold time differs from the one
+// forwarded last, and records the ends that are forwarded now. The caller holds f.mu.
 func (f *Follower) coldTimesChanged(snap *backends.Snapshot) (changed bool) {
 	now := f.now()
 	maps.DeleteFunc(f.coldForwarded, func(_ string, until time.Duration) bool { return until <= now })
@@ -87,7 +87,7 @@
 		}
 	}
 	if changed {
-		f.noteColdNews()
+		f.signalBecameCold()
 	}
 	return changed
 }
@@ -127,17 +127,21 @@
 	}
 	for id, s := range cold {
 		if before, logged := previous[id]; !logged || !before.Life.Same(s.Life) {
-			f.log.Info("server is cold", zap.String("server", id), zap.String("service", s.Service), zap.Int64("life", int64(s.Life)), zap.Duration("left", s.Until-now))
+			f.log.Info("server is cold", append(coldFields(s), zap.Duration("left", s.Until-now))...)
 		}
 	}
 	for id, s := range previous {
 		if _, still := cold[id]; !still {
-			f.log.Info("server is no longer cold", zap.String("server", id), zap.String("service", s.Service), zap.Int64("life", int64(s.Life)))
+			f.log.Info("server is no longer cold", coldFields(s)...)
 		}
 	}
 	f.scope.Gauge("servers_cold").Update(float64(len(cold)))
 }
 
+func coldFields(s backends.ColdServer) []zap.Field {
+	return []zap.Field{zap.String("server", s.ID), zap.String("service", s.Service), zap.Int64("life", int64(s.Life))}
+}
+
 // dumpCold lists the cold servers.
 func (f *Follower) dumpCold(now time.Duration) (out []DumpCold) {
 	for _, s := range f.coldServers(now, f.Servers()) {
--- a/control/follow/coldrepeat.go
+++ b/control/follow/coldrepeat.go
@@ -11,15 +11,17 @@
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
-// coldPerMessage is the number of servers in one message, so that it fits into a datagram.
-// maxColdMessages bounds the messages to one instance in a round; other servers take their turn.
-const coldPerMessage, maxColdMessages = 16, 6
-
-// coldNewsDelay is how long servers that became cold are collected before they are told.
-const coldNewsDelay = 5 * time.Millisecond
+const (
+	// coldPerMessage is the number of servers in one message, so that it fits into a datagram.
+	coldPerMessage = 16
+	// maxColdMessages bounds the messages to one instance in a round.
+	maxColdMessages = 6
+	// coldChangeDelay is how long changes are collected before they are sent.
+	coldChangeDelay = 5 * time.Millisecond
+)
 
-// repeatColdTimes repeats cold times to other instances while there are cold servers, and at once when
-// another server became cold.
+// repeatColdTimes repeats cold times to other instances while there are cold servers, and at once when a
+// server became cold.
 func (f *Follower) repeatColdTimes(ctx context.Context) {
 	ticker := time.NewTicker(backends.ColdRepeatInterval)
 	defer ticker.Stop()
@@ -29,17 +31,17 @@
 			return
 		case <-ticker.C:
 			f.sendColdTimes(backends.ColdRepeatPeers)
-		case <-f.coldNews:
-			wait.For(ctx, coldNewsDelay)
-			f.sendColdTimes(backends.ColdNewsPeers)
+		case <-f.becameCold:
+			wait.For(ctx, coldChangeDelay)
+			f.sendColdTimes(backends.ColdChangePeers)
 		}
 	}
 }
 
-// noteColdNews signals that a server became cold. The caller holds f.mu.
-func (f *Follower) noteColdNews() {
+// signalBecameCold signals that a server became cold. The caller holds f.mu.
+func (f *Follower) signalBecameCold() {
 	select {
-	case f.coldNews <- struct{}{}:
+	case f.becameCold <- struct{}{}:
 	default:
 	}
 }
@@ -57,8 +59,8 @@
 	}
 }
 
-// coldMessages returns the cold times to repeat in one round. If there are too many, those of a random
-// choice of the servers.
+// coldMessages returns the cold times to repeat in one round, those of randomly chosen servers if there are
+// too many.
 func (f *Follower) coldMessages(now time.Duration, snap *backends.Snapshot) (out []*peerpb.ColdServers) {
 	if snap == nil {
 		return nil
@@ -99,7 +101,7 @@
 	f.countRepairs(before, statements)
 }
 
-// countRepairs counts the servers that became cold here only because another instance repeated it.
+// countRepairs counts the servers that this instance takes for cold only because of repeated statements.
 func (f *Follower) countRepairs(before *backends.Snapshot, statements []backends.ColdStatement) {
 	now, after := f.now(), f.Servers()
 	if before == nil || before == after {
--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -18,8 +18,8 @@
 	f.follow(ctx, source{
 		name: sourceEvacuations,
 		held: f.evacuationsAt,
-		// The newest state is read even where an older one would do: if all instances start at once, none
-		// can tell the others of an evacuation that the older state lacks.
+		// A stale state is never read: if all instances start at once, none could tell the others of an
+		// evacuation that a stale state lacks.
 		read: func(ctx context.Context, _ bool) (position.Position, error) {
 			e, err := f.catalog.Evacuations(ctx, false)
 			if err != nil {
@@ -98,7 +98,7 @@
 		return false
 	}
 	f.evacuations = &e
-	f.evacuatedSince = sinceOf(e.DataCentres, f.evacuatedSince, f.now())
+	f.evacuatedSince = evacuationTimes(e.DataCentres, f.evacuatedSince, f.now())
 	// The servers must be out of use before the instance serves requests.
 	defer f.updateServing()
 	defer f.evacuationsKnown.Store(true)
@@ -131,8 +131,8 @@
 	return &peerpb.Evacuations{Era: f.evacuations.At.Era, Revision: f.evacuations.At.Revision, DataCentres: f.evacuations.DataCentres}
 }
 
-// sinceOf returns since when each data centre is evacuated, if it is so now.
-func sinceOf(dataCentres []string, before map[string]time.Duration, now time.Duration) map[string]time.Duration {
+// evacuationTimes returns when this instance first knew of each evacuation in force, given the earlier ones.
+func evacuationTimes(dataCentres []string, before map[string]time.Duration, now time.Duration) map[string]time.Duration {
 	out := map[string]time.Duration{}
 	for _, name := range dataCentres {
 		out[name] = now
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -38,9 +38,9 @@
 	// minWait bounds the rate of calls if StableAfter is short, and maxWait is the longest
 	// wait that a store allows.
 	minWait, maxWait = 500 * time.Millisecond, 30 * time.Second
-	// maxEvacuationWait is the longest wait where data centres are evacuated. Instances that take over from
-	// watching ones begin watchSlack and propagationTime after it, and an evacuation must be in force at all
-	// instances within five seconds.
+	// maxEvacuationWait is the longest wait where data centres can be evacuated. An evacuation must be in
+	// force at all instances within five seconds, and instances that take over from watching ones begin
+	// watchSlack and propagationTime after this wait.
 	maxEvacuationWait = 3 * time.Second
 	// resyncTime bounds reading the full state and sending it to peers: a little over 4 ms
 	// on small instances, with a reserve for busy ones.
@@ -101,8 +101,8 @@
 	requests struct{ config, servers lastRequest }
 	// graceBegan signals that grace periods of servers may have begun.
 	graceBegan chan struct{}
-	// coldNews signals that a server became cold.
-	coldNews chan struct{}
+	// becameCold signals that a server became cold.
+	becameCold chan struct{}
 	// adoptMu lets one goroutine at a time decide which configuration is in force.
 	adoptMu sync.Mutex
 
@@ -160,7 +160,7 @@
 	f.coldForwarded, f.coldLogged = map[string]time.Duration{}, map[string]backends.ColdServer{}
 	f.confirmations, f.answeredAt = watch.NewConfirmations(), map[string]time.Duration{}
 	f.inbox = ring.New[peerConfig]("catalog.inbox", inboxSize)
-	f.graceBegan, f.coldNews = make(chan struct{}, 1), make(chan struct{}, 1)
+	f.graceBegan, f.becameCold = make(chan struct{}, 1), make(chan struct{}, 1)
 	f.offers = ring.New[offer]("catalog.newer", inboxSize)
 	f.members.AddToGossip(f.addToGossip)
 	f.link.Handle(f.receive)
@@ -205,8 +205,8 @@
 // Servers returns the current list of servers, or nil if there is none yet.
 func (f *Follower) Servers() *backends.Snapshot { return f.servers.Load() }
 
-// Ready reports whether requests can be served. Where data centres are evacuated, that needs to be known
-// of which: an instance that starts would otherwise send requests to their servers.
+// Ready reports whether requests can be served. Where data centres can be evacuated, the evacuations in
+// force must be known too: an instance that starts would otherwise send requests to their servers.
 func (f *Follower) Ready() bool {
 	return f.Table() != nil && f.Servers() != nil && (!f.Evacuations || f.evacuationsKnown.Load())
 }
@@ -288,7 +288,7 @@
 	Watching bool `json:"watching"`
 	// Confirmations lists watching instances with the age of the store's last answer to them.
 	Confirmations []DumpConfirmation `json:"heard,omitempty"`
-	// Cold lists the cold servers of services whose cold servers take a limited rate.
+	// Cold lists the cold servers of services that limit the requests to them.
 	Cold []DumpCold `json:"cold,omitempty"`
 	// Unreadable maps server entries that cannot be read to the reason.
 	Unreadable map[string]string `json:"unreadable,omitempty"`
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -72,9 +72,8 @@
 }
 
 // updateServers applies a change to the list of servers, publishes a snapshot and reports
-// whether the content or the end of a server's cold time changed. The latter is not part of the
-// content. Neither may have changed: several instances forward the same change, each with its own
-// revision.
+// whether the content changed, or the end of a server's cold time, which is no part of it. A change
+// need not alter either: several instances forward the same one, each with its own revision.
 func (f *Follower) updateServers(from string, change func(now time.Duration) bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -249,7 +248,7 @@
 }
 
 func (f *Follower) toListedServer(snap *backends.Snapshot, s backends.Server) *peerpb.ListedServer {
-	coldMS, at := f.toldColdTime(snap, s)
+	coldMS, at := f.coldTimeForPeers(snap, s)
 	return &peerpb.ListedServer{
 		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(),
 		Life: int64(s.Life), Version: s.Version, ColdMs: coldMS, ColdEra: at.Era, ColdRevision: at.Revision,
--- a/control/loads/cells.go
+++ b/control/loads/cells.go
@@ -63,7 +63,7 @@
 		l.idleReports = 0
 	}
 	l.cell, l.cellPeers, l.cellOf, l.monitors = next, peers, in, neighbours.Near
-	l.located = l.locate(in)
+	l.fanoutPeers = l.newFanoutPeers(in)
 	l.members.SetNeighbours(neighbours)
 	l.ledger.RetainPeers(peers)
 	l.queue.RetainPeers(peers)
@@ -74,10 +74,10 @@
 	maps.DeleteFunc(l.newestReport, func(peer string, _ reportID) bool { return !peers[peer] })
 }
 
-// locate returns the cell peers with their data centres. l.mu must be held.
-func (l *Loads) locate(in cellInput) []fanout.Peer {
-	since := make(map[string]time.Duration, len(l.located))
-	for _, p := range l.located {
+// newFanoutPeers returns the cell peers with their data centres. l.mu must be held.
+func (l *Loads) newFanoutPeers(in cellInput) []fanout.Peer {
+	since := make(map[string]time.Duration, len(l.fanoutPeers))
+	for _, p := range l.fanoutPeers {
 		since[p.Name] = p.Since
 	}
 	now := l.now()
--- a/control/loads/loads.go
+++ b/control/loads/loads.go
@@ -97,10 +97,10 @@
 	idleReports int
 	// cellOf is what cell was computed from.
 	cellOf cellInput
-	// located are the cell peers with their data centres.
-	located []fanout.Peer
-	// relayRound counts the reports that were planned with relays. Complete reports do not count:
-	// they come at regular intervals, so that some relays would be left out for long.
+	// fanoutPeers are the cell peers with their data centres.
+	fanoutPeers []fanout.Peer
+	// relayRound counts the reports that were planned with relays. Complete reports do not count: they
+	// come at regular intervals, so that some instances would not be relays for long.
 	relayRound uint64
 }
 
@@ -365,7 +365,7 @@
 	applied := l.apply(from, env.Incarnation, r, work, rejected)
 	var neighbours []string
 	if applied && r.Relay && !r.Relayed {
-		neighbours = fanout.Neighbours(from, l.dataCentre, l.located)
+		neighbours = fanout.Neighbours(from, l.dataCentre, l.fanoutPeers)
 	}
 	l.mu.Unlock()
 	l.passOn(neighbours, env)
@@ -373,7 +373,9 @@
 
 // apply applies a report unless it is outdated or its sender's work does not count here, and
 // returns whether it did. l.mu must be held.
-func (l *Loads) apply(from string, incarnation uint64, r *peerpb.LoadReport, work map[spread.Key]spread.Work, rejected map[away.Key]time.Duration) bool {
+func (l *Loads) apply(
+	from string, incarnation uint64, r *peerpb.LoadReport, work map[spread.Key]spread.Work, rejected map[away.Key]time.Duration,
+) bool {
 	if !l.cellPeers[from] {
 		// The sender's member or server list differs for the moment and puts it into this
 		// cell. Its work is not counted until the lists agree.
@@ -414,8 +416,8 @@
 	w := spread.Waiting{ForSlot: int(r.ForSlot)}
 	if h := r.Held; h != nil {
 		w.First, w.HasFirst = spread.Turn{
-			Request: h.Request, Weight: h.Weight, Rank: int(h.Rank), Arrived: now - peerpb.Micros(h.WaitedUs), FirstTarget: peerpb.Micros(h.UsefulUs), LateAfter: peerpb.Micros(h.LateAfterUs),
-			OverShare: h.OverShare,
+			Request: h.Request, Weight: h.Weight, Rank: int(h.Rank), Arrived: now - peerpb.Micros(h.WaitedUs),
+			FirstTarget: peerpb.Micros(h.UsefulUs), LateAfter: peerpb.Micros(h.LateAfterUs), OverShare: h.OverShare,
 		}, true
 	}
 	return w
@@ -425,7 +427,10 @@
 func (l *Loads) Dump() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := Dump{Cell: l.cell.Index, Cells: l.cell.Count, CellPeers: l.cell.Peers, Totals: map[string]spread.Load{}, Own: map[string]spread.Load{}, Customers: l.dumpShares()}
+	d := Dump{
+		Cell: l.cell.Index, Cells: l.cell.Count, CellPeers: l.cell.Peers,
+		Totals: map[string]spread.Load{}, Own: map[string]spread.Load{}, Customers: l.dumpShares(),
+	}
 	l.ledger.Advance(l.now())
 	list := l.catalog.Servers()
 	if list == nil {
--- a/control/loads/relay.go
+++ b/control/loads/relay.go
@@ -10,30 +10,30 @@
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
-// planChanges returns the receivers of a report of changes. A plan without relays stands for all
-// cell peers. l.mu must be held.
+// planChanges returns the receivers of a report of changes, and an empty plan for a complete report or
+// without RelayReports: without relays, all cell peers get the report. l.mu must be held.
 func (l *Loads) planChanges(now time.Duration, complete bool) fanout.Plan {
 	if complete || !l.RelayReports {
 		return fanout.Plan{}
 	}
 	l.updateHeardAt()
 	l.relayRound++
-	return fanout.Choose(now, l.link.Self(), l.dataCentre, l.located, l.relayRound)
+	return fanout.Choose(now, l.link.Self(), l.dataCentre, l.fanoutPeers, l.relayRound)
 }
 
 // updateHeardAt records when each cell peer was last heard from directly. l.mu must be held.
 func (l *Loads) updateHeardAt() {
-	names := make([]string, len(l.located))
-	for i, p := range l.located {
+	names := make([]string, len(l.fanoutPeers))
+	for i, p := range l.fanoutPeers {
 		names[i] = p.Name
 	}
 	for i, at := range l.members.HeardDirectly(names) {
-		l.located[i].HeardAt = at
+		l.fanoutPeers[i].HeardAt = at
 	}
 }
 
 // send sends a report by a plan, or to all peers if the plan has no relays or the report may not fit
-// into a datagram: a relay would need connections to all its neighbours.
+// into a datagram: a relay would have to open connections to all its neighbours to pass it on.
 func (l *Loads) send(peers []string, plan fanout.Plan, r *peerpb.LoadReport) {
 	env := envelopeOf(r)
 	if len(plan.Relays) == 0 {
--- a/control/loads/shares.go
+++ b/control/loads/shares.go
@@ -23,14 +23,9 @@
 func (l *Loads) RecordUsage(customer uint32, p spread.Plan) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.shares == nil {
-		return
-	}
-	var sum time.Duration
-	for _, part := range p.Parts {
-		sum += part.Load.Prefill
+	if l.shares != nil {
+		l.shares.Place(l.now(), customer, p.Prefill())
 	}
-	l.shares.Place(l.now(), customer, sum)
 }
 
 // HoldFor adds n to the requests of a customer that this instance holds, deep prompts or others.
@@ -59,7 +54,7 @@
 	return l.shares.Check(now, r)
 }
 
-// addUsage adds the usage of customers to a complete report, or to one of changes while requests are held.
+// addUsage adds the usage of customers to a complete report, and to one of changes while requests are held.
 // l.mu must be held.
 func (l *Loads) addUsage(now time.Duration, r *peerpb.LoadReport, w spread.Waiting) {
 	if l.shares == nil || !r.Complete && w == (spread.Waiting{}) {
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -30,8 +30,8 @@
 	Slots int
 	// Leaving servers finish their requests and accept no new ones.
 	Leaving bool
-	// Cold is what the entry states when it is received. A Set keeps it by its own clock instead, see
-	// Snapshot.ColdUntil.
+	// Cold is the cold time that an entry states when it is received. It is unset in the servers of a Set,
+	// which has Snapshot.ColdUntil instead.
 	Cold ColdTime
 	// said is set if Leaving is what the server said of itself, and its entry does not say so.
 	said bool
@@ -43,8 +43,8 @@
 func (s Server) EntryLeaving() bool { return s.Leaving && !s.said }
 
 // digest is a hash of a server's entry. The sum of the digests of a list does not depend
-// on its order. What the server said of itself is no part of its entry, and instances that receive the
-// same entry at different times would differ in its cold time.
+// on its order. What the server said of itself is no part of its entry. The cold time is left out because
+// instances that receive the same entry at different times differ in it.
 func (s Server) digest() uint64 {
 	var d digest.Fields
 	d.Reset()
@@ -72,7 +72,7 @@
 	// evacuated.
 	evacuated map[string]int
 	// cold holds the servers that may be cold or have been so, by ID.
-	cold map[string]sighting
+	cold map[string]coldRecord
 	// returningUntil is until when the servers of a data centre count as cold because it came back.
 	returningUntil map[string]time.Duration
 }
@@ -85,8 +85,8 @@
 	return slices.ContainsFunc(s.services[v.Service], func(o Server) bool { return o.ID == v.ID && o.Life.Same(v.Life) })
 }
 
-// Evacuated counts the servers of a service that could get new requests if no data centre were evacuated,
-// and do not.
+// Evacuated counts the servers of a service that get no new requests only because their data centre is
+// evacuated.
 func (s *Snapshot) Evacuated(service string) int { return s.evacuated[service] }
 
 func (s *Snapshot) add(v Server, evacuated bool) {
--- a/decide/backends/cold.go
+++ b/decide/backends/cold.go
@@ -9,11 +9,13 @@
 )
 
 // A server that has just started, or whose data centre comes back, is cold for a while and takes only
-// a few requests per second. Its entry, or another instance, states how long it remains cold. A server
-// of which nobody has stated that counts as cold for the usual time of its service from the moment at
-// which its incarnation appeared, unless its Life shows that it has run for longer. One of the first list
-// counts as cold for the rest of that time, from its Life, if this instance started after it in a
-// deployment that had run before: when all servers and instances start together, none counts as cold.
+// a few requests per second. Its entry, the server itself or another instance states how long it remains
+// cold. If nobody has stated that, the usual time of its service counts:
+//   - from the moment at which its incarnation appeared, if that was after the first list, unless its Life
+//     shows that it has run for longer;
+//   - from its start according to its Life, if it was in the first list, started before this instance, and
+//     a server of that list has run for much longer. Otherwise it is not cold: when a deployment starts as
+//     a whole, no server counts as cold.
 
 // startSpread is the time within which the servers of a deployment start that is started as a whole.
 const startSpread = 10 * time.Second
@@ -30,15 +32,14 @@
 	At position.Position
 }
 
-// sighting is what is known of the cold time of one incarnation of a server. Times are by the local
-// clock.
-type sighting struct {
+// coldRecord is what is known of the cold time of one incarnation of a server, by the local clock.
+type coldRecord struct {
 	life Life
 	// stated is set if the end of the cold time was stated, until is that end.
 	stated bool
 	until  time.Duration
 	// at is the position of the store at which that was stated, zero if unknown. shortenedAt is when
-	// the end was last moved back, zero if it was not.
+	// the end last became an earlier one, zero if it never did.
 	at          position.Position
 	shortenedAt time.Duration
 	// appeared is set if the incarnation was not in the first list; appearedAt is when it was first
@@ -54,7 +55,7 @@
 
 // coldUntil returns when the server is warm if servers of its service are cold for usual after
 // their start.
-func (g sighting) coldUntil(usual time.Duration) time.Duration {
+func (g coldRecord) coldUntil(usual time.Duration) time.Duration {
 	switch {
 	case g.stated:
 		return g.until
@@ -71,11 +72,11 @@
 // it nothing is derived from Life.
 func (s *Set) SetClock(zero time.Time) { s.clockZero = zero }
 
-// recordSighting updates what is known of a server's cold time from an entry.
-func (s *Set) recordSighting(now time.Duration, v Server) {
-	g, known := s.sightings[v.ID]
+// recordCold updates the cold record of a server from an entry.
+func (s *Set) recordCold(now time.Duration, v Server) {
+	g, known := s.coldRecords[v.ID]
 	if !known || !g.life.Same(v.Life) {
-		g = sighting{appeared: s.listed, appearedAt: now, ran: s.ranFor(now, v.Life)}
+		g = coldRecord{appeared: s.listed, appearedAt: now, ran: s.ranFor(now, v.Life)}
 		g.preceded = !s.listed && g.ran > now
 	}
 	if v.Life != 0 {
@@ -86,14 +87,14 @@
 		c.At = s.at
 	}
 	g.adopt(now, c)
-	s.sightings[v.ID] = g
+	s.coldRecords[v.ID] = g
 }
 
-// adopt takes over a statement of the cold time unless a later one is known. One from another
-// instance whose position is unknown may be older: it extends the cold time but does not shorten it.
-// One of the position that is known is the same statement, delayed on its way, so the shorter counts:
-// otherwise the cold time grew with each repetition.
-func (g *sighting) adopt(now time.Duration, c ColdTime) {
+// adopt takes over a statement of the cold time unless a later one is known. From another instance, one
+// of unknown position may be older, so it extends the cold time but does not shorten it. One of the known
+// position is the same statement, delayed on its way, so the earlier end counts: otherwise the cold time
+// would grow with each repetition.
+func (g *coldRecord) adopt(now time.Duration, c ColdTime) {
 	if !c.Known || c.At != unknownPosition && c.At.Before(g.at) {
 		return
 	}
@@ -103,7 +104,7 @@
 		case unknownPosition:
 			until = max(until, g.until)
 		case g.at:
-			until = shorter(until, g.until)
+			until = earlierEnd(until, g.until)
 		}
 	}
 	if g.stated && until < g.until-coldPrecision && g.until > now {
@@ -118,10 +119,10 @@
 // unknownPosition is that of statements whose position is unknown.
 var unknownPosition position.Position
 
-// shorter returns the end of a cold time that is heard of again.
-func shorter(heard, known time.Duration) time.Duration {
-	if heard < known-coldPrecision {
-		return heard
+// earlierEnd returns the earlier of two ends of one cold time, and the known one if they are equal.
+func earlierEnd(received, known time.Duration) time.Duration {
+	if received < known-coldPrecision {
+		return received
 	}
 	return known
 }
@@ -137,30 +138,30 @@
 // recordOldest records for how long the first server of the first list to start had run.
 func (s *Set) recordOldest() {
 	oldest := time.Duration(0)
-	for _, g := range s.sightings {
+	for _, g := range s.coldRecords {
 		oldest = max(oldest, g.ran)
 	}
-	for id, g := range s.sightings {
+	for id, g := range s.coldRecords {
 		g.oldest = oldest
-		s.sightings[id] = g
+		s.coldRecords[id] = g
 	}
 }
 
-// expireSightings removes those of servers that are gone and whose departure is forgotten. A server
-// that the store lists again in the same incarnation has not become cold.
-func (s *Set) expireSightings() {
-	for id, g := range s.sightings {
+// expireColdRecords removes the records of servers that are gone. A record stays as long as the departure
+// is remembered: a server that the store lists again in the same incarnation has not become cold.
+func (s *Set) expireColdRecords() {
+	for id, g := range s.coldRecords {
 		_, listed := s.byID[id]
 		_, retained := s.retained[id]
 		_, departed := s.departed[id]
 		if !listed && !retained && (!departed || g.life == 0) {
-			delete(s.sightings, id)
+			delete(s.coldRecords, id)
 		}
 	}
 }
 
-// ColdUntil returns until when a server is cold by the local clock, zero if it never was, if servers
-// of its service are cold for usual after their start.
+// ColdUntil returns until when a server is cold by the local clock, zero if it never was. Servers of its
+// service are cold for usual after their start.
 func (s *Snapshot) ColdUntil(id string, usual time.Duration) time.Duration {
 	return max(s.cold[id].coldUntil(usual), s.returningUntil[s.byID[id].DataCentre])
 }
--- a/decide/backends/coldstatement.go
+++ b/decide/backends/coldstatement.go
@@ -16,10 +16,10 @@
 	// repeats statements: four rounds within the second in which 99 of 100 instances must know them.
 	ColdRepeatInterval = 250 * time.Millisecond
 	ColdRepeatPeers    = 2
-	// ColdNewsPeers is the number of others to which an instance sends them at once when it learns that
-	// a server became cold. Most instances know before the first round.
-	ColdNewsPeers = 4
-	// shortenedRepeat is the time for which the end of a cold time that came early is repeated.
+	// ColdChangePeers is the number of others to which an instance sends them at once when it learns that
+	// a server became cold, so that most instances know before the first round.
+	ColdChangePeers = 4
+	// shortenedRepeat is how long instances repeat that a cold time ended earlier than stated before.
 	shortenedRepeat = 2 * time.Second
 )
 
@@ -52,24 +52,24 @@
 		if !listed || v.Life != c.Life || c.At == unknownPosition {
 			continue
 		}
-		g := s.sightings[c.ID]
+		g := s.coldRecords[c.ID]
 		before := g
 		g.adopt(now, c.ColdTime)
-		s.sightings[c.ID] = g
+		s.coldRecords[c.ID] = g
 		changed = changed || g != before
 	}
 	return changed
 }
 
-// StateCold takes over what a listed incarnation of a server itself states of its cold time. That is
-// later than what its entry stated.
+// StateCold takes over what a listed incarnation of a server itself states of its cold time, which is
+// newer than its entry.
 func (s *Set) StateCold(now time.Duration, id string, life Life, remaining time.Duration) (changed bool) {
 	v, listed := s.byID[id]
 	if !listed || v.Life != life {
 		return false
 	}
-	g := s.sightings[id]
+	g := s.coldRecords[id]
 	g.adopt(now, ColdTime{Known: true, Remaining: remaining, At: position.Later(s.at, g.at)})
-	s.sightings[id] = g
+	s.coldRecords[id] = g
 	return true
 }
--- a/decide/backends/evacuated.go
+++ b/decide/backends/evacuated.go
@@ -10,7 +10,7 @@
 // evacuations are the data centres whose servers get no new requests.
 type evacuations struct {
 	evacuated map[string]bool
-	// retainedEvacuations are those of the last era that the present one lacks. They hold until
+	// retainedEvacuations are those of the last era that the present one lacks. They stay in force until
 	// retainEvacuationsUntil.
 	retainedEvacuations    map[string]bool
 	retainEvacuationsUntil time.Duration
@@ -23,8 +23,8 @@
 const returnTime = 2 * time.Second
 
 // SetEvacuated sets the data centres whose servers get no new requests. A new era of the store, which
-// was restored from an older copy, may lack evacuations that nobody took back. They hold until there was
-// the time to write them again.
+// was restored from an older copy, may lack evacuations that nobody took back. They stay in force for
+// rewriteTimeout, so that they can be written again.
 func (s *Set) SetEvacuated(now time.Duration, dataCentres []string, newEra bool) {
 	listed := set.Of(dataCentres)
 	if newEra {
@@ -34,11 +34,11 @@
 	maps.DeleteFunc(s.retainedEvacuations, func(dataCentre string, _ bool) bool { return listed[dataCentre] })
 	before := s.evacuated
 	s.evacuated = listed
-	s.noteReturns(now, before)
+	s.recordReturns(now, before)
 }
 
-// noteReturns records which of the given data centres are no longer evacuated.
-func (s *Set) noteReturns(now time.Duration, before map[string]bool) {
+// recordReturns records which of the given data centres are no longer evacuated.
+func (s *Set) recordReturns(now time.Duration, before map[string]bool) {
 	maps.DeleteFunc(s.returningUntil, func(_ string, until time.Duration) bool { return until <= now })
 	for dataCentre := range before {
 		if !s.isEvacuated(dataCentre) {
@@ -59,6 +59,6 @@
 	}
 	before := s.retainedEvacuations
 	s.retainedEvacuations = map[string]bool{}
-	s.noteReturns(now, before)
+	s.recordReturns(now, before)
 	return true
 }
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -42,9 +42,9 @@
 	// presumedStale holds the listed servers that are not used until distrustUntil.
 	presumedStale map[string]bool
 	evacuations
-	// sightings are what is known of the cold times of servers by ID; listed is set once there was a
-	// list, and clockZero is the time of day at which the local clock was zero.
-	sightings     map[string]sighting
+	// coldRecords are by server ID; listed is set once there was a list, and clockZero is the time of day
+	// at which the local clock was zero.
+	coldRecords   map[string]coldRecord
 	listed        bool
 	clockZero     time.Time
 	retainUntil   time.Duration
@@ -71,7 +71,7 @@
 func NewSet() *Set {
 	return &Set{
 		byID: map[string]Server{}, leaving: map[string][]departure{}, departed: map[string]departure{},
-		retained: map[string]Server{}, presumedStale: map[string]bool{}, sightings: map[string]sighting{},
+		retained: map[string]Server{}, presumedStale: map[string]bool{}, coldRecords: map[string]coldRecord{},
 		evacuations: evacuations{retainedEvacuations: map[string]bool{}, returningUntil: map[string]time.Duration{}},
 	}
 }
@@ -102,7 +102,7 @@
 	}
 	s.listed = true
 	s.expireDepartures(now)
-	s.expireSightings()
+	s.expireColdRecords()
 	return true
 }
 
@@ -208,8 +208,8 @@
 		delete(s.retained, c.ID)
 		s.departed[c.ID] = departure{at: now, life: s.byID[c.ID].Life}
 		delete(s.byID, c.ID)
-		if s.sightings[c.ID].life == 0 {
-			delete(s.sightings, c.ID)
+		if s.coldRecords[c.ID].life == 0 {
+			delete(s.coldRecords, c.ID)
 		}
 	}
 	return true
@@ -222,7 +222,7 @@
 // can take the new one out of use until its next heartbeat: one server is lost for a
 // second, and a leaving server never gets a request.
 func (s *Set) put(now time.Duration, v Server) {
-	s.recordSighting(now, v)
+	s.recordCold(now, v)
 	v.Cold = ColdTime{}
 	v.said = !v.Leaving && s.onlySaidLeaving(v)
 	v.Leaving = v.Leaving || s.isLeaving(v)
@@ -263,8 +263,11 @@
 
 // Snapshot returns an immutable view of the set.
 func (s *Set) Snapshot() *Snapshot {
-	out := &Snapshot{At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{}, evacuated: map[string]int{}, cold: map[string]sighting{}, returningUntil: maps.Clone(s.returningUntil)}
-	for id, g := range s.sightings {
+	out := &Snapshot{
+		At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{},
+		evacuated: map[string]int{}, cold: map[string]coldRecord{}, returningUntil: maps.Clone(s.returningUntil),
+	}
+	for id, g := range s.coldRecords {
 		if g.stated || g.appeared || g.preceded {
 			out.cold[id] = g
 		}
--- a/decide/fairshare/fairshare.go
+++ b/decide/fairshare/fairshare.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// UsageTimeConstant is the time constant of the exponential decay of usage. With 4 s, the few deep
-	// prompts that make up the usage of a customer made equal ones differ too much.
+	// UsageTimeConstant is the time constant of the exponential decay of usage. A few deep prompts make up
+	// the usage of a customer, so that with a much shorter one equal customers would differ too much.
 	UsageTimeConstant = 10 * time.Second
 	// PeerTimeout is how long the usage of a silent peer counts: two of its complete reports in a row
 	// may be lost.
@@ -22,8 +22,8 @@
 	MaxCustomers = 512
 	// MaxEntries bounds the entries of a report.
 	MaxEntries = 16
-	// repeatFor is how long an entry is repeated in complete reports after its customer's last prompt.
-	// It covers three of them. Receivers let usage decay by themselves.
+	// repeatFor is how long after a customer's last prompt its entry is repeated in complete reports, of
+	// which there are three in this time. Receivers let usage decay by themselves.
 	repeatFor = 2100 * time.Millisecond
 	// minUsage is the usage below which a customer is forgotten.
 	minUsage = time.Millisecond
@@ -56,7 +56,7 @@
 	usage map[uint32]amount
 	// heardAt is when its last report came.
 	heardAt time.Duration
-	// waits is set if by that report deep prompts of customers within their share wait there.
+	// waits is set if that report said that deep prompts of customers within their share wait there.
 	waits bool
 }
 
@@ -85,7 +85,7 @@
 	return &Table{
 		own: map[uint32]own{}, peers: map[string]*peer{}, total: map[uint32]amount{},
 		deep: map[uint32]int{}, forSlot: map[uint32]int{},
-		shares: shares{over: map[uint32]bool{}, told: map[uint32]bool{}},
+		shares: shares{over: map[uint32]bool{}, announced: map[uint32]bool{}},
 	}
 }
 
--- a/decide/fairshare/shares.go
+++ b/decide/fairshare/shares.go
@@ -11,8 +11,8 @@
 
 const (
 	// demandFactor is the largest demand assumed of a customer, in multiples of its usage; what it leaves
-	// unused of an equal share is lent to others. With 2, a customer that had crowded out the others
-	// was taken to use only what they left.
+	// unused of an equal share is lent to others. It is large because customers that another one has crowded
+	// out use far less than they demand: their shares must not be lent to that one.
 	demandFactor = 10
 	// overFactor is the usage, in multiples of the mean usage of the others, above which a customer is over
 	// its share, and withinFactor that below which it no longer is. Usage of equal customers differs
@@ -20,8 +20,9 @@
 	overFactor, withinFactor = 3, 2
 	// refreshInterval is how long computed shares are used.
 	refreshInterval = 10 * time.Millisecond
-	// lastCheck is the longest time until a held request is checked again (twice the mean interval).
-	lastCheck = 30 * time.Millisecond
+	// maxRecheckInterval is the longest time until a held request is checked again (twice the mean interval
+	// of serve/relay).
+	maxRecheckInterval = 30 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time to come back of a refused request.
 	minRetryAfter, maxRetryAfter = 150 * time.Millisecond, 30 * time.Second
 )
@@ -33,11 +34,11 @@
 	// level is the share of each customer in seconds.
 	level float64
 	over  map[uint32]bool
-	// told are the customers of whom TakeChanges told that they delay others.
-	told map[uint32]bool
+	// announced are the customers that TakeChanges returned last as delaying others.
+	announced map[uint32]bool
 }
 
-// Change tells that a customer uses more than its share while others wait, or is no longer over its share.
+// Change is a customer that uses more than its share while others wait (Over is set), or no longer is over it.
 type Change struct {
 	Customer     uint32
 	Over         bool
@@ -105,8 +106,8 @@
 	return t.shares.over[customer]
 }
 
-// delaysOthers reports whether a customer uses more than its share while requests of the same sort wait,
-// deep prompts or others, whose customers are within theirs.
+// delaysOthers reports whether a customer uses more than its share while requests of customers within
+// theirs wait for the same: deep prompts for their turn, others for a slot.
 func (t *Table) delaysOthers(now time.Duration, customer uint32, deep bool) bool {
 	return t.Over(now, customer) && (t.waitsHere(deep) || deep && t.waitsAtPeers(now))
 }
@@ -132,14 +133,16 @@
 // Check implements admission.Check: it refuses a request of a customer over its share that has waited for
 // its target or would soon be sent anyway, whatever its place in the order.
 func (t *Table) Check(now time.Duration, r admission.Request) admission.Decision {
-	if !lastChance(r) || !t.delaysOthers(now, r.Customer, r.Deep) {
+	if !nearRefusal(r) || !t.delaysOthers(now, r.Customer, r.Deep) {
 		return admission.Decision{}
 	}
 	return admission.Decision{Refuse: true, Reason: admission.ShareExceeded, RetryAfter: t.retryAfter(now, r.Customer)}
 }
 
-func lastChance(r admission.Request) bool {
-	return r.FirstTarget > 0 && r.Waited >= r.FirstTarget || r.Waited+lastCheck >= r.MaxHold
+// nearRefusal reports whether a request has waited for its target, or may reach the end of its hold time
+// before it is checked again.
+func nearRefusal(r admission.Request) bool {
+	return r.FirstTarget > 0 && r.Waited >= r.FirstTarget || r.Waited+maxRecheckInterval >= r.MaxHold
 }
 
 // retryAfter is the time after which the customer's usage has decayed to its share.
@@ -157,14 +160,14 @@
 		out = append(out, Change{customer, over, duration(t.total[customer].value(now)), duration(s.level)})
 	}
 	for c := range s.over {
-		if !s.told[c] && (t.delaysOthers(now, c, true) || t.delaysOthers(now, c, false)) {
-			s.told[c] = true
+		if !s.announced[c] && (t.delaysOthers(now, c, true) || t.delaysOthers(now, c, false)) {
+			s.announced[c] = true
 			change(c, true)
 		}
 	}
-	for c := range s.told {
+	for c := range s.announced {
 		if !s.over[c] {
-			delete(s.told, c)
+			delete(s.announced, c)
 			change(c, false)
 		}
 	}
--- a/decide/fanout/fanout.go
+++ b/decide/fanout/fanout.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// minRelayed is the number of cell peers in a data centre from which a relay is used. With
-	// fewer, a relay would save at most two copies and each report lost at it would be one of three.
+	// minRelayed is the number of cell peers in a data centre from which a relay is used. With fewer,
+	// a relay would save at most two copies, too little for the reports that are lost with it.
 	minRelayed = 4
-	// maxSilence is the time within which a relay must have been heard from. Instances without
-	// work send something to all cell peers every 1.4 s only.
+	// maxSilence is the time within which a relay must have been heard from. Idle instances send
+	// something to each cell peer only every 1.4 s.
 	maxSilence = 1500 * time.Millisecond
 	// newFor is the time for which a new cell peer gets reports directly: a relay may learn of it some
 	// rounds of gossip after the sender.
@@ -41,9 +41,9 @@
 	Direct, Relays []string
 }
 
-// Choose returns the receivers of a report of an instance in a data centre. Consecutive values of
-// round use the peers of a data centre that were heard from as relays in turn. Peers without a
-// data centre get the report directly, and so do new ones, which relays may pass it on to as well.
+// Choose returns the receivers of a report of an instance in a data centre. With consecutive values of
+// round, the peers of a data centre that were heard from are relays in turn. Peers whose data centre is
+// unknown get the report directly, and so do new ones; relays may pass it on to these as well.
 func Choose(now time.Duration, sender, dataCentre string, peers []Peer, round uint64) Plan {
 	var plan Plan
 	members, relays := map[string]int{}, map[string][]string{}
--- a/decide/spread/plan.go
+++ b/decide/spread/plan.go
@@ -113,6 +113,14 @@
 // Writer returns the server that decodes the answer.
 func (p Plan) Writer() backends.Server { return p.Parts[0].Server }
 
+// Prefill returns the prefill time of the prompt, summed over all parts.
+func (p Plan) Prefill() (sum time.Duration) {
+	for _, part := range p.Parts {
+		sum += part.Load.Prefill
+	}
+	return sum
+}
+
 // Helpers returns the parts of the other servers.
 func (p Plan) Helpers() []Part { return p.Parts[1:] }
 
--- a/decide/spread/roles.go
+++ b/decide/spread/roles.go
@@ -46,8 +46,8 @@
 // divide takes the first servers as writers, as many as the answers in progress need with
 // that number of slots per engine, and the last ones as deepWriters. All instances have
 // the same order of servers and see nearly the same load, so they choose the same ones
-// without coordination. The writers have unreported slots more than the answers in progress need:
-// with fewer, all instances that place at the same moment would take the last free ones.
+// without coordination. Unreported requests count like answers in progress for the least number of
+// writers: otherwise all instances that place at the same moment would take the last free slots.
 func divide(servers []backends.Server, load func(string) Load, slots int, unreported int64) roles {
 	n := len(servers)
 	if n < minDividedEngines {
--- a/decide/spread/slots.go
+++ b/decide/spread/slots.go
@@ -16,7 +16,7 @@
 //
 // Other instances see a slot as free until a report tells them that it was taken. Each
 // request therefore takes a slot only with the probability at which about one request
-// takes each free slot, of those that wait and of those that are placed meanwhile.
+// takes each free slot. Held requests and those that other instances place meanwhile count.
 func (c *chooser) checkSlots(servers []backends.Server) Verdict {
 	if len(servers) == 0 || c.deep() || c.req.MaxHold <= 0 || c.engine.Slots <= 0 {
 		return Placed
--- a/decide/spread/turn.go
+++ b/decide/spread/turn.go
@@ -10,7 +10,7 @@
 
 // Turn is the position of a held prompt in the order of all instances. Its fields, except
 // OverShare, do not change with time, so every instance computes the order by itself and a prompt is not
-// reported again as its rank changes; such reports were half of all messages between 75
+// reported again as its place changes; such reports were half of all messages between 75
 // instances.
 type Turn struct {
 	Request string
@@ -57,7 +57,7 @@
 }
 
 // precedes reports whether t goes before o. A prompt that can still be in time goes first,
-// then the one of higher priority, then, of two that can still be in time, the one of a customer within its
+// then the one of higher priority, then, if both can still be in time, the one of a customer within its
 // share, then the one of lower aged weight, since a prompt of half the length takes a quarter of the
 // engines' time.
 func (t Turn) precedes(now time.Duration, o Turn) bool {
--- a/decide/spread/writer.go
+++ b/decide/spread/writer.go
@@ -90,13 +90,12 @@
 	return cmp.Compare(otherDataCentre(a, c.req.DataCentre), otherDataCentre(b, c.req.DataCentre))
 }
 
-// minUnreported is the number of requests placed by others at the same time from which an instance
-// chooses by an order of its own; with fewer, the engine with the lowest cost is seldom taken twice.
+// minUnreported is the number of unreported requests of others from which an instance chooses among
+// similar engines by an order of its own. With fewer, two instances seldom choose the same engine.
 const minUnreported = 1
 
-// Differences of cost up to which engines count as equally loaded. For prompts that are not deep
-// the difference grows with the number of requests that other instances place at the same time,
-// up to that of two answers in progress.
+// Differences of cost up to which engines count as equally loaded: for deep prompts, and the largest one
+// for others, where it grows with the unreported requests of other instances.
 const (
 	deepCostTolerance = 100 * time.Millisecond
 	maxCostTolerance  = 2 * callCost
@@ -112,10 +111,9 @@
 
 // instanceChoice returns one of the least loaded engines, in an order that differs between
 // instances. Otherwise all instances that place prompts before they hear of each other would
-// choose the same engine. A short prompt that finds no slot there waits for the end of an answer
-// though others have slots. A deep one finds no memory: it is prefilled only when the first is
-// answered, seconds later, by engines that decode short answers by then. Prompts that are not
-// deep go to an engine in this instance's data centre if one is among the least loaded.
+// choose the same engine. There, a short prompt would wait for a slot though other engines have free
+// ones, and a deep one would wait for memory until the first is answered, seconds later. Prompts that
+// are not deep go to an engine in this instance's data centre if one is among the least loaded.
 func (c *chooser) instanceChoice(fit []backends.Server, cost func(backends.Server) time.Duration) backends.Server {
 	least := cost(fit[0])
 	for _, s := range fit[1:] {
--- a/decide/warmup/fleet_test.go
+++ b/decide/warmup/fleet_test.go
@@ -56,8 +56,8 @@
 	// repeatAt is when it next repeats statements, next when its next request to each server comes.
 	repeatAt time.Duration
 	next     []time.Duration
-	// news is set once it learned that servers became cold, until it repeats that.
-	news bool
+	// becameCold is set once it learned that servers became cold, until it repeats that.
+	becameCold bool
 }
 
 type fleet struct {
@@ -132,15 +132,15 @@
 		return
 	}
 	f.publish(now, in)
-	var told []backends.Change
-	for _, s := range f.told(now, in) {
-		told = append(told, backends.Change{ID: s.ID, Server: &s})
+	var changes []backends.Change
+	for _, s := range f.forwarded(now, in) {
+		changes = append(changes, backends.Change{ID: s.ID, Server: &s})
 	}
-	f.send(to, fleetMessage{at: m.at, changes: told})
+	f.send(to, fleetMessage{at: m.at, changes: changes})
 }
 
-// told returns the servers as an instance tells others of them.
-func (f *fleet) told(now time.Duration, in *fleetInstance) (out []backends.Server) {
+// forwarded returns the servers as an instance forwards them to others.
+func (f *fleet) forwarded(now time.Duration, in *fleetInstance) (out []backends.Server) {
 	for _, s := range f.servers {
 		s.Cold = in.snap.ColdTime(now+in.offset, s.ID, coldTime)
 		s.Cold.FromPeer = true
@@ -153,7 +153,7 @@
 func (f *fleet) restart(now time.Duration, in *fleetInstance) {
 	peer := f.instances[restarts+f.draw.IntN(fleetSize-restarts)]
 	in.offset, in.set, in.limiter = -now, backends.NewSet(), warmup.NewLimiter()
-	in.set.Replace(0, f.told(now, peer), peer.snap.At)
+	in.set.Replace(0, f.forwarded(now, peer), peer.snap.At)
 	f.publish(now, in)
 }
 
@@ -175,7 +175,7 @@
 	before := f.knows(now, in)
 	in.snap = in.set.Snapshot()
 	if f.knows(now, in) && !before {
-		in.repeatAt, in.news = now, true
+		in.repeatAt, in.becameCold = now, true
 	}
 }
 
@@ -204,8 +204,8 @@
 	}
 	in.repeatAt += backends.ColdRepeatInterval
 	peers := backends.ColdRepeatPeers
-	if in.news {
-		in.news, peers = false, backends.ColdNewsPeers
+	if in.becameCold {
+		in.becameCold, peers = false, backends.ColdChangePeers
 	}
 	statements := in.snap.ColdStatements(now+in.offset, func(string) bool { return true })
 	if len(statements) == 0 {
--- a/lab/passes/customers.go
+++ b/lab/passes/customers.go
@@ -79,11 +79,7 @@
 	if f == nil || q.customer == noCustomer {
 		return
 	}
-	var sum time.Duration
-	for _, p := range plan.Parts {
-		sum += p.Load.Prefill
-	}
-	f.table.Place(now, customerKey(q.customer), sum)
+	f.table.Place(now, customerKey(q.customer), plan.Prefill())
 }
 
 func (f *fairness) wait(q *request, deep bool, n int) {
@@ -105,7 +101,7 @@
 	})
 }
 
-// report sends this instance's usage to its peers with a report of changes or a complete one.
+// report returns the function that has another instance apply the usage in a report of an instance.
 func (f *fairness) report(n *instance, complete bool, w spread.Waiting) (apply func(o *instance)) {
 	if f == nil {
 		return func(*instance) {}
@@ -148,7 +144,7 @@
 	}
 }
 
-// holdCount is the change of the number of held requests when one begins or ends to be held.
+// holdCount is the change of the number of held requests when one begins to be held, or ends to be.
 func holdCount(onHold bool) int {
 	if onHold {
 		return 1
--- a/lab/propagation/evacuation.go
+++ b/lab/propagation/evacuation.go
@@ -21,11 +21,12 @@
 	// PeersCut cuts a third of the instances off from all others, WatchersCut those that watch the store.
 	PeersCut    Interruption = "peers cut"
 	WatchersCut Interruption = "watchers cut"
-	// StoreAway has the store answer nobody once it has told the first instances, WatchersLost none of those
-	// that watch it, but at least one instance, AnswersLost only some of the calls.
-	StoreAway    Interruption = "store away"
+	// StoreAway has the store answer nobody once the first instances have read the evacuation.
+	StoreAway Interruption = "store away"
+	// WatchersLost has it answer none of the instances that watch it, but at least one instance.
 	WatchersLost Interruption = "store away for watchers"
-	AnswersLost  Interruption = "answers lost"
+	// AnswersLost has it answer only some of the calls.
+	AnswersLost Interruption = "answers lost"
 	// AllRestart kills all instances, which start again.
 	AllRestart Interruption = "all restart"
 	// InTurn evacuates another data centre later.
--- a/lab/soak/cold.go
+++ b/lab/soak/cold.go
@@ -16,8 +16,10 @@
 const HidesCold Mutant = "hides-cold"
 
 const (
-	// coldRate is the rate of cold servers, coldLasts how long they say that they stay cold.
-	coldRate, coldLasts = 1, 6 * time.Second
+	// coldRate is the number of requests per second that a cold server takes.
+	coldRate = 1
+	// coldLasts is how long servers say that they stay cold.
+	coldLasts = 6 * time.Second
 	// usualColdStart is how long servers count as cold that say nothing of it.
 	usualColdStart = time.Second
 	// coldOutage is how long servers are away that come back cold.
--- a/lab/soak/evacuation.go
+++ b/lab/soak/evacuation.go
@@ -24,9 +24,11 @@
 	evacuateDeadline = 5 * time.Second
 	// evacuateAt is when the evacuation of a drawn plan begins.
 	evacuateAt = 4 * time.Second
-	// cutDelay is the time from the acknowledgement to the failure, heardDelay to one of the whole store:
-	// an instance must have heard of the evacuation before. A watch follows another after half a second.
-	cutDelay, heardDelay = 50 * time.Millisecond, 1200 * time.Millisecond
+	// cutDelay is the time from the acknowledgement to the failure.
+	cutDelay = 50 * time.Millisecond
+	// heardDelay is that time if the whole store fails: an instance must have read the evacuation before,
+	// and its next watch begins up to half a second after the last one.
+	heardDelay = 1200 * time.Millisecond
 	// cutPart is the part of the evacuation for which the failure lasts.
 	cutPart = 3
 	// evacuationStream separates the draws of evacuations from those of other faults.
@@ -156,8 +158,8 @@
 	}
 }
 
-// checkEvacuation checks what a server got while its data centre was evacuated. The store must have been
-// in order while the evacuation was made known, and no instance frozen shortly before the request.
+// checkEvacuation checks what a server got while its data centre was evacuated. It checks nothing if the
+// store failed while the evacuation was made known, and no request shortly after an instance was frozen.
 func (c *checker) checkEvacuation(e evacuationSpan, v *server) {
 	if !c.site.disturbances.undisturbed(e.from.Add(-settlingTime), e.from.Add(heardDelay-cutDelay)) {
 		return
--- a/serve/entries/entries.go
+++ b/serve/entries/entries.go
@@ -23,7 +23,7 @@
 	// keep using an instance that is gone; each caller asks once in this time.
 	answerTTL = 2 * time.Second
 	// othersPerDataCentre is the number of addresses of each other data centre in an answer that
-	// prefers the caller's, so that a caller whose data centre fails has somewhere to go even if one
+	// prefers the caller's. With two, a caller whose data centre fails has somewhere to go even if one
 	// more instance fails.
 	othersPerDataCentre = 2
 )
@@ -82,16 +82,8 @@
 	if len(near) == 0 {
 		return addrsOf(far)
 	}
-	others, rest, perDataCentre := []*peerpb.MemberState{}, []*peerpb.MemberState{}, map[string]int{}
-	for _, m := range far {
-		perDataCentre[m.DataCentre]++
-		if perDataCentre[m.DataCentre] <= othersPerDataCentre {
-			others = append(others, m)
-		} else {
-			rest = append(rest, m)
-		}
-	}
-	all, dataCentres := len(near)+len(far), len(perDataCentre)+1
+	others, rest, farDataCentres := splitOthers(far)
+	all, dataCentres := len(near)+len(far), farDataCentres+1
 	if 2*len(near)*dataCentres < all {
 		mean := (all + dataCentres - 1) / dataCentres
 		missing := mean - len(near) - len(others)
@@ -102,6 +94,21 @@
 	return addrsOf(near[:min(maxAddrs-len(others), len(near))], others)
 }
 
+// splitOthers returns the first othersPerDataCentre instances of each data centre, the rest, and the number of
+// data centres.
+func splitOthers(far []*peerpb.MemberState) (others, rest []*peerpb.MemberState, dataCentres int) {
+	seen := map[string]int{}
+	for _, m := range far {
+		seen[m.DataCentre]++
+		if seen[m.DataCentre] <= othersPerDataCentre {
+			others = append(others, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	return others, rest, len(seen)
+}
+
 // divide returns the serving instances in a data centre and in the others, each in random order.
 func divide(alive []*peerpb.MemberState, dataCentre string, shuffle func(int, func(i, j int))) (near, far []*peerpb.MemberState) {
 	for _, m := range alive {
--- a/serve/relay/admission.go
+++ b/serve/relay/admission.go
@@ -6,7 +6,7 @@
 	"github.com/auburnmoor/auburnmoor/result"
 )
 
-// keepShares switches fair shares of customers on.
+// keepShares has usage of customers counted and requests checked by fair shares.
 func (r *Relay) keepShares() {
 	r.loads.KeepShares()
 	r.admission = append(r.admission, r.loads)
@@ -46,7 +46,7 @@
 // customerKey is the request's customer in load reports.
 func (x *exchange) customerKey() uint32 { return admission.CustomerKey(x.customer) }
 
-// waitForShare records whether the request waits for capacity that its customer shares with others.
+// waitForShare records whether the request is held for capacity that its customer shares with others.
 func (x *exchange) waitForShare(waits bool) {
 	if x.waitsForShare == waits || x.service.Engine == nil {
 		return
--- a/serve/relay/cold.go
+++ b/serve/relay/cold.go
@@ -15,9 +15,10 @@
 
 // coldState is what placing a request at cold servers needs.
 type coldState struct {
-	// leftOut is set if the last placement passed over a server only because it is cold; counted once
-	// the request is counted for that.
-	leftOut, counted bool
+	// leftOut is set if the last placement passed over a server only because it is cold.
+	leftOut bool
+	// counted is set once the request is counted as one that passed over a cold server.
+	counted bool
 	// send is the part of the quota that was taken for the plan chosen last, until its attempt begins.
 	send *coldSend
 }
@@ -31,10 +32,12 @@
 	}
 }
 
-// chooseWithin chooses among servers and takes the request from the quota of its writer if that is
-// cold. Another request may have used up the quota since the servers were filtered; then the choice is
-// made again without that server.
-func (x *exchange) chooseWithin(gate *coldGate, servers []backends.Server, choose func([]backends.Server) (spread.Plan, spread.Verdict)) (spread.Plan, spread.Verdict) {
+// chooseWithin chooses among servers and counts the request against the quota of its writer if that is
+// cold. If another request has used up the quota since the servers were filtered, it chooses again
+// without that server.
+func (x *exchange) chooseWithin(
+	gate *coldGate, servers []backends.Server, choose func([]backends.Server) (spread.Plan, spread.Verdict),
+) (spread.Plan, spread.Verdict) {
 	for {
 		plan, verdict := choose(servers)
 		if verdict != spread.Placed {
@@ -50,7 +53,7 @@
 	}
 }
 
-// takeColdSend returns the part of the quota of the plan chosen last, for its attempt.
+// takeColdSend hands the part of the quota that was taken for the plan chosen last over to its attempt.
 func (x *exchange) takeColdSend() *coldSend {
 	send := x.cold.send
 	x.cold.send = nil
@@ -67,8 +70,8 @@
 	return plan, spread.NoServer
 }
 
-// retryAfterCold returns when the caller may come back if all servers are cold: between the time at which
-// the first quota is free again and a second, so that callers do not all come back at once.
+// retryAfterCold returns when the caller may come back if all servers are cold: a random time between that
+// until the first quota is free again and maxRetryAfterCold, so that callers do not all come back at once.
 func (x *exchange) retryAfterCold() time.Duration {
 	gate := x.relay.lockAndMakeColdGate(x.service)
 	if gate == nil {
--- a/serve/relay/coldgate.go
+++ b/serve/relay/coldgate.go
@@ -64,9 +64,8 @@
 	return e
 }
 
-// beyondCell returns the cold servers of other cells. Quotas below one per second belong to some
-// instances of all cells, and those of a server that no instance of its cell has are lost unless others
-// use them.
+// beyondCell returns the cold servers of other cells. If the quotas are below one per second, only some
+// instances may send a server a request, and none of these may be in the server's cell.
 func (g *coldGate) beyondCell(share, ready []backends.Server) (out []backends.Server) {
 	if g == nil || len(share) == len(ready) {
 		return nil
@@ -79,8 +78,8 @@
 	return out
 }
 
-// free returns those of some cold servers that pass the other filters and of which this instance has a
-// quota that is not used up. That the others are left out does not count.
+// free returns the given cold servers that pass the filters, which include the gate. It does not set
+// excluded for the others.
 func (g *coldGate) free(servers []backends.Server, filters filterChain) []backends.Server {
 	if len(servers) == 0 {
 		return nil
@@ -90,8 +89,8 @@
 	return filters.apply(servers)
 }
 
-// take takes a request to a server from the quota and reports whether the request may be sent. The send
-// is nil if the server is not cold.
+// take counts a request against the quota of a server and reports whether the request may be sent. The
+// send is nil if the server is not cold.
 func (g *coldGate) take(s backends.Server) (send *coldSend, ok bool) {
 	if g == nil || !g.isCold(s) {
 		return nil, true
@@ -105,7 +104,8 @@
 	return send, send != nil
 }
 
-// nextFree returns the time until the quota of a first cold server is free again.
+// nextFree returns the time until the quota of any of the cold servers is free again, at most
+// maxRetryAfterCold.
 func (g *coldGate) nextFree(servers []backends.Server) time.Duration {
 	shortest := maxRetryAfterCold
 	g.quotas.with(func(l *warmup.Limiter) {
--- a/serve/relay/coldsend.go
+++ b/serve/relay/coldsend.go
@@ -24,12 +24,11 @@
 	f(q.limiter)
 }
 
-// coldSend is the part of one attempt in the quota of its server. A nil one is that of a server that
-// is not cold.
+// coldSend is the part of one attempt in the quota of its server, nil for a server that is not cold.
 type coldSend struct {
 	quotas *coldQuotas
 	entry  *warmup.Send
-	// pending is set until the attempt is sent, returned once it does not count.
+	// pending is set until the attempt is sent, returned once it was given back.
 	pending, returned bool
 }
 
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -118,7 +118,7 @@
 	heldFor time.Duration
 	// permitAfter is the time after which a limited server may take the request.
 	permitAfter time.Duration
-	// cold is what placing the request at cold servers needs. Placing changes it.
+	// cold is what placing the request at cold servers needs.
 	cold coldState
 	// holdReason is why it was last held.
 	holdReason spread.Reason
--- a/serve/relay/hold.go
+++ b/serve/relay/hold.go
@@ -79,15 +79,13 @@
 // function is called. A deep prompt is queued by placeOrHold and only removed by it.
 func (x *exchange) joinQueue() (leave func()) {
 	l := x.relay.loads
-	if x.isDeep() {
-		return func() {
-			l.Release(x.req.ID)
-			x.waitForShare(false)
-		}
+	dequeue := func() { l.Release(x.req.ID) }
+	if !x.isDeep() {
+		l.WaitForSlot(1)
+		dequeue = func() { l.WaitForSlot(-1) }
 	}
-	l.WaitForSlot(1)
 	return func() {
-		l.WaitForSlot(-1)
+		dequeue()
 		x.waitForShare(false)
 	}
 }
@@ -104,8 +102,8 @@
 	return t
 }
 
-// updateTurn keeps a held deep prompt in the queue of all instances. Prompts of others need not wait
-// for one that waits only for this instance's quota of requests to cold servers.
+// updateTurn keeps a held deep prompt in the queue of all instances, unless it waits only for this
+// instance's quota of requests to cold servers: other prompts need not wait for it then.
 func (x *exchange) updateTurn(waitsFor spread.Reason) {
 	x.waitForShare(waitsFor != spread.ForWarmup)
 	switch {
--- a/serve/relay/permit.go
+++ b/serve/relay/permit.go
@@ -100,7 +100,7 @@
 }
 
 // placeGranted places the request on a server for which it has a permit, unless the server went out of use
-// while the request waited for that.
+// while the request waited for the permit.
 func (x *exchange) placeGranted(s backends.Server) (spread.Plan, bool) {
 	if !x.relay.catalog.Servers().IsReady(s) {
 		return spread.Plan{}, false
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -28,8 +28,8 @@
 	return p, v
 }
 
-// allEvacuated reports whether no server can take the request because of evacuations. It need not wait for
-// its turn then.
+// allEvacuated reports whether all servers that could take the request are in evacuated data centres. It is
+// then refused without waiting for its turn.
 func (x *exchange) allEvacuated() bool {
 	snap := x.relay.catalog.Servers()
 	return len(snap.Ready(x.service.Name)) == 0 && snap.Evacuated(x.service.Name) > 0
@@ -60,12 +60,7 @@
 	r := x.relay
 	gate := r.lockAndMakeColdGate(x.service)
 	servers = x.withoutRefusing(servers)
-	req := spread.Request{
-		Instance: r.name, Unreported: r.unreported(x.service.Name), DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
-		Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
-		FirstTarget: x.route.FirstEventTarget, GapTarget: x.route.GapTarget, TightestGap: x.service.MinGapTarget,
-		Waited: x.heldFor, MaxHold: maxHold, TimeLeft: x.remaining(),
-	}
+	req := x.placementRequest(total, maxHold, noHelpers)
 	if x.service.Engine == nil {
 		return r.loads.Place(func(load func(string) spread.Load, _ *spread.Queue) (spread.Plan, spread.Verdict) {
 			return x.chooseWithin(gate, servers, func(servers []backends.Server) (spread.Plan, spread.Verdict) {
@@ -93,6 +88,16 @@
 	return plan, verdict
 }
 
+func (x *exchange) placementRequest(total int, maxHold time.Duration, noHelpers bool) spread.Request {
+	r := x.relay
+	return spread.Request{
+		Instance: r.name, DataCentre: r.dataCentre, FleetSize: total, Avoid: x.avoided(), NoHelpers: noHelpers,
+		Unreported: r.unreported(x.service.Name), Prompt: x.req.PromptTokens, Answer: x.answerTokens(),
+		FirstTarget: x.route.FirstEventTarget, GapTarget: x.route.GapTarget, TightestGap: x.service.MinGapTarget,
+		Waited: x.heldFor, MaxHold: maxHold, TimeLeft: x.remaining(),
+	}
+}
+
 // answerTokens estimates the length of the answer. Answers seldom reach the client's
 // limit; the service's usual length is closer.
 func (x *exchange) answerTokens() int64 {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -84,7 +84,7 @@
 	guards           *backend.Guards
 	examiner         *examiner
 	answerRoom       room
-	// admission are the checks of requests that would be held, none without the settings that ask for them.
+	// admission are the checks of requests that would be held; FairShares adds one.
 	admission admission.Chain
 	// drained ends when the time to drain has passed.
 	drained  context.Context
@@ -339,11 +339,10 @@
 
 // candidates returns the servers of a service that this instance may place requests
 // on, the number of ready servers they were selected from, and whether a server is left out only
-// because it is cold and has got all that it may from this instance. The candidates are the ready
+// because this instance's quota for it, as a cold server, is used up. The candidates are the ready
 // servers of the instance's cell, or of all cells with allCells or if the cell has
 // none in rotation, and the cold servers of other cells that may get a request of this instance.
-// If no server at all is in rotation, every ready one is a candidate; servers out of rotation do not
-// take the place of cold ones.
+// If no server at all is in rotation, every ready one is a candidate, unless a cold server was left out.
 // Servers that name a limit are not among them: they need a permit (placePermitted).
 func (r *Relay) candidates(service *route.Service, allCells bool) (out []backends.Server, total int, coldLeftOut bool) {
 	snap := r.catalog.Servers()
