--- a/decide/fairshare/shares.go
+++ b/decide/fairshare/shares.go
@@ -193,7 +193,8 @@
 	sortByUsage(all)
 	out := make([]Status, len(all))
 	for i, u := range all {
-		out[i] = Status{Usage: u, Share: duration(t.shares.level), Over: t.shares.over[u.Customer], Waiting: t.deep[u.Customer] + t.forSlot[u.Customer]}
+		waiting := t.deep[u.Customer] + t.forSlot[u.Customer]
+		out[i] = Status{Usage: u, Share: duration(t.shares.level), Over: t.shares.over[u.Customer], Waiting: waiting}
 	}
 	return out
 }
--- a/lab/passes/instance.go
+++ b/lab/passes/instance.go
@@ -50,7 +50,10 @@
 }
 
 func newInstance(w *world, i int) *instance {
-	return &instance{world: w, name: fmt.Sprintf("i%03d", i), ledger: spread.NewLedger(), queue: spread.NewQueue(), fairness: newFairness(w.load.Customers)}
+	return &instance{
+		world: w, name: fmt.Sprintf("i%03d", i),
+		ledger: spread.NewLedger(), queue: spread.NewQueue(), fairness: newFairness(w.load.Customers),
+	}
 }
 
 // scheduleReport sends this instance's state to its peers after gatherDelay, unless
--- a/lab/passes/run.go
+++ b/lab/passes/run.go
@@ -94,7 +94,8 @@
 	for i := range l.Kinds {
 		res := &Result{Kind: l.Kinds[i].Name, RefusedAfter: map[spread.Reason]int{}}
 		results = append(results, res)
-		w.draw(arrivals{kind: &l.Kinds[i], result: res, length: length, rate: rate, customer: w.customer(seed, i)}, rand.New(rand.NewPCG(seed, uint64(i))))
+		all := arrivals{kind: &l.Kinds[i], result: res, length: length, rate: rate, customer: w.customer(seed, i)}
+		w.draw(all, rand.New(rand.NewPCG(seed, uint64(i))))
 		w.greedyArrivals(seed, i, res, length, rate)
 	}
 	w.RunUntil(length+drainTime, vtime.Always)
--- a/lab/simstore/store.go
+++ b/lab/simstore/store.go
@@ -111,7 +111,8 @@
 	s.era = 1
 	for i := range size.Servers {
 		s.servers = append(s.servers, backends.Server{
-			ID: fmt.Sprintf("srv-%d", i), Service: Service, Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)], Slots: 10,
+			ID: fmt.Sprintf("srv-%d", i), Service: Service, Slots: 10,
+			Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)],
 		})
 	}
 	return s
@@ -144,7 +145,10 @@
 	c := route.Config{Version: version}
 	for i := range size.Routes {
 		name := fmt.Sprintf("route-%d", i)
-		c.Routes = append(c.Routes, route.Route{Name: name, Host: "api.example", Prefix: "/" + name + "/", Shares: []route.Share{{Service: Service, Weight: 1}}, Timeout: 10 * time.Second, MaxAttempts: 2})
+		c.Routes = append(c.Routes, route.Route{
+			Name: name, Host: "api.example", Prefix: "/" + name + "/", Shares: []route.Share{{Service: Service, Weight: 1}},
+			Timeout: 10 * time.Second, MaxAttempts: 2,
+		})
 	}
 	for i := range size.Customers {
 		name := fmt.Sprintf("customer-%d", i)
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -188,7 +188,10 @@
 func (s *site) announce(v *server) { s.put(s.entry(v)) }
 
 func (s *site) entry(v *server) storeserver.Entry {
-	return storeserver.Entry{ID: v.id, Service: v.service, Addr: v.link.addr(), DataCentre: v.dataCentre, Slots: slotsPerServer, Leaving: !v.leftAt.IsZero()}
+	return storeserver.Entry{
+		ID: v.id, Service: v.service, Addr: v.link.addr(), DataCentre: v.dataCentre,
+		Slots: slotsPerServer, Leaving: !v.leftAt.IsZero(),
+	}
 }
 
 func (s *site) put(e storeserver.Entry) {
--- a/serve/relay/exchange.go
+++ b/serve/relay/exchange.go
@@ -328,10 +328,12 @@
 			return result.New(result.NoBackend, "all backend servers asked for rest").WithRetryAfter(after)
 		}
 		if x.cold.leftOut {
-			return result.New(result.NoBackend, "the backend servers are cold and take no more requests at present").WithRetryAfter(x.retryAfterCold())
+			return result.New(result.NoBackend, "the backend servers are cold and take no more requests at present").
+				WithRetryAfter(x.retryAfterCold())
 		}
 		if x.relay.catalog.Servers().Evacuated(x.service.Name) > 0 {
-			return result.New(result.NoBackend, "the backend servers that could take the request are in evacuated data centres").WithRetryAfter(retryAfterNoBackend)
+			return result.New(result.NoBackend, "the backend servers that could take the request are in evacuated data centres").
+				WithRetryAfter(retryAfterNoBackend)
 		}
 		return result.New(result.NoBackend, "no backend server is ready").WithRetryAfter(retryAfterNoBackend)
 	}
