Soak: requests do not wait for the start of the instance's process

A record took the time at which its request was sent, then waited for the lock that the start of a process holds. Where fork and exec take longer than lossSlack, the wait counts as time in which the instance left the request without an answer, although nothing listens yet and the connection was closed at once.

The number of the start is now read without the lock, and counted before the process starts, so that requests during a start still belong to the new process. The check of the promise is unchanged.

--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -98,7 +98,8 @@
 
 var _ = Describe("the check of exits", func() {
 	exit := func(sigterm, killed bool, err error) []Violation {
-		in := &instance{name: "i000", life: 1}
+		in := &instance{name: "i000"}
+		in.life.Store(1)
 		if sigterm {
 			in.sigtermAt = time.Now()
 		}
@@ -118,7 +119,8 @@
 	})
 	It("passes over a signal to a process that has just started", func() {
 		for sinceStart, bad := range map[time.Duration]int{0: 0, 2 * handlersDelay: 1} {
-			in := &instance{name: "i000", life: 1, startedAt: time.Now().Add(-sinceStart), cmd: exec.Command("true")}
+			in := &instance{name: "i000", startedAt: time.Now().Add(-sinceStart), cmd: exec.Command("true")}
+			in.life.Store(1)
 			Expect(in.cmd.Run()).To(Succeed())
 			in.signal(syscall.SIGHUP)
 			in.noteExit(errCut, false)
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -37,8 +37,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// life counts the starts of the process.
-	life int
+	// life counts the starts of the process, one in progress included.
+	life atomic.Int64
 	// sigtermAt is when the current process got SIGTERM, zero if it did not;
 	// sigtermAtByLife holds that time for each start.
 	sigtermAt       time.Time
@@ -46,7 +46,7 @@
 	// startedAt is when the current process was started; killedLife is the last start whose
 	// process the run has killed.
 	startedAt  time.Time
-	killedLife int
+	killedLife int64
 	// exits holds the exits that the run did not cause or that failed.
 	exits []badExit
 	// disturbances records faults, maintenance records shutdowns and reloads, breaks those
@@ -177,11 +177,12 @@
 	if f.isClosing() {
 		return log.Close()
 	}
+	// The process may serve requests before Start returns.
+	in.life.Add(1)
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, in.name)
 	}
 	in.cmd, in.sigtermAt, in.startedAt = cmd, time.Time{}, time.Now()
-	in.life++
 	in.disturbances.addInstant()
 	f.processes.Add(1)
 	go f.restartOnExit(in, cmd, log)
@@ -192,7 +193,7 @@
 	defer f.processes.Done()
 	in.noteExit(cmd.Wait(), f.isClosing())
 	_ = log.Close()
-	if _, sigtermAt := in.currentLife(); sigtermAt.IsZero() {
+	if in.currentSigterm().IsZero() {
 		in.disturbances.addInstant()
 	} else {
 		in.maintenance.addInstant()
@@ -220,7 +221,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	asked := !in.sigtermAt.IsZero() && err == nil
-	if closing || asked || in.killedLife == in.life {
+	if closing || asked || in.killedLife == in.life.Load() {
 		return
 	}
 	in.exits = append(in.exits, badExit{time.Now(), err})
@@ -231,13 +232,13 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if time.Since(in.startedAt) < handlersDelay {
-		in.killedLife = in.life
+		in.killedLife = in.life.Load()
 	}
 	switch s {
 	case syscall.SIGTERM:
 		if in.sigtermAt.IsZero() {
 			in.sigtermAt = time.Now()
-			in.sigtermAtByLife[in.life] = in.sigtermAt
+			in.sigtermAtByLife[in.currentLife()] = in.sigtermAt
 		}
 		in.maintenance.addInstant()
 	case syscall.SIGHUP:
@@ -251,7 +252,7 @@
 		in.breaks.end()
 		in.freezes.end()
 	default:
-		in.killedLife = in.life
+		in.killedLife = in.life.Load()
 		in.disturbances.addInstant()
 		in.breaks.addInstant()
 	}
@@ -266,11 +267,15 @@
 	_ = in.cmd.Process.Kill()
 }
 
-// currentLife returns the number of the current start and when it got SIGTERM.
-func (in *instance) currentLife() (life int, sigtermAt time.Time) {
+// currentLife returns the number of the current start. It does not wait for a start in progress,
+// which may take longer than lossSlack on a busy host.
+func (in *instance) currentLife() int { return int(in.life.Load()) }
+
+// currentSigterm returns when the current process got SIGTERM, zero if it did not.
+func (in *instance) currentSigterm() time.Time {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return in.life, in.sigtermAt
+	return in.sigtermAt
 }
 
 // pid returns the ID of the current process.
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -270,7 +270,7 @@
 	for _, sig := range series {
 		for _, i := range targets {
 			in := r.fleet.instances[i]
-			_, sigtermAt := in.currentLife()
+			sigtermAt := in.currentSigterm()
 			in.signal(sig)
 			if sig == syscall.SIGHUP && !sigtermAt.IsZero() && r.options.Mutant == HangupEndsDrain {
 				in.kill()
--- a/lab/soak/traffic.go
+++ b/lab/soak/traffic.go
@@ -180,8 +180,7 @@
 // newRequest returns a request to send now and its record.
 func (t *traffic) newRequest(in *instance, s requestKind, probe int, limit time.Duration) (record, caller.Request) {
 	n := t.sent.Add(1)
-	rec := record{id: fmt.Sprintf("q%d-%d", t.seed, n), kind: s, probe: probe, sentTo: in, sent: time.Now()}
-	rec.life, _ = in.currentLife()
+	rec := record{id: fmt.Sprintf("q%d-%d", t.seed, n), kind: s, probe: probe, sentTo: in, life: in.currentLife(), sent: time.Now()}
 	return rec, caller.Request{
 		ID: rec.id, Host: host, Path: fmt.Sprint(s.path, n), Key: s.key, Body: rec.id, PromptTokens: s.promptTokens, Deadline: limit,
 	}
