--- a/cli/status_test.go
+++ b/cli/status_test.go
@@ -43,6 +43,7 @@
 	}
 }
 
+// TestCustomerRows guards against a status of hundreds of rows, and against values in other columns.
 func TestCustomerRows(t *testing.T) {
 	var d dumpSummary
 	d.Loads.Customers = make([]loads.CustomerDump, 20)
--- a/control/follow/cold_test.go
+++ b/control/follow/cold_test.go
@@ -13,7 +13,8 @@
 // putColdServer lists a ready server that started at a time and states for how long it remains cold, or
 // does not if that is nil.
 func putColdServer(srv *storeserver.Server, id, service string, born time.Time, cold *time.Duration) {
-	Expect(srv.PutEntry(storeserver.Entry{ID: id, Service: service, Addr: "127.0.0.1:9", DataCentre: "z", Slots: 2, Born: born, Cold: cold})).To(Succeed())
+	e := storeserver.Entry{ID: id, Service: service, Addr: "127.0.0.1:9", DataCentre: "z", Slots: 2, Born: born, Cold: cold}
+	Expect(srv.PutEntry(e)).To(Succeed())
 }
 
 // coldLeft returns the times for which the servers are cold according to an instance.
--- a/control/follow/coldrepeat_test.go
+++ b/control/follow/coldrepeat_test.go
@@ -23,11 +23,15 @@
 	// follower lists servers, the first of which are cold.
 	follower := func(cold int) *Follower {
 		scope := tally.NewTestScope("", nil)
-		f := &Follower{log: zap.NewNop(), scope: scope, now: func() time.Duration { return time.Hour }, serverSet: backends.NewSet(), coldForwarded: map[string]time.Duration{}}
+		f := &Follower{
+			log: zap.NewNop(), scope: scope, now: func() time.Duration { return time.Hour },
+			serverSet: backends.NewSet(), coldForwarded: map[string]time.Duration{},
+		}
 		f.table.Store(route.NewTable(route.Config{Version: 8, Services: []route.Service{{Name: "s", ColdRate: 6}}}))
 		var list []backends.Server
 		for i := range servers {
-			list = append(list, backends.Server{ID: id(i), Service: "s", Life: 1 << 40, Cold: backends.ColdTime{Known: i < cold, Remaining: 4 * time.Second}})
+			stated := backends.ColdTime{Known: i < cold, Remaining: 4 * time.Second}
+			list = append(list, backends.Server{ID: id(i), Service: "s", Life: 1 << 40, Cold: stated})
 		}
 		f.serverSet.Replace(f.now(), list, position.Position{Era: 1 << 40, Revision: 1 << 40})
 		f.publishServers()
@@ -76,6 +80,7 @@
 		Expect(f.coldServers(f.now(), f.Servers())).To(BeEmpty())
 	})
 
+	// Guards against a faulty peer that makes an instance fail or warm servers cold.
 	It("are ignored if they are malformed", func() {
 		f := follower(0)
 		f.adoptColdTimes("peer", &peerpb.ColdServers{Servers: []*peerpb.ColdServer{nil, {Id: id(1), Life: 1 << 40}, {Id: id(2), ColdMs: 5}}})
--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -86,7 +86,8 @@
 		all := start(srv.Addr())
 		Eventually(readyCounts(all), "10s", "20ms").Should(Equal(ready(0)))
 		srv.SetFaults(storeserver.Faults{Silent: true})
-		late := startWith(srv.Addr(), "late", fmt.Sprintf("127.0.0.1:%d", fleetPort+n), fmt.Sprintf("127.0.0.1:%d", fleetPort), shortWait+"\nevacuations = true")
+		addr, seed := fmt.Sprintf("127.0.0.1:%d", fleetPort+n), fmt.Sprintf("127.0.0.1:%d", fleetPort)
+		late := startWith(srv.Addr(), "late", addr, seed, shortWait+"\nevacuations = true")
 		sends := func() bool { return late.Ready() && len(late.Servers().Ready("s")) > 0 }
 		Consistently(sends, "3s", "2ms").Should(BeFalse())
 		Expect(late.Ready()).To(BeTrue())
@@ -106,6 +107,7 @@
 		}
 	})
 
+	// Guards against requests to its servers after the store lost the evacuation.
 	It("holds after the store was restored from an older copy and until it is written again", func() {
 		srv := startStore()
 		srv.Copy()
--- a/control/loads/report_test.go
+++ b/control/loads/report_test.go
@@ -110,7 +110,10 @@
 var _ = Describe("a held prompt in a report", func() {
 	// Guards against instances that order held prompts differently.
 	It("keeps what determines its turn", func() {
-		t := spread.Turn{Request: "x", Weight: 200_000, Rank: 3, Arrived: time.Second, FirstTarget: 4 * time.Second, LateAfter: 3 * time.Second, OverShare: true}
+		t := spread.Turn{
+			Request: "x", Weight: 200_000, Rank: 3, Arrived: time.Second,
+			FirstTarget: 4 * time.Second, LateAfter: 3 * time.Second, OverShare: true,
+		}
 		now := 2 * time.Second
 		Expect(decodeWaiting(now, &peerpb.LoadReport{Held: encodeHeldPrompt(now, t)}).First).To(Equal(t))
 	})
--- a/control/loads/shares_test.go
+++ b/control/loads/shares_test.go
@@ -33,6 +33,8 @@
 	late := admission.Request{Customer: greedy, Deep: true, Waited: 4 * time.Second, MaxHold: 9 * time.Second, FirstTarget: 3 * time.Second}
 	seven := []uint32{greedy, other, 3, 4, 5, 6, 7}
 
+	// Guards against a customer over its share that goes unnoticed because each instance sees a part of its
+	// prompts only.
 	It("by prompts at peers counts towards a customer's share", func() {
 		l := newLoads(true)
 		for _, c := range seven {
@@ -59,6 +61,7 @@
 		Expect(proto.Size(r)).To(Equal(proto.Size(&peerpb.LoadReport{Complete: true})))
 	})
 
+	// Guards against usage in each report of changes, and against shares that lag while requests wait.
 	It("is sent in complete reports, and in others while requests are held", func() {
 		l := newLoads(true)
 		sent := func(complete bool, w spread.Waiting) int {
@@ -75,6 +78,7 @@
 		Expect(sent(true, spread.Waiting{})).To(Equal(0), "an instance without work")
 	})
 
+	// Guards against a faulty peer that makes an instance fail, or that has no limit to what it sends.
 	It("in malformed lists is ignored or cut off, and the rest of the report counts", func() {
 		l := newLoads(true)
 		env := report(1, seven, []uint32{1})
--- a/decide/admission/admission_test.go
+++ b/decide/admission/admission_test.go
@@ -27,6 +27,7 @@
 		Expect(admission.Chain{hold, hold}.Check(0, admission.Request{})).To(Equal(admission.Decision{}))
 	})
 
+	// Guards against refusals whose reason or time to come back is that of another check.
 	It("gives the reason and the time of the first refusal", func() {
 		c := admission.Chain{hold, refuse(admission.ShareExceeded), refuse(admission.NoCapacityInTime)}
 		Expect(c.Check(0, admission.Request{})).To(Equal(admission.Decision(refuse(admission.ShareExceeded))))
--- a/decide/backends/cold_test.go
+++ b/decide/backends/cold_test.go
@@ -28,6 +28,7 @@
 		set.SetClock(zero)
 	})
 
+	// Guards against cold times that are counted from another moment, or that later entries do not change.
 	It("is what its entry states, from the moment at which that is received", func() {
 		set.Replace(time.Minute, []backends.Server{stating(1, 4*time.Second)}, at(1))
 		Expect(until()).To(Equal(64 * time.Second))
@@ -76,6 +77,7 @@
 		Expect(stated(4 * time.Second)).To(Equal(backends.ColdTime{Known: true, At: at(3)}))
 	})
 
+	// Guards against warm servers that are listed as cold.
 	It("makes it one of the cold servers until its end", func() {
 		other := backends.Server{ID: "b", Service: "other", Cold: backends.ColdTime{Known: true, Remaining: time.Hour}}
 		set.Replace(0, []backends.Server{stating(1, 4*time.Second), other}, at(1))
@@ -145,13 +147,16 @@
 
 		// Guards against a server that said that it is warm and stays unused.
 		It("is what its entry states", func() {
-			set.Replace(time.Second, []backends.Server{long, {ID: "a", Service: "s", Life: born(-4 * time.Second), Cold: backends.ColdTime{Known: true}}}, at(1))
+			warm := backends.Server{ID: "a", Service: "s", Life: born(-4 * time.Second), Cold: backends.ColdTime{Known: true}}
+			set.Replace(time.Second, []backends.Server{long, warm}, at(1))
 			Expect(until()).To(Equal(time.Second))
 		})
 
 		// Guards against a deployment that serves nothing at its start.
 		It("is none if all servers started together", func() {
-			first(time.Second, backends.Server{ID: "b", Service: "s", Life: born(-15 * time.Second)}, backends.Server{ID: "c", Service: "s", Life: born(500 * time.Millisecond)})
+			first(time.Second,
+				backends.Server{ID: "b", Service: "s", Life: born(-15 * time.Second)},
+				backends.Server{ID: "c", Service: "s", Life: born(500 * time.Millisecond)})
 			Expect(until()).To(BeZero())
 		})
 
@@ -166,6 +171,7 @@
 		)
 	})
 
+	// Guards against a restarted server that is overrun because its restart goes unnoticed.
 	It("is the usual one if it returns to the list and restarts cannot be told apart", func() {
 		set.Replace(0, []backends.Server{silent(0)}, at(1))
 		apply(time.Second, nil, 2)
--- a/decide/backends/coldstatement_test.go
+++ b/decide/backends/coldstatement_test.go
@@ -20,7 +20,8 @@
 	})
 	// repeated has the set hear a statement of a position, and returns until when the server is cold.
 	repeated := func(now, remaining time.Duration, revision int64) time.Duration {
-		set.AdoptCold(now, []backends.ColdStatement{{ID: "a", Life: 1, ColdTime: backends.ColdTime{Known: true, Remaining: remaining, FromPeer: true, At: at(revision)}}})
+		stated := backends.ColdTime{Known: true, Remaining: remaining, FromPeer: true, At: at(revision)}
+		set.AdoptCold(now, []backends.ColdStatement{{ID: "a", Life: 1, ColdTime: stated}})
 		return set.Snapshot().ColdUntil("a", usual)
 	}
 	stated := func(now, remaining time.Duration, revision int64) {
--- a/decide/backends/evacuated_test.go
+++ b/decide/backends/evacuated_test.go
@@ -32,6 +32,8 @@
 		Expect(ready()).To(Equal(1))
 	})
 
+	// Guards against an evacuation that ends with the grace period although it was written again, and
+	// against one that nobody can take back.
 	It("remains so in a new era in which the evacuation is written again, until that is taken back", func() {
 		set.SetEvacuated(now, nil, true)
 		set.SetEvacuated(now+time.Second, []string{"dc-1"}, false)
@@ -41,6 +43,7 @@
 		Expect(ready()).To(Equal(1))
 	})
 
+	// Guards against requests to its servers after two restores in a row.
 	It("remains so in a second new era", func() {
 		set.SetEvacuated(now, nil, true)
 		set.SetEvacuated(now+time.Second, nil, true)
@@ -69,6 +72,7 @@
 		Expect(set.Snapshot().ColdUntil("a", time.Minute)).To(Equal(now + 10*time.Second))
 	})
 
+	// Guards against warm servers elsewhere that count as cold.
 	It("that comes back changes nothing for servers elsewhere", func() {
 		b := backends.Server{ID: "b", Life: 1000, Service: "s", DataCentre: "dc-2"}
 		set = backends.NewSet()
--- a/decide/fairshare/fairshare_test.go
+++ b/decide/fairshare/fairshare_test.go
@@ -61,6 +61,8 @@
 		Expect(refused()).To(BeFalse())
 	})
 
+	// Guards against refusals of prompts that could still be placed in time, and against prompts sent
+	// at the end of their hold time, ahead of those of customers within their share.
 	It("is refused once a prompt has waited for its target or nearly used up its hold time", func() {
 		t.Wait(2, true, 1)
 		Expect(t.Check(0, request(greedy, target-1)).Refuse).To(BeFalse())
@@ -74,7 +76,7 @@
 		Expect(t.Check(0, request(0, target)).Refuse).To(BeFalse(), "no customer")
 	})
 
-	// Requests that wait for a slot compete for others than deep prompts do.
+	// Guards against refusals that help nobody: requests that wait for a slot do not compete with deep prompts.
 	It("is not refused for requests that wait for something else", func() {
 		t.Wait(2, false, 1)
 		Expect(t.Check(0, request(greedy, target)).Refuse).To(BeFalse())
@@ -94,6 +96,7 @@
 		Expect(t.Over(after+time.Second, greedy)).To(BeFalse())
 	})
 
+	// Guards against orders of held prompts that change with each placed prompt.
 	It("stays over its share for a while, so that reports do not flap", func() {
 		Expect(t.Over(0, greedy)).To(BeTrue())
 		changes := 0
@@ -109,7 +112,7 @@
 	})
 
 	// Guards against log lines on customers whose usage differs by chance while there is room for all.
-	It("is told of once, while others wait", func() {
+	It("is reported as a change once, while others wait", func() {
 		Expect(t.TakeChanges(0)).To(BeEmpty())
 		t.Wait(2, true, 1)
 		Expect(t.TakeChanges(0)).To(HaveLen(1))
@@ -191,6 +194,7 @@
 		}
 	})
 
+	// Guards against usage that stays wrong after a lost or repeated report.
 	It("are absolute, so that the next one corrects a lost one", func() {
 		a, b := used(1), fairshare.NewTable()
 		a.TakeReport(0, false)
@@ -200,6 +204,7 @@
 		Expect(b.Status(0)[0].Prefill).To(BeNumerically("~", 2*time.Second, time.Millisecond))
 	})
 
+	// Guards against idle instances that send usage for as long as it decays.
 	It("are empty soon after the last prompt", func() {
 		a := used(100)
 		Expect(a.TakeReport(2*time.Second, true)).To(HaveLen(1))
@@ -207,6 +212,7 @@
 		Expect(a.TakeReport(3*time.Second, true)).To(BeEmpty())
 	})
 
+	// Guards against shares that are computed from the usage of instances that are gone.
 	It("of silent peers and of peers that left no longer count", func() {
 		b := fairshare.NewTable()
 		b.ApplyReport(0, "a", used(5).TakeReport(0, true), true)
@@ -244,6 +250,7 @@
 		Expect(b.Status(now)[0].Prefill).To(BeNumerically("~", time.Duration(len(last))*time.Second, time.Millisecond))
 	})
 
+	// Guards against refusals because of prompts that waited at a peer that hangs.
 	It("that others wait count for a short time", func() {
 		b := used(5, 1, 1, 1, 1, 1, 1, 1)
 		b.ApplyReport(0, "a", nil, true)
--- a/decide/spread/turn_test.go
+++ b/decide/spread/turn_test.go
@@ -70,6 +70,7 @@
 		Expect(q.MustWait(0, late)).To(BeTrue(), "late ones go by length alone")
 	})
 
+	// Guards against instances that order prompts by an outdated share of the customer.
 	It("are reported again when their customer goes over its share", func() {
 		q, t := spread.NewQueue(), waitedTurn("x", 200_000, 0)
 		q.Hold(t)
--- a/decide/warmup/warmup_test.go
+++ b/decide/warmup/warmup_test.go
@@ -29,7 +29,8 @@
 )
 
 func drawServer(t *rapid.T) warmup.Server {
-	return warmup.Server{ID: fmt.Sprint("s", rapid.IntRange(0, 99).Draw(t, "server")), Life: backends.Life(rapid.Int64Range(0, 1<<41).Draw(t, "life"))}
+	number := rapid.IntRange(0, 99).Draw(t, "server")
+	return warmup.Server{ID: fmt.Sprint("s", number), Life: backends.Life(rapid.Int64Range(0, 1<<41).Draw(t, "life"))}
 }
 
 // total adds up the quotas of the instances with the given rosters.
@@ -146,6 +147,7 @@
 		Expect(warmup.Quota(warmup.SettleTime, s, 10, member.Roster{Size: 1})).To(Equal(10))
 	})
 
+	// Guards against a server that gets more than its rate because of rounding.
 	It("is rounded down and zero without a rate", func() {
 		Expect(warmup.Quota(settled, s, 2.9, member.Roster{Size: 1})).To(Equal(2))
 		Expect(warmup.Quota(settled, s, 0.9, member.Roster{Size: 1})).To(BeZero())
@@ -170,6 +172,7 @@
 var _ = Describe("the sends of an instance", func() {
 	a, b := warmup.Server{ID: "a", Life: 1}, warmup.Server{ID: "a", Life: 2}
 
+	// Guards against a restarted server that gets nothing because of requests to the last incarnation.
 	It("count for one incarnation of a server", func() {
 		l := warmup.NewLimiter()
 		l.Sent(0, l.Take(0, a, 1))
@@ -187,6 +190,7 @@
 		Expect(l.NextFree(5*time.Second+warmup.Window+1, a, 1)).To(BeZero())
 	})
 
+	// Guards against a quota that is used up by requests that were never sent.
 	It("are given back", func() {
 		l := warmup.NewLimiter()
 		v := l.Take(0, a, 1)
--- a/e2e/cold_test.go
+++ b/e2e/cold_test.go
@@ -40,7 +40,8 @@
 		if id[0] == 'p' {
 			service = "registry"
 		}
-		Expect(s.store.PutEntry(storeserver.Entry{ID: id, Service: service, Addr: w.Addr(), DataCentre: "dc-0", Slots: 4, Born: born, Cold: cold})).To(Succeed())
+		e := storeserver.Entry{ID: id, Service: service, Addr: w.Addr(), DataCentre: "dc-0", Slots: 4, Born: born, Cold: cold}
+		Expect(s.store.PutEntry(e)).To(Succeed())
 	}
 }
 
--- a/e2e/evacuation_test.go
+++ b/e2e/evacuation_test.go
@@ -17,7 +17,8 @@
 var _ = Describe("an evacuated data centre", Ordered, func() {
 	var s *platformSite
 	BeforeAll(func() {
-		s = newPlatformSiteUsing(firstStart+"[control.catalog]\nevacuations = true\n", 2, workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory})
+		engine := workerserver.Config{Events: streamEvents, EventPause: 20 * time.Millisecond, Memory: engineMemory}
+		s = newPlatformSiteUsing(firstStart+"[control.catalog]\nevacuations = true\n", 2, engine)
 		DeferCleanup(func() { s.close() })
 	})
 	evacuate := func(dataCentre string) {
--- a/e2e/fair_shares_test.go
+++ b/e2e/fair_shares_test.go
@@ -84,7 +84,8 @@
 		}
 		wg.Wait()
 		for i, c := range calls {
-			GinkgoWriter.Printf("%s: %d served, %d over share, %d refused otherwise\n", name(i), c.served.Load(), c.overShare.Load(), c.otherRefusals.Load())
+			GinkgoWriter.Printf("%s: %d served, %d over share, %d refused otherwise\n",
+				name(i), c.served.Load(), c.overShare.Load(), c.otherRefusals.Load())
 		}
 		Expect(calls[0].overShare.Load()).To(BeNumerically(">", 0))
 		Expect(calls[0].served.Load()).To(BeNumerically(">", 0))
--- a/lab/passes/customers_test.go
+++ b/lab/passes/customers_test.go
@@ -43,6 +43,7 @@
 		Entry("at 98 instances", "eircodex", 1, 12*time.Second, 1.0),
 	)
 
+	// Guards against fair shares that change anything while no prompt has to wait.
 	It("do not depend on the switch while nobody competes", func() {
 		r := runShares("tepuna", 1, runLength, 0.03)
 		Expect(r.equalOn.Whole).To(Equal(r.equalOff.Whole))
--- a/lab/propagation/evacuation_test.go
+++ b/lab/propagation/evacuation_test.go
@@ -40,7 +40,8 @@
 				}
 				out = append(out, r.Out...)
 				if len(r.Late) > 0 || r.Unreturned > 0 {
-					t.Errorf("%d instances, seed %d, %s: unreturned %d; %s", instances, *firstFlag+uint64(i), how, r.Unreturned, strings.Join(r.Late, "; "))
+					t.Errorf("%d instances, seed %d, %s: unreturned %d; %s",
+						instances, *firstFlag+uint64(i), how, r.Unreturned, strings.Join(r.Late, "; "))
 				}
 			}
 			fmt.Printf("%d instances, %d seeds from %d, %s: out of use after %v\n", instances, *seedsFlag, *firstFlag, how, out)
--- a/serve/entries/entries_test.go
+++ b/serve/entries/entries_test.go
@@ -48,7 +48,8 @@
 		Expect(slices.Compact(slices.Sorted(slices.Values(got)))).To(HaveLen(len(got)), "no address twice")
 	},
 		// Guards against two thirds of the requests that go to other data centres.
-		Entry("all local instances and two of each other data centre", map[string]int{"a": 22, "b": 23, "c": 23}, "a", map[string]int{"a": 22, "b": 2, "c": 2}),
+		Entry("all local instances and two of each other data centre",
+			map[string]int{"a": 22, "b": 23, "c": 23}, "a", map[string]int{"a": 22, "b": 2, "c": 2}),
 		Entry("all instances if all are in one data centre", map[string]int{"a": 30}, "a", map[string]int{"a": 30}),
 		Entry("as many as an answer holds, with others among them", map[string]int{"a": 100, "b": 10}, "a", map[string]int{"a": 62, "b": 2}),
 		Entry("others that are fewer than two", map[string]int{"a": 4, "b": 1}, "a", map[string]int{"a": 4, "b": 1}),
--- a/serve/relay/cold_test.go
+++ b/serve/relay/cold_test.go
@@ -52,7 +52,8 @@
 	sink, req := new(answerSink), *x.req
 	req.ID, req.Arrived = id, time.Now()
 	next := &exchange{
-		relay: x.relay, req: &req, sink: sink, reply: &reply{sink: sink}, route: x.route, service: x.service, state: attempt.New(x.route), timeLimit: x.timeLimit,
+		relay: x.relay, req: &req, sink: sink, reply: &reply{sink: sink},
+		route: x.route, service: x.service, state: attempt.New(x.route), timeLimit: x.timeLimit,
 		identity: sync.OnceValue(func() poison.Key { return req.key("") }),
 	}
 	return &scriptedExchange{next, sink, x.servers}
@@ -123,6 +124,7 @@
 		Expect(x.relay.held.Load()).To(BeZero())
 	})
 
+	// Guards against prompts that are held for longer than their time allows, or sent beyond the quota then.
 	It("refuses prompts as not run once they were held as long as they may be", func() {
 		x := newCold(route.Stream, 0.5, all)
 		x.play()
@@ -133,6 +135,7 @@
 		Expect(calls).To(BeZero())
 	})
 
+	// Guards against servers that are overrun by instances that take themselves for the only one.
 	It("gets none of an instance that does not know the fleet", func() {
 		x := newCold(route.Idempotent, 100, all)
 		x.relay.fleet = retry.Fleet{Size: 1, Incomplete: true}
@@ -150,6 +153,7 @@
 		Expect(countedSends(x.relay, "a", 9)).To(BeNumerically("<=", 1))
 	})
 
+	// Guards against limits in deployments that do not ask for any.
 	It("has no limit if its service has none", func() {
 		x := newCold(route.Idempotent, 0, all, repeat(answer, 40)...)
 		for _, q := range x.playMany(40) {
@@ -185,6 +189,7 @@
 		Entry("unless it was answered", 1, answer),
 	)
 
+	// Guards against a quota that is used up by prompts of which the server prefills only a part.
 	It("counts requests as their writer only", func() {
 		x := newCold(route.Stream, 1, []string{"b"})
 		gate := x.relay.lockAndMakeColdGate(x.service)
@@ -241,6 +246,7 @@
 		Expect(candidates()).To(Equal([]string{"a"}))
 	})
 
+	// Guards against requests that count as kept from a cold server that another filter excludes anyway.
 	It("is excluded by the last of the required filters", func() {
 		x := newCold(route.Idempotent, 0.5, []string{"a"})
 		gate := x.relay.lockAndMakeColdGate(x.service)
--- a/serve/relay/evacuated_test.go
+++ b/serve/relay/evacuated_test.go
@@ -61,6 +61,7 @@
 		expectRefused(x)
 	})
 
+	// Guards against callers that come back with prompts that never fit.
 	It("is refused for good if its prompt is too large for all engines", func() {
 		x := newScripted(route.Stream, allRetries)
 		x.req.PromptTokens = 6_000_000
