Prompts that need the memory of evacuated engines are checked without being placed

The check placed the prompt on the engines in use and dropped the plan: if the verdict was that it fits, its load stayed recorded.

--- a/decide/spread/distributed.go
+++ b/decide/spread/distributed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/route"
 )
 
 // placeDistributed places a prompt that fits in no single engine: the engine with the most
@@ -22,7 +23,7 @@
 	if len(all) == 0 {
 		return c.refuseWithoutServers()
 	}
-	if c.neededMemory() > c.maxPromptMemory() {
+	if ExceedsFleet(c.engine, c.req.FleetSize, c.req.Prompt, c.req.Answer) {
 		return Plan{}, TooLarge
 	}
 	refused := Plan{Backlog: Backlog(all, c.load), MaxFreeMemory: c.freeMemory(all[0])}
@@ -95,11 +96,11 @@
 	return p, Overloaded
 }
 
-// maxPromptMemory is the largest prompt that the servers of the service can hold together.
-// It includes servers that this request avoids and those out of rotation: a prompt too
+// ExceedsFleet reports whether a prompt and its answer need more memory than the servers of a service can
+// hold together. They include servers that the request avoids and those out of rotation: a prompt too
 // large only for the remaining ones is rejected for now, not for good.
-func (c *chooser) maxPromptMemory() int64 {
-	return usable(c.engine) * int64(min(c.req.FleetSize, maxHelpers+1))
+func ExceedsFleet(e *route.Engine, servers int, prompt, answer int64) bool {
+	return prompt+answer > usable(e)*int64(min(servers, maxHelpers+1))
 }
 
 // minReserve is the least memory in tokens worth reserving on an engine.
--- a/serve/relay/evacuated_test.go
+++ b/serve/relay/evacuated_test.go
@@ -62,6 +62,19 @@
 	})
 
 	// Guards against callers that come back with prompts that never fit.
+	// Guards against load that stays recorded because the look at the evacuated engines placed the request.
+	It("leaves no load behind if its prompt needs their memory", func() {
+		x := newScripted(route.Stream, allRetries)
+		x.req.PromptTokens = 1_500_000
+		Expect(x.fitsWithEvacuated()).To(BeFalse())
+		x.evacuate("a")
+		x.req.PromptTokens = 500
+		Expect(x.fitsWithEvacuated()).To(BeTrue())
+		for _, s := range x.relay.catalog.Servers().All() {
+			Expect(x.relay.loads.Total(s.ID)).To(BeZero())
+		}
+	})
+
 	It("is refused for good if its prompt is too large for all engines", func() {
 		x := newScripted(route.Stream, allRetries)
 		x.req.PromptTokens = 6_000_000
--- a/serve/relay/placing.go
+++ b/serve/relay/placing.go
@@ -40,11 +40,7 @@
 func (x *exchange) fitsWithEvacuated() bool {
 	snap := x.relay.catalog.Servers()
 	evacuated, ready := snap.Evacuated(x.service.Name), snap.Ready(x.service.Name)
-	if evacuated == 0 {
-		return false
-	}
-	_, v := x.placeAmong(ready, len(ready)+evacuated, 0, true)
-	return v != spread.TooLarge
+	return evacuated > 0 && !spread.ExceedsFleet(x.service.Engine, len(ready)+evacuated, x.req.PromptTokens, x.answerTokens())
 }
 
 func (x *exchange) placeOn(maxHold time.Duration, allCells bool) (spread.Plan, spread.Verdict) {
