--- /dev/null
+++ b/review/_kit/worker.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
+)
+
+// arrival is a request as a worker got it.
+type arrival struct {
+	id, worker string
+	at         time.Time
+	ran        bool
+}
+
+// arrivals are the requests that reached workers.
+type arrivals struct {
+	mu  sync.Mutex
+	all []arrival
+}
+
+func (a *arrivals) add(v arrival) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.all = append(a.all, v)
+}
+
+func (a *arrivals) list() []arrival {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]arrival(nil), a.all...)
+}
+
+// worker stands in for a worker of a service, as PROTOCOL.md has it.
+type worker struct {
+	id, service, zone, addr string
+	slots                   int
+	work                    time.Duration
+	// events is the number of events of a stream, zero for a plain service.
+	events int
+	seen   *arrivals
+	store  *storeserver.Server
+
+	server *http.Server
+	born   time.Time
+	// slowFor is how long the worker is slow after its start, as its entry says.
+	slowFor time.Duration
+	beating chan struct{}
+	// removed is when the store acknowledged that the worker has gone, ended when it exited.
+	mu             sync.Mutex
+	removed, ended time.Time
+	// deleted is set once the entry is gone.
+	deleted bool
+}
+
+// heartbeat is the interval of the heartbeats of workers.
+const heartbeat = 1200 * time.Millisecond
+
+func (w *worker) start() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	w.addr, w.born = l.Addr().String(), time.Now()
+	w.server = &http.Server{Handler: w}
+	w.beating = make(chan struct{})
+	go func() { _ = w.server.Serve(l) }()
+	w.put("ready")
+	go w.beat()
+}
+
+// put writes the entry of the worker.
+func (w *worker) put(state string) {
+	left := max(0, w.slowFor-time.Since(w.born)).Milliseconds()
+	must(w.store.Put("servers", w.id, map[string]any{
+		"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": w.slots, "state": state,
+		"coldRemainingMs": left, "sequence": 0,
+	}))
+}
+
+// beat writes the entry at each heartbeat as long as it changes: while the worker is slow.
+func (w *worker) beat() {
+	t := time.NewTicker(heartbeat)
+	defer t.Stop()
+	for wasSlow := w.slowFor > 0; wasSlow; {
+		select {
+		case <-w.beating:
+			return
+		case <-t.C:
+			w.mu.Lock()
+			if w.removed.IsZero() {
+				w.put("ready")
+				wasSlow = time.Since(w.born) < w.slowFor
+			}
+			w.mu.Unlock()
+		}
+	}
+}
+
+// leave is a planned shutdown. Unless it reports it, the entry is removed at once. The worker goes on
+// serving for the given time, then exits.
+func (w *worker) leave(report bool, serveOn time.Duration) {
+	w.mu.Lock()
+	close(w.beating)
+	if report {
+		w.put("draining")
+	} else {
+		w.store.Delete("servers", w.id)
+		w.deleted = true
+	}
+	w.removed = time.Now()
+	w.mu.Unlock()
+	record("worker %s of %s leaves, reported %t", w.id, w.service, report)
+	time.Sleep(serveOn)
+	if report {
+		w.store.Delete("servers", w.id)
+	}
+	w.mu.Lock()
+	w.deleted = true
+	w.ended = time.Now()
+	w.mu.Unlock()
+	record("worker %s exits", w.id)
+	_ = w.server.Close()
+}
+
+func seal(worker, id string) string { return "seal." + worker + "." + id }
+
+func plainBody(id string) string { return "done " + id + strings.Repeat(".", 200) }
+
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s part %d\n\n", n, id, n) }
+
+// ServeHTTP implements http.Handler.
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	id, now := r.Header.Get("X-Request-Id"), time.Now()
+	rw.Header().Set("X-Instance-Id", w.id)
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != w.id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/health" || r.URL.Path == "/order" {
+		return
+	}
+	if _, err := io.ReadAll(r.Body); err != nil {
+		return
+	}
+	w.seen.add(arrival{id: id, worker: w.id, at: now, ran: true})
+	h := rw.Header()
+	h.Set("X-Request-Id", id)
+	h.Set("X-Response-Seal", seal(w.id, id))
+	if w.events == 0 {
+		time.Sleep(w.work)
+		h.Set("Content-Length", strconv.Itoa(len(plainBody(id))))
+		_, _ = io.WriteString(rw, plainBody(id))
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := first + 1; n <= w.events; n++ {
+		time.Sleep(w.work)
+		if _, err := io.WriteString(rw, event(id, n)); err != nil || r.Context().Err() != nil {
+			return
+		}
+		_ = http.NewResponseController(rw).Flush()
+	}
+}
