--- a/review/_kit/case_leaving.go
+++ b/review/_kit/case_leaving.go
@@ -15,7 +15,10 @@
 
 func init() { cases["leaving"] = playLeaving }
 
-var zones = []string{"clyde-hall", "forth-hall", "carron-hall"}
+// The services of the site.
+const modelService, plainService = "kitchen-assistant", "provisions-desk"
+
+var zones = []string{"hu-east-a", "hu-east-b", "hu-east-c"}
 
 // putConfig writes a configuration with a model service and a plain one.
 func putConfig(s *storeserver.Server) {
@@ -29,19 +32,19 @@
 	must(s.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{
-			route("triage", "/triage/", "streaming", "moor-llm", 10000, 300, 2),
-			route("lookup", "/lookup/", "unsafe", "tracker-api", 1000, 100, 1),
-			route("status", "/status/", "safe", "tracker-api", 1000, 100, 2),
+			route("shift-menu", "/menu/", "streaming", modelService, 10000, 300, 2),
+			route("supply-order", "/order-placing/", "unsafe", plainService, 3000, 300, 1),
+			route("stock-lookup", "/stock/", "safe", plainService, 3000, 300, 2),
 		},
 		"services": []any{
-			map[string]any{"name": "moor-llm", "healthPath": "/health", "maxConnections": 344, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 16, "kvCapacity": 315000, "stride": 51, "step_ms": 0.85, "per_seq_ms": 0.00425, "context_per_k": 0.00285,
-				"read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048, "report_lag_ms": 200.0, "usual": map[string]any{"prompt": 11121, "answer": 1622}, "hopMs": 0.05,
+			map[string]any{"name": modelService, "healthPath": "/health", "maxConnections": 364, "protocol": "h1", "tls": false, "engine": map[string]any{
+				"slots": 16, "kvCapacity": 450000, "stride": 46, "step_ms": 0.925, "per_seq_ms": 0.00425, "context_per_k": 0.00285,
+				"read_per_s": 256000.0, "pairs_per_m": 0.184, "chunk": 2048, "report_lag_ms": 200.0, "usual": map[string]any{"prompt": 11121, "answer": 1622}, "hopMs": 0.05,
 			}},
-			map[string]any{"name": "tracker-api", "healthPath": "/health", "maxConnections": 52, "protocol": "h1", "tls": false},
+			map[string]any{"name": plainService, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "studio", "apiKeys": []string{clientKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "camp", "apiKeys": []string{clientKey}, "priority": 1}},
 	}))
 }
 
@@ -66,10 +69,10 @@
 	c.onEnd(s.store.Close)
 	putConfig(s.store)
 	for range models {
-		s.addWorker("moor-llm", 0)
+		s.addWorker(modelService, 0)
 	}
 	for range plain {
-		s.addWorker("tracker-api", 0)
+		s.addWorker(plainService, 0)
 	}
 	s.fleet = newFleet(c.root, c.dir, instances, zones, func(int) string { return s.store.Addr() })
 	c.onEnd(s.fleet.stop)
@@ -81,9 +84,9 @@
 func (s *site) addWorker(service string, slowFor time.Duration) *worker {
 	w := &worker{
 		id: fmt.Sprintf("i-%04x%04x", s.created+1, rand.IntN(1<<16)), service: service, zone: zones[s.created%len(zones)],
-		slots: 16, work: 15 * time.Millisecond, seen: s.seen, store: s.store, slowFor: slowFor,
+		slots: 16, work: 60 * time.Millisecond, seen: s.seen, store: s.store, slowFor: slowFor,
 	}
-	if service == "moor-llm" {
+	if service == modelService {
 		w.events, w.work = 20, 20*time.Millisecond
 	} else {
 		w.slots = 6
@@ -95,10 +98,12 @@
 	return w
 }
 
+// classes are kinds of requests of the site. Those to the plain service come 2.7 times as often as
+// usual, as in a burst.
 var classes = []class{
-	{name: "triage", method: http.MethodPost, path: "/triage/", deadline: 10 * time.Second, tokens: "4960,100", perSecond: 32.6},
-	{name: "lookup", method: http.MethodPost, path: "/lookup/", deadline: time.Second, perSecond: 12},
-	{name: "status", method: http.MethodGet, path: "/status/", deadline: time.Second, perSecond: 12},
+	{name: "shift-menu", method: http.MethodPost, path: "/menu/", deadline: 10 * time.Second, tokens: "4960,100", perSecond: 39.5},
+	{name: "supply-order", method: http.MethodPost, path: "/order-placing/", deadline: 3 * time.Second, perSecond: 10},
+	{name: "stock-lookup", method: http.MethodGet, path: "/stock/", deadline: 3 * time.Second, perSecond: 8},
 }
 
 // Bounds of the small deployments that cases check.
@@ -111,7 +116,7 @@
 const (
 	leavingRounds = 13
 	// startedPerRound workers start in each round; takenPerRound of them are taken away again: a quarter
-	// of the 24 workers of the site at most, as scale_in has it. One of them reports that it leaves.
+	// of the 21 workers of the site at most, as scale_in has it. One of them reports that it leaves.
 	startedPerRound, takenPerRound = 6, 5
 	// slowAfterStart is how long a worker is slow after its start, which its entry tells.
 	slowAfterStart = 15 * time.Second
@@ -123,7 +128,7 @@
 
 // playLeaving checks DRAIN while workers that have started lately are taken away without a report.
 func playLeaving(c *env) bool {
-	s := c.newSite(9, 16, 3)
+	s := c.newSite(8, 18, 3)
 	s.fleet.start()
 	if !s.fleet.awaitReady(15 * time.Second) {
 		panic(failure{fmt.Errorf("instances are not ready")})
@@ -157,9 +162,9 @@
 // startWorkers starts the workers of a round, the first half of them of the plain service.
 func (s *site) startWorkers() (fresh []*worker) {
 	for i := range startedPerRound {
-		service := "moor-llm"
+		service := modelService
 		if i < startedPerRound/2 {
-			service = "tracker-api"
+			service = plainService
 		}
 		fresh = append(fresh, s.addWorker(service, slowAfterStart))
 		time.Sleep(time.Duration(rand.Int64N(int64(heartbeat / 2))))
@@ -202,7 +207,7 @@
 	for _, a := range s.traffic.all {
 		answers[a.id] = a
 	}
-	late, lost := map[string]int{}, 0
+	late, lost := map[string]int{}, map[string]int{}
 	for _, v := range s.seen.list() {
 		w := byID[v.worker]
 		if w.removed.IsZero() || v.at.Sub(w.removed) <= drainBound {
@@ -213,7 +218,7 @@
 		record("request %s (%s) reached worker %s %.3f s after it was gone from the store; sent to %s at %.3f, answer %d %v",
 			v.id, a.class, w.id, v.at.Sub(w.removed).Seconds(), a.at, since(a.sent), a.status, a.err)
 		if !w.ended.IsZero() && (a.err != nil || a.status >= 500) {
-			lost++
+			lost[a.class]++
 		}
 	}
 	statuses := map[string]int{}
@@ -228,6 +233,6 @@
 	for _, k := range keys {
 		record("answers: %s: %d", k, statuses[k])
 	}
-	record("%d workers got requests too late: %v; %d of these requests were lost", len(late), late, lost)
+	record("%d workers got requests too late: %v; requests of these that were lost: %v", len(late), late, lost)
 	return len(late) > 0
 }
--- a/review/_kit/client.go
+++ b/review/_kit/client.go
@@ -41,7 +41,7 @@
 	all    []answer
 }
 
-const clientHost, clientKey = "tools.example", "key-1"
+const clientHost, clientKey = "camps.example", "key-1"
 
 // client has connections of its own and asks the directory for addresses.
 type client struct {
@@ -65,7 +65,7 @@
 	for _, i := range order[:min(3, len(order))] {
 		in := c.t.fleet.instances[i]
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		q := url.Values{"name": {clientHost}, "region": {"lowland"}, "zone": {c.zone}}
+		q := url.Values{"name": {clientHost}, "region": {"hu-east"}, "zone": {c.zone}}
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.directory+"/resolve?"+q.Encode(), nil)
 		var out struct {
 			Addresses []string `json:"addresses"`
--- a/review/_kit/fleet.go
+++ b/review/_kit/fleet.go
@@ -56,7 +56,7 @@
 	}
 	for i, in := range f.instances {
 		v := fields{
-			"node": in.name, "zone": in.zone, "region": "lowland", "ip": in.ip, "seeds": seeds, "bootstrap": true,
+			"node": in.name, "zone": in.zone, "region": "hu-east", "ip": in.ip, "seeds": seeds, "bootstrap": true,
 			"listen":   fields{"front": in.front, "ready": in.ready, "directory": in.directory, "control": in.control},
 			"limits":   fields{"cpuShare": 0.4, "memoryMb": 284},
 			"platform": fields{"address": storeOf(i)},
--- a/review/_kit/settings.go
+++ b/review/_kit/settings.go
@@ -15,7 +15,7 @@
 	return fields{
 		"seedLagS": 3, "reuseAfterS": 2, "stabilityWindowMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8,
 		"lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000, "strictRevoke": false, "revokeMs": 5000,
-		"retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetExtra": 106, "recoveryS": 12, "passMs": 120, "retryAfterS": 0,
+		"retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetExtra": 104, "recoveryS": 12, "passMs": 120, "retryAfterS": 0,
 		"stall_ms": 1500, "maxHoldMs": 20000, "freeMs": 4000, "idleMaxMs": 9000, "ttl_max_s": 5,
 	}
 }
--- a/review/_kit/worker.go
+++ b/review/_kit/worker.go
@@ -60,6 +60,9 @@
 	deleted bool
 }
 
+// slowFactor is how much longer a plain worker works on a request while it is slow.
+const slowFactor = 1.6
+
 // heartbeat is the interval of the heartbeats of workers.
 const heartbeat = 1200 * time.Millisecond
 
@@ -153,7 +156,11 @@
 	h.Set("X-Request-Id", id)
 	h.Set("X-Response-Seal", seal(w.id, id))
 	if w.events == 0 {
-		time.Sleep(w.work)
+		work := w.work
+		if now.Sub(w.born) < w.slowFor {
+			work = time.Duration(slowFactor * float64(work))
+		}
+		time.Sleep(work)
 		h.Set("Content-Length", strconv.Itoa(len(plainBody(id))))
 		_, _ = io.WriteString(rw, plainBody(id))
 		return
