--- a/review/_kit/case_leaving.go
+++ b/review/_kit/case_leaving_test.go
@@ -1,4 +1,4 @@
-package main
+package kit
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
@@ -55,6 +56,7 @@
 	fleet   *fleet
 	traffic *traffic
 	seen    *arrivals
+	mu      sync.Mutex
 	workers []*worker
 	created int
 }
@@ -82,8 +84,17 @@
 
 // addWorker starts a worker that is slow for a time.
 func (s *site) addWorker(service string, slowFor time.Duration) *worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.newWorker(service, slowFor)
+	w.start()
+	return w
+}
+
+// newWorker returns a worker that has not started. The caller holds s.mu.
+func (s *site) newWorker(service string, slowFor time.Duration) *worker {
 	w := &worker{
-		id: fmt.Sprintf("i-%04x%04x", s.created+1, rand.IntN(1<<16)), service: service, zone: zones[s.created%len(zones)],
+		id: fmt.Sprintf("i-%04x%04x", s.created+1, rand.IntN(1<<16)), service: service, zone: zones[s.created%len(zones)], version: "v1",
 		slots: 16, work: 60 * time.Millisecond, seen: s.seen, store: s.store, slowFor: slowFor,
 	}
 	if service == modelService {
@@ -93,17 +104,14 @@
 	}
 	s.created++
 	s.workers = append(s.workers, w)
-	w.start()
-	s.onEnd(func() { _ = w.server.Close() })
 	return w
 }
 
-// classes are kinds of requests of the site. Those to the plain service come 2.7 times as often as
-// usual, as in a burst.
+// classes are the kinds of requests of the site.
 var classes = []class{
-	{name: "shift-menu", method: http.MethodPost, path: "/menu/", deadline: 10 * time.Second, tokens: "4960,100", perSecond: 39.5},
-	{name: "supply-order", method: http.MethodPost, path: "/order-placing/", deadline: 3 * time.Second, perSecond: 10},
-	{name: "stock-lookup", method: http.MethodGet, path: "/stock/", deadline: 3 * time.Second, perSecond: 8},
+	{name: "shift-menu", method: http.MethodPost, path: "/menu/", deadline: 10 * time.Second, tokens: "4960,100", parts: firstPart, perSecond: 39.5},
+	{name: "supply-order", method: http.MethodPost, path: "/order-placing/", deadline: 3 * time.Second, perSecond: 3.73},
+	{name: "stock-lookup", method: http.MethodGet, path: "/stock/", deadline: 3 * time.Second, perSecond: 3},
 }
 
 // Bounds of the small deployments that cases check.
@@ -114,16 +122,16 @@
 
 // Numbers of the case "leaving".
 const (
-	leavingRounds = 13
+	leavingRounds = 15
 	// startedPerRound workers start in each round; takenPerRound of them are taken away again: a quarter
 	// of the 21 workers of the site at most, as scale_in has it. One of them reports that it leaves.
 	startedPerRound, takenPerRound = 6, 5
 	// slowAfterStart is how long a worker is slow after its start, which its entry tells.
 	slowAfterStart = 15 * time.Second
 	// serveOn is how long a worker goes on serving after it has left: drainMs and many seconds.
-	serveOn = drainBound + 8*time.Second
+	serveOn = drainBound + 10*time.Second
 	// betweenRounds is the pause after the start of workers, and that after their end.
-	betweenRounds = 2 * time.Second
+	betweenRounds = 1500 * time.Millisecond
 )
 
 // playLeaving checks DRAIN while workers that have started lately are taken away without a report.
@@ -152,7 +160,7 @@
 		}
 		time.Sleep(betweenRounds)
 	}
-	time.Sleep(serveOn - betweenRounds)
+	time.Sleep(serveOn)
 	cancel()
 	<-done
 	s.recordLists()
@@ -221,6 +229,13 @@
 			lost[a.class]++
 		}
 	}
+	s.recordAnswers()
+	record("%d workers got requests too late: %v; requests of these that were lost: %v", len(late), late, lost)
+	return len(late) > 0
+}
+
+// recordAnswers records how many answers of each status the clients got.
+func (s *site) recordAnswers() {
 	statuses := map[string]int{}
 	for _, a := range s.traffic.all {
 		statuses[fmt.Sprintf("%s %d failed %t", a.class, a.status, a.err != nil)]++
@@ -233,6 +248,4 @@
 	for _, k := range keys {
 		record("answers: %s: %d", k, statuses[k])
 	}
-	record("%d workers got requests too late: %v; requests of these that were lost: %v", len(late), late, lost)
-	return len(late) > 0
 }
--- a/review/_kit/client.go
+++ b/review/_kit/client_test.go
@@ -1,4 +1,4 @@
-package main
+package kit
 
 import (
 	"bytes"
@@ -20,6 +20,8 @@
 	name, method, path string
 	deadline           time.Duration
 	tokens             string
+	// parts are the parts of the prompt before its last one, drawn anew for each request.
+	parts func() string
 	// perSecond are the requests of all clients together.
 	perSecond float64
 }
@@ -41,6 +43,9 @@
 	all    []answer
 }
 
+// firstPart draws one of the 60 parts that prompts of a kind begin with.
+func firstPart() string { return fmt.Sprintf("5c1e%04x:40", rand.IntN(60)) }
+
 const clientHost, clientKey = "camps.example", "key-1"
 
 // client has connections of its own and asks the directory for addresses.
@@ -107,7 +112,7 @@
 	if k.tokens != "" {
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Token-Counts", k.tokens)
-		req.Header.Set("X-Prompt-Prefix", "5c1e07a2:40,"+a.id+":4960")
+		req.Header.Set("X-Prompt-Prefix", k.parts()+","+a.id+":4960")
 	}
 	resp, err := c.http.Do(req)
 	if err == nil {
--- a/review/_kit/fleet.go
+++ b/review/_kit/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package kit
 
 import (
 	"fmt"
--- a/review/_kit/main.go
+++ b/review/_kit/main_test.go
@@ -1,11 +1,13 @@
-// Command _kit runs the cases of the review: it starts instances of the program as separate processes,
-// the store and the workers as stand-ins, and clients, and checks one rule.
-package main
+// Package kit runs the cases of the review: it starts instances of the program as separate processes,
+// the store and the workers as stand-ins, and clients, and checks one rule. It is built as a test binary
+// that takes the name of a case, the repository and the folder of the case.
+package kit
 
 import (
 	"fmt"
 	"os"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -55,7 +57,8 @@
 // onEnd has f called at the end of the case.
 func (c *env) onEnd(f func()) { c.cleanup = append(c.cleanup, f) }
 
-func main() {
+// TestMain implements the binary.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: kit CASE REPOSITORY FOLDER")
 		os.Exit(failed)
--- a/review/_kit/worker.go
+++ b/review/_kit/worker_test.go
@@ -1,8 +1,9 @@
-package main
+package kit
 
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,7 +18,8 @@
 type arrival struct {
 	id, worker string
 	at         time.Time
-	ran        bool
+	// deadly is set for a request with deadlyPart.
+	deadly bool
 }
 
 // arrivals are the requests that reached workers.
@@ -41,12 +43,17 @@
 // worker stands in for a worker of a service, as PROTOCOL.md has it.
 type worker struct {
 	id, service, zone, addr string
-	slots                   int
-	work                    time.Duration
+	// version is that of the worker's software.
+	version string
+	slots   int
+	work    time.Duration
 	// events is the number of events of a stream, zero for a plain service.
 	events int
 	seen   *arrivals
 	store  *storeserver.Server
+	// onCrash, if set, is called once the worker has crashed under a request with deadlyPart.
+	onCrash func()
+	crashed sync.Once
 
 	server *http.Server
 	born   time.Time
@@ -56,10 +63,24 @@
 	// removed is when the store acknowledged that the worker has gone, ended when it exited.
 	mu             sync.Mutex
 	removed, ended time.Time
+	// lastBeat is when the entry was last written.
+	lastBeat time.Time
 	// deleted is set once the entry is gone.
 	deleted bool
+	// gone is set once the worker has crashed.
+	gone bool
 }
 
+// isGone reports whether the worker has crashed or left.
+func (w *worker) isGone() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gone || !w.removed.IsZero()
+}
+
+// A worker leaves lateInBeat to lateInBeat + leaveWithin after its latest heartbeat.
+const lateInBeat, leaveWithin = 50 * time.Millisecond, 250 * time.Millisecond
+
 // slowFactor is how much longer a plain worker works on a request while it is slow.
 const slowFactor = 1.6
 
@@ -67,13 +88,18 @@
 const heartbeat = 1200 * time.Millisecond
 
 func (w *worker) start() {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr := w.addr
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
 	must(err)
 	w.addr, w.born = l.Addr().String(), time.Now()
 	w.server = &http.Server{Handler: w}
 	w.beating = make(chan struct{})
 	go func() { _ = w.server.Serve(l) }()
 	w.put("ready")
+	w.lastBeat = w.born
 	go w.beat()
 }
 
@@ -81,7 +107,7 @@
 func (w *worker) put(state string) {
 	left := max(0, w.slowFor-time.Since(w.born)).Milliseconds()
 	must(w.store.Put("servers", w.id, map[string]any{
-		"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": w.slots, "state": state,
+		"service": w.service, "address": w.addr, "zone": w.zone, "version": w.version, "slots": w.slots, "state": state,
 		"coldRemainingMs": left, "sequence": 0,
 	}))
 }
@@ -98,6 +124,7 @@
 			w.mu.Lock()
 			if w.removed.IsZero() {
 				w.put("ready")
+				w.lastBeat = time.Now()
 				wasSlow = time.Since(w.born) < w.slowFor
 			}
 			w.mu.Unlock()
@@ -105,9 +132,13 @@
 	}
 }
 
-// leave is a planned shutdown. Unless it reports it, the entry is removed at once. The worker goes on
+// leave is a planned shutdown, which all answers tell from then on. Unless it reports it, the entry is removed at once. The worker goes on
 // serving for the given time, then exits.
 func (w *worker) leave(report bool, serveOn time.Duration) {
+	w.mu.Lock()
+	next := w.lastBeat.Add(heartbeat)
+	w.mu.Unlock()
+	time.Sleep(time.Until(next) + lateInBeat + time.Duration(rand.Int64N(int64(leaveWithin))))
 	w.mu.Lock()
 	close(w.beating)
 	if report {
@@ -131,6 +162,20 @@
 	_ = w.server.Close()
 }
 
+// deadlyPart is the ID of a part of prompts under which a worker crashes as it begins to write.
+const deadlyPart = "dead0b5e"
+
+// crash ends the worker with all its requests. Its entry is removed after three heartbeats of silence.
+func (w *worker) crash() {
+	record("worker %s crashes", w.id)
+	w.mu.Lock()
+	w.gone = true
+	w.mu.Unlock()
+	_ = w.server.Close()
+	time.AfterFunc(3*heartbeat, func() { w.store.Delete("servers", w.id) })
+	w.onCrash()
+}
+
 func seal(worker, id string) string { return "seal." + worker + "." + id }
 
 func plainBody(id string) string { return "done " + id + strings.Repeat(".", 200) }
@@ -141,6 +186,11 @@
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id, now := r.Header.Get("X-Request-Id"), time.Now()
 	rw.Header().Set("X-Instance-Id", w.id)
+	w.mu.Lock()
+	if !w.removed.IsZero() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
+	w.mu.Unlock()
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -151,7 +201,13 @@
 	if _, err := io.ReadAll(r.Body); err != nil {
 		return
 	}
-	w.seen.add(arrival{id: id, worker: w.id, at: now, ran: true})
+	deadly := strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart)
+	w.seen.add(arrival{id: id, worker: w.id, at: now, deadly: deadly})
+	if deadly && w.onCrash != nil {
+		time.Sleep(w.work)
+		w.crashed.Do(w.crash)
+		return
+	}
 	h := rw.Header()
 	h.Set("X-Request-Id", id)
 	h.Set("X-Response-Seal", seal(w.id, id))
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-kit ./review/_kit
+go test -c -o target/review-kit ./review/_kit
