--- a/review/_kit/case_part_test.go
+++ b/review/_kit/case_part_test.go
@@ -31,7 +31,7 @@
 // deadlyClass are prompts with the part, of which no two are alike.
 var deadlyClass = class{
 	name: "with the part", method: http.MethodPost, path: "/menu/", deadline: 10 * time.Second, tokens: "4960,100",
-	parts: func() string { return firstPart() + "," + deadlyPart + ":200" }, perSecond: 14,
+	parts: func() string { return firstPart() + "," + deadlyPart + ":200" }, perSecond: 18,
 }
 
 // startPart starts a site whose model workers crash under the part, and its usual traffic.
--- a/review/_kit/worker_test.go
+++ b/review/_kit/worker_test.go
@@ -165,6 +165,9 @@
 // deadlyPart is the ID of a part of prompts under which a worker crashes as it begins to write.
 const deadlyPart = "dead0b5e"
 
+// deadlyPrefill is the time until then: a short prompt has its first event after some 110 ms.
+const deadlyPrefill = 110 * time.Millisecond
+
 // crash ends the worker with all its requests. Its entry is removed after three heartbeats of silence.
 func (w *worker) crash() {
 	record("worker %s crashes", w.id)
@@ -204,7 +207,7 @@
 	deadly := strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart)
 	w.seen.add(arrival{id: id, worker: w.id, at: now, deadly: deadly})
 	if deadly && w.onCrash != nil {
-		time.Sleep(w.work)
+		time.Sleep(deadlyPrefill)
 		w.crashed.Do(w.crash)
 		return
 	}
