--- a/review/_kit/worker_test.go
+++ b/review/_kit/worker_test.go
@@ -93,6 +93,10 @@
 		addr = "127.0.0.1:0"
 	}
 	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		// A connection may have taken the port meanwhile.
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	must(err)
 	w.addr, w.born = l.Addr().String(), time.Now()
 	w.server = &http.Server{Handler: w}
