--- a/review/_kit/case_leaving_test.go
+++ b/review/_kit/case_leaving_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package kit
 
 import (
--- a/review/_kit/main_test.go
+++ b/review/_kit/main_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package kit runs the cases of the review: it starts instances of the program as separate processes,
 // the store and the workers as stand-ins, and clients, and checks one rule. It is built as a test binary
 // that takes the name of a case, the repository and the folder of the case.
