Servers: each listed, leaving and gone server is logged, lists at one position are compared

The record of the incident could not tell when an instance learned that a server leaves, from whom, or whether its list was that of the others.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -110,6 +110,8 @@
 	mu                sync.Mutex
 	serverSet         *backends.Set
 	unreadableServers unreadable
+	// mismatch is the last local list of servers that another instance contradicted.
+	mismatch mismatch
 	// configAt is the store position up to which the local configuration is the newest, and
 	// configKnown whether one was read from the store or received from a peer.
 	configAt      position.Position
@@ -245,7 +247,7 @@
 	st, now := f.members.Standing(), f.now()
 	d := Dump{Era: f.catalog.Era(), ConfigVersion: f.version(), ConfigState: f.ConfigState(), AgeMS: f.ConfirmationAge().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.hasWatchDuty()}
 	if s := f.Servers(); s != nil {
-		d.ServersAt, d.Servers = s.At.String(), s.Len()
+		d.ServersAt, d.ServersDigest, d.Servers = s.At.String(), formatDigest(s.Digest), s.Len()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -274,6 +276,8 @@
 	OlderStoreVersion uint64 `json:"config_behind,omitempty"`
 	Servers           int    `json:"servers"`
 	ServersAt         string `json:"servers_at"`
+	// ServersDigest identifies the listed entries: instances with one ServersAt have one digest.
+	ServersDigest string `json:"servers_digest"`
 	// Retained servers are used though the store lost their entries, PresumedStale ones are
 	// listed but not used, both for seconds after the store was restored from an older copy.
 	Retained      int   `json:"kept,omitempty"`
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -76,6 +76,7 @@
 		newest = max(newest, at)
 	}
 	f.mu.Unlock()
+	f.compareServers(o)
 	if f.offersNewer(o) {
 		if f.configID().supersededBy(o.config) {
 			f.recordNewerConfig(o.config)
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -87,7 +87,7 @@
 	if before != nil && before.Digest == snap.Digest {
 		return coldChanged
 	}
-	f.log.Info("backend servers changed", zap.String("from", from), zap.Stringer("at", snap.At), zap.Int("servers", snap.Len()))
+	f.logServers(from, before, snap)
 	f.updateServing()
 	return true
 }
