Tests that fail: servers that have left are used by instances whose list is not the store's

Nine processes in three data centres with the settings of small deployments (e2e): servers start, write their remaining cold time with each heartbeat, and their entries are removed 50 to 300 ms after one. The lines of the servers show them gone at one instance, listed again from another, and lists that differ at one position.

The same in virtual time (lab/propagation), against the store's list at each position, over real modules. simstore now changes its servers, which it never did.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -132,6 +132,11 @@
 
 // entrySettings returns the settings of an instance that calls the platform through the given module.
 func (s *platformSite) entrySettings(i int, client string) []byte {
+	return s.entrySettingsIn(i, i, client)
+}
+
+// entrySettingsIn is entrySettings for an instance in the data centre of a number.
+func (s *platformSite) entrySettingsIn(i, dataCentre int, client string) []byte {
 	return fmt.Appendf(nil, `[instance]
 name = %q
 data_centre = "dc-%d"
@@ -149,7 +154,7 @@
 ready = %q
 [control.members]
 gossip = "200ms"
-%s`, fmt.Sprint("entry-", i), i, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), client, client,
+%s`, fmt.Sprint("entry-", i), dataCentre, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), client, client,
 		platformAddr(1), platformAddr(400), platformAddr(200+i), platformAddr(300+i), s.settings)
 }
 
--- a/lab/propagation/propagation_test.go
+++ b/lab/propagation/propagation_test.go
@@ -23,7 +23,7 @@
 //
 //	go test ./lab/propagation -run TestScenes -v -timeout 2h -args -scene drawn -instances 6,75 -seeds 1000
 var (
-	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn or evacuation")
+	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn, evacuation, calm-servers or servers")
 	instancesFlag = flag.String("instances", "6", "numbers of instances, separated by commas")
 	firstFlag     = flag.Uint64("first", 1, "first seed")
 	seedsFlag     = flag.Int("seeds", 2, "number of seeds")
@@ -68,8 +68,8 @@
 
 // TestScenes plays the seeds that the flags choose.
 func TestScenes(t *testing.T) {
-	makeScene := scenes[*sceneFlag]
-	if makeScene == nil && *sceneFlag != evacuationScene {
+	makeScene, makeServerScene := scenes[*sceneFlag], serverScenes[*sceneFlag]
+	if makeScene == nil && makeServerScene == nil && *sceneFlag != evacuationScene {
 		t.Fatalf("no scene %q", *sceneFlag)
 	}
 	for n := range strings.SplitSeq(*instancesFlag, ",") {
@@ -81,35 +81,46 @@
 			playEvacuations(t, instances)
 			continue
 		}
+		if makeServerScene != nil {
+			playServerSeeds(t, instances, makeServerScene)
+			continue
+		}
 		playSeeds(t, func(seed uint64) propagation.Scene { return makeScene(propagation.SiteOf(instances), seed) }, fmt.Sprintf("%s, %d instances", *sceneFlag, instances))
 	}
 }
 
 func playSeeds(t *testing.T, makeScene func(seed uint64) propagation.Scene, title string) {
 	var mu sync.Mutex
-	var wg sync.WaitGroup
 	var sum propagation.Report
+	forEachSeed(func(seed uint64) {
+		s := makeScene(seed)
+		r, err := play(t, s)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			t.Error(s, err)
+			return
+		}
+		sum.Add(r)
+		if r.Broken() {
+			t.Errorf("%v\n%v\n%s", s, r, strings.Join(r.Examples, "\n"))
+		}
+	})
+	fmt.Fprintf(os.Stdout, "%s, %d seeds from %d: %v\n", title, *seedsFlag, *firstFlag, &sum)
+}
+
+// forEachSeed calls a function for each of the seeds that the flags choose, for several at once.
+func forEachSeed(do func(seed uint64)) {
+	var wg sync.WaitGroup
 	tokens := make(chan struct{}, *atOnceFlag)
 	for i := range *seedsFlag {
-		s := makeScene(*firstFlag + uint64(i))
 		tokens <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-tokens }()
-			r, err := play(t, s)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				t.Error(s, err)
-				return
-			}
-			sum.Add(r)
-			if r.Broken() {
-				t.Errorf("%v\n%v\n%s", s, r, strings.Join(r.Examples, "\n"))
-			}
+			do(*firstFlag + uint64(i))
 		})
 	}
 	wg.Wait()
-	fmt.Fprintf(os.Stdout, "%s, %d seeds from %d: %v\n", title, *seedsFlag, *firstFlag, &sum)
 }
 
 // Required times from acknowledged to in force, and from the first answer of the store after an outage
--- a/lab/simstore/client.go
+++ b/lab/simstore/client.go
@@ -206,21 +206,6 @@
 	return nil
 }
 
-// Servers implements catalog.Catalog.
-func (c *Client) Servers(ctx context.Context, _ bool) (catalog.Servers, error) {
-	k, err := c.begin(ctx)
-	if err != nil {
-		return catalog.Servers{}, err
-	}
-	c.store.mu.Lock()
-	out := catalog.Servers{Servers: c.store.servers, At: c.store.position()}
-	c.store.mu.Unlock()
-	if err := k.finish(ctx, serverBytes*len(out.Servers)); err != nil {
-		return catalog.Servers{}, err
-	}
-	return out, c.accept(out.At)
-}
-
 // Config implements catalog.Catalog.
 func (c *Client) Config(ctx context.Context, _ bool) (catalog.Config, error) {
 	k, err := c.begin(ctx)
@@ -264,12 +249,6 @@
 	return &out, at, nil
 }
 
-// WatchServers implements catalog.Catalog.
-func (c *Client) WatchServers(ctx context.Context, after position.Position, wait time.Duration) (catalog.ServerChanges, error) {
-	at, _, err := c.watch(ctx, after, wait, func(*Store) int64 { return 0 })
-	return catalog.ServerChanges{At: at}, err
-}
-
 // watch waits for a change after a position. lastChange returns the revision of the last one; it is called
 // with the store locked.
 func (c *Client) watch(ctx context.Context, after position.Position, upTo time.Duration, lastChange func(*Store) int64) (at position.Position, changed bool, err error) {
--- a/lab/simstore/store.go
+++ b/lab/simstore/store.go
@@ -69,8 +69,10 @@
 	state
 	era    uint64
 	backup state
-	// servers and dataCentres do not change.
-	servers     []backends.Server
+	// serverLists holds the lists of servers by revision.
+	serverLists []serverList
+	staleness   Staleness
+	// dataCentres do not change.
 	dataCentres []string
 	entries     map[string]instances.Instance
 	configs     map[uint64]*config
@@ -109,15 +111,23 @@
 		changed: make(chan struct{}), affected: func(string) bool { return false }, dataCentres: dataCentres,
 	}
 	s.era = 1
+	servers := map[string]backends.Server{}
 	for i := range size.Servers {
-		s.servers = append(s.servers, backends.Server{
-			ID: fmt.Sprintf("srv-%d", i), Service: Service, Slots: 10,
-			Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)],
-		})
+		v := NewServer(i, dataCentres)
+		servers[v.ID] = v
 	}
+	s.serverLists = []serverList{{at: time.Now(), servers: servers}}
 	return s
 }
 
+// NewServer returns the server with a number.
+func NewServer(i int, dataCentres []string) backends.Server {
+	return backends.Server{
+		ID: fmt.Sprintf("srv-%d", i), Service: Service, Slots: 10,
+		Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)],
+	}
+}
+
 // Accept has a configuration of a version accepted and returns when it was acknowledged.
 func (s *Store) Accept(version uint64, size Size) time.Time {
 	c := makeConfig(version, size)
@@ -211,6 +221,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state = s.backup
+	s.serverLists = slices.DeleteFunc(s.serverLists, func(l serverList) bool { return l.revision > s.revision })
 	s.era++
 	s.notify()
 }
@@ -235,6 +246,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Position returns the current position.
+func (s *Store) Position() position.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position()
+}
+
 // position is the current position. The caller holds s.mu.
 func (s *Store) position() position.Position {
 	return position.Position{Era: s.era, Revision: s.revision}
