Instances tell each other the last state of each server that changed, so that no removal is undone

Cause: an answer to a watch holds changes in the store's order. changesReply parted them into servers that are gone and servers that are listed, and the receiver applied the first, then the second. An entry that was written and then deleted within one answer (watches pause for up to 0.5 s after changes; after an outage one answer covers all of it) was deleted and then listed again as ready. The receiver had the list's position, so nothing repaired it, and where its position was the later one, others took its list whole.

Now a watching instance takes what it tells from its list after the changes, under the lock under which it made them: one state a server, at the position of the list, so that order and repetition do not matter (decide/backends Delta).

--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -39,13 +39,12 @@
 
 // applyServerList applies the full list of servers from the store.
 func (f *Follower) applyServerList(l catalog.Servers) {
-	before := f.Servers()
-	changed := f.updateServers("store", func(now time.Duration) bool {
+	u := f.updateServers("store", func(now time.Duration) bool {
 		f.updateUnreadable(func(string) bool { return true }, l.Unreadable)
 		return f.serverSet.Replace(now, l.Servers, l.At)
 	})
-	if before != nil && (changed || before.At.Era < l.At.Era) {
-		f.sendServers(f.members.Standing().FirstTargets(), f.fullReply(f.Servers()))
+	if u.before != nil && (u.changed || u.after != nil && u.before.At.Era < u.after.At.Era) {
+		f.sendServers(f.members.Standing().FirstTargets(), f.fullReply(u.after))
 	}
 }
 
@@ -54,13 +53,12 @@
 	if len(l.Changes) == 0 {
 		return
 	}
-	before := f.Servers()
-	changed := f.updateServers("store", func(now time.Duration) bool {
+	u := f.updateServers("store", func(now time.Duration) bool {
 		f.updateUnreadable(inChanges(l.Changes), l.Unreadable)
 		return f.serverSet.Apply(now, l.Changes, l.At)
 	})
-	if changed {
-		f.sendServers(f.members.Standing().FirstTargets(), f.changesReply(before, l))
+	if u.changed {
+		f.sendServers(f.members.Standing().FirstTargets(), f.deltaReply(u.after, u.after.DeltaSince(u.before, l.Changes)))
 	}
 }
 
@@ -71,25 +69,34 @@
 	}
 }
 
-// updateServers applies a change to the list of servers, publishes a snapshot and reports
-// whether the content changed, or the end of a server's cold time, which is no part of it. A change
-// need not alter either: several instances forward the same one, each with its own revision.
-func (f *Follower) updateServers(from string, change func(now time.Duration) bool) bool {
+// serversUpdate is what an update of the list of servers did.
+type serversUpdate struct {
+	// before and after are the snapshots around it; before is nil for the first list, after if nothing was
+	// adopted.
+	before, after *backends.Snapshot
+	// changed is set if the content changed, or the end of a server's cold time, which is no part of it.
+	changed bool
+}
+
+// updateServers applies a change to the list of servers and publishes a snapshot. A change need not alter
+// the content: several instances forward the same one, each with its own revision.
+func (f *Follower) updateServers(from string, change func(now time.Duration) bool) serversUpdate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	u := serversUpdate{before: f.servers.Load()}
 	if !change(f.now()) {
-		return false
+		return u
 	}
 	f.noteGracePeriods()
-	before := f.servers.Load()
-	snap := f.publishServers()
-	coldChanged := f.coldTimesChanged(snap)
-	if before != nil && before.Digest == snap.Digest {
-		return coldChanged
+	u.after = f.publishServers()
+	u.changed = f.coldTimesChanged(u.after)
+	if u.before != nil && u.before.Digest == u.after.Digest {
+		return u
 	}
-	f.logServers(from, before, snap)
+	u.changed = true
+	f.logServers(from, u.before, u.after)
 	f.updateServing()
-	return true
+	return u
 }
 
 // MarkLeaving takes a life of a server that said that it leaves out of use, whatever the list says.
@@ -164,8 +171,7 @@
 
 // adoptServers applies a peer's list or changes if they are newer than the local list, and
 // forwards them. If there is a gap between the local list and the changes, it requests the
-// full list instead. Changes that overlap with the local list are idempotent, since each
-// carries the last state of a server.
+// full list instead.
 func (f *Follower) adoptServers(from string, r *peerpb.ServersReply) {
 	held := f.Servers()
 	at := position.Position{Era: r.Era, Revision: r.Revision}
@@ -173,35 +179,27 @@
 		return
 	}
 	f.learnEra(r.Era)
-	if r.Changes && !appliesTo(held, r) {
+	gap := false
+	u := f.updateServers(from, func(now time.Duration) bool {
+		if !r.Changes {
+			return f.serverSet.Replace(now, serversFromReply(r), at)
+		}
+		d := deltaFromReply(r)
+		if gap = !f.servers.Load().FollowedBy(d); gap {
+			return false
+		}
+		return f.serverSet.Apply(now, d.Changes, at)
+	})
+	if gap {
 		f.scope.Counter("servers_gaps_total").Inc(1)
 		f.requestServers(from)
 		return
 	}
-	changed := f.updateServers(from, func(now time.Duration) bool {
-		if r.Changes {
-			return f.serverSet.Apply(now, changesFromReply(r), at)
-		}
-		return f.serverSet.Replace(now, serversFromReply(r), at)
-	})
-	if held != nil && (changed || held.At.Era < at.Era) {
+	if u.before != nil && (u.changed || u.after != nil && u.before.At.Era < at.Era) {
 		f.sendServers(f.members.Standing().Children(), r)
 	}
 }
 
-// appliesTo reports whether changes can be applied to the local list without a gap: they
-// start from its content, or at or before its position, always in the same era.
-func appliesTo(held *backends.Snapshot, r *peerpb.ServersReply) bool {
-	if held == nil {
-		return false
-	}
-	after := position.Position{Era: r.AfterEra, Revision: r.After}
-	if held.Digest == r.AfterDigest {
-		return held.At.Era == r.Era
-	}
-	return held.At.Era == r.Era && after.Era == r.Era && !held.At.Before(after)
-}
-
 func (f *Follower) fullReply(snap *backends.Snapshot) *peerpb.ServersReply {
 	out := &peerpb.ServersReply{Revision: snap.At.Revision, Era: snap.At.Era, AgeUs: f.ConfirmationAge().Microseconds()}
 	for _, s := range snap.All() {
@@ -210,12 +208,11 @@
 	return out
 }
 
-func (f *Follower) changesReply(before *backends.Snapshot, l catalog.ServerChanges) *peerpb.ServersReply {
+func (f *Follower) deltaReply(snap *backends.Snapshot, d backends.Delta) *peerpb.ServersReply {
 	out := &peerpb.ServersReply{
-		Revision: l.At.Revision, Era: l.At.Era, Changes: true, After: before.At.Revision, AfterEra: before.At.Era, AfterDigest: before.Digest,
+		Revision: d.At.Revision, Era: d.At.Era, Changes: true, After: d.After.Revision, AfterEra: d.After.Era, AfterDigest: d.AfterDigest,
 	}
-	snap := f.Servers()
-	for _, c := range l.Changes {
+	for _, c := range d.Changes {
 		if c.Server == nil {
 			out.Gone = append(out.Gone, c.ID)
 		} else {
@@ -225,13 +222,16 @@
 	return out
 }
 
-func changesFromReply(r *peerpb.ServersReply) []backends.Change {
-	var out []backends.Change
+func deltaFromReply(r *peerpb.ServersReply) backends.Delta {
+	out := backends.Delta{
+		After: position.Position{Era: r.AfterEra, Revision: r.After}, AfterDigest: r.AfterDigest,
+		At: position.Position{Era: r.Era, Revision: r.Revision},
+	}
 	for _, id := range r.Gone {
-		out = append(out, backends.Change{ID: id})
+		out.Changes = append(out.Changes, backends.Change{ID: id})
 	}
 	for _, s := range serversFromReply(r) {
-		out = append(out, backends.Change{ID: s.ID, Server: &s})
+		out.Changes = append(out.Changes, backends.Change{ID: s.ID, Server: &s})
 	}
 	return out
 }
