The digest of a list of servers is that of the store's list at its position

What callers saw: nothing yet. Two instances at one position of the store named different digests where one of them had seen an entry that said leaving and a later one that said ready (a heartbeat that was written late), and the other only the later one. A comparison of digests could not tell that from lists that really differ.

Cause: the digest held what earlier entries had said. It holds only the listed entries now; that a server left by an earlier entry is told beside it (left_earlier), and the server stays out of use as before.

--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -240,7 +240,7 @@
 	var out []backends.Server
 	for _, s := range r.Servers {
 		out = append(out, backends.Server{
-			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, Life: backends.Life(s.Life), Version: s.Version,
+			ID: s.Id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int(s.Slots), Leaving: s.Leaving, LeftEarlier: s.LeftEarlier, Life: backends.Life(s.Life), Version: s.Version,
 			Cold: coldTimeFrom(s.ColdMs, s.ColdEra, s.ColdRevision),
 		})
 	}
@@ -250,7 +250,7 @@
 func (f *Follower) toListedServer(snap *backends.Snapshot, s backends.Server) *peerpb.ListedServer {
 	coldMS, at := f.coldTimeForPeers(snap, s)
 	return &peerpb.ListedServer{
-		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(),
+		Id: s.ID, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Slots: int64(s.Slots), Leaving: s.EntryLeaving(), LeftEarlier: s.LeftEarlier,
 		Life: int64(s.Life), Version: s.Version, ColdMs: coldMS, ColdEra: at.Era, ColdRevision: at.Revision,
 	}
 }
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -30,6 +30,8 @@
 	Slots int
 	// Leaving servers finish their requests and accept no new ones.
 	Leaving bool
+	// LeftEarlier is set if Leaving is due to an earlier entry of this life, and the listed one says ready.
+	LeftEarlier bool
 	// Cold is the cold time that an entry states when it is received. It is unset in the servers of a Set,
 	// which has Snapshot.ColdUntil instead.
 	Cold ColdTime
@@ -43,13 +45,13 @@
 func (s Server) EntryLeaving() bool { return s.Leaving && !s.said }
 
 // digest is a hash of a server's entry. The sum of the digests of a list does not depend
-// on its order. What the server said of itself is no part of its entry. The cold time is left out because
-// instances that receive the same entry at different times differ in it.
+// on its order. What the server said of itself, and what earlier entries said, is no part of its entry. The
+// cold time is left out because instances that receive the same entry at different times differ in it.
 func (s Server) digest() uint64 {
 	var d digest.Fields
 	d.Reset()
 	d.AddText(s.ID, s.Service, s.Addr, s.DataCentre, s.Version)
-	d.AddNumbers(uint64(s.Life), uint64(s.Slots), digest.Bit(s.EntryLeaving()))
+	d.AddNumbers(uint64(s.Life), uint64(s.Slots), digest.Bit(s.EntryLeaving() && !s.LeftEarlier))
 	return d.Sum64()
 }
 
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -225,7 +225,8 @@
 	s.recordCold(now, v)
 	v.Cold = ColdTime{}
 	v.said = !v.Leaving && s.onlySaidLeaving(v)
-	v.Leaving = v.Leaving || s.isLeaving(v)
+	v.LeftEarlier = v.LeftEarlier || !v.Leaving && !v.said && s.isLeaving(v)
+	v.Leaving = v.Leaving || v.LeftEarlier || v.said
 	if v.Leaving && !v.said {
 		s.recordLeaving(now, v)
 	}
