lab/simnet: data for a connection that has ended is answered by a reset

A process that was killed while its host was cut off left its peers with connections into which they wrote for ever: the reset was lost, and nothing answered what came later, so that the restarted instance never heard of them again. A real network stack answers with a reset. Seen in the lab only: no program is changed.

--- a/lab/simnet/stream.go
+++ b/lab/simnet/stream.go
@@ -197,12 +197,18 @@
 	if blocked(s.peerHost, s.host) {
 		return
 	}
+	refused := false
 	for _, g := range s.in {
 		if g.at.After(now) {
 			break
 		}
+		refused = refused || !g.arrived && g.end == nil
 		g.arrived = true
 	}
+	if refused && s.err != nil {
+		// Nobody is left to read it.
+		s.transmit(&segment{end: syscall.ECONNRESET})
+	}
 	s.ready.Broadcast()
 }
 
