A first read of the store that may be stale has no position

What callers saw: nothing known. If the platform gives its present revision with a list that is seconds old, an instance that has just started takes that list for the present one: the changes between never arrive, and it goes on using servers that have left. Others, whose position is older, take its list whole.

Cause: the first read allows a stale answer, and its revision was taken for the position of what it holds. The platform's pages say that the data may be seconds old, and nothing of the revision given with it. Now such a list has no position: no peer is offered it, every known position is later, and an instance that begins to watch the store reads the present state first. The same for the configuration.

Whether the users' platform does this is not known: a suspicion, mended.

--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -73,6 +73,7 @@
 		},
 		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
 			c, err := f.catalog.Config(ctx, staleOK)
+			c.At = positionOf(c.At, staleOK)
 			if errors.Is(err, catalog.ErrNoConfig) {
 				f.log.Info("the store holds no configuration yet")
 				f.advanceConfigAt(c.At)
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -23,6 +23,7 @@
 			if err != nil {
 				return position.Position{}, err
 			}
+			l.At = positionOf(l.At, staleOK)
 			f.applyServerList(l)
 			return l.At, nil
 		},
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -32,6 +32,18 @@
 	sourceEvacuations = "evacuations"
 )
 
+// unknownRevision is that of a state that may be stale: whatever position the store gives with it, changes
+// before that may be missing. No peer is offered such a state, and any known position is a later one.
+const unknownRevision = 0
+
+// positionOf returns the position of a full state as of the answer of the store.
+func positionOf(at position.Position, stale bool) position.Position {
+	if stale {
+		at.Revision = unknownRevision
+	}
+	return at
+}
+
 // source is something in the store that a loop follows.
 type source struct {
 	name string
@@ -39,7 +51,7 @@
 	// there is any.
 	held func() (position.Position, bool)
 	// read fetches and applies the full state and returns its position. With staleOK the
-	// store may return a state that is seconds old.
+	// store may return a state that is seconds old, whose position is unknown.
 	read func(ctx context.Context, staleOK bool) (position.Position, error)
 	// watch applies the changes after a position and waits for them if there are none.
 	watch func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error)
@@ -53,6 +65,8 @@
 	at position.Position
 	// gap is set if the history after at is gone and the full state must be read.
 	gap, watching bool
+	// current is set once the full state was read that was not stale.
+	current bool
 	// answered is set once a watch was answered, so that the local content is no older.
 	answered bool
 	outage   outage
@@ -118,9 +132,10 @@
 		w.outage.begin(f.now())
 		w.outage.idle += f.awaitRecovery(ctx, dutyCheckInterval)
 		return false, nil
-	case w.gap:
+	case w.gap || !w.current && held.Revision == unknownRevision:
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
 		w.gap = err != nil
+		w.current = w.current || err == nil
 		f.recordAnswer(w.name, err)
 	default:
 		wait, slack := f.Wait.Std(), watchSlack
--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -55,6 +55,8 @@
 	Mute bool `json:"mute"`
 	// Stale answers the lists that may be stale from the last copy.
 	Stale bool `json:"stale"`
+	// StaleAsPresent does so with the present revision.
+	StaleAsPresent bool `json:"staleAsPresent"`
 	// LoseReplies drops the replies to this many writes after they took effect.
 	LoseReplies int `json:"loseReplies"`
 	// DelayMS delays every call.
@@ -248,8 +250,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects, out := s.objects[kind], page{Items: []Object{}, StoreRevision: s.revision}
-	if s.faults.Stale && c.QueryParam("allowStale") != "" {
-		objects, out.StoreRevision = s.backup.objects[kind], s.backup.revision
+	if stale := s.faults.Stale || s.faults.StaleAsPresent; stale && c.QueryParam("allowStale") != "" {
+		objects = s.backup.objects[kind]
+		if !s.faults.StaleAsPresent {
+			out.StoreRevision = s.backup.revision
+		}
 	}
 	for name, o := range objects {
 		if name > c.QueryParam("after") {
