Lists of servers that differ are found by their digests and verified with the store

Cause: gossip names the position and the digest of each list, but digests were compared only to find out whether a later list is worth a request. Now each instance remembers the digests of its last 64 lists and compares what gossip and deltas name with them. There is one list at each position, so another digest means that one of the two is wrong; both are compared with the whole list of the store, which instances that watch it read for the others (at most every 0.3 s; where two do not answer, the instance reads itself). An instance that watches the store, and was answered lately, takes no whole list of others that was not verified, and its position advances with answers without changes, so that others learn of a wrong list. No byte more at rest. Counted (servers_mismatches_total, servers_repaired_total) and logged.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -103,6 +103,8 @@
 	graceBegan chan struct{}
 	// becameCold signals that a server became cold.
 	becameCold chan struct{}
+	// verifyDue signals that the list of servers must be verified.
+	verifyDue chan struct{}
 	// adoptMu lets one goroutine at a time decide which configuration is in force.
 	adoptMu sync.Mutex
 
@@ -110,8 +112,7 @@
 	mu                sync.Mutex
 	serverSet         *backends.Set
 	unreadableServers unreadable
-	// mismatch is the last local list of servers that another instance contradicted.
-	mismatch mismatch
+	verification      verification
 	// configAt is the store position up to which the local configuration is the newest, and
 	// configKnown whether one was read from the store or received from a peer.
 	configAt      position.Position
@@ -162,7 +163,7 @@
 	f.coldForwarded, f.coldLogged = map[string]time.Duration{}, map[string]backends.ColdServer{}
 	f.confirmations, f.answeredAt = watch.NewConfirmations(), map[string]time.Duration{}
 	f.inbox = ring.New[peerConfig]("catalog.inbox", inboxSize)
-	f.graceBegan, f.becameCold = make(chan struct{}, 1), make(chan struct{}, 1)
+	f.graceBegan, f.becameCold, f.verifyDue = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	f.offers = ring.New[offer]("catalog.newer", inboxSize)
 	f.members.AddToGossip(f.addToGossip)
 	f.link.Handle(f.receive)
@@ -196,6 +197,7 @@
 	go f.syncWithPeers(ctx)
 	go f.bootstrapServers(ctx)
 	go f.endGracePeriods(ctx)
+	go f.verifyServers(ctx)
 	go f.reportColdServers(ctx)
 	go f.repeatColdTimes(ctx)
 	return nil
@@ -256,6 +258,7 @@
 	}
 	d.Evacuated = f.dumpEvacuated(now)
 	d.Cold = f.dumpCold(now)
+	d.Contradicted = f.verification.contradicted
 	d.Retained, d.PresumedStale = f.serverSet.Retained(), f.serverSet.PresumedStale()
 	d.ConfigAt, d.OlderStoreVersion, d.Unreadable = f.configAt.String(), f.olderStoreVersion, maps.Clone(f.unreadableServers)
 	return d
@@ -278,6 +281,9 @@
 	ServersAt         string `json:"servers_at"`
 	// ServersDigest identifies the listed entries: instances with one ServersAt have one digest.
 	ServersDigest string `json:"servers_digest"`
+	// Contradicted is set while the list of servers is to be verified because another instance holds another
+	// one at the same position.
+	Contradicted bool `json:"servers_contradicted,omitempty"`
 	// Retained servers are used though the store lost their entries, PresumedStale ones are
 	// listed but not used, both for seconds after the store was restored from an older copy.
 	Retained      int   `json:"kept,omitempty"`
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -76,7 +76,7 @@
 		newest = max(newest, at)
 	}
 	f.mu.Unlock()
-	f.compareServers(o)
+	f.compareServers(from, o.servers, o.digest)
 	if f.offersNewer(o) {
 		if f.configID().supersededBy(o.config) {
 			f.recordNewerConfig(o.config)
@@ -172,7 +172,7 @@
 		f.scope.Counter("config_asked_total").Inc(1)
 		f.link.Send(o.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: held.version, HaveEra: held.era}}})
 	}
-	if f.offersNewerServers(o) && f.requests.servers.due(f.now()) {
+	if f.offersNewerServers(o) && !f.watchIsCurrent() && f.requests.servers.due(f.now()) {
 		f.requestServers(o.peer)
 	}
 }
@@ -222,7 +222,7 @@
 	case env.GetConfigReply() != nil:
 		f.inbox.Offer(peerConfig{from, env.GetConfigReply()})
 	case env.GetServersRequest() != nil:
-		f.sendServersIfNewer(from, position.Position{Era: env.GetServersRequest().HaveEra, Revision: env.GetServersRequest().HaveRevision})
+		f.receiveServersRequest(from, env.GetServersRequest())
 	case env.GetServersReply() != nil:
 		f.adoptServers(from, env.GetServersReply())
 	case env.GetEvacuations() != nil:
@@ -243,11 +243,14 @@
 	})
 }
 
-func (f *Follower) requestServers(peer string) {
+func (f *Follower) requestServers(peer string) { f.sendServersRequest(peer, false) }
+
+// sendServersRequest requests the list of servers of a peer; verified has it compared with the store first.
+func (f *Follower) sendServersRequest(peer string, verified bool) {
 	f.scope.Counter("servers_asked_total").Inc(1)
 	at := f.serversAt()
 	f.link.Send(peer, &peerpb.Envelope{Body: &peerpb.Envelope_ServersRequest{
-		ServersRequest: &peerpb.ServersRequest{HaveRevision: at.Revision, HaveEra: at.Era},
+		ServersRequest: &peerpb.ServersRequest{HaveRevision: at.Revision, HaveEra: at.Era, Verified: verified},
 	}})
 }
 
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -52,6 +52,7 @@
 // applyServerChanges applies changes of the list from the store.
 func (f *Follower) applyServerChanges(l catalog.ServerChanges) {
 	if len(l.Changes) == 0 {
+		f.advanceServers(l.At)
 		return
 	}
 	u := f.updateServers("store", func(now time.Duration) bool {
@@ -63,6 +64,18 @@
 	}
 }
 
+// advanceServers records that the local list is that of a later position too: an instance that holds
+// another one there learns of it.
+func (f *Follower) advanceServers(at position.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.servers.Load(); held != nil && f.serverSet.Advance(at) {
+		next := held.AdvancedTo(at)
+		f.servers.Store(next)
+		f.verification.history.Record(next)
+	}
+}
+
 // inChanges returns a function that reports whether an entry is among changes.
 func inChanges(changes []backends.Change) func(id string) bool {
 	return func(id string) bool {
@@ -90,6 +103,7 @@
 	}
 	f.noteGracePeriods()
 	u.after = f.publishServers()
+	f.verification.history.Record(u.after)
 	u.changed = f.coldTimesChanged(u.after)
 	if u.before != nil && u.before.Digest == u.after.Digest {
 		return u
@@ -172,35 +186,59 @@
 
 // adoptServers applies a peer's list or changes if they are newer than the local list, and
 // forwards them. If there is a gap between the local list and the changes, it requests the
-// full list instead.
+// full list instead. An instance that watches the store learns of changes itself: it does not
+// take over a peer's list, which may be wrong, unless that was verified.
 func (f *Follower) adoptServers(from string, r *peerpb.ServersReply) {
+	f.learnEra(r.Era)
 	held := f.Servers()
-	at := position.Position{Era: r.Era, Revision: r.Revision}
-	if held != nil && !held.At.Before(at) {
-		return
+	switch at := positionOfReply(r); {
+	case held != nil && (at.Before(held.At) || at == held.At && !r.Verified):
+	case r.Changes:
+		f.adoptDelta(from, r)
+	case r.Verified:
+		f.forwardServers(r, f.applyVerified(from, catalog.Servers{Servers: serversFromReply(r), At: at}))
+	case held == nil || held.At.Era < at.Era || !f.watchIsCurrent():
+		f.forwardServers(r, f.updateServers(from, func(now time.Duration) bool {
+			return f.servers.Load().Precedes(at) && f.serverSet.Replace(now, serversFromReply(r), at)
+		}))
 	}
-	f.learnEra(r.Era)
-	gap := false
+}
+
+// adoptDelta applies a peer's changes.
+func (f *Follower) adoptDelta(from string, r *peerpb.ServersReply) {
+	gap, d := false, deltaFromReply(r)
+	f.compareServers(from, d.After, d.AfterDigest)
 	u := f.updateServers(from, func(now time.Duration) bool {
-		if !r.Changes {
-			return f.serverSet.Replace(now, serversFromReply(r), at)
+		held := f.servers.Load()
+		if !held.Precedes(d.At) {
+			return false
 		}
-		d := deltaFromReply(r)
-		if gap = !f.servers.Load().FollowedBy(d); gap {
+		if gap = !held.FollowedBy(d); gap {
 			return false
 		}
-		return f.serverSet.Apply(now, d.Changes, at)
+		return f.serverSet.Apply(now, d.Changes, d.At)
 	})
 	if gap {
 		f.scope.Counter("servers_gaps_total").Inc(1)
-		f.requestServers(from)
+		if !f.watchIsCurrent() {
+			f.requestServers(from)
+		}
 		return
 	}
-	if u.before != nil && (u.changed || u.after != nil && u.before.At.Era < at.Era) {
+	f.forwardServers(r, u)
+}
+
+// forwardServers forwards a peer's list or changes if they changed the local list.
+func (f *Follower) forwardServers(r *peerpb.ServersReply, u serversUpdate) {
+	if u.before != nil && u.after != nil && (u.changed || u.before.At.Era < u.after.At.Era) {
 		f.sendServers(f.members.Standing().Children(), r)
 	}
 }
 
+func positionOfReply(r *peerpb.ServersReply) position.Position {
+	return position.Position{Era: r.Era, Revision: r.Revision}
+}
+
 func (f *Follower) fullReply(snap *backends.Snapshot) *peerpb.ServersReply {
 	out := &peerpb.ServersReply{Revision: snap.At.Revision, Era: snap.At.Era, AgeUs: f.ConfirmationAge().Microseconds()}
 	for _, s := range snap.All() {
@@ -225,8 +263,7 @@
 
 func deltaFromReply(r *peerpb.ServersReply) backends.Delta {
 	out := backends.Delta{
-		After: position.Position{Era: r.AfterEra, Revision: r.After}, AfterDigest: r.AfterDigest,
-		At: position.Position{Era: r.Era, Revision: r.Revision},
+		After: position.Position{Era: r.AfterEra, Revision: r.After}, AfterDigest: r.AfterDigest, At: positionOfReply(r),
 	}
 	for _, id := range r.Gone {
 		out.Changes = append(out.Changes, backends.Change{ID: id})
--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -79,6 +79,16 @@
 	returningUntil map[string]time.Duration
 }
 
+// Precedes reports whether the snapshot is older than a position; there is none yet if it is nil.
+func (s *Snapshot) Precedes(at position.Position) bool { return s == nil || s.At.Before(at) }
+
+// AdvancedTo returns the same list at a later position.
+func (s *Snapshot) AdvancedTo(at position.Position) *Snapshot {
+	out := *s
+	out.At = at
+	return &out
+}
+
 // Ready returns the servers of a service that may get new requests, sorted by ID.
 func (s *Snapshot) Ready(service string) []Server { return s.services[service] }
 
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -215,6 +215,16 @@
 	return true
 }
 
+// Advance records that the list is the same at a later position of its era, and reports whether that is
+// a later one.
+func (s *Set) Advance(at position.Position) bool {
+	if at.Era != s.at.Era || !s.at.Before(at) {
+		return false
+	}
+	s.at = at
+	return true
+}
+
 // put stores an entry. A server that announced that it is leaving never returns in the
 // same life, so it stays leaving. Another life of the ID is a new server, whether its
 // clock says earlier or later: lists and changes arrive in the order of the store's
--- a/lab/propagation/servers.go
+++ b/lab/propagation/servers.go
@@ -11,6 +11,8 @@
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/lab/simnet"
 	"github.com/auburnmoor/auburnmoor/lab/simstore"
+	"github.com/auburnmoor/auburnmoor/peerlink"
+	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
 // ServerScene is one run in which servers start, write their entries, leave and come back, in trouble or
@@ -22,6 +24,9 @@
 	ServersFrom, ServersTo time.Duration
 	// Staleness is what lists that may be stale hold.
 	Staleness simstore.Staleness
+	// WrongDeltas is the number of times that an instance gets a wrong message with changes, at the
+	// position of a right one.
+	WrongDeltas int
 }
 
 // Times of a server scene.
@@ -38,6 +43,8 @@
 	returnWithin = 2 * time.Second
 	// fewServers and moreServers bound the number of servers of a drawn scene.
 	fewServers, moreServers = 10, 60
+	// mendWithin bounds the time for which a list may be wrong.
+	mendWithin = 2 * time.Second
 	// usesInterval is how often the lists in use are compared with those of the store.
 	usesInterval = 250 * time.Millisecond
 )
@@ -49,6 +56,13 @@
 	return s
 }
 
+// WrongServers is a scene without trouble in which instances get wrong messages.
+func WrongServers(site Site, seed uint64) ServerScene {
+	s := CalmServers(site, seed)
+	s.Servers, s.WrongDeltas = fewServers, 6
+	return s
+}
+
 // DrawnServers is a scene with drawn trouble.
 func DrawnServers(site Site, seed uint64) ServerScene {
 	s := ServerScene{Scene: Drawn(site, seed)}
@@ -67,32 +81,37 @@
 	// Out holds the times from the acknowledgement that a server leaves or is gone to the last moment at
 	// which an instance that was in touch throughout used it.
 	Out Distribution
+	// Mended holds the times for which lists were wrong in scenes with wrong messages.
+	Mended Distribution
 	// Late counts the servers that an instance in touch used longer after that than the bound,
 	// Mismatches the lists that were not those of the store at their position, and Unfinished the
 	// instances whose list is not that of the store at the end.
-	Late, Mismatches, Unfinished int
-	Examples                     []string
-	StoreCalls                   int
-	Bytes                        uint64
+	// Unmended counts the lists that were wrong for too long.
+	Late, Mismatches, Unfinished, Unmended int
+	Examples                               []string
+	StoreCalls                             int
+	Bytes                                  uint64
 }
 
 // Broken reports whether something was seen that must not be.
-func (r *ServerReport) Broken() bool { return r.Late+r.Mismatches+r.Unfinished > 0 }
+func (r *ServerReport) Broken() bool { return r.Late+r.Mismatches+r.Unfinished+r.Unmended > 0 }
 
 // Add adds what another run measured.
 func (r *ServerReport) Add(o *ServerReport) {
 	r.Out = append(r.Out, o.Out...)
+	r.Mended = append(r.Mended, o.Mended...)
 	r.Late += o.Late
 	r.Mismatches += o.Mismatches
 	r.Unfinished += o.Unfinished
+	r.Unmended += o.Unmended
 	r.StoreCalls += o.StoreCalls
 	r.Bytes += o.Bytes
 }
 
 // String is a line with the figures.
 func (r *ServerReport) String() string {
-	return fmt.Sprintf("out of use after %v; late %d, mismatches %d, unfinished %d; %d store calls, %.2f MB between instances",
-		r.Out, r.Late, r.Mismatches, r.Unfinished, r.StoreCalls, float64(r.Bytes)/1e6)
+	return fmt.Sprintf("out of use after %v; wrong lists mended after %v; late %d, mismatches %d, unfinished %d, unmended %d; %d store calls, %.2f MB between instances",
+		r.Out, r.Mended, r.Late, r.Mismatches, r.Unfinished, r.Unmended, r.StoreCalls, float64(r.Bytes)/1e6)
 }
 
 // serverRun is a server scene in progress.
@@ -108,10 +127,12 @@
 	unheard map[string]map[*process]bool
 	// digests are those of the store's list by revision.
 	digests map[int64]uint64
-	// wrong are the lists that were counted as mismatches, lateAt the servers counted as late.
-	wrong  map[string]bool
-	lateAt map[string]bool
-	report ServerReport
+	// wrong are the lists that were counted as mismatches, lateAt the servers counted as late, and wrongSince
+	// is since when the list of a process has been wrong.
+	wrong      map[string]bool
+	lateAt     map[string]bool
+	wrongSince map[*process]time.Time
+	report     ServerReport
 }
 
 // PlayServers plays a server scene.
@@ -121,6 +142,7 @@
 	r := &serverRun{
 		run: &run{scene: s.Scene, fleet: f, meter: newMeter(f), begin: time.Now(), rand: rand.New(rand.NewPCG(s.Seed, 9))}, scene: s,
 		left: map[string]time.Time{}, unheard: map[string]map[*process]bool{}, digests: map[int64]uint64{}, wrong: map[string]bool{}, lateAt: map[string]bool{},
+		wrongSince: map[*process]time.Time{},
 	}
 	for i := range s.Site.DataCentres {
 		r.dataCentres = append(r.dataCentres, fmt.Sprintf("dc-%d", i))
@@ -158,6 +180,9 @@
 		life := &serverLife{run: r, server: v, rand: rand.New(rand.NewPCG(r.scene.Seed, uint64(100+i)))}
 		r.after(from, life.start)
 	}
+	for range r.scene.WrongDeltas {
+		r.after(between(draw, r.scene.ServersFrom, r.scene.ServersTo), func() { r.sendWrongDelta(draw) })
+	}
 	// Servers that were listed before leave as well, without a heartbeat.
 	for i := range min(r.scene.Servers, r.scene.Site.Size.Servers) / 4 {
 		v := simstore.NewServer(i, r.dataCentres)
@@ -246,7 +271,12 @@
 		// The instance takes its list for one of unknown age.
 		return
 	}
-	if snap.Digest == r.digestAt(snap.At.Revision) {
+	right := snap.Digest == r.digestAt(snap.At.Revision)
+	if r.scene.WrongDeltas > 0 {
+		r.recordWrong(in, p, right)
+		return
+	}
+	if right {
 		return
 	}
 	key := fmt.Sprint(in.name, " ", p.startedAt.UnixNano(), " ", snap.At)
@@ -257,6 +287,43 @@
 	}
 }
 
+// recordWrong measures for how long the list of a process is wrong. The caller holds r.mu.
+func (r *serverRun) recordWrong(in *instance, p *process, right bool) {
+	since, wrong := r.wrongSince[p]
+	switch {
+	case wrong && right:
+		r.report.Mended = append(r.report.Mended, time.Since(since))
+		if time.Since(since) > mendWithin {
+			r.report.Unmended++
+			r.example("%s held a wrong list for %s", in.name, time.Since(since))
+		}
+		delete(r.wrongSince, p)
+	case !wrong && !right:
+		r.wrongSince[p] = time.Now()
+	}
+}
+
+// sendWrongDelta has the store change a server and an instance receive a wrong message on that at once.
+func (r *serverRun) sendWrongDelta(draw *rand.Rand) {
+	to, from := r.fleet.instances[draw.IntN(len(r.fleet.instances))], r.fleet.instances[draw.IntN(len(r.fleet.instances))]
+	p, sender := to.running.Load(), from.running.Load()
+	if p == nil || sender == nil || p == sender {
+		return
+	}
+	held := p.follower.Servers()
+	last := r.scene.Site.Size.Servers - 1
+	changed := simstore.NewServer(last, r.dataCentres)
+	changed.Slots += draw.IntN(100)
+	revision, _ := r.fleet.Store.PutServer(changed)
+	m := &peerpb.ServersReply{Revision: revision, Era: held.At.Era, Changes: true, After: held.At.Revision, AfterEra: held.At.Era, AfterDigest: held.Digest}
+	if draw.IntN(2) == 0 {
+		m.Gone = []string{simstore.ServerID(last - 1), simstore.ServerID(last - 2)}
+	} else {
+		m.Servers = []*peerpb.ListedServer{{Id: "wrong", Service: simstore.Service, Addr: "10.201.0.1:8000", DataCentre: "dc-0", Slots: 1}}
+	}
+	sender.kernel.Module(peerlink.ID).(*peerlink.Link).Send(to.name, &peerpb.Envelope{Body: &peerpb.Envelope_ServersReply{ServersReply: m}})
+}
+
 func (r *serverRun) example(format string, args ...any) {
 	if len(r.report.Examples) < maxExamples {
 		r.report.Examples = append(r.report.Examples, fmt.Sprintf("%7.3f s: ", time.Since(r.begin).Seconds())+fmt.Sprintf(format, args...))
--- a/lab/propagation/servers_test.go
+++ b/lab/propagation/servers_test.go
@@ -12,11 +12,12 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/auburnmoor/auburnmoor/internal/testkit"
 	"github.com/auburnmoor/auburnmoor/lab/propagation"
 )
 
 var serverScenes = map[string]func(propagation.Site, uint64) propagation.ServerScene{
-	"calm-servers": propagation.CalmServers, "servers": propagation.DrawnServers,
+	"calm-servers": propagation.CalmServers, "servers": propagation.DrawnServers, "wrong-servers": propagation.WrongServers,
 }
 
 // playServers plays a scene of servers in virtual time.
@@ -52,9 +53,7 @@
 }
 
 // Required times from the acknowledgement that a server leaves to its last use in a calm fleet.
-const (
-	leavingP99, leavingMost = 500 * time.Millisecond, time.Second
-)
+const leavingP99, leavingMost = 500 * time.Millisecond, time.Second
 
 // playServerSpec plays a scene of servers in which nothing may be broken.
 func playServerSpec(s propagation.ServerScene) *propagation.ServerReport {
@@ -74,6 +73,17 @@
 	},
 		Entry("of 6 instances", 6),
 		Entry("of 9 instances", 9),
+		Entry("of 75 instances", testkit.LargeFleet, 75),
+	)
+
+	// Guards against a list that once differs from that of the store and does so for good.
+	DescribeTable("is out of use though an instance gets a wrong message about it", func(instances int) {
+		r := playServerSpec(propagation.WrongServers(propagation.SiteOf(instances), 1))
+		Expect(r.Mended).NotTo(BeEmpty())
+	},
+		Entry("of 6 instances", 6),
+		Entry("of 9 instances", 9),
+		Entry("of 75 instances", testkit.LargeFleet, 75),
 	)
 
 	DescribeTable("is out of use in time whatever happens", func(instances, seeds int) {
@@ -82,5 +92,7 @@
 		}
 	},
 		Entry("to 6 instances", 6, 12),
+		Entry("to 9 instances", 9, 6),
+		Entry("to 22 instances", testkit.LargeFleet, 22, 3),
 	)
 })
--- a/lab/simstore/store.go
+++ b/lab/simstore/store.go
@@ -120,10 +120,13 @@
 	return s
 }
 
+// ServerID is the ID of the server with a number.
+func ServerID(i int) string { return fmt.Sprintf("srv-%d", i) }
+
 // NewServer returns the server with a number.
 func NewServer(i int, dataCentres []string) backends.Server {
 	return backends.Server{
-		ID: fmt.Sprintf("srv-%d", i), Service: Service, Slots: 10,
+		ID: ServerID(i), Service: Service, Slots: 10,
 		Addr: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), DataCentre: dataCentres[i%len(dataCentres)],
 	}
 }
