--- a/decide/backends/backends.go
+++ b/decide/backends/backends.go
@@ -77,6 +77,8 @@
 	cold map[string]coldRecord
 	// returningUntil is until when the servers of a data centre count as cold because it came back.
 	returningUntil map[string]time.Duration
+	// departed holds the lives of servers that left the list a short time ago.
+	departed map[string]Life
 }
 
 // Precedes reports whether the snapshot is older than a position; there is none yet if it is nil.
@@ -97,6 +99,16 @@
 	return slices.ContainsFunc(s.services[v.Service], func(o Server) bool { return o.ID == v.ID && o.Life.Same(v.Life) })
 }
 
+// HasLeft reports whether a life of a server leaves, or left the list a short time ago. One that was never
+// listed has not left: other instances may know it first.
+func (s *Snapshot) HasLeft(id string, life Life) bool {
+	if v, listed := s.byID[id]; listed && v.Life.Same(life) {
+		return v.Leaving
+	}
+	left, departed := s.departed[id]
+	return departed && left.Same(life)
+}
+
 // Evacuated counts the servers of a service that get no new requests only because their data centre is
 // evacuated.
 func (s *Snapshot) Evacuated(service string) int { return s.evacuated[service] }
--- a/decide/backends/delta_test.go
+++ b/decide/backends/delta_test.go
@@ -169,3 +169,21 @@
 		Expect(told.Snapshot().Ready("s")).To(BeEmpty())
 	})
 })
+
+// Guards against requests to servers that left after they were chosen, and against calls that an instance
+// does not make for others because it has not heard of a new server yet.
+var _ = Describe("a server that was chosen earlier", func() {
+	It("has left if its entry says so or is gone, and not if it was never listed", func() {
+		set := backends.NewSet()
+		set.Replace(0, []backends.Server{{ID: "a", Life: 1}, {ID: "b", Life: 1}, {ID: "c", Life: 1}}, at(90))
+		set.Apply(0, []backends.Change{{ID: "a", Server: &backends.Server{ID: "a", Life: 1, Leaving: true}}, {ID: "b"}}, at(92))
+		left := set.Snapshot().HasLeft
+		Expect(left("a", 1)).To(BeTrue())
+		Expect(left("b", 1)).To(BeTrue())
+		Expect(left("c", 1)).To(BeFalse())
+		Expect(left("b", 2)).To(BeFalse())
+		Expect(left("unknown", 1)).To(BeFalse())
+		set.Apply(0, []backends.Change{{ID: "b", Server: &backends.Server{ID: "b", Life: 1}}}, at(93))
+		Expect(set.Snapshot().HasLeft("b", 1)).To(BeFalse())
+	})
+})
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -139,7 +139,11 @@
 			s.byID[id] = v
 		}
 	}
-	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return expired(d) })
+	s.expireDeparted(now)
+}
+
+func (s *Set) expireDeparted(now time.Duration) {
+	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return now-d.at > departureTTL })
 }
 
 // holds reports whether what a server said of itself holds as long as its entry v is listed. Lives
@@ -198,6 +202,7 @@
 		return false
 	}
 	s.at = at
+	s.expireDeparted(now)
 	for _, c := range changes {
 		// A change in this era was written after the restore.
 		delete(s.presumedStale, c.ID)
@@ -277,12 +282,16 @@
 	out := &Snapshot{
 		At: s.at, byID: make(map[string]Server, len(s.byID)+len(s.retained)), services: map[string][]Server{},
 		evacuated: map[string]int{}, cold: map[string]coldRecord{}, returningUntil: maps.Clone(s.returningUntil),
+		departed: make(map[string]Life, len(s.departed)),
 	}
 	for id, g := range s.coldRecords {
 		if g.stated || g.appeared || g.preceded {
 			out.cold[id] = g
 		}
 	}
+	for id, d := range s.departed {
+		out.departed[id] = d.life
+	}
 	for id, v := range s.byID {
 		out.byID[id] = v
 		out.Digest += v.digest()
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -56,6 +56,11 @@
 
 func healCuts() { cuts.Clear() }
 
+// sendDelays are the times that instances take from the choice of a server to the sending of a request.
+var sendDelays sync.Map
+
+func delaySends(instance string, d time.Duration) { sendDelays.Store(instance, d) }
+
 func allServers(string) bool { return true }
 
 // partitionedClient is platform.Client behind the partitions in force.
@@ -107,6 +112,9 @@
 	if err := b.connect(ctx, c.Server); err != nil {
 		return nil, err
 	}
+	if d, delayed := sendDelays.Load(b.self); delayed {
+		time.Sleep(d.(time.Duration))
+	}
 	c.Header = c.Header.Clone()
 	if c.Header == nil {
 		c.Header = http.Header{}
