An instance that hears of a newer list of servers and does not get it reads the store

What callers saw: requests to servers that had left, at instances that could hear those that watch the store but could not reach them: they went on to hear that the store had confirmed the newest list, so that none of them took over, and their requests for it were lost.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -113,6 +113,7 @@
 	serverSet         *backends.Set
 	unreadableServers unreadable
 	verification      verification
+	lag               lag
 	// configAt is the store position up to which the local configuration is the newest, and
 	// configKnown whether one was read from the store or received from a peer.
 	configAt      position.Position
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -81,6 +81,9 @@
 		if f.configID().supersededBy(o.config) {
 			f.recordNewerConfig(o.config)
 		}
+		if f.offersNewerServers(o) {
+			f.noteBehind(o.servers)
+		}
 		f.offers.Offer(o)
 		return
 	}
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -103,6 +103,7 @@
 	}
 	f.noteGracePeriods()
 	u.after = f.publishServers()
+	f.lag.moveOn(f.now())
 	f.verification.history.Record(u.after)
 	u.changed = f.coldTimesChanged(u.after)
 	if u.before != nil && u.before.Digest == u.after.Digest {
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -180,7 +180,7 @@
 	st := f.members.Standing()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.watchPolicy.ShouldWatch(st, f.confirmations.Age(now, st.PrecededBy))
+	return f.watchPolicy.ShouldWatch(st, f.confirmations.Age(now, st.PrecededBy)) || f.isBehind(now)
 }
 
 // updateDuty logs when this instance starts or stops watching, and why.
