--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -22,7 +22,7 @@
 	// After a change the next call is delayed to batch further changes, by minBatchDelay
 	// and up to maxBatchDelay while they continue: in a rolling restart each server changes
 	// its entry several times. A server that leaves may be sent requests for two seconds.
-	minBatchDelay, maxBatchDelay = 100 * time.Millisecond, 500 * time.Millisecond
+	minBatchDelay, maxBatchDelay = 100 * time.Millisecond, 400 * time.Millisecond
 )
 
 // Names of the sources in logs and metrics.
