Soak: servers that start, write their cold time and are removed shortly after a heartbeat

A new kind of fault, vanish: nothing but the removal of its entry says that such a server leaves. The soak had servers that leave by their entry or by their word, and none whose entry changes shortly before it is removed.

--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -241,6 +241,8 @@
 		r.evacuate(f)
 	case SayLeaving:
 		r.sayLeaving(f)
+	case Vanish:
+		r.startVanishing(f)
 	case AskRest:
 		r.askRest(f)
 	case Cold:
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -47,6 +47,7 @@
 	standin                 *workerserver.Server
 	link                    *proxy
 	disturbances            disturbanceLog
+	startedAt               time.Time
 	// leftAt is when the store acknowledged that the server leaves, zero before.
 	leftAt time.Time
 	// limits are the limits that the server named.
@@ -160,9 +161,15 @@
 }
 
 func (s *site) addServer(service string) error {
+	_, err := s.addServerWith(service, s.announce)
+	return err
+}
+
+// addServerWith adds a server, whose first entry is written by the given function, with s.mu held.
+func (s *site) addServerWith(service string, announce func(*server)) (*server, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := &server{id: fmt.Sprintf("s%03d", s.created), service: service, dataCentre: fmt.Sprintf("dc-%d", s.created%dataCentreCount)}
+	v := &server{id: fmt.Sprintf("s%03d", s.created), service: service, dataCentre: fmt.Sprintf("dc-%d", s.created%dataCentreCount), startedAt: time.Now()}
 	s.created++
 	cfg := workerserver.Config{ID: v.id, Addr: "127.0.0.1:0", DefaultFault: s.mutant.workerFault()}
 	if service == modelService {
@@ -172,15 +179,15 @@
 	}
 	v.standin = workerserver.New(cfg)
 	if err := v.standin.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	var err error
 	if v.link, err = newProxy(v.standin.Addr()); err != nil {
-		return err
+		return nil, err
 	}
 	s.servers = append(s.servers, v)
-	s.writeOrQueue(func() { s.announce(v) })
-	return nil
+	s.writeOrQueue(func() { announce(v) })
+	return v, nil
 }
 
 // announce writes the entry of a server to the store. It panics on an error, which is a
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -122,6 +122,18 @@
 		Expect(play(p, "").Violations).To(BeEmpty())
 	})
 
+	// Guards against requests to servers whose entries were removed shortly after a heartbeat.
+	It("detects servers that get requests after their entries were removed", func() {
+		p := draw(3)
+		p.Instances = 8
+		p.Faults = nil
+		for at := 6 * time.Second; at < 14*time.Second; at += time.Second {
+			p.Faults = append(p.Faults, soak.Fault{Kind: soak.Vanish, At: settings.Duration(at), Share: 0.5, Pick: uint64(at)})
+		}
+		Expect(play(p, soak.KeepsEntry).Violated(soak.Leaving)).To(BeTrue())
+		Expect(play(p, "").Violations).To(BeEmpty())
+	})
+
 	It("detects a configuration that takes effect too late", func() {
 		Expect(play(draw(3), soak.LateConfig).Violated(soak.InForce)).To(BeTrue())
 	})
