Verification of lists of servers: failed reads are repeated less and less often, waiting instances get only lists that were compared

Read of the change: while the store is away an instance whose list is contradicted called it three times a second; now after 0.3 s, doubled up to 3 s. An instance whose own list had moved on during the read sent that as verified; now those that wait go on waiting for the next read. And an instance whose calls to the store fail takes whole lists of others at once again, not after the time of a watch.

--- a/control/follow/mismatch.go
+++ b/control/follow/mismatch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +24,8 @@
 
 const (
 	// verifyInterval is the time between two attempts to verify the list, and what an instance waits for
-	// a verified list that it requested.
-	verifyInterval = 300 * time.Millisecond
+	// a verified list that it requested. It doubles with each call that fails, up to maxVerifyInterval.
+	verifyInterval, maxVerifyInterval = 300 * time.Millisecond, 3 * time.Second
 	// verifyJitter spreads the reads of instances that contradict each other.
 	verifyJitter = 100 * time.Millisecond
 	// verifyRequests is the number of instances that are asked for a verified list before this instance
@@ -105,9 +107,14 @@
 			return
 		case <-f.verifyDue:
 		}
-		for f.mustVerify() {
-			f.verifyOnce(ctx)
-			if !wait.For(ctx, verifyInterval+rand.N(verifyJitter)) {
+		for interval := verifyInterval; f.mustVerify(); {
+			if err := f.verifyOnce(ctx); err == nil {
+				interval = verifyInterval
+			} else {
+				f.log.Info("list of backend servers not verified", eventlog.Error(err))
+				interval = min(2*interval, maxVerifyInterval)
+			}
+			if !wait.For(ctx, interval+rand.N(verifyJitter)) {
 				return
 			}
 		}
@@ -121,7 +128,7 @@
 }
 
 // verifyOnce reads the store if this instance watches it or others wait, and asks one that does otherwise.
-func (f *Follower) verifyOnce(ctx context.Context) {
+func (f *Follower) verifyOnce(ctx context.Context) error {
 	f.mu.Lock()
 	asked, waiting := f.verification.requests, len(f.verification.waiting)
 	f.verification.requests++
@@ -129,10 +136,10 @@
 	if waiting == 0 && asked < verifyRequests && !f.watchIsCurrent() {
 		if peer := f.verifierOf(asked); peer != "" {
 			f.sendServersRequest(peer, true)
-			return
+			return nil
 		}
 	}
-	f.readVerified(ctx)
+	return f.readVerified(ctx)
 }
 
 // verifierOf returns the instance to ask for a verified list in an attempt, or "" if there is none.
@@ -151,7 +158,7 @@
 // watchIsCurrent reports whether this instance watches the store, which answered a short time ago: it learns
 // of all changes itself.
 func (f *Follower) watchIsCurrent() bool {
-	if !f.hasWatchDuty() {
+	if !f.hasWatchDuty() || f.storeFailing.Load() {
 		return false
 	}
 	f.mu.Lock()
@@ -161,26 +168,31 @@
 }
 
 // readVerified compares the list with the whole one of the store, and sends it to the instances that wait
-// for that.
-func (f *Follower) readVerified(ctx context.Context) {
+// for that. If the local list has moved on meanwhile, they go on waiting.
+func (f *Follower) readVerified(ctx context.Context) error {
 	f.mu.Lock()
-	waiting := f.verification.waiting
-	f.verification.waiting = nil
+	waiting := slices.Collect(maps.Keys(f.verification.waiting))
 	f.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	l, err := f.catalog.Servers(callCtx, false)
 	f.handleNewEra()
 	if err != nil {
-		f.log.Info("list of backend servers not verified", eventlog.Error(err))
-		return
+		return err
 	}
-	f.applyVerified("store", l)
-	reply := f.fullReply(f.Servers())
+	u := f.applyVerified("store", l)
+	if u.after == nil {
+		return nil
+	}
+	reply := f.fullReply(u.after)
 	reply.Verified = true
-	for peer := range waiting {
-		f.sendServers([]string{peer}, reply)
+	f.sendServers(waiting, reply)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, peer := range waiting {
+		delete(f.verification.waiting, peer)
 	}
+	return nil
 }
 
 // applyVerified adopts a list that was read from the store after the local one was contradicted, and
