--- a/e2e/removed_test.go
+++ b/e2e/removed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,6 +184,23 @@
 	return out
 }
 
+// lastRequests returns for each removed server the time from its removal to the last request that reached it,
+// sorted; zero if none did.
+func (s *removalSite) lastRequests() (out []time.Duration) {
+	for _, v := range s.servers {
+		if v.removed.IsZero() {
+			continue
+		}
+		last := time.Duration(0)
+		for _, a := range v.Arrivals() {
+			last = max(last, a.At.Sub(v.removed))
+		}
+		out = append(out, last)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // printLog prints the lines of all instances that name a server, and those on lists that differ.
 func (s *removalSite) printLog(id string) {
 	GinkgoWriter.Printf("%s was removed at %s\n", id, s.servers[id].removed.UTC().Format(time.RFC3339Nano))
@@ -208,6 +226,7 @@
 			}
 		})
 		s.play(1)
+		GinkgoWriter.Println("last requests after the removal:", s.lastRequests())
 		late := s.lateRequests()
 		for id := range late {
 			s.printLog(id)
