--- a/control/follow/serverlog.go
+++ b/control/follow/serverlog.go
@@ -19,8 +19,18 @@
 	}
 	transitions := after.Transitions(before)
 	for _, t := range transitions[:min(len(transitions), maxTransitionLines)] {
-		f.log.Info("backend server "+string(t.Kind), zap.String("server", t.Server.ID), zap.String("service", t.Server.Service),
-			zap.Int64("life", int64(t.Server.Life)), zap.String("from", from), zap.Stringer("at", after.At))
+		fields := []zap.Field{
+			zap.String("server", t.Server.ID), zap.String("service", t.Server.Service), zap.Int64("life", int64(t.Server.Life)),
+			zap.String("from", from), zap.Stringer("at", after.At),
+		}
+		switch t.Kind {
+		case backends.Listed:
+			f.log.Info("backend server listed", fields...)
+		case backends.Leaves:
+			f.log.Info("backend server leaves", fields...)
+		case backends.Gone:
+			f.log.Info("backend server gone", fields...)
+		}
 	}
 	if more := len(transitions) - maxTransitionLines; more > 0 {
 		f.log.Info("more backend servers changed", zap.Int("servers", more), zap.Stringer("at", after.At))
