An instance without a list of servers takes that of any peer, also one that may be stale

What callers saw: an instance that restarted while the store was away was ready up to half a second later.

Cause: since first reads that may be stale have no position, instances that do not watch the store do not offer such a list, and a new one asked only for lists that were offered, or every 0.5 s at random. Now it asks the peer from which it takes the configuration.

--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -175,11 +175,17 @@
 		f.scope.Counter("config_asked_total").Inc(1)
 		f.link.Send(o.peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{HaveVersion: held.version, HaveEra: held.era}}})
 	}
-	if f.offersNewerServers(o) && !f.watchIsCurrent() && f.requests.servers.due(f.now()) {
+	if f.wantsServers(o) && f.requests.servers.due(f.now()) {
 		f.requestServers(o.peer)
 	}
 }
 
+// wantsServers reports whether to request the list of servers from a peer: an instance that has none takes
+// any, also one that the peer does not offer because it may be stale.
+func (f *Follower) wantsServers(o offer) bool {
+	return f.Servers() == nil || f.offersNewerServers(o) && !f.watchIsCurrent()
+}
+
 // awaitContent adopts configurations as they arrive until an offer holds nothing newer, or until
 // peerRequestDelay has passed since it was announced.
 func (f *Follower) awaitContent(ctx context.Context, o offer) {
