A list of servers is not verified because it was the same at two positions

Found by reading the change. What operators saw: "list of backend servers differs from that of another instance" though no list was wrong, and reads of the store for it.

Cause: the history of lists took a list that was the same at two positions for the same at all positions between. A server that came and went in one answer of the store was in between, and an instance that held it then was contradicted. Only an answer without changes says that; then the interval is extended, else each position stands alone.

The spec of extended intervals now extends them by an answer without changes; what it expects is the same.

--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -70,9 +70,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if held := f.servers.Load(); held != nil && f.serverSet.Advance(at) {
-		next := held.AdvancedTo(at)
-		f.servers.Store(next)
-		f.verification.history.Record(next)
+		f.servers.Store(held.AdvancedTo(at))
+		f.verification.history.Advance(at)
 	}
 }
 
--- a/decide/backends/history.go
+++ b/decide/backends/history.go
@@ -18,21 +18,25 @@
 	digest   uint64
 }
 
-// Record records the list that is held now.
+// last is the list recorded last.
+func (h *History) last() *heldList { return &h.held[(h.next+historySize-1)%historySize] }
+
+// Record records the list that is held now. What was between it and an equal one before is not known: a
+// server may have come and gone.
 func (h *History) Record(s *Snapshot) {
-	last := &h.held[(h.next+historySize-1)%historySize]
-	if last.digest == s.Digest && last.from.Era == s.At.Era && !s.At.Before(last.to) {
-		last.to = s.At
-		return
-	}
-	if last.from == s.At {
-		last.digest = s.Digest
-		return
+	held := heldList{from: s.At, to: s.At, digest: s.Digest}
+	switch last := h.last(); {
+	case last.to != s.At:
+		h.held[h.next] = held
+		h.next = (h.next + 1) % historySize
+	case last.digest != s.Digest:
+		*last = held
 	}
-	h.held[h.next] = heldList{from: s.At, to: s.At, digest: s.Digest}
-	h.next = (h.next + 1) % historySize
 }
 
+// Advance records that nothing has changed up to a later position.
+func (h *History) Advance(at position.Position) { h.last().to = at }
+
 // Contradicts reports whether the list that was held at a position had another digest.
 func (h *History) Contradicts(at position.Position, digest uint64) bool {
 	for _, l := range h.held {
--- a/decide/backends/history_test.go
+++ b/decide/backends/history_test.go
@@ -10,12 +10,13 @@
 var _ = Describe("the digests of the lists that were held last", func() {
 	var h backends.History
 	hold := func(revision int64, digest uint64) { h.Record(&backends.Snapshot{At: at(revision), Digest: digest}) }
+	advance := func(revision int64) { h.Advance(at(revision)) }
 	BeforeEach(func() { h = backends.History{} })
 
 	It("contradict others at the same positions", func() {
 		hold(10, 7)
 		hold(12, 8)
-		hold(15, 8)
+		advance(15)
 		hold(20, 7)
 		for revision, digest := range map[int64]uint64{10: 7, 12: 8, 14: 8, 15: 8, 20: 7} {
 			Expect(h.Contradicts(at(revision), digest)).To(BeFalse(), "%d", revision)
@@ -32,10 +33,24 @@
 		}
 	})
 
+	// Guards against a list that is verified for nothing because a server came and went between two
+	// positions at which it was the same.
+	It("say nothing of what was between two equal lists", func() {
+		hold(10, 7)
+		hold(15, 7)
+		Expect(h.Contradicts(at(12), 8)).To(BeFalse())
+		Expect(h.Contradicts(at(10), 8)).To(BeTrue())
+		Expect(h.Contradicts(at(15), 8)).To(BeTrue())
+	})
+
 	It("are those of a list that was repaired at its position", func() {
 		hold(10, 7)
 		hold(10, 9)
 		Expect(h.Contradicts(at(10), 9)).To(BeFalse())
+		advance(15)
+		hold(15, 8)
+		Expect(h.Contradicts(at(15), 8)).To(BeFalse())
+		Expect(h.Contradicts(at(12), 8)).To(BeFalse())
 	})
 
 	It("are forgotten in their order", func() {
