One check of the list of servers, for requests and for calls made for others

Read of the change: the guard of the list stood in serve/relay beside a check of the same list in serve/peerproxy, which covered entries that say leaving only. peerproxy has the list and the guards and every request passes it, so the check stands there once. A server that left the list and asked this instance for rest as well is now refused as leaving, not as resting, to an instance that wants a call made; either way nothing is sent.

--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -84,10 +84,8 @@
 	if p.members.Leaving() {
 		return peerpb.ProxyRefusal_PROXY_LEAVING
 	}
-	if servers := p.catalog.Servers(); servers != nil {
-		if s, listed := servers.Get(to.Server); listed && s.Leaving && s.Life.Same(to.Life) {
-			return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
-		}
+	if p.checkListed(to) != nil {
+		return peerpb.ProxyRefusal_PROXY_SERVER_LEAVING
 	}
 	if err := p.guards.Check(to); errors.Is(err, backend.ErrResting) {
 		return peerpb.ProxyRefusal_PROXY_SERVER_RESTING
--- a/serve/relay/listed.go
+++ b/serve/peerproxy/listed.go
@@ -1,4 +1,4 @@
-package relay
+package peerproxy
 
 import (
 	"github.com/cockroachdb/errors"
@@ -8,8 +8,8 @@
 
 // checkListed implements backend.Guard: a server whose leaving became known after it was chosen gets no
 // request.
-func (r *Relay) checkListed(to backend.Endpoint) error {
-	if list := r.catalog.Servers(); list != nil && list.HasLeft(to.Server, to.Life) {
+func (p *PeerProxy) checkListed(to backend.Endpoint) error {
+	if list := p.catalog.Servers(); list != nil && list.HasLeft(to.Server, to.Life) {
 		return errors.Mark(errors.Newf("server %s left the list or leaves by its entry", to.Server), backend.ErrHeldBack)
 	}
 	return nil
--- a/serve/peerproxy/peerproxy.go
+++ b/serve/peerproxy/peerproxy.go
@@ -80,6 +80,7 @@
 	}
 	p.log, p.now, p.scope, p.direct, p.notices = c.Log, c.Now, c.Scope, src.Backends(), src.Notices()
 	p.guards = src.Guards()
+	p.guards.Add(p.checkListed)
 	p.services, p.proxies, p.calls = map[string]*servicePaths{}, reach.NewProxies(c.Self.Name), map[*proxiedCall]struct{}{}
 	p.link.HandleProxy(p)
 	p.members.OnView(p.updateView)
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -163,7 +163,6 @@
 		return err
 	}
 	r.guards = src.Guards()
-	r.guards.Add(r.checkListed)
 	if r.client, err = auburnmoor.Require[*peerproxy.PeerProxy](c, peerproxy.ID); err != nil {
 		return err
 	}
