Small repetitions of the change: a signal, an expiry, comparisons of one offer

One wake for the three signals of control/follow, one method for whether a departure is still remembered (it stood three times), what an offer holds is compared once for each message of gossip and not twice. Nothing is decided otherwise.

--- a/control/follow/cold.go
+++ b/control/follow/cold.go
@@ -87,7 +87,7 @@
 		}
 	}
 	if changed {
-		f.signalBecameCold()
+		wake(f.becameCold)
 	}
 	return changed
 }
--- a/control/follow/coldrepeat.go
+++ b/control/follow/coldrepeat.go
@@ -38,14 +38,6 @@
 	}
 }
 
-// signalBecameCold signals that a server became cold. The caller holds f.mu.
-func (f *Follower) signalBecameCold() {
-	select {
-	case f.becameCold <- struct{}{}:
-	default:
-	}
-}
-
 // sendColdTimes sends the cold times to some random instances.
 func (f *Follower) sendColdTimes(count int) {
 	messages := f.coldMessages(f.now(), f.Servers())
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -204,6 +204,14 @@
 	return nil
 }
 
+// wake sends a signal, unless one waits already.
+func wake(signal chan<- struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
 // Table returns the configuration in force, or nil if there is none yet.
 func (f *Follower) Table() *route.Table { return f.table.Load() }
 
--- a/control/follow/mismatch.go
+++ b/control/follow/mismatch.go
@@ -58,12 +58,10 @@
 // setPause sets how long contradictions are ignored after the list was verified: longer each time if it was
 // right and is contradicted again and again.
 func (v *verification) setPause(now time.Duration, right bool) {
-	again := now-v.rightAt < v.pause+verifyAgain
-	switch {
-	case !right || !again:
-		v.pause = 0
-	default:
+	if again := now-v.rightAt < v.pause+verifyAgain; right && again {
 		v.pause = min(max(minVerifyPause, 2*v.pause), maxVerifyPause)
+	} else {
+		v.pause = 0
 	}
 	if right {
 		v.rightAt = now
@@ -87,15 +85,7 @@
 	f.scope.Counter("servers_mismatches_total").Inc(1)
 	f.log.Warn("list of backend servers differs from that of another instance at the same position", zap.String("peer", peer),
 		zap.Stringer("at", at), zap.Int("servers", s.Len()), digestField(s.Digest), zap.Stringer("held_at", s.At), zap.String("peer_digest", formatDigest(digest)))
-	f.signalVerify()
-}
-
-// signalVerify wakes verifyServers.
-func (f *Follower) signalVerify() {
-	select {
-	case f.verifyDue <- struct{}{}:
-	default:
-	}
+	wake(f.verifyDue)
 }
 
 // verifyServers verifies the list of servers while it is contradicted, or while other instances wait for
@@ -232,5 +222,5 @@
 	}
 	f.verification.waiting[from] = true
 	f.mu.Unlock()
-	f.signalVerify()
+	wake(f.verifyDue)
 }
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -77,13 +77,14 @@
 	}
 	f.mu.Unlock()
 	f.compareServers(from, o.servers, o.digest)
-	if f.offersNewer(o) {
-		if f.configID().supersededBy(o.config) {
-			f.recordNewerConfig(o.config)
-		}
-		if f.offersNewerServers(o) {
-			f.noteBehind(o.servers)
-		}
+	newerConfig, newerServers := f.configID().supersededBy(o.config), f.offersNewerServers(o)
+	if newerConfig {
+		f.recordNewerConfig(o.config)
+	}
+	if newerServers {
+		f.noteBehind(o.servers)
+	}
+	if newerConfig || newerServers {
 		f.offers.Offer(o)
 		return
 	}
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -168,12 +168,8 @@
 
 // noteGracePeriods signals that grace periods may have begun. The caller holds f.mu.
 func (f *Follower) noteGracePeriods() {
-	if !f.serverSet.InGracePeriod() {
-		return
-	}
-	select {
-	case f.graceBegan <- struct{}{}:
-	default:
+	if f.serverSet.InGracePeriod() {
+		wake(f.graceBegan)
 	}
 }
 
--- a/decide/backends/set.go
+++ b/decide/backends/set.go
@@ -67,6 +67,9 @@
 	return d.life.Same(life)
 }
 
+// expired reports whether a departure is no longer remembered.
+func (d departure) expired(now time.Duration) bool { return now-d.at > departureTTL }
+
 // NewSet returns an empty set.
 func NewSet() *Set {
 	return &Set{
@@ -118,7 +121,7 @@
 	s.retainUntil, s.distrustUntil = now+rewriteTimeout, now+staleEntryTTL
 	for _, v := range servers {
 		d, ended := s.departed[v.ID]
-		ended = ended && now-d.at <= departureTTL && (d.life.Same(v.Life) || v.Life < d.life)
+		ended = ended && !d.expired(now) && (d.life.Same(v.Life) || v.Life < d.life)
 		previous, known := s.byID[v.ID]
 		if ended || known && !previous.Life.Same(v.Life) && v.Life < previous.Life {
 			s.presumedStale[v.ID] = true
@@ -127,10 +130,9 @@
 }
 
 func (s *Set) expireDepartures(now time.Duration) {
-	expired := func(d departure) bool { return now-d.at > departureTTL }
 	for id, list := range s.leaving {
 		v := s.byID[id]
-		s.leaving[id] = slices.DeleteFunc(list, func(d departure) bool { return expired(d) && !(d.said && s.holds(v, d)) })
+		s.leaving[id] = slices.DeleteFunc(list, func(d departure) bool { return d.expired(now) && !(d.said && s.holds(v, d)) })
 		if len(s.leaving[id]) == 0 {
 			delete(s.leaving, id)
 		}
@@ -143,7 +145,7 @@
 }
 
 func (s *Set) expireDeparted(now time.Duration) {
-	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return now-d.at > departureTTL })
+	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return d.expired(now) })
 }
 
 // holds reports whether what a server said of itself holds as long as its entry v is listed. Lives
