lab: scenes of both kinds are started, played and reported by one piece of code

The scenes of servers had copies of how a fleet starts, of how seeds are played and summed up and of the check of a spec, and the soak three copies of how a failure of its stand-ins is recorded. Two fields that every scene of servers set alike are constants. Assertions, seeds and bounds are as before.

--- a/lab/propagation/measure.go
+++ b/lab/propagation/measure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 // Broken reports whether something was seen that must not be.
 func (r *Report) Broken() bool { return r.Late+r.Regressions+r.FalseRefusals+r.Unfinished > 0 }
 
+// Seen describes some of the cases in which something was broken, a line each.
+func (r *Report) Seen() string { return strings.Join(r.Examples, "\n") }
+
 // Add adds what another run measured.
 func (r *Report) Add(o *Report) {
 	r.Acked = append(r.Acked, o.Acked...)
--- a/lab/propagation/propagation_test.go
+++ b/lab/propagation/propagation_test.go
@@ -39,12 +39,21 @@
 	testkit.Suite(t, "propagation")
 }
 
+// report is what was measured in a scene of some kind.
+type report[R any] interface {
+	fmt.Stringer
+	Broken() bool
+	Add(R)
+	// Seen describes some of the cases in which something was broken.
+	Seen() string
+}
+
 // play plays a scene in virtual time.
-func play(t *testing.T, s propagation.Scene) (r *propagation.Report, err error) {
+func play[S, R any](t *testing.T, playScene func(S, *zap.Logger) (R, error), s S) (r R, err error) {
 	synctest.Test(t, func(*testing.T) {
 		var log *zap.Logger
 		if log, err = sceneLog(); err == nil {
-			r, err = propagation.Play(s, log)
+			r, err = playScene(s, log)
 		}
 	})
 	return r, err
@@ -81,46 +90,41 @@
 			playEvacuations(t, instances)
 			continue
 		}
+		title, site := fmt.Sprintf("%s, %d instances", *sceneFlag, instances), propagation.SiteOf(instances)
 		if makeServerScene != nil {
-			playServerSeeds(t, instances, makeServerScene)
+			playSeeds(t, title, propagation.PlayServers, func(seed uint64) propagation.ServerScene { return makeServerScene(site, seed) }, new(propagation.ServerReport))
 			continue
 		}
-		playSeeds(t, func(seed uint64) propagation.Scene { return makeScene(propagation.SiteOf(instances), seed) }, fmt.Sprintf("%s, %d instances", *sceneFlag, instances))
+		playSeeds(t, title, propagation.Play, func(seed uint64) propagation.Scene { return makeScene(site, seed) }, new(propagation.Report))
 	}
 }
 
-func playSeeds(t *testing.T, makeScene func(seed uint64) propagation.Scene, title string) {
+// playSeeds plays the seeds that the flags choose, several at once, and prints the figures. sum is an empty
+// report.
+func playSeeds[S any, R report[R]](t *testing.T, title string, playScene func(S, *zap.Logger) (R, error), makeScene func(seed uint64) S, sum R) {
 	var mu sync.Mutex
-	var sum propagation.Report
-	forEachSeed(func(seed uint64) {
-		s := makeScene(seed)
-		r, err := play(t, s)
-		mu.Lock()
-		defer mu.Unlock()
-		if err != nil {
-			t.Error(s, err)
-			return
-		}
-		sum.Add(r)
-		if r.Broken() {
-			t.Errorf("%v\n%v\n%s", s, r, strings.Join(r.Examples, "\n"))
-		}
-	})
-	fmt.Fprintf(os.Stdout, "%s, %d seeds from %d: %v\n", title, *seedsFlag, *firstFlag, &sum)
-}
-
-// forEachSeed calls a function for each of the seeds that the flags choose, for several at once.
-func forEachSeed(do func(seed uint64)) {
 	var wg sync.WaitGroup
 	tokens := make(chan struct{}, *atOnceFlag)
 	for i := range *seedsFlag {
+		s := makeScene(*firstFlag + uint64(i))
 		tokens <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-tokens }()
-			do(*firstFlag + uint64(i))
+			r, err := play(t, playScene, s)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				t.Error(s, err)
+				return
+			}
+			sum.Add(r)
+			if r.Broken() {
+				t.Errorf("%v\n%v\n%s", s, r, r.Seen())
+			}
 		})
 	}
 	wg.Wait()
+	fmt.Fprintf(os.Stdout, "%s, %d seeds from %d: %v\n", title, *seedsFlag, *firstFlag, sum)
 }
 
 // Required times from acknowledged to in force, and from the first answer of the store after an outage
@@ -131,16 +135,16 @@
 )
 
 // playSpec plays a scene in which nothing may be broken.
-func playSpec(s propagation.Scene) *propagation.Report {
-	r, err := play(suite, s)
+func playSpec[S any, R report[R]](playScene func(S, *zap.Logger) (R, error), s S) R {
+	r, err := play(suite, playScene, s)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(r.Broken()).To(BeFalse(), "%v\n%v\n%s", s, r, strings.Join(r.Examples, "\n"))
+	Expect(r.Broken()).To(BeFalse(), "%v\n%v\n%s", s, r, r.Seen())
 	return r
 }
 
 var _ = Describe("a configuration", func() {
 	DescribeTable("is in force in a calm fleet within half a second", func(instances int) {
-		r := playSpec(propagation.Calm(propagation.SiteOf(instances), 1))
+		r := playSpec(propagation.Play, propagation.Calm(propagation.SiteOf(instances), 1))
 		Expect(r.Acked).NotTo(BeEmpty())
 		Expect(r.Acked.Quantile(0.99)).To(BeNumerically("<=", calmP99))
 		Expect(r.Acked.Max()).To(BeNumerically("<=", calmMost))
@@ -151,7 +155,7 @@
 	)
 
 	DescribeTable("queued behind an outage is in force soon after it", func(instances int) {
-		r := playSpec(propagation.Queued(propagation.SiteOf(instances), 1))
+		r := playSpec(propagation.Play, propagation.Queued(propagation.SiteOf(instances), 1))
 		Expect(r.Answered).NotTo(BeEmpty())
 		Expect(r.Answered.Quantile(0.99)).To(BeNumerically("<=", queuedP99))
 		Expect(r.Answered.Max()).To(BeNumerically("<=", queuedMost))
@@ -163,7 +167,7 @@
 
 	DescribeTable("is in force in time whatever happens", func(instances, seeds int) {
 		for seed := range seeds {
-			playSpec(propagation.Drawn(propagation.SiteOf(instances), uint64(seed+1)))
+			playSpec(propagation.Play, propagation.Drawn(propagation.SiteOf(instances), uint64(seed+1)))
 		}
 	},
 		Entry("to 6 instances", 6, 12),
--- a/lab/propagation/scene.go
+++ b/lab/propagation/scene.go
@@ -184,15 +184,10 @@
 	f := NewFleet(s.Site, s.Seed, log)
 	defer f.Stop()
 	r := &run{scene: s, fleet: f, meter: newMeter(f), begin: time.Now(), rand: rand.New(rand.NewPCG(s.Seed, 6))}
-	f.Store.Accept(firstVersion, s.Site.Size)
-	for _, in := range r.newcomers() {
-		in.host.SetTrouble(simnet.Trouble{Off: true})
-	}
-	if err := f.startAll(f.instances[:s.Site.Instances-s.Newcomers]); err != nil {
+	if err := r.start(); err != nil {
 		return nil, err
 	}
-	events := r.events()
-	end := r.schedule(events)
+	end := r.schedule(r.events())
 	for now := time.Duration(0); now < end && r.err == nil; now = time.Since(r.begin) {
 		time.Sleep(pollInterval)
 		r.meter.poll()
@@ -200,6 +195,15 @@
 	return r.meter.finish(), r.err
 }
 
+// start accepts the first configuration and starts all instances but the newcomers.
+func (r *run) start() error {
+	r.fleet.Store.Accept(firstVersion, r.scene.Site.Size)
+	for _, in := range r.newcomers() {
+		in.host.SetTrouble(simnet.Trouble{Off: true})
+	}
+	return r.fleet.startAll(r.fleet.instances[:r.scene.Site.Instances-r.scene.Newcomers])
+}
+
 // event is something that happens at a time of a scene.
 type event struct {
 	at time.Duration
@@ -245,7 +249,7 @@
 	end := time.Duration(0)
 	for _, e := range events {
 		end = max(end, e.at)
-		time.AfterFunc(time.Until(r.begin.Add(e.at)), e.do)
+		r.after(e.at, e.do)
 	}
 	for _, k := range r.scene.Strikes {
 		end = max(end, k.At+k.For)
@@ -253,6 +257,11 @@
 	return end + r.scene.Tail
 }
 
+// after has something happen at a time of the scene.
+func (r *run) after(at time.Duration, do func()) {
+	time.AfterFunc(time.Until(r.begin.Add(at)), do)
+}
+
 func (r *run) beginOutage() {
 	s := r.scene
 	hit := map[string]bool{}
--- a/lab/propagation/servers.go
+++ b/lab/propagation/servers.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
-	"github.com/auburnmoor/auburnmoor/lab/simnet"
 	"github.com/auburnmoor/auburnmoor/lab/simstore"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -19,9 +19,8 @@
 // without.
 type ServerScene struct {
 	Scene
-	// Servers is the number of servers that come and go between ServersFrom and ServersTo.
-	Servers                int
-	ServersFrom, ServersTo time.Duration
+	// Servers is the number of servers that come and go.
+	Servers int
 	// Staleness is what lists that may be stale hold.
 	Staleness simstore.Staleness
 	// WrongDeltas is the number of times that an instance gets a wrong message with changes, at the
@@ -31,8 +30,10 @@
 
 // Times of a server scene.
 const (
+	// Servers come and go from serversFrom to serversTo.
 	serversFrom = 8 * time.Second
 	serversFor  = 16 * time.Second
+	serversTo   = serversFrom + serversFor
 	// serverHeartbeat is the interval at which a cold server writes its entry, serverColdTime how long it
 	// is cold.
 	serverHeartbeat = 1200 * time.Millisecond
@@ -51,9 +52,7 @@
 
 // CalmServers is a scene without trouble.
 func CalmServers(site Site, seed uint64) ServerScene {
-	s := ServerScene{Scene: Scene{Site: site, Seed: seed, Tail: 2*site.StableAfter + site.ApplyWithin}, Servers: moreServers}
-	s.ServersFrom, s.ServersTo = serversFrom, serversFrom+serversFor
-	return s
+	return ServerScene{Scene: Scene{Site: site, Seed: seed, Tail: serversTail(site)}, Servers: moreServers}
 }
 
 // WrongServers is a scene without trouble in which instances get wrong messages.
@@ -70,12 +69,19 @@
 	s.Restore, s.Changes, s.Site.Size.ConfigBytes = false, 1, site.Size.ConfigBytes
 	s.Outage = min(s.Outage, serversFor)
 	s.Servers = fewServers + r.IntN(moreServers-fewServers)
-	s.ServersFrom, s.ServersTo = serversFrom, serversFrom+serversFor
 	s.Staleness = pick(r, simstore.Current, simstore.Past, simstore.PastAsPresent)
-	s.Tail = 2*site.StableAfter + site.ApplyWithin
+	s.Tail = serversTail(site)
 	return s
 }
 
+// serversTail is the time after the last event within which all lists must be those of the store.
+func serversTail(site Site) time.Duration { return 2*site.StableAfter + site.ApplyWithin }
+
+// String describes the scene.
+func (s ServerScene) String() string {
+	return fmt.Sprintf("%v; %d servers, lists %q", s.Scene, s.Servers, s.Staleness)
+}
+
 // ServerReport is what was measured in a server scene.
 type ServerReport struct {
 	// Out holds the times from the acknowledgement that a server leaves or is gone to the last moment at
@@ -84,9 +90,9 @@
 	// Mended holds the times for which lists were wrong in scenes with wrong messages.
 	Mended Distribution
 	// Late counts the servers that an instance in touch used longer after that than the bound,
-	// Mismatches the lists that were not those of the store at their position, and Unfinished the
-	// instances whose list is not that of the store at the end.
-	// Unmended counts the lists that were wrong for too long.
+	// Mismatches the lists that were not those of the store at their position, Unfinished the
+	// instances whose list is not that of the store at the end, and Unmended the lists that were
+	// wrong for too long.
 	Late, Mismatches, Unfinished, Unmended int
 	Examples                               []string
 	StoreCalls                             int
@@ -96,6 +102,9 @@
 // Broken reports whether something was seen that must not be.
 func (r *ServerReport) Broken() bool { return r.Late+r.Mismatches+r.Unfinished+r.Unmended > 0 }
 
+// Seen describes some of the cases in which something was broken, a line each.
+func (r *ServerReport) Seen() string { return strings.Join(r.Examples, "\n") }
+
 // Add adds what another run measured.
 func (r *ServerReport) Add(o *ServerReport) {
 	r.Out = append(r.Out, o.Out...)
@@ -148,14 +157,10 @@
 		r.dataCentres = append(r.dataCentres, fmt.Sprintf("dc-%d", i))
 	}
 	f.Store.SetStaleness(s.Staleness)
-	f.Store.Accept(firstVersion, s.Site.Size)
-	for _, in := range r.newcomers() {
-		in.host.SetTrouble(simnet.Trouble{Off: true})
-	}
-	if err := f.startAll(f.instances[:s.Site.Instances-s.Newcomers]); err != nil {
+	if err := r.start(); err != nil {
 		return nil, err
 	}
-	end := max(r.schedule(r.events()), s.ServersTo+longestServerLife+s.Tail)
+	end := max(r.schedule(r.events()), serversTo+longestServerLife+s.Tail)
 	r.scheduleServers()
 	for now, checked := time.Duration(0), time.Duration(0); now < end; now = time.Since(r.begin) {
 		time.Sleep(pollInterval)
@@ -176,26 +181,21 @@
 	draw := rand.New(rand.NewPCG(r.scene.Seed, 10))
 	for i := range r.scene.Servers {
 		v := simstore.NewServer(r.scene.Site.Size.Servers+i, r.dataCentres)
-		from := between(draw, r.scene.ServersFrom, r.scene.ServersTo)
+		from := between(draw, serversFrom, serversTo)
 		life := &serverLife{run: r, server: v, rand: rand.New(rand.NewPCG(r.scene.Seed, uint64(100+i)))}
 		r.after(from, life.start)
 	}
 	for range r.scene.WrongDeltas {
-		r.after(between(draw, r.scene.ServersFrom, r.scene.ServersTo), func() { r.sendWrongDelta(draw) })
+		r.after(between(draw, serversFrom, serversTo), func() { r.sendWrongDelta(draw) })
 	}
 	// Servers that were listed before leave as well, without a heartbeat.
 	for i := range min(r.scene.Servers, r.scene.Site.Size.Servers) / 4 {
 		v := simstore.NewServer(i, r.dataCentres)
 		life := &serverLife{run: r, server: v, rand: rand.New(rand.NewPCG(r.scene.Seed, uint64(10_000+i)))}
-		r.after(between(draw, r.scene.ServersFrom, r.scene.ServersTo), life.leave)
+		r.after(between(draw, serversFrom, serversTo), life.leave)
 	}
 }
 
-// after has something happen at a time of the scene.
-func (r *serverRun) after(at time.Duration, do func()) {
-	time.AfterFunc(time.Until(r.begin.Add(at)), do)
-}
-
 // write writes the entry of a server.
 func (r *serverRun) write(v backends.Server) {
 	_, at := r.fleet.Store.PutServer(v)
--- a/lab/soak/notices.go
+++ b/lab/soak/notices.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
 )
 
@@ -64,9 +62,7 @@
 	all := r.site.allServers()
 	for _, i := range f.targets(len(all)) {
 		if err := r.site.leaveUnlisted(all[i]); err != nil {
-			r.mu.Lock()
-			r.standinErr = errors.CombineErrors(r.standinErr, err)
-			r.mu.Unlock()
+			r.recordStandinError(err)
 		}
 	}
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -376,13 +376,18 @@
 	}
 }
 
+// recordStandinError records a failure of the stand-ins.
+func (r *run) recordStandinError(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.standinErr = errors.CombineErrors(r.standinErr, err)
+}
+
 func (r *run) replaceServers(f Fault) {
 	all := r.site.allServers()
 	for _, i := range f.targets(len(all)) {
 		if err := r.site.replaceServer(all[i]); err != nil {
-			r.mu.Lock()
-			r.standinErr = errors.CombineErrors(r.standinErr, err)
-			r.mu.Unlock()
+			r.recordStandinError(err)
 		}
 	}
 }
--- a/lab/soak/vanish.go
+++ b/lab/soak/vanish.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Vanish makes backend servers start, write their remaining cold time with each heartbeat, and leave
@@ -38,9 +36,7 @@
 		life := minVanishLife + time.Duration(draw.Int64N(int64(extraVanishLife)))
 		afterBeat := minAfterBeat + time.Duration(draw.Int64N(int64(extraAfterBeat)))
 		if err := r.site.addVanishing(all[i].service, life, afterBeat); err != nil {
-			r.mu.Lock()
-			r.standinErr = errors.CombineErrors(r.standinErr, err)
-			r.mu.Unlock()
+			r.recordStandinError(err)
 		}
 		time.Sleep(time.Duration(draw.Int64N(int64(extraAfterBeat))))
 	}
