Stand-in store: faults of single kinds of call, for single callers, and of parts of answers

Callers that use a further address of the store (a door) have faults of their own. A kind of call can be refused with any status, be silent, reset, cut short, endless or garbled; any part of the answers to lists and watches can be replaced, left out or doubled, for one object or all. SilentKind is Kinds with Silent now; the two tests that used it check the same.

--- a/control/follow/evacuations_test.go
+++ b/control/follow/evacuations_test.go
@@ -68,7 +68,7 @@
 	It("is awaited by an instance that starts in it", func() {
 		srv := startStore()
 		evacuate(srv, "z")
-		srv.SetFaults(storeserver.Faults{SilentKind: "evacuations"})
+		srv.SetFaults(storeserver.Faults{Kinds: map[string]storeserver.KindFaults{"evacuations": {Silent: true}}})
 		f := startFleetWith([]string{srv.Addr()}, shortWait+"\nevacuations = true")[0]
 		Eventually(f.Servers, "5s", "5ms").ShouldNot(BeNil())
 		Eventually(f.Table, "5s", "5ms").ShouldNot(BeNil())
--- a/e2e/evacuation_test.go
+++ b/e2e/evacuation_test.go
@@ -74,7 +74,7 @@
 	// servers before the evacuations.
 	It("gets nothing from instances that all restart, whatever is lost of the store's answers", func() {
 		began := time.Now()
-		s.store.SetFaults(storeserver.Faults{SilentKind: "evacuations"})
+		s.store.SetFaults(storeserver.Faults{Kinds: map[string]storeserver.KindFaults{"evacuations": {Silent: true}}})
 		for i := range platformEntries {
 			restart(i)
 		}
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -137,6 +137,11 @@
 
 // entrySettingsIn is entrySettings for an instance in the data centre of a number.
 func (s *platformSite) entrySettingsIn(i, dataCentre int, client string) []byte {
+	return s.entrySettingsAt(i, dataCentre, client, platformAddr(1))
+}
+
+// entrySettingsAt is entrySettingsIn for an instance that reaches the store at an address.
+func (s *platformSite) entrySettingsAt(i, dataCentre int, client, store string) []byte {
 	return fmt.Appendf(nil, `[instance]
 name = %q
 data_centre = "dc-%d"
@@ -155,7 +160,7 @@
 [control.members]
 gossip = "200ms"
 %s`, fmt.Sprint("entry-", i), dataCentre, platformAddr(100+i), platformAddr(400+i), platformAddr(500+i), client, client,
-		platformAddr(1), platformAddr(400), platformAddr(200+i), platformAddr(300+i), s.settings)
+		store, platformAddr(400), platformAddr(200+i), platformAddr(300+i), s.settings)
 }
 
 func (s *platformSite) close() {
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -126,7 +126,7 @@
 	// addedAt holds when the store acknowledged each added route.
 	addedAt []time.Time
 	// faults are the store faults in progress, queuedWrites wait for their end.
-	faults       []storeserver.Faults
+	faults       []*storeserver.Faults
 	queuedWrites []func()
 }
 
@@ -221,13 +221,13 @@
 	s.disturbances.begin()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = append(s.faults, f)
+	s.faults = append(s.faults, &f)
 	s.applyFaults()
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for i, o := range s.faults {
-			if o == f {
+			if o == &f {
 				s.faults = append(s.faults[:i:i], s.faults[i+1:]...)
 				break
 			}
--- a/lab/standin/storeserver/storeserver.go
+++ b/lab/standin/storeserver/storeserver.go
@@ -1,7 +1,9 @@
 // Package storeserver stands in for the users' platform's metadata store:
 // objects by kind and name, one revision counter, lists, watches with a bounded
 // history, and conditional writes. It can be down, silent or slow, lose the
-// replies to writes, drop its history, and be restored from an older backup.
+// replies to writes, drop its history, and be restored from an older backup,
+// for single kinds of object, and for those callers that use one of its further
+// addresses. It can spoil parts of its answers.
 package storeserver
 
 import (
@@ -49,8 +51,10 @@
 	Down bool `json:"down"`
 	// Silent accepts calls and never answers.
 	Silent bool `json:"silent"`
-	// SilentKind leaves the calls for one kind of object unanswered.
-	SilentKind string `json:"silentKind"`
+	// Kinds are faults of the calls for single kinds of object.
+	Kinds map[string]KindFaults `json:"kinds"`
+	// Spoil changes a part of the answers to lists and watches of a kind, by kind.
+	Spoil map[string]Spoil `json:"spoil"`
 	// Mute keeps a watch that has events to report open without ever answering it.
 	Mute bool `json:"mute"`
 	// Stale answers the lists that may be stale from the last copy.
@@ -96,6 +100,7 @@
 	oldest  int64
 	changed chan struct{}
 	faults  Faults
+	doors   []*Door
 	counts  map[string]int
 	backup  backup
 
@@ -119,26 +124,36 @@
 		return errors.Wrap(err, "store")
 	}
 	s.addr = lis.Addr().String()
+	s.http = &http.Server{Handler: s.handler(func() Faults { return s.faults }), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.http.Serve(lis) }()
+	return nil
+}
+
+// handler returns the interface of the store with the faults that faults returns. It is called with s.mu held.
+func (s *Server) handler(faults func() Faults) http.Handler {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.POST("/faults", s.setFaults)
 	e.GET("/counts", s.getCounts)
-	o := e.Group("/objects", s.injectFaults)
+	o := e.Group("/objects", func(next echo.HandlerFunc) echo.HandlerFunc { return s.injectFaults(faults, next) })
 	o.GET("/:kind", s.list)
 	o.GET("/:kind/:name", s.get)
 	o.POST("/:kind", s.create)
 	o.PUT("/:kind/:name", s.replace)
 	o.DELETE("/:kind/:name", s.remove)
-	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.http.Serve(lis) }()
-	return nil
+	return e
 }
 
 // Addr returns the address it listens on.
 func (s *Server) Addr() string { return s.addr }
 
 // Close stops the store at once.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() {
+	_ = s.http.Close()
+	for _, d := range s.doors {
+		_ = d.http.Close()
+	}
+}
 
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f Faults) {
@@ -167,10 +182,10 @@
 	return c.JSON(http.StatusOK, s.counts)
 }
 
-func (s *Server) injectFaults(next echo.HandlerFunc) echo.HandlerFunc {
+func (s *Server) injectFaults(faults func() Faults, next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		s.mu.Lock()
-		f := s.faults
+		f := faults()
 		s.counts[c.Request().Method+" "+c.Param("kind")]++
 		s.mu.Unlock()
 		c.Response().Before(func() { s.setEraHeader(c.Response().Header()) })
@@ -178,13 +193,14 @@
 		switch {
 		case f.Endless != "" && c.Request().Method == http.MethodGet:
 			return s.answerEndless(c, f.Endless)
-		case f.Silent, f.SilentKind != "" && f.SilentKind == c.Param("kind"):
+		case f.Silent:
 			<-c.Request().Context().Done()
 			return nil
 		case f.Down:
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
-		return next(c)
+		c.Set(faultsKey, faults)
+		return f.Kinds[c.Param("kind")].apply(c, next)
 	}
 }
 
@@ -265,7 +281,7 @@
 	if len(out.Items) > pageSize {
 		out.Items, out.More = out.Items[:pageSize], true
 	}
-	return c.JSON(http.StatusOK, out)
+	return spoilOf(c).answerList(c, out)
 }
 
 type events struct {
@@ -284,7 +300,7 @@
 		s.mu.Lock()
 		out, gone := s.eventsSince(kind, from)
 		s.setEraHeader(c.Response().Header())
-		changed, mute := s.changed, s.faults.Mute
+		changed, mute, spoil := s.changed, s.faults.Mute, spoilOf(c)
 		s.mu.Unlock()
 		if mute && len(out.Events) > 0 {
 			<-c.Request().Context().Done()
@@ -294,7 +310,7 @@
 			return c.NoContent(http.StatusGone)
 		}
 		if len(out.Events) > 0 {
-			return c.JSON(http.StatusOK, out)
+			return spoil.answerWatch(c, out)
 		}
 		c.Response().Header().Del(headerEra)
 		select {
@@ -305,7 +321,7 @@
 			if out, gone = s.eventsSince(kind, from); gone {
 				return c.NoContent(http.StatusGone)
 			}
-			return c.JSON(http.StatusOK, out)
+			return spoilOf(c).answerWatch(c, out)
 		case <-c.Request().Context().Done():
 			return nil
 		}
