Calls to the store that fail are logged and counted by cause

Lines did not tell a refused call from an answer that was there but could not be read. store lost names the cause and the position that was watched from, and comes once for each cause; store regained and store_failures_total count by cause.

--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -92,11 +92,11 @@
 	// instance did not have it.
 	newerConfig   atomic.Pointer[announcedConfig]
 	confirmPolicy knowledge.Policy
-	// storeFailing is set while the last call for the list of servers failed.
-	storeFailing atomic.Bool
-	recovery     recovery
-	inbox        *ring.Ring[peerConfig]
-	offers       *ring.Ring[offer]
+	// serversFailing is set while the last call for the list of servers failed.
+	serversFailing atomic.Bool
+	recovery       recovery
+	inbox          *ring.Ring[peerConfig]
+	offers         *ring.Ring[offer]
 	// requests are the last ones to peers; they belong to the loop that syncs with peers.
 	requests struct{ config, servers lastRequest }
 	// graceBegan signals that grace periods of servers may have begun.
--- a/control/follow/mismatch.go
+++ b/control/follow/mismatch.go
@@ -148,7 +148,7 @@
 // watchIsCurrent reports whether this instance watches the store, which answered a short time ago: it learns
 // of all changes itself.
 func (f *Follower) watchIsCurrent() bool {
-	if !f.hasWatchDuty() || f.storeFailing.Load() {
+	if !f.hasWatchDuty() || f.serversFailing.Load() {
 		return false
 	}
 	f.mu.Lock()
--- a/control/follow/outage.go
+++ b/control/follow/outage.go
@@ -11,6 +11,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/retry"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
+	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
 
 // Timing of the calls that detect the recovery of the store. A call that hangs, the longest
@@ -30,8 +31,8 @@
 	maxStandbyBackoff = 3 * time.Second
 )
 
-// errRecovered is the result of a call that was cancelled because the store answered the
-// other loop after an outage: the call may have hung since the store was unreachable.
+// errRecovered is the result of a call that was cancelled because the store answered
+// another loop after an outage: the call may have hung since the store was unreachable.
 var errRecovered = errors.New("the store answers again")
 
 // recovery notifies the loops that the store answers again.
@@ -54,7 +55,7 @@
 }
 
 // announce cancels the contexts returned so far, unless a recovery was announced since the
-// outage began: the other loop has made a new call since then.
+// outage began: the other loops have made new calls since then.
 func (r *recovery) announce(now, began time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -69,48 +70,79 @@
 type outage struct {
 	// failures counts consecutive failed calls.
 	failures int
-	// began is when the first of them failed, or when the loop began to wait for the other.
+	// began is when the first of them failed.
 	began time.Duration
 	// lastCall is how long the last call took.
 	lastCall time.Duration
 	// hung is the time spent in failed calls, paused the backoff after them, and idle the
 	// time without calls because the other loop's calls failed.
 	hung, paused, idle time.Duration
+	// causes counts the failed calls by cause.
+	causes map[cause]int
+}
+
+// cause is why a call to the store failed.
+type cause string
+
+// The causes.
+const (
+	causeRefused    cause = "refused"
+	causeMalformed  cause = "malformed"
+	causeOldEra     cause = "old era"
+	causeTimeout    cause = "timeout"
+	causeConnection cause = "connection"
+)
+
+func causeOf(err error) cause {
+	switch {
+	case errors.Is(err, catalog.ErrRefused):
+		return causeRefused
+	case errors.Is(err, catalog.ErrMalformed):
+		return causeMalformed
+	case errors.Is(err, catalog.ErrOldEra):
+		return causeOldEra
+	case errors.Is(err, context.DeadlineExceeded):
+		return causeTimeout
+	default:
+		return causeConnection
+	}
 }
 
 // begin records the time if the outage is new.
 func (o *outage) begin(now time.Duration) {
 	if o.failures == 0 && o.idle == 0 {
-		o.began = now
+		o.began, o.causes = now, map[cause]int{}
 	}
 }
 
 func (f *Follower) recordFailure(w *watcher, err error) {
 	if w.name == sourceServers {
-		f.storeFailing.Store(true)
+		f.serversFailing.Store(true)
 	}
-	f.scope.Tagged(map[string]string{"what": w.name}).Counter("store_failures_total").Inc(1)
+	why := causeOf(err)
+	f.scope.Tagged(map[string]string{"what": w.name, "cause": string(why)}).Counter("store_failures_total").Inc(1)
 	w.outage.begin(f.now())
-	if w.outage.failures == 0 {
-		f.log.Warn("store lost", zap.String("what", w.name), eventlog.Error(err))
+	if w.outage.causes[why] == 0 {
+		f.log.Warn("store lost", zap.String("what", w.name), zap.String("cause", string(why)), zap.Stringer("at", w.at), eventlog.Error(err))
 	}
 	w.outage.failures++
+	w.outage.causes[why]++
 	w.outage.hung += w.outage.lastCall
 }
 
 func (f *Follower) recordRecovery(w *watcher) {
 	if w.name == sourceServers {
-		f.storeFailing.Store(false)
+		f.serversFailing.Store(false)
 	}
 	if o := w.outage; o.failures > 0 || o.idle > 0 {
 		f.recovery.announce(f.now(), o.began)
-		f.log.Info("store regained", zap.String("what", w.name), zap.Int("failed_calls", o.failures), zap.Duration("after", f.now()-o.began),
+		f.log.Info("store regained", zap.String("what", w.name), zap.Int("failed_calls", o.failures), zap.Any("causes", o.causes), zap.Duration("after", f.now()-o.began),
 			zap.Duration("hung", o.hung), zap.Duration("paused", o.paused), zap.Duration("idle", o.idle), zap.Duration("answered_in", o.lastCall))
 	}
 	w.outage = outage{}
 }
 
-// backOff waits after a failed call, or until the store answers the other loop. If this
+// backOff waits after a failed call, or until the store answers another loop again. If this
 // instance becomes a primary watcher meanwhile, the shorter limit of those applies.
 func (f *Follower) backOff(ctx context.Context, w *watcher) {
 	delay := retry.Backoff(w.rand, initialBackoff, f.backoffLimit(), w.outage.failures)
@@ -124,7 +156,7 @@
 	}
 }
 
-// awaitRecovery waits until the store answers the other loop, at most for limit, and
+// awaitRecovery waits until the store answers another loop again, at most for limit, and
 // returns how long it waited.
 func (f *Follower) awaitRecovery(ctx context.Context, limit time.Duration) time.Duration {
 	ctx, cancel := context.WithCancel(ctx)
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -127,7 +127,7 @@
 	case !onDuty:
 		wait.For(ctx, f.watchPolicy.CheckAfter(f.members.Standing()))
 		return false, nil
-	case w.name != sourceServers && f.storeFailing.Load():
+	case w.name != sourceServers && f.serversFailing.Load():
 		// While the store fails only the loop of the servers probes it.
 		w.outage.begin(f.now())
 		w.outage.idle += f.awaitRecovery(ctx, dutyCheckInterval)
--- a/e2e/onekind_test.go
+++ b/e2e/onekind_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -157,6 +158,17 @@
 	clients.Wait()
 }
 
+// printStoreLines prints the lines of the first instance on calls to the store that failed.
+func (s *growingSite) printStoreLines() {
+	raw, err := os.ReadFile(filepath.Join(s.dir, "entry-0.log"))
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, "store lost") || strings.Contains(line, "store regained") || strings.Contains(line, "cannot be read") {
+			GinkgoWriter.Print(line)
+		}
+	}
+}
+
 var _ = Describe("a route added while the store fails in part", testkit.ServerNotices, func() {
 	servers := func(f storeserver.KindFaults) storeserver.Faults {
 		return storeserver.Faults{Kinds: map[string]storeserver.KindFaults{"servers": f}}
@@ -173,6 +185,7 @@
 				d.SetFaults(storeserver.Faults{})
 			}
 		})
+		s.printStoreLines()
 		slices.Sort(s.servedAfter)
 		slices.Sort(s.ran)
 		n := len(s.servedAfter)
--- a/port/catalog/catalog.go
+++ b/port/catalog/catalog.go
@@ -30,6 +30,10 @@
 	// ErrUnreadable means that a configuration cannot be decoded. The position returned
 	// with it is the one to watch from.
 	ErrUnreadable = errors.New("configuration cannot be read")
+	// ErrRefused means that the store answered a call with an unsuccessful status.
+	ErrRefused = errors.New("the store refused the call")
+	// ErrMalformed means that an answer of the store, or a part of it, cannot be decoded.
+	ErrMalformed = errors.New("answer of the store cannot be read")
 	// ErrNoConfig means that no configuration was accepted up to the position returned with
 	// it.
 	ErrNoConfig = errors.New("no configuration accepted yet")
