Each loop that follows the store calls it for itself, whatever becomes of the others' calls

Callers saw requests refused on routes that had been added, and requests run by routes that had been taken away, for as long as calls for the servers failed. The loops of the configuration and of the evacuations made no call meanwhile: one kind's failure counted as the store's. Each loop now goes on by itself, with a pause of its own after its own failures; the first answer after an outage still ends the pauses of the others at once. What that saved in an outage, a call a second of a watching instance, is given up.

The test counted the first route from before its clients began; they begin first now.

--- a/control/follow/outage.go
+++ b/control/follow/outage.go
@@ -74,9 +74,8 @@
 	began time.Duration
 	// lastCall is how long the last call took.
 	lastCall time.Duration
-	// hung is the time spent in failed calls, paused the backoff after them, and idle the
-	// time without calls because the other loop's calls failed.
-	hung, paused, idle time.Duration
+	// hung is the time spent in failed calls, paused the backoff after them.
+	hung, paused time.Duration
 	// causes counts the failed calls by cause.
 	causes map[cause]int
 }
@@ -110,7 +109,7 @@
 
 // begin records the time if the outage is new.
 func (o *outage) begin(now time.Duration) {
-	if o.failures == 0 && o.idle == 0 {
+	if o.failures == 0 {
 		o.began, o.causes = now, map[cause]int{}
 	}
 }
@@ -134,10 +133,10 @@
 	if w.name == sourceServers {
 		f.serversFailing.Store(false)
 	}
-	if o := w.outage; o.failures > 0 || o.idle > 0 {
+	if o := w.outage; o.failures > 0 {
 		f.recovery.announce(f.now(), o.began)
 		f.log.Info("store regained", zap.String("what", w.name), zap.Int("failed_calls", o.failures), zap.Any("causes", o.causes), zap.Duration("after", f.now()-o.began),
-			zap.Duration("hung", o.hung), zap.Duration("paused", o.paused), zap.Duration("idle", o.idle), zap.Duration("answered_in", o.lastCall))
+			zap.Duration("hung", o.hung), zap.Duration("paused", o.paused), zap.Duration("answered_in", o.lastCall))
 	}
 	w.outage = outage{}
 }
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -127,11 +127,6 @@
 	case !onDuty:
 		wait.For(ctx, f.watchPolicy.CheckAfter(f.members.Standing()))
 		return false, nil
-	case w.name != sourceServers && f.serversFailing.Load():
-		// While the store fails only the loop of the servers probes it.
-		w.outage.begin(f.now())
-		w.outage.idle += f.awaitRecovery(ctx, dutyCheckInterval)
-		return false, nil
 	case w.gap || !w.current && held.Revision == unknownRevision:
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
 		w.gap = err != nil
--- a/e2e/onekind_test.go
+++ b/e2e/onekind_test.go
@@ -125,9 +125,6 @@
 
 // play adds routes while there is trouble, and takes the first one away in it.
 func (s *growingSite) play(begin, end func()) {
-	s.addRoute()
-	time.Sleep(time.Second)
-	begin()
 	var taken time.Time
 	removedAt := func() time.Time {
 		s.mu.Lock()
@@ -142,6 +139,9 @@
 			s.ask(i, stop, removedAt)
 		})
 	}
+	s.addRoute()
+	time.Sleep(time.Second)
+	begin()
 	for began := time.Now(); time.Since(began) < growingTrouble; time.Sleep(growingChange) {
 		if len(s.addedAt) == growingRemoval {
 			s.removed = 1
@@ -200,6 +200,11 @@
 				d.SetFaults(refused)
 			}
 		}),
+		Entry("though calls for servers hang at most", func(s *growingSite) {
+			for _, d := range s.doors[1:] {
+				d.SetFaults(servers(storeserver.KindFaults{Silent: true}))
+			}
+		}),
 		Entry("though an event of a server has a wrong form", func(s *growingSite) {
 			for _, d := range s.doors {
 				d.SetFaults(storeserver.Faults{Spoil: map[string]storeserver.Spoil{"servers": {Part: storeserver.PartDeleted, With: `"no"`, Name: "odd", Watches: true}}})
--- a/spec/outage.pml
+++ b/spec/outage.pml
@@ -1,19 +1,20 @@
 /*
  * An instance that follows two things in a store, servers and configuration, through an
- * outage in which the store answers nothing.
+ * outage in which the store answers nothing. Calls for the servers may go on to fail after it,
+ * or fail without it.
  *
  * Time goes in ticks of 0.1 s. Each loop makes a call, which waits for a change and ends
  * with its wait, or with its timeout if the store was away meanwhile; after a failed call
- * it pauses, for a drawn time that may grow with the failures. A call after a failed one does not wait. While the calls for
- * servers fail none is made for the configuration. The first answer after a failure ends
- * the call and the pause of the other loop. The outage begins at any time and has any
+ * it pauses, for a drawn time that may grow with the failures. A call after a failed one does not wait.
+ * The first answer after a failure ends the call and the pause of the other loop. The outage begins at any time and has any
  * length up to MOST; the configuration changes in it, so the first call for it that is
  * begun after the outage brings the change at once, and nothing else changes.
  *
  * Checked: the change is known STABLE ticks after the outage, when bounds hold again.
  *
  * Mutants: -DWAIT_AFTER_FAILURE has calls after failed ones wait as long as others, as in
- * the incident; -DNO_RECOVERY leaves the other loop in its call, and lets it wait so.
+ * the incident; -DNO_RECOVERY leaves the other loop in its call, and lets it wait so;
+ * -DWAIT_FOR_SERVERS makes no call for the configuration while the calls for servers fail.
  */
 #define WAIT 21
 #define SLACK 6
@@ -32,6 +33,7 @@
 bool failed[2];
 byte pauses[2];     /* since the store last answered */
 bool away = false;
+bool broken;        /* calls for the servers fail, whatever the others do */
 bool over = false;  /* the outage */
 bool known = false; /* the change */
 byte since = 0;     /* ticks since the end of the outage */
@@ -40,7 +42,7 @@
 
 inline call(l) {
   does[l] = calling;
-  hangs[l] = away;
+  hangs[l] = away || l == SERVERS && broken;
   if
 #ifdef WAIT_AFTER_FAILURE
   :: left[l] = WAIT; last[l] = WAIT + SLACK
@@ -57,10 +59,14 @@
 }
 
 inline begin(l) {
+#ifdef WAIT_FOR_SERVERS
   if
   :: l == CONFIG && failed[SERVERS] -> does[l] = idle
   :: else -> call(l)
   fi
+#else
+  call(l)
+#endif
 }
 
 inline pause(l) {
@@ -108,6 +114,10 @@
 
 init {
   atomic {
+    if
+    :: broken = true
+    :: broken = false
+    fi;
     call(SERVERS);
     call(CONFIG);
     /* The loops are anywhere in their calls. */
