Answers of the store are read part by part, and no position is watched from again and again

The loop asked again from the same position and got the same answer, until the history that held the event was gone (20 s in the record) and the whole list was read. A page of a list failed the same way for an entry nested deeply, or without a name at its end, or a position of a wrong form.

An event whose object has a name changes that server; where changes may be missing, or the position after them is not known, the full state is read at once. Full reads that follow each other without an answered watch come every 0.9 s, with one watch after five. The newest configuration that can be read is in force where the last one cannot be.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,8 @@
 	go test -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
 	go test -run=XXX -fuzz=FuzzServerEntry -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzObjects -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzWatchEvents -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzConfig -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzHead -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzChunks -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzEvents -fuzztime=30s ./serve/relay
--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -97,26 +97,30 @@
 
 // applyStoreConfig adopts a configuration from the store, nil if nothing changed, and
 // returns the position to watch from. heardAt is when the store reported the change, zero for
-// a read, which does not tell. If the newest configuration is unreadable, the one in force stays
+// a read, which does not tell. If the newest configuration is unreadable, the newest readable one is in force
 // until the next change: reading again would return the same bytes.
 func (f *Follower) applyStoreConfig(c *catalog.Config, at position.Position, heardAt time.Duration, err error) (position.Position, error) {
-	if errors.Is(err, catalog.ErrUnreadable) {
+	malformed := errors.Is(err, catalog.ErrMalformed)
+	unreadable := errors.Is(err, catalog.ErrUnreadable)
+	if err != nil && !malformed && !unreadable {
+		return at, err
+	}
+	if unreadable {
 		f.reportUnreadableConfig(at, err)
+	}
+	if !malformed {
+		err = nil
 		f.advanceConfigAt(at)
-		return at, nil
 	}
-	if err != nil {
+	if c == nil || c.Raw == nil {
 		return at, err
 	}
-	f.advanceConfigAt(at)
-	if c != nil {
-		f.compareWithStore(c.Config.Version, at)
-	}
-	if c != nil && f.adopt(*c, "store", heardAt, deflate(c.Raw)) {
+	f.compareWithStore(c.Config.Version, at)
+	if f.adopt(*c, "store", heardAt, deflate(c.Raw)) {
 		f.sendConfig(f.members.Standing().FirstTargets())
 		f.members.GossipNow()
 	}
-	return at, nil
+	return at, err
 }
 
 // compareWithStore logs when the store starts and stops holding an older configuration
--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
@@ -25,20 +26,37 @@
 			if err != nil {
 				return position.Position{}, err
 			}
+			if e.AtLeast {
+				e.At = f.positionOfNewer(e)
+			}
 			f.applyStoreEvacuations(e)
 			return e.At, nil
 		},
 		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
 			c, err := f.catalog.WatchEvacuations(ctx, after, wait)
-			if err != nil {
-				return position.Position{}, err
+			if err == nil || errors.Is(err, catalog.ErrMalformed) && len(c.Changes) > 0 {
+				f.applyStoreEvacuations(f.withEvacuationChanges(c))
 			}
-			f.applyStoreEvacuations(f.withEvacuationChanges(c))
-			return c.At, nil
+			return c.At, err
 		},
 	})
 }
 
+// positionOfNewer returns the position of a state whose own cannot be read, and that was asked for after the local one
+// was known: if it differs from that, it is of a later revision.
+func (f *Follower) positionOfNewer(e catalog.Evacuations) position.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evacuations == nil || f.evacuations.At.Era < e.At.Era {
+		return e.At
+	}
+	at := f.evacuations.At
+	if !slices.Equal(f.evacuations.DataCentres, e.DataCentres) {
+		at.Revision++
+	}
+	return position.Later(e.At, at)
+}
+
 // evacuationsAt returns the position of the newest known state, and whether there is any.
 func (f *Follower) evacuationsAt() (position.Position, bool) {
 	f.mu.Lock()
--- a/control/follow/onekind_test.go
+++ b/control/follow/onekind_test.go
@@ -44,21 +44,34 @@
 	what string
 }
 
+// calls returns the number of calls that the instance made for everything that it watches.
+func (f *fallible) calls() int {
+	return f.srv.Calls("servers") + f.srv.Calls("config") + f.srv.Calls("evacuations")
+}
+
+// startOne starts the instance of a number.
+func startOne(i int, what string) fallible {
+	srv := startStore()
+	addr := fmt.Sprintf("127.0.0.1:%d", isolatedPort+i)
+	return fallible{srv, startWith(srv.Addr(), fmt.Sprint("a", i), addr, addr, "stable_after = \"3s\"\nevacuations = true"), what}
+}
+
+func awaitWatching(all []fallible) {
+	for _, i := range all {
+		Eventually(i.in.Ready, "10s", "5ms").Should(BeTrue(), i.what)
+		Eventually(watching, "10s", "5ms").WithArguments(i.in).Should(BeTrue(), i.what)
+	}
+}
+
 // startFallible starts an instance for each way in which the calls for each of the given kinds fail, and has
 // them fail for long enough that a loop which repeats them makes long pauses.
 func startFallible(kinds ...string) (out []fallible) {
 	for _, kind := range kinds {
 		for _, f := range kindFaults {
-			srv := startStore()
-			addr := fmt.Sprintf("127.0.0.1:%d", isolatedPort+len(out))
-			in := startWith(srv.Addr(), fmt.Sprint("a", len(out)), addr, addr, "stable_after = \"3s\"\nevacuations = true")
-			out = append(out, fallible{srv, in, kind + " " + f.name})
+			out = append(out, startOne(len(out), kind+" "+f.name))
 		}
 	}
-	for _, i := range out {
-		Eventually(i.in.Ready, "5s", "5ms").Should(BeTrue())
-		Eventually(watching, "5s", "5ms").WithArguments(i.in).Should(BeTrue())
-	}
+	awaitWatching(out)
 	for i, f := range out {
 		f.srv.SetFaults(storeserver.Faults{Kinds: map[string]storeserver.KindFaults{kinds[i/len(kindFaults)]: kindFaults[i%len(kindFaults)].faults}})
 	}
@@ -73,13 +86,13 @@
 const changesInARow = 4
 
 // inForce makes a change at all stores and returns what is not in force within a time at the instances.
-func inForce(all []fallible, within time.Duration, change func(*storeserver.Server), done func(*follow.Follower) bool) (late []string) {
+func inForce(all []fallible, within time.Duration, change func(*storeserver.Server), done func(*fallible) bool) (late []string) {
 	for _, f := range all {
 		change(f.srv)
 	}
 	time.Sleep(within)
 	for _, f := range all {
-		if !done(f.in) {
+		if !done(&f) {
 			late = append(late, f.what)
 		}
 	}
@@ -94,7 +107,7 @@
 		all := startFallible("servers", "evacuations")
 		for version := 10; version < 10+changesInARow; version++ {
 			Expect(inForce(all, configInForce, func(srv *storeserver.Server) { putConfig(srv, version) },
-				func(f *follow.Follower) bool { return f.Table().Version == uint64(version) })).To(BeEmpty())
+				func(f *fallible) bool { return f.in.Table().Version == uint64(version) })).To(BeEmpty())
 		}
 	})
 
@@ -103,9 +116,9 @@
 		all := startFallible("config", "evacuations")
 		for i := range changesInARow {
 			Expect(inForce(all, serverOutOfUse, func(srv *storeserver.Server) { putServer(srv, fmt.Sprint("b", i), "ready") },
-				func(f *follow.Follower) bool { return readyServers(f) == 2 })).To(BeEmpty())
+				func(f *fallible) bool { return readyServers(f.in) == 2 })).To(BeEmpty())
 			Expect(inForce(all, serverOutOfUse, func(srv *storeserver.Server) { putServer(srv, fmt.Sprint("b", i), "draining") },
-				func(f *follow.Follower) bool { return readyServers(f) == 1 })).To(BeEmpty())
+				func(f *fallible) bool { return readyServers(f.in) == 1 })).To(BeEmpty())
 		}
 	})
 
@@ -114,8 +127,8 @@
 		all := startFallible("config", "servers")
 		Expect(inForce(all, evacuatedWithin, func(srv *storeserver.Server) {
 			Expect(srv.Put("evacuations", "z", map[string]any{})).To(Succeed())
-		}, func(f *follow.Follower) bool { return readyServers(f) == 0 })).To(BeEmpty())
+		}, func(f *fallible) bool { return readyServers(f.in) == 0 })).To(BeEmpty())
 		Expect(inForce(all, evacuatedWithin, func(srv *storeserver.Server) { srv.Delete("evacuations", "z") },
-			func(f *follow.Follower) bool { return readyServers(f) == 1 })).To(BeEmpty())
+			func(f *fallible) bool { return readyServers(f.in) == 1 })).To(BeEmpty())
 	})
 })
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
@@ -23,17 +24,20 @@
 			if err != nil {
 				return position.Position{}, err
 			}
+			if l.AtLeast && !staleOK {
+				// It was asked for after the local list was known.
+				l.At = position.Later(l.At, f.serversAt())
+			}
 			l.At = positionOf(l.At, staleOK)
 			f.applyServerList(l)
 			return l.At, nil
 		},
 		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
 			l, err := f.catalog.WatchServers(ctx, after, wait)
-			if err != nil {
-				return position.Position{}, err
+			if err == nil || errors.Is(err, catalog.ErrMalformed) && len(l.Changes) > 0 {
+				f.applyServerChanges(l)
 			}
-			f.applyServerChanges(l)
-			return l.At, nil
+			return l.At, err
 		},
 	})
 }
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -63,10 +63,16 @@
 	rand *rand.Rand
 	// at is the last position at which the store answered this instance.
 	at position.Position
-	// gap is set if the history after at is gone and the full state must be read.
+	// gap is set if the history after at is gone or cannot be read, and the full state must be read.
 	gap, watching bool
+	// reads counts the reads of the full state since a watch was last answered, readAt is when the last of
+	// them was answered.
+	reads  int
+	readAt time.Duration
 	// current is set once the full state was read that was not stale.
 	current bool
+	// watched is set if the last call was a watch.
+	watched bool
 	// answered is set once a watch was answered, so that the local content is no older.
 	answered bool
 	outage   outage
@@ -99,6 +105,8 @@
 		case errors.Is(err, catalog.ErrHistoryGone):
 			f.log.Info("history of changes is gone, reading the full state again", zap.String("what", s.name), zap.Stringer("at", w.at))
 			w.gap = true
+		case errors.Is(err, catalog.ErrMalformed) && w.watched:
+			w.gap = true
 		default:
 			f.recordFailure(w, err)
 			f.backOff(ctx, w)
@@ -128,22 +136,58 @@
 		wait.For(ctx, f.watchPolicy.CheckAfter(f.members.Standing()))
 		return false, nil
 	case w.gap || !w.current && held.Revision == unknownRevision:
+		if pause := w.pauseBeforeRead(f.now()); pause > 0 {
+			wait.For(ctx, pause)
+			return false, nil
+		}
+		w.watched = false
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
-		w.gap = err != nil
-		w.current = w.current || err == nil
+		w.recordRead(f.now(), err)
 		f.recordAnswer(w.name, err)
 	default:
 		wait, slack := f.Wait.Std(), watchSlack
 		if w.outage.failures > 0 || !w.answered {
 			wait, slack = probeWait, probeSlack
 		}
+		w.watched = true
 		w.at, err = f.call(ctx, w, wait+slack, func(ctx context.Context) (position.Position, error) { return w.watch(ctx, w.at, wait) })
 		w.answered = w.answered || err == nil
+		if err == nil {
+			w.reads = 0
+		}
 		f.recordAnswer(w.name, err)
 	}
 	return true, err
 }
 
+// While the answers to watches cannot be read, or the history is gone each time, the full state is read at
+// intervals of pollInterval after quickReads reads, with one watch after every readsPerWatch of them.
+const (
+	pollInterval  = 900 * time.Millisecond
+	quickReads    = 2
+	readsPerWatch = 5
+)
+
+// pauseBeforeRead returns how long to wait before the next read of the full state.
+func (w *watcher) pauseBeforeRead(now time.Duration) time.Duration {
+	if w.reads < quickReads {
+		return 0
+	}
+	return w.readAt + pollInterval - now
+}
+
+// recordRead records the end of a read of the full state.
+func (w *watcher) recordRead(now time.Duration, err error) {
+	if err != nil {
+		w.gap = true
+		return
+	}
+	w.reads++
+	w.readAt = now
+	w.current = true
+	w.gap = w.reads > quickReads && w.reads%readsPerWatch != 0
+}
+
 // call makes one call to the store and returns the position of its answer, or the last
 // known one if it failed.
 func (f *Follower) call(ctx context.Context, w *watcher, timeout time.Duration, fn func(context.Context) (position.Position, error)) (position.Position, error) {
--- a/port/catalog/catalog.go
+++ b/port/catalog/catalog.go
@@ -32,7 +32,8 @@
 	ErrUnreadable = errors.New("configuration cannot be read")
 	// ErrRefused means that the store answered a call with an unsuccessful status.
 	ErrRefused = errors.New("the store refused the call")
-	// ErrMalformed means that an answer of the store, or a part of it, cannot be decoded.
+	// ErrMalformed means that an answer of the store cannot be decoded. Changes that are returned with it are
+	// those that could be read; others may be missing, so the full state must be read again.
 	ErrMalformed = errors.New("answer of the store cannot be read")
 	// ErrNoConfig means that no configuration was accepted up to the position returned with
 	// it.
@@ -43,6 +44,8 @@
 type Servers struct {
 	Servers []backends.Server
 	At      position.Position
+	// AtLeast is set if the list may be newer than At, because its position cannot be read.
+	AtLeast bool
 	// Unreadable are the entries that do not describe a usable server.
 	Unreadable []Unreadable
 }
@@ -69,6 +72,8 @@
 	// DataCentres is sorted by name.
 	DataCentres []string
 	At          position.Position
+	// AtLeast is set if the state may be newer than At, because its position cannot be read.
+	AtLeast bool
 }
 
 // EvacuationChange is the beginning or the end of the evacuation of a data centre.
