What the store confirms, and who watches it, is known of each source alone

Callers saw refusals for now (2013) in place of those for good, though the configuration was confirmed, for as long as calls for servers failed; and where calls for evacuations failed at all instances that watch, no other one took over, as the duty to watch went by the older answer for configuration and servers.

The configuration is confirmed by its own answers.

Tests: of each source alone, in place of those that fail; the test of the state of the configuration sets the confirmation of the configuration now.

--- a/control/follow/config.go
+++ b/control/follow/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
@@ -65,7 +66,7 @@
 
 func (f *Follower) followConfig(ctx context.Context) {
 	f.follow(ctx, source{
-		name: sourceConfig,
+		id: watch.Config,
 		held: func() (position.Position, bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/control/follow/era.go
+++ b/control/follow/era.go
@@ -1,9 +1,9 @@
 package follow
 
 import (
-	"time"
-
 	"go.uber.org/zap"
+
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 )
 
 // learnEra handles a store era reported by a peer.
@@ -26,7 +26,7 @@
 		return
 	}
 	f.era = era
-	f.answeredAt = map[string]time.Duration{}
+	f.answeredAt = watch.Times{}
 	f.mu.Unlock()
 	f.scope.Gauge("store_era").Update(float64(era))
 	if previous == 0 {
--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/internal/set"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
@@ -17,7 +18,7 @@
 
 func (f *Follower) followEvacuations(ctx context.Context) {
 	f.follow(ctx, source{
-		name: sourceEvacuations,
+		id:   watch.Evacuations,
 		held: f.evacuationsAt,
 		// A stale state is never read: if all instances start at once, none could tell the others of an
 		// evacuation that a stale state lacks.
--- a/control/follow/follow.go
+++ b/control/follow/follow.go
@@ -85,9 +85,9 @@
 	servers atomic.Pointer[backends.Snapshot]
 	// evacuationsKnown is set once a state of the evacuations is known.
 	evacuationsKnown atomic.Bool
-	// confirmedAt is when the store last confirmed the local content to a watching instance,
-	// in nanoseconds since the start; zero before the first time.
-	confirmedAt atomic.Int64
+	// confirmedAt is when the store last confirmed the local content to a watching instance, configConfirmedAt
+	// when it confirmed the configuration, in nanoseconds since the start; zero before the first time.
+	confirmedAt, configConfirmedAt atomic.Int64
 	// newerConfig is the newest configuration that another instance announced while this
 	// instance did not have it.
 	newerConfig   atomic.Pointer[announcedConfig]
@@ -123,7 +123,7 @@
 	evacuations *catalog.Evacuations
 	// evacuatedSince is when the instance first knew of each evacuation in force.
 	evacuatedSince map[string]time.Duration
-	answeredAt     map[string]time.Duration
+	answeredAt     watch.Times
 	// era is the store era that confirmations and answeredAt belong to.
 	era uint64
 	// olderStoreVersion is the version of the configuration in the store while it is older
@@ -162,7 +162,7 @@
 	f.serverSet, f.unreadableServers = backends.NewSet(), unreadable{}
 	f.serverSet.SetClock(time.Now().Add(-c.Now()))
 	f.coldForwarded, f.coldLogged = map[string]time.Duration{}, map[string]backends.ColdServer{}
-	f.confirmations, f.answeredAt = watch.NewConfirmations(), map[string]time.Duration{}
+	f.confirmations = watch.NewConfirmations()
 	f.inbox = ring.New[peerConfig]("catalog.inbox", inboxSize)
 	f.graceBegan, f.becameCold, f.verifyDue = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	f.offers = ring.New[offer]("catalog.newer", inboxSize)
@@ -230,9 +230,14 @@
 	return f.now() - time.Duration(f.confirmedAt.Load())
 }
 
+// ConfigAge is the time since the store last confirmed the local configuration to a watching instance.
+func (f *Follower) ConfigAge() time.Duration {
+	return f.now() - time.Duration(f.configConfirmedAt.Load())
+}
+
 // ConfigState reports whether the configuration in force is confirmed as the newest.
 func (f *Follower) ConfigState() knowledge.State {
-	at := time.Duration(f.confirmedAt.Load())
+	at := time.Duration(f.configConfirmedAt.Load())
 	return f.confirmPolicy.State(f.now(), knowledge.Copy{Exists: f.Table() != nil, Superseded: f.superseded(), EverConfirmed: at > 0, ConfirmedAt: at})
 }
 
@@ -256,14 +261,14 @@
 // Dump implements auburnmoor.Dumper.
 func (f *Follower) Dump() any {
 	st, now := f.members.Standing(), f.now()
-	d := Dump{Era: f.catalog.Era(), ConfigVersion: f.version(), ConfigState: f.ConfigState(), AgeMS: f.ConfirmationAge().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.hasWatchDuty()}
+	d := Dump{Era: f.catalog.Era(), ConfigVersion: f.version(), ConfigState: f.ConfigState(), AgeMS: f.ConfirmationAge().Milliseconds(), Rank: st.Rank, Watchers: st.Watchers, Watching: f.hasWatchDuty(watch.Config) || f.hasWatchDuty(watch.Servers)}
 	if s := f.Servers(); s != nil {
 		d.ServersAt, d.ServersDigest, d.Servers = s.At.String(), formatDigest(s.Digest), s.Len()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range f.confirmations.Newest(now, maxConfirmations) {
-		d.Confirmations = append(d.Confirmations, DumpConfirmation{By: h.By, AgeMS: (now - h.At).Milliseconds()})
+		d.Confirmations = append(d.Confirmations, DumpConfirmation{By: h.By, AgeMS: (now - min(h.At[watch.Config], h.At[watch.Servers])).Milliseconds()})
 	}
 	d.Evacuated = f.dumpEvacuated(now)
 	d.Cold = f.dumpCold(now)
--- a/control/follow/knowledge_test.go
+++ b/control/follow/knowledge_test.go
@@ -20,7 +20,7 @@
 		f = &Follower{log: zap.NewNop(), now: func() time.Duration { return now }, confirmPolicy: knowledge.Policy{ValidFor: validFor}}
 		f.table.Store(route.NewTable(route.Config{Version: 8}))
 		f.encoded.Store(&content{version: 8})
-		f.confirm(now)
+		raise(&f.configConfirmedAt, now)
 	})
 
 	It("is confirmed until the confirmation expires", func() {
@@ -42,7 +42,7 @@
 	It("is confirmed again once no live instance holds the newer one", func() {
 		f.recordNewerConfig(configID{version: 9})
 		now += validFor + 1
-		f.confirm(now)
+		raise(&f.configConfirmedAt, now)
 		Expect(f.ConfigState()).To(Equal(knowledge.Confirmed))
 	})
 })
--- a/control/follow/mismatch.go
+++ b/control/follow/mismatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -148,13 +149,13 @@
 // watchIsCurrent reports whether this instance watches the store, which answered a short time ago: it learns
 // of all changes itself.
 func (f *Follower) watchIsCurrent() bool {
-	if !f.hasWatchDuty() || f.serversFailing.Load() {
+	if !f.hasWatchDuty(watch.Servers) || f.serversFailing.Load() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at, answered := f.answeredAt[sourceServers]
-	return answered && f.now()-at <= f.Wait.Std()+watchSlack
+	at := f.answeredAt[watch.Servers]
+	return at > 0 && f.now()-at <= f.Wait.Std()+watchSlack
 }
 
 // readVerified compares the list with the whole one of the store, and sends it to the instances that wait
--- a/control/follow/outage.go
+++ b/control/follow/outage.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/retry"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/eventlog"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
@@ -115,27 +116,33 @@
 }
 
 func (f *Follower) recordFailure(w *watcher, err error) {
-	if w.name == sourceServers {
+	if w.id == watch.Servers {
 		f.serversFailing.Store(true)
 	}
 	why := causeOf(err)
-	f.scope.Tagged(map[string]string{"what": w.name, "cause": string(why)}).Counter("store_failures_total").Inc(1)
+	f.scope.Tagged(map[string]string{"what": w.id.String(), "cause": string(why)}).Counter("store_failures_total").Inc(1)
 	w.outage.begin(f.now())
 	if w.outage.causes[why] == 0 {
-		f.log.Warn("store lost", zap.String("what", w.name), zap.String("cause", string(why)), zap.Stringer("at", w.at), eventlog.Error(err))
+		f.log.Warn("store lost", zap.Stringer("what", w.id), zap.String("cause", string(why)), zap.Stringer("at", w.at), eventlog.Error(err))
 	}
+	first := w.outage.failures == 0
 	w.outage.failures++
 	w.outage.causes[why]++
+	f.recordFailedCall(w.id)
+	if first {
+		// Others may watch in place of this instance.
+		f.members.GossipNow()
+	}
 	w.outage.hung += w.outage.lastCall
 }
 
 func (f *Follower) recordRecovery(w *watcher) {
-	if w.name == sourceServers {
+	if w.id == watch.Servers {
 		f.serversFailing.Store(false)
 	}
 	if o := w.outage; o.failures > 0 {
 		f.recovery.announce(f.now(), o.began)
-		f.log.Info("store regained", zap.String("what", w.name), zap.Int("failed_calls", o.failures), zap.Any("causes", o.causes), zap.Duration("after", f.now()-o.began),
+		f.log.Info("store regained", zap.Stringer("what", w.id), zap.Int("failed_calls", o.failures), zap.Any("causes", o.causes), zap.Duration("after", f.now()-o.began),
 			zap.Duration("hung", o.hung), zap.Duration("paused", o.paused), zap.Duration("answered_in", o.lastCall))
 	}
 	w.outage = outage{}
--- a/control/follow/peers.go
+++ b/control/follow/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
@@ -49,8 +50,8 @@
 	now := f.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, h := range f.confirmations.Newest(now, maxConfirmations) {
-		g.Confirmed = append(g.Confirmed, &peerpb.Confirmation{By: h.By, AgeMs: uint32(max(0, now-h.At).Milliseconds())})
+	for _, c := range f.confirmations.Newest(now, maxConfirmations) {
+		g.Confirmed = append(g.Confirmed, f.confirmationMessage(now, c))
 	}
 }
 
@@ -64,22 +65,25 @@
 	f.adoptEvacuations(from, g.Evacuations)
 	f.mu.Lock()
 	now := f.now()
-	newest := time.Duration(0)
+	confirmedAll, confirmedConfig := time.Duration(0), time.Duration(0)
 	confirmed := g.Confirmed
 	if g.StoreEra < f.era {
 		// The store may have lost what was confirmed in the earlier era.
 		confirmed = nil
 	}
 	for _, c := range confirmed {
-		at := now - time.Duration(c.AgeMs)*time.Millisecond
-		f.confirmations.Record(watch.Confirmation{By: c.By, At: at})
-		newest = max(newest, at)
+		entry := confirmationFrom(now, c)
+		f.confirmations.Record(entry)
+		confirmedAll = max(confirmedAll, min(entry.At[watch.Config], entry.At[watch.Servers]))
+		confirmedConfig = max(confirmedConfig, entry.At[watch.Config])
 	}
 	f.mu.Unlock()
 	f.compareServers(from, o.servers, o.digest)
 	newerConfig, newerServers := f.configID().supersededBy(o.config), f.offersNewerServers(o)
 	if newerConfig {
 		f.recordNewerConfig(o.config)
+	} else {
+		raise(&f.configConfirmedAt, confirmedConfig)
 	}
 	if newerServers {
 		f.noteBehind(o.servers)
@@ -88,7 +92,7 @@
 		f.offers.Offer(o)
 		return
 	}
-	f.confirm(newest)
+	raise(&f.confirmedAt, confirmedAll)
 }
 
 // announcedConfig is a configuration that another instance announced, and when it did so first and
@@ -126,30 +130,37 @@
 	return s == nil || s.At.Before(o.servers) && (o.digest != s.Digest || o.servers.Era != s.At.Era)
 }
 
-// confirm records that the local content was the newest at a time.
-func (f *Follower) confirm(at time.Duration) {
+// raise sets a time to a later one.
+func raise(t *atomic.Int64, at time.Duration) {
 	for {
-		old := f.confirmedAt.Load()
-		if int64(at) <= old || f.confirmedAt.CompareAndSwap(old, int64(at)) {
+		old := t.Load()
+		if int64(at) <= old || t.CompareAndSwap(old, int64(at)) {
 			return
 		}
 	}
 }
 
-// recordAnswer records the result of a watch or of a read of the newest state. The local
-// content is confirmed as of the older answer of the two sources.
-func (f *Follower) recordAnswer(what string, err error) {
+// recordAnswer records the result of a watch or of a read of the newest state. The local configuration is
+// confirmed as of its own answer, the local content as of the older answer of configuration and servers.
+func (f *Follower) recordAnswer(s watch.Source, err error) {
 	if err != nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answeredAt[what] = f.now()
-	at := min(f.answeredAt[sourceConfig], f.answeredAt[sourceServers])
-	if at > 0 {
-		f.confirmations.Record(watch.Confirmation{By: f.name, At: at})
-		f.confirm(at)
-	}
+	f.answeredAt[s] = f.now()
+	f.confirmations.Record(watch.Confirmation{By: f.name, At: f.answeredAt})
+	raise(&f.configConfirmedAt, f.answeredAt[watch.Config])
+	raise(&f.confirmedAt, min(f.answeredAt[watch.Config], f.answeredAt[watch.Servers]))
+}
+
+// recordFailedCall records that a call for a source failed.
+func (f *Follower) recordFailedCall(s watch.Source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := watch.Times{}
+	failed[s] = f.now()
+	f.confirmations.Record(watch.Confirmation{By: f.name, Failed: failed})
 }
 
 // syncWithPeers requests newer content that peers announced and that did not arrive in
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
@@ -17,7 +18,7 @@
 
 func (f *Follower) followServers(ctx context.Context) {
 	f.follow(ctx, source{
-		name: sourceServers,
+		id:   watch.Servers,
 		held: func() (position.Position, bool) { return f.serversAt(), f.Servers() != nil },
 		read: func(ctx context.Context, staleOK bool) (position.Position, error) {
 			l, err := f.catalog.Servers(ctx, staleOK)
--- a/control/follow/spread.go
+++ b/control/follow/spread.go
@@ -24,7 +24,7 @@
 	if took < lateSpread {
 		return
 	}
-	fields := []zap.Field{zap.Uint64("version", c.version), zap.String("from", from), zap.Duration("after", took), zap.Duration("confirmed", f.ConfirmationAge())}
+	fields := []zap.Field{zap.Uint64("version", c.version), zap.String("from", from), zap.Duration("after", took), zap.Duration("confirmed", f.ConfigAge())}
 	if known := f.newerConfig.Load(); known != nil && known.id.version >= c.version {
 		fields = append(fields, zap.Duration("announced", now-known.first))
 	}
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
@@ -25,13 +26,6 @@
 	minBatchDelay, maxBatchDelay = 100 * time.Millisecond, 400 * time.Millisecond
 )
 
-// Names of the sources in logs and metrics.
-const (
-	sourceServers     = "servers"
-	sourceConfig      = "configuration"
-	sourceEvacuations = "evacuations"
-)
-
 // unknownRevision is that of a state that may be stale: whatever position the store gives with it, changes
 // before that may be missing. No peer is offered such a state, and any known position is a later one.
 const unknownRevision = 0
@@ -46,7 +40,7 @@
 
 // source is something in the store that a loop follows.
 type source struct {
-	name string
+	id watch.Source
 	// held returns the position up to which the local content is the newest, and whether
 	// there is any.
 	held func() (position.Position, bool)
@@ -88,7 +82,7 @@
 func (f *Follower) follow(ctx context.Context, s source) {
 	w := &watcher{source: s, rand: rand.New(rand.NewPCG(rand.Uint64(), 1))}
 	for ctx.Err() == nil {
-		onDuty := f.hasWatchDuty()
+		onDuty := f.hasWatchDuty(w.id)
 		f.updateDuty(w, onDuty)
 		began := w.at
 		called, err := f.step(ctx, w, onDuty)
@@ -103,7 +97,7 @@
 			return
 		case errors.Is(err, errRecovered):
 		case errors.Is(err, catalog.ErrHistoryGone):
-			f.log.Info("history of changes is gone, reading the full state again", zap.String("what", s.name), zap.Stringer("at", w.at))
+			f.log.Info("history of changes is gone, reading the full state again", zap.Stringer("what", s.id), zap.Stringer("at", w.at))
 			w.gap = true
 		case errors.Is(err, catalog.ErrMalformed) && w.watched:
 			w.gap = true
@@ -143,7 +137,7 @@
 		w.watched = false
 		w.at, err = f.call(ctx, w, readTimeout, func(ctx context.Context) (position.Position, error) { return w.read(ctx, false) })
 		w.recordRead(f.now(), err)
-		f.recordAnswer(w.name, err)
+		f.recordAnswer(w.id, err)
 	default:
 		wait, slack := f.Wait.Std(), watchSlack
 		if w.outage.failures > 0 || !w.answered {
@@ -155,7 +149,7 @@
 		if err == nil {
 			w.reads = 0
 		}
-		f.recordAnswer(w.name, err)
+		f.recordAnswer(w.id, err)
 	}
 	return true, err
 }
@@ -209,9 +203,9 @@
 	}
 }
 
-// hasWatchDuty reports whether this instance should watch the store now. One that has just
+// hasWatchDuty reports whether this instance should watch a source now. One that has just
 // started does not, until it knows which other instances are alive.
-func (f *Follower) hasWatchDuty() bool {
+func (f *Follower) hasWatchDuty(s watch.Source) bool {
 	if !f.members.Settled() {
 		return false
 	}
@@ -219,7 +213,8 @@
 	st := f.members.Standing()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.watchPolicy.ShouldWatch(st, f.confirmations.Age(now, st.PrecededBy)) || f.isBehind(now)
+	failing := func(name string) bool { return f.confirmations.Failing(now, s, name) }
+	return f.watchPolicy.ShouldWatch(st, f.confirmations.Age(now, s, st.PrecededBy), failing) || s == watch.Servers && f.isBehind(now)
 }
 
 // updateDuty logs when this instance starts or stops watching, and why.
@@ -229,10 +224,10 @@
 	}
 	w.watching = onDuty
 	st := f.members.Standing()
-	f.scope.Tagged(map[string]string{"what": w.name}).Gauge("store_watching").Update(map[bool]float64{true: 1}[onDuty])
+	f.scope.Tagged(map[string]string{"what": w.id.String()}).Gauge("store_watching").Update(map[bool]float64{true: 1}[onDuty])
 	if onDuty && !st.Primary() {
-		f.scope.Tagged(map[string]string{"what": w.name}).Counter("store_takeovers_total").Inc(1)
+		f.scope.Tagged(map[string]string{"what": w.id.String()}).Counter("store_takeovers_total").Inc(1)
 	}
-	f.log.Info("duty to watch the store changed", zap.String("what", w.name), zap.Bool("watching", onDuty), zap.Int("rank", st.Rank), zap.Int("watchers", st.Watchers),
+	f.log.Info("duty to watch the store changed", zap.Stringer("what", w.id), zap.Bool("watching", onDuty), zap.Int("rank", st.Rank), zap.Int("watchers", st.Watchers),
 		zap.Int("instances", len(st.Order)), zap.Duration("age", f.ConfirmationAge()))
 }
--- a/decide/watch/watch.go
+++ b/decide/watch/watch.go
@@ -112,6 +112,21 @@
 	return known && r < s.Rank
 }
 
+// maxSkipped bounds the failing instances that others watch in place of, as a multiple of Watchers: while the store
+// is down, each that watches calls it.
+const maxSkipped = 2
+
+// rankAmong is the rank without the instances before this one whose calls fail.
+func (s Standing) rankAmong(failing func(name string) bool) int {
+	rank := s.Rank
+	for _, name := range s.Order[:s.Rank] {
+		if s.Rank-rank < maxSkipped*s.Watchers && failing(name) {
+			rank--
+		}
+	}
+	return rank
+}
+
 // Policy sets when instances that are not primary watch.
 type Policy struct {
 	// StaleAfter is the age of the last store answer, as known from the instances ranked before
@@ -123,10 +138,11 @@
 	Step time.Duration
 }
 
-// ShouldWatch reports whether an instance watches now; age is that of the last store answer of the
-// instances ranked before it.
-func (p Policy) ShouldWatch(s Standing, age time.Duration) bool {
-	return s.Primary() || age >= p.StaleAfter+time.Duration(s.Rank-s.Watchers)*p.Step
+// ShouldWatch reports whether an instance watches a source now. age is that of the last store answer of the
+// instances ranked before it, and failing tells of which of them the calls are known to fail.
+func (p Policy) ShouldWatch(s Standing, age time.Duration, failing func(name string) bool) bool {
+	rank := s.rankAmong(failing)
+	return rank < s.Watchers || age >= p.StaleAfter+time.Duration(rank-s.Watchers)*p.Step
 }
 
 // checkInterval and maxCheckInterval bound the interval of CheckAfter.
--- a/decide/watch/watch_test.go
+++ b/decide/watch/watch_test.go
@@ -109,7 +109,7 @@
 		p := watch.Policy{StaleAfter: 6 * time.Second, Step: time.Second}
 		countWatching := func(age time.Duration) (n int) {
 			for i := range members {
-				if p.ShouldWatch(standing(i, members), age) {
+				if p.ShouldWatch(standing(i, members), age, noneFails) {
 					n++
 				}
 			}
@@ -121,6 +121,24 @@
 		Expect(countWatching(15 * time.Second)).To(Equal(15))
 	})
 
+	// Guards against seconds without any instance that watches, while the store turns away those that do.
+	It("watch in place of those before them whose calls fail, up to a limit", func() {
+		members := fleet(60, 1)
+		p := watch.Policy{StaleAfter: 6 * time.Second, Step: time.Second}
+		order := standing(0, members).Order
+		countWatching := func(failing ...string) (n int) {
+			for i := range members {
+				if p.ShouldWatch(standing(i, members), 0, func(name string) bool { return slices.Contains(failing, name) }) {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(countWatching(order[:5]...)).To(Equal(10))
+		Expect(countWatching(order[1], order[3])).To(Equal(7))
+		Expect(countWatching(order...)).To(Equal(15))
+	})
+
 	It("wait only for instances ranked before them", func() {
 		members := fleet(60, 3)
 		for i := range members {
@@ -133,6 +151,8 @@
 	})
 })
 
+func noneFails(string) bool { return false }
+
 func names(members []watch.Member) (out []string) {
 	for _, m := range members {
 		out = append(out, m.Name)
@@ -201,15 +221,30 @@
 	It("are as old as the newest entry, or as the process without any", func() {
 		n := watch.NewConfirmations()
 		all := func(string) bool { return true }
-		Expect(n.Age(3*time.Second, all)).To(Equal(3 * time.Second))
-		n.Record(watch.Confirmation{By: "a", At: 5 * time.Second})
-		n.Record(watch.Confirmation{By: "a", At: 2 * time.Second})
-		n.Record(watch.Confirmation{By: "b", At: 7 * time.Second})
-		Expect(n.Age(8*time.Second, all)).To(Equal(time.Second))
-		Expect(n.Age(8*time.Second, func(by string) bool { return by == "a" })).To(Equal(3 * time.Second))
-		Expect(n.Newest(8*time.Second, 1)).To(Equal([]watch.Confirmation{{By: "b", At: 7 * time.Second}}))
+		Expect(n.Age(3*time.Second, watch.Servers, all)).To(Equal(3 * time.Second))
+		n.Record(watch.Confirmation{By: "a", At: watch.Times{watch.Servers: 5 * time.Second}})
+		n.Record(watch.Confirmation{By: "a", At: watch.Times{watch.Servers: 2 * time.Second}})
+		n.Record(watch.Confirmation{By: "b", At: watch.Times{watch.Servers: 7 * time.Second}})
+		Expect(n.Age(8*time.Second, watch.Servers, all)).To(Equal(time.Second))
+		Expect(n.Age(8*time.Second, watch.Servers, func(by string) bool { return by == "a" })).To(Equal(3 * time.Second))
+		Expect(n.Newest(8*time.Second, 1)).To(Equal([]watch.Confirmation{{By: "b", At: watch.Times{watch.Servers: 7 * time.Second}}}))
 		Expect(n.Newest(100*time.Second, 8)).To(BeEmpty())
 	})
+
+	// Guards against instances that do not watch one source because another one is answered, or watch all
+	// because one is not.
+	It("are of each source alone", func() {
+		n := watch.NewConfirmations()
+		all := func(string) bool { return true }
+		n.Record(watch.Confirmation{By: "a", At: watch.Times{watch.Config: 9 * time.Second, watch.Servers: 2 * time.Second}})
+		n.Record(watch.Confirmation{By: "a", Failed: watch.Times{watch.Servers: 8 * time.Second, watch.Config: 8 * time.Second}})
+		Expect(n.Age(10*time.Second, watch.Config, all)).To(Equal(time.Second))
+		Expect(n.Age(10*time.Second, watch.Servers, all)).To(Equal(8 * time.Second))
+		Expect(n.Age(10*time.Second, watch.Evacuations, all)).To(Equal(10 * time.Second))
+		Expect(n.Failing(10*time.Second, watch.Servers, "a")).To(BeTrue())
+		Expect(n.Failing(10*time.Second, watch.Config, "a")).To(BeFalse())
+		Expect(n.Failing(20*time.Second, watch.Servers, "a")).To(BeFalse())
+	})
 })
 
 // simulate runs a fleet whose members relay the last answers of the store to random others,
@@ -235,14 +270,14 @@
 	for now := time.Duration(0); now < length; now += tick {
 		count := 0
 		for i, m := range members {
-			shouldWatch := p.ShouldWatch(standings[i], confirmations[i].Age(now, standings[i].PrecededBy))
+			shouldWatch := p.ShouldWatch(standings[i], confirmations[i].Age(now, watch.Servers, standings[i].PrecededBy), noneFails)
 			switch {
 			case !shouldWatch:
 				answerAt[i] = -1
 			case answerAt[i] < 0:
 				answerAt[i] = now + wait
 			case now >= answerAt[i] && !disconnected(m.Name):
-				confirmations[i].Record(watch.Confirmation{By: m.Name, At: now})
+				confirmations[i].Record(watch.Confirmation{By: m.Name, At: watch.Times{watch.Servers: now}})
 				answerAt[i] = now + wait
 			}
 			if shouldWatch {
@@ -258,7 +293,7 @@
 		watching = append(watching, count)
 		for i := range members {
 			if now >= 2*wait+p.StaleAfter {
-				maxAge = max(maxAge, confirmations[i].Age(now, func(string) bool { return true }))
+				maxAge = max(maxAge, confirmations[i].Age(now, watch.Servers, func(string) bool { return true }))
 			}
 		}
 	}
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -310,7 +310,7 @@
 	r.count("refusals_total", "code", refusal.Code.String())
 	r.log.Warn("refused", append(extra, zap.String("request", req.ID), zap.Uint32("code", uint32(refusal.Code)), zap.String("why", refusal.Message),
 		zap.Int64("prompt", req.PromptTokens), zap.String("host", req.Host), zap.String("path", req.Path), zap.Uint64("version", r.version()),
-		zap.Duration("config_age", r.catalog.ConfirmationAge()))...)
+		zap.Duration("config_age", r.catalog.ConfigAge()))...)
 }
 
 func (r *Relay) version() uint64 {
