--- a/lab/propagation/propagation_test.go
+++ b/lab/propagation/propagation_test.go
@@ -23,7 +23,7 @@
 //
 //	go test ./lab/propagation -run TestScenes -v -timeout 2h -args -scene drawn -instances 6,75 -seeds 1000
 var (
-	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn, evacuation, calm-servers, servers or wrong-servers")
+	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn, one-source, evacuation, calm-servers, servers or wrong-servers")
 	instancesFlag = flag.String("instances", "6", "numbers of instances, separated by commas")
 	firstFlag     = flag.Uint64("first", 1, "first seed")
 	seedsFlag     = flag.Int("seeds", 2, "number of seeds")
@@ -69,7 +69,7 @@
 }
 
 var scenes = map[string]func(propagation.Site, uint64) propagation.Scene{
-	"calm": propagation.Calm, "queued": propagation.Queued, "drawn": propagation.Drawn,
+	"calm": propagation.Calm, "queued": propagation.Queued, "drawn": propagation.Drawn, "one-source": propagation.OneSource,
 }
 
 // evacuationScene is played by a function of its own, since it has another report.
@@ -134,6 +134,9 @@
 	queuedP99, queuedMost = time.Second, 2 * time.Second
 )
 
+// Required times from acknowledged to in force while the calls for one source fail.
+const oneSourceP99, oneSourceMost = time.Second, 2 * time.Second
+
 // playSpec plays a scene in which nothing may be broken.
 func playSpec[S any, R report[R]](playScene func(S, *zap.Logger) (R, error), s S) R {
 	r, err := play(suite, playScene, s)
@@ -165,6 +168,22 @@
 		Entry("at 300 instances", testkit.LargeFleet, 300),
 	)
 
+	// Guards against a configuration that is late because the calls for something else fail, or those for the
+	// configuration at most instances.
+	DescribeTable("is in force in time while the calls for one source fail", func(instances, seeds int) {
+		sum := new(propagation.Report)
+		for seed := range seeds {
+			sum.Add(playSpec(propagation.Play, propagation.OneSource(propagation.SiteOf(instances), uint64(seed+1))))
+		}
+		Expect(sum.Acked).NotTo(BeEmpty())
+		Expect(sum.Acked.Quantile(0.99)).To(BeNumerically("<=", oneSourceP99))
+		Expect(sum.Acked.Max()).To(BeNumerically("<=", oneSourceMost))
+	},
+		Entry("at 6 instances", 6, 12),
+		Entry("at 22 instances", testkit.LargeFleet, 22, 4),
+		Entry("at 75 instances", testkit.LargeFleet, 75, 2),
+	)
+
 	DescribeTable("is in force in time whatever happens", func(instances, seeds int) {
 		for seed := range seeds {
 			playSpec(propagation.Play, propagation.Drawn(propagation.SiteOf(instances), uint64(seed+1)))
--- a/lab/propagation/scene.go
+++ b/lab/propagation/scene.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/lab/simnet"
 	"github.com/auburnmoor/auburnmoor/lab/simstore"
 )
@@ -24,6 +25,8 @@
 	// the store instead, as they are when it begins.
 	Share      float64
 	OfWatchers bool
+	// OfSource has it affect only the calls for a source. The store counts as sound then.
+	OfSource *watch.Source
 	// ForgetHistory and Restore: the store comes back without its history, or as an older copy.
 	ForgetHistory, Restore bool
 	// Changes is the number of versions sent in a row, ChangeGap apart, from ChangesAt on. While the
@@ -93,7 +96,12 @@
 const (
 	minOutage, maxOutage = 500 * time.Millisecond, 30 * time.Second
 	maxChanges           = 60
-	drawnChangeGap       = 330 * time.Millisecond
+	// maxOneSource is the longest time for which the calls for one source fail, maxOneSourceChanges for how
+	// long changes are made in it.
+	maxOneSource, maxOneSourceChanges = 60 * time.Second, 20 * time.Second
+	// manyInstances is the size from which most instances do not watch the store.
+	manyInstances  = 20
+	drawnChangeGap = 330 * time.Millisecond
 )
 
 // Drawn is a scene of drawn trouble.
@@ -128,6 +136,25 @@
 	return s
 }
 
+// OneSource is a scene in which the calls for one source fail, at one instance, most or all of them, or at those that
+// watch. Those for the configuration do not fail at all.
+func OneSource(site Site, seed uint64) Scene {
+	r := rand.New(rand.NewPCG(seed, 12))
+	s := Scene{Site: site, Seed: seed, OutageAt: 8 * time.Second, Tail: 4 * time.Second}
+	s.Store = pick(r, simstore.Silent, simstore.Reset, simstore.Busy)
+	s.Outage = time.Duration(float64(minOutage) * math.Pow(float64(maxOneSource)/float64(minOutage), r.Float64()))
+	source := pick(r, watch.Servers, watch.Servers, watch.Evacuations, watch.Config)
+	s.OfSource = &source
+	s.Share = pick(r, 1, 1, 0.9, 1/float64(site.Instances))
+	if source == watch.Config {
+		s.Share = pick(r, 0.9, 0.5, 1/float64(site.Instances))
+		s.OfWatchers = r.IntN(3) == 0 && site.Instances > manyInstances
+	}
+	s.ChangesAt, s.ChangeGap = s.OutageAt+between(r, 0, 300*time.Millisecond), drawnChangeGap
+	s.Changes = 1 + int(min(s.Outage, maxOneSourceChanges)/drawnChangeGap)
+	return s
+}
+
 func drawStrike(r *rand.Rand, s Scene) Strike {
 	k := Strike{How: pick(r, Killed, Killed, PowerOff, Frozen, CutIn, CutOut, Lossy), For: between(r, 500*time.Millisecond, 6*time.Second)}
 	k.Share, k.Watchers = 0.1+0.8*r.Float64(), r.IntN(3) == 0
@@ -144,6 +171,9 @@
 		if s.OfWatchers {
 			whom = "watchers"
 		}
+		if s.OfSource != nil {
+			out += fmt.Sprintf("calls for %s: ", *s.OfSource)
+		}
 		out += fmt.Sprintf("store %s for %s from %.2f s to %.2f s", s.Store, whom, s.OutageAt.Seconds(), (s.OutageAt + s.Outage).Seconds())
 	}
 	if s.ForgetHistory {
@@ -183,6 +213,7 @@
 func Play(s Scene, log *zap.Logger) (*Report, error) {
 	f := NewFleet(s.Site, s.Seed, log)
 	defer f.Stop()
+	f.evacuations = s.OfSource != nil
 	r := &run{scene: s, fleet: f, meter: newMeter(f), begin: time.Now(), rand: rand.New(rand.NewPCG(s.Seed, 6))}
 	if err := r.start(); err != nil {
 		return nil, err
@@ -236,7 +267,7 @@
 	s := r.scene
 	at := s.ChangesAt + time.Duration(change)*s.ChangeGap
 	back := s.OutageAt + s.Outage
-	operatorsWait := s.Share == 1 && !s.OfWatchers && s.Store != simstore.Slow && s.Store != simstore.Lost
+	operatorsWait := s.OfSource == nil && s.Share == 1 && !s.OfWatchers && s.Store != simstore.Slow && s.Store != simstore.Lost
 	if !operatorsWait || at < s.OutageAt {
 		return at
 	}
@@ -269,6 +300,14 @@
 		hit[in.name] = true
 	}
 	r.fleet.Store.Copy()
+	if s.OfSource != nil {
+		if s.Share < 1 && len(hit) == len(r.fleet.instances) {
+			// Nobody could know of a change otherwise.
+			delete(hit, r.fleet.instances[r.rand.IntN(len(r.fleet.instances))].name)
+		}
+		r.fleet.Store.SetTrouble(s.Store, func(instance string) bool { return hit[instance] || s.Share == 1 && !s.OfWatchers }, *s.OfSource)
+		return
+	}
 	r.meter.setStoreTrouble(s.Store, func(instance string) bool { return hit[instance] || s.Share == 1 && !s.OfWatchers })
 }
 
@@ -280,6 +319,10 @@
 		r.fleet.Store.Restore()
 		r.meter.lose(r.fleet.Store.Version())
 	}
+	if r.scene.OfSource != nil {
+		r.fleet.Store.SetTrouble(simstore.Sound, func(string) bool { return false })
+		return
+	}
 	r.meter.setStoreTrouble(simstore.Sound, func(string) bool { return false })
 }
 
--- a/lab/simstore/client.go
+++ b/lab/simstore/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/internal/wait"
 	"github.com/auburnmoor/auburnmoor/lab/simnet"
 	"github.com/auburnmoor/auburnmoor/peerlink"
@@ -119,12 +120,13 @@
 // call is one call to the store.
 type call struct {
 	client *Client
+	source watch.Source
 	// troubleCount is the store's count as the call was made.
 	troubleCount int
 }
 
 // begin waits until the call has reached the store.
-func (c *Client) begin(ctx context.Context) (*call, error) {
+func (c *Client) begin(ctx context.Context, source watch.Source) (*call, error) {
 	c.host.AwaitRunning()
 	if c.killed.Load() {
 		return nil, errKilled
@@ -132,7 +134,7 @@
 	s := c.store
 	s.mu.Lock()
 	s.calls++
-	trouble, count := s.troubleOf(c.self.Name), s.troubleCount
+	trouble, count := s.troubleOf(c.self.Name, source), s.troubleCount
 	s.mu.Unlock()
 	took := answerTime
 	if trouble == Slow {
@@ -141,13 +143,16 @@
 	if !wait.For(ctx, took) {
 		return nil, ctx.Err()
 	}
-	k := &call{c, count}
+	k := &call{c, source, count}
 	return k, k.check(ctx)
 }
 
-// troubleOf returns the trouble of an instance. The caller holds s.mu.
-func (s *Store) troubleOf(instance string) Trouble {
-	if s.trouble == Sound || !s.affected(instance) {
+// entries are what calls for the entries of instances are for, which nobody watches.
+const entries = watch.Sources
+
+// troubleOf returns the trouble of the calls of an instance for a source. The caller holds s.mu.
+func (s *Store) troubleOf(instance string, source watch.Source) Trouble {
+	if s.trouble == Sound || !s.affected(instance) || len(s.ofSources) > 0 && !slices.Contains(s.ofSources, source) {
 		return Sound
 	}
 	return s.trouble
@@ -157,7 +162,7 @@
 func (k *call) check(ctx context.Context) error {
 	s := k.client.store
 	s.mu.Lock()
-	trouble := s.troubleOf(k.client.self.Name)
+	trouble := s.troubleOf(k.client.self.Name, k.source)
 	fresh := s.troubleCount != k.troubleCount
 	s.mu.Unlock()
 	switch {
@@ -179,7 +184,7 @@
 	}
 	s := k.client.store
 	s.mu.Lock()
-	lost := s.troubleOf(k.client.self.Name) == Lost && s.rand.Float64() < lostShare
+	lost := s.troubleOf(k.client.self.Name, k.source) == Lost && s.rand.Float64() < lostShare
 	s.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -208,7 +213,7 @@
 
 // Config implements catalog.Catalog.
 func (c *Client) Config(ctx context.Context, _ bool) (catalog.Config, error) {
-	k, err := c.begin(ctx)
+	k, err := c.begin(ctx, watch.Config)
 	if err != nil {
 		return catalog.Config{}, err
 	}
@@ -240,7 +245,7 @@
 
 // WatchConfig implements catalog.Catalog.
 func (c *Client) WatchConfig(ctx context.Context, after position.Position, wait time.Duration) (*catalog.Config, position.Position, error) {
-	at, changed, err := c.watch(ctx, after, wait, func(s *Store) int64 { return s.configRevision })
+	at, changed, err := c.watch(ctx, watch.Config, after, wait, func(s *Store) int64 { return s.configRevision })
 	if err != nil || !changed {
 		return nil, at, err
 	}
@@ -251,8 +256,8 @@
 
 // watch waits for a change after a position. lastChange returns the revision of the last one; it is called
 // with the store locked.
-func (c *Client) watch(ctx context.Context, after position.Position, upTo time.Duration, lastChange func(*Store) int64) (at position.Position, changed bool, err error) {
-	k, err := c.begin(ctx)
+func (c *Client) watch(ctx context.Context, source watch.Source, after position.Position, upTo time.Duration, lastChange func(*Store) int64) (at position.Position, changed bool, err error) {
+	k, err := c.begin(ctx, source)
 	if err != nil {
 		return after, false, err
 	}
@@ -312,7 +317,7 @@
 
 // Evacuations implements catalog.Catalog.
 func (c *Client) Evacuations(ctx context.Context, _ bool) (catalog.Evacuations, error) {
-	k, err := c.begin(ctx)
+	k, err := c.begin(ctx, watch.Evacuations)
 	if err != nil {
 		return catalog.Evacuations{}, err
 	}
@@ -331,7 +336,7 @@
 
 // WatchEvacuations implements catalog.Catalog. A change is answered with the state of all data centres.
 func (c *Client) WatchEvacuations(ctx context.Context, after position.Position, wait time.Duration) (catalog.EvacuationChanges, error) {
-	at, changed, err := c.watch(ctx, after, wait, func(s *Store) int64 { return s.evacuationRevision })
+	at, changed, err := c.watch(ctx, watch.Evacuations, after, wait, func(s *Store) int64 { return s.evacuationRevision })
 	out := catalog.EvacuationChanges{At: at}
 	if err != nil || !changed {
 		return out, err
@@ -353,7 +358,7 @@
 
 // List implements instances.Lister.
 func (c *Client) List(ctx context.Context) ([]instances.Instance, error) {
-	k, err := c.begin(ctx)
+	k, err := c.begin(ctx, entries)
 	if err != nil {
 		return c.Seeds(), nil
 	}
@@ -376,7 +381,7 @@
 
 // write makes a change to the entries.
 func (c *Client) write(ctx context.Context, change func()) error {
-	k, err := c.begin(ctx)
+	k, err := c.begin(ctx, entries)
 	if err != nil {
 		return err
 	}
--- a/lab/simstore/servers.go
+++ b/lab/simstore/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/position"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/port/catalog"
 )
 
@@ -115,7 +116,7 @@
 
 // Servers implements catalog.Catalog.
 func (c *Client) Servers(ctx context.Context, staleOK bool) (catalog.Servers, error) {
-	k, err := c.begin(ctx)
+	k, err := c.begin(ctx, watch.Servers)
 	if err != nil {
 		return catalog.Servers{}, err
 	}
@@ -128,7 +129,7 @@
 
 // WatchServers implements catalog.Catalog.
 func (c *Client) WatchServers(ctx context.Context, after position.Position, wait time.Duration) (catalog.ServerChanges, error) {
-	at, changed, err := c.watch(ctx, after, wait, func(s *Store) int64 { return s.newestServers().revision })
+	at, changed, err := c.watch(ctx, watch.Servers, after, wait, func(s *Store) int64 { return s.newestServers().revision })
 	out := catalog.ServerChanges{At: at}
 	if err == nil && changed {
 		out.Changes = c.store.serverChanges(after.Revision, at.Revision)
--- a/lab/simstore/store.go
+++ b/lab/simstore/store.go
@@ -18,6 +18,7 @@
 	"github.com/auburnmoor/auburnmoor/decide/backends"
 	"github.com/auburnmoor/auburnmoor/decide/position"
 	"github.com/auburnmoor/auburnmoor/decide/route"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/port/instances"
 )
 
@@ -79,6 +80,8 @@
 	trouble     Trouble
 	// affected reports whether an instance is in trouble.
 	affected func(instance string) bool
+	// ofSources limits the trouble to the calls for some sources, unless it is empty.
+	ofSources []watch.Source
 	// changed is closed with every change of the state or the trouble.
 	changed chan struct{}
 	// troubleCount counts the changes of the trouble.
@@ -192,11 +195,11 @@
 	return c.parsed, nil
 }
 
-// SetTrouble changes the trouble and whom it affects.
-func (s *Store) SetTrouble(t Trouble, affected func(instance string) bool) {
+// SetTrouble changes the trouble and whom it affects, in the calls for some sources, or in all calls.
+func (s *Store) SetTrouble(t Trouble, affected func(instance string) bool, ofSources ...watch.Source) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.trouble, s.affected = t, affected
+	s.trouble, s.affected, s.ofSources = t, affected, ofSources
 	s.troubleCount++
 	if t == Sound {
 		s.answeredAt = time.Time{}
