--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -105,7 +105,7 @@
 // Each scene has one fault of backgroundKinds, overlapped by faults of overlappingKinds.
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
-	otherKinds       = []Kind{Limit, SayLeaving, AskRest, Cold, Evacuation, Vanish}
+	otherKinds       = []Kind{Limit, SayLeaving, AskRest, Cold, Evacuation, Vanish, FailSource}
 	plannedKinds     = []Kind{Signals, Silence, Reconfigure}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
@@ -137,6 +137,7 @@
 	p.addNotices(r, span)
 	p.addCold(seed, span)
 	p.addVanish(seed, span)
+	p.addFailSource(seed, span)
 	p.addEvacuation(rand.New(rand.NewPCG(seed, evacuationStream)))
 	p.addPlanned(rand.New(rand.NewPCG(seed, plannedStream)))
 	return p, p.check()
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -241,6 +241,8 @@
 		r.evacuate(f)
 	case SayLeaving:
 		r.sayLeaving(f)
+	case FailSource:
+		r.failSource(f)
 	case Vanish:
 		r.startVanishing(f)
 	case AskRest:
