--- a/platform/split.go
+++ b/internal/jsonsplit/jsonsplit.go
@@ -1,4 +1,6 @@
-package platform
+// Package jsonsplit splits JSON text into its parts without decoding these, so that one part that cannot be decoded
+// costs no other: encoding/json fails a whole document for one value of a wrong form, or nested too deeply.
+package jsonsplit
 
 import (
 	"encoding/json"
@@ -6,25 +8,23 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Answers of the store are split into their parts without decoding these, so that one part that cannot be decoded
-// costs no other: encoding/json fails a whole document for one value of a wrong form, or nested too deeply.
-
-var errNotSplit = errors.New("not a JSON value of the expected form")
+// ErrForm means that a text is not a JSON value of the expected form.
+var ErrForm = errors.New("not a JSON value of the expected form")
 
-// splitObject returns the members of a JSON object by name. Of members with one name the last counts.
-func splitObject(raw []byte) (map[string]json.RawMessage, error) {
+// Object returns the members of a JSON object by name. Of members with one name the last counts.
+func Object(raw []byte) (map[string]json.RawMessage, error) {
 	out := map[string]json.RawMessage{}
-	err := splitList(raw, '{', '}', func(s *splitter) error {
+	err := split(raw, '{', '}', func(s *splitter) error {
 		key, err := s.value()
 		if err != nil {
 			return err
 		}
 		var name string
 		if json.Unmarshal(key, &name) != nil {
-			return errNotSplit
+			return ErrForm
 		}
 		if !s.accept(':') {
-			return errNotSplit
+			return ErrForm
 		}
 		value, err := s.value()
 		out[name] = value
@@ -33,9 +33,9 @@
 	return out, err
 }
 
-// splitArray returns the elements of a JSON array. One that is missing between two commas is empty.
-func splitArray(raw []byte) (out []json.RawMessage, err error) {
-	err = splitList(raw, '[', ']', func(s *splitter) error {
+// Array returns the elements of a JSON array. One that is missing between two commas is empty.
+func Array(raw []byte) (out []json.RawMessage, err error) {
+	err = split(raw, '[', ']', func(s *splitter) error {
 		if s.nextIs(',') || s.nextIs(']') {
 			out = append(out, nil)
 			return nil
@@ -47,11 +47,11 @@
 	return out, err
 }
 
-// splitList calls next for each of the elements between two brackets.
-func splitList(raw []byte, begin, end byte, next func(*splitter) error) error {
+// split calls next for each of the elements between two brackets.
+func split(raw []byte, begin, end byte, next func(*splitter) error) error {
 	s := &splitter{raw: raw}
 	if !s.accept(begin) {
-		return errNotSplit
+		return ErrForm
 	}
 	if s.accept(end) {
 		return s.finish()
@@ -64,7 +64,7 @@
 			return s.finish()
 		}
 		if !s.accept(',') {
-			return errNotSplit
+			return ErrForm
 		}
 	}
 }
@@ -99,7 +99,7 @@
 // finish fails unless only space is left.
 func (s *splitter) finish() error {
 	if s.skipSpace(); s.at < len(s.raw) {
-		return errNotSplit
+		return ErrForm
 	}
 	return nil
 }
@@ -112,7 +112,7 @@
 		switch b := s.raw[s.at]; b {
 		case '"':
 			if !s.text() {
-				return nil, errNotSplit
+				return nil, ErrForm
 			}
 			if depth == 0 {
 				return s.raw[begin:s.at], nil
@@ -136,7 +136,7 @@
 		s.at++
 	}
 	if depth > 0 {
-		return nil, errNotSplit
+		return nil, ErrForm
 	}
 	return s.literal(begin)
 }
@@ -144,7 +144,7 @@
 // literal returns a number, a truth value or null, which ends at the present position.
 func (s *splitter) literal(begin int) (json.RawMessage, error) {
 	if s.at == begin {
-		return nil, errNotSplit
+		return nil, ErrForm
 	}
 	return s.raw[begin:s.at], nil
 }
