One part of the record of crashes that cannot be read no longer hides the rest

The record was decoded whole: one crash of a wrong form, a time or anything nested deeply made it count as empty, so that after the loss of all instances a deadly part of prompts would have crashed servers again, and the next write replaced what was known.

--- a/control/quarantine/keep.go
+++ b/control/quarantine/keep.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// readRecord reads the record and adds it to what is known. A malformed one counts as empty.
+// readRecord reads the record and adds it to what is known. What cannot be read of it counts as not there.
 func (q *Quarantine) readRecord(ctx context.Context, staleOK bool) (evidence.Record, record, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
@@ -164,7 +164,7 @@
 	r, err := decodeRecord(q.now(), q.record.day(), raw.Content)
 	if err != nil {
 		q.scope.Counter("crash_records_unreadable_total").Inc(1)
-		q.log.Warn("record of crashes in the store is malformed and will be replaced", eventlog.Error(err))
+		q.log.Warn("part of the record of crashes in the store cannot be read and will be replaced", eventlog.Error(err))
 	}
 	q.restore(r)
 	return raw, r, nil
--- a/control/quarantine/keep_test.go
+++ b/control/quarantine/keep_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -252,6 +254,30 @@
 		Expect(verdict(other)).To(Equal(blame.Refused))
 	})
 
+	// Guards against all that is known of crashes being forgotten because one part of the record cannot be read.
+	DescribeTable("is known but for a part that cannot be read", func(spoil func(raw string) string) {
+		q := newKeeping(store, &now)
+		crash(q, 4)
+		Expect(q.writeRecord(ctx, nil)).To(Succeed())
+		spoilt := spoil(string(store.record.Content))
+		Expect(spoilt).NotTo(Equal(string(store.record.Content)))
+		store.record.Content = []byte(spoilt)
+		other := newKeeping(store, &now)
+		read(other)
+		Expect(verdict(other)).To(Equal(blame.Refused))
+	},
+		Entry("among the crashes", func(raw string) string {
+			return regexp.MustCompile(`"crashes": ?\[`).ReplaceAllString(raw, `"crashes":[{"keys":7},`)
+		}),
+		Entry("of the times", func(raw string) string {
+			return regexp.MustCompile(`"writtenMs": ?"`).ReplaceAllString(raw, `"writtenMs":"x`)
+		}),
+		Entry("of what whole requests did", func(raw string) string { return `{"requests":{"requests":7},` + strings.TrimPrefix(raw, "{") }),
+		Entry("that is nested deeply", func(raw string) string {
+			return `{"more":` + strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000) + "," + strings.TrimPrefix(raw, "{")
+		}),
+	)
+
 	// Guards against a part that is tried sooner, or later, by as much as the time of day jumped.
 	DescribeTable("has its ages when the time of day", func(jump, elapsed time.Duration) {
 		day := time.Unix(1_800_000_000, 0)
--- a/control/quarantine/record.go
+++ b/control/quarantine/record.go
@@ -1,14 +1,17 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburnmoor/auburnmoor/decide/blame"
 	"github.com/auburnmoor/auburnmoor/decide/durable"
 	"github.com/auburnmoor/auburnmoor/decide/poison"
+	"github.com/auburnmoor/auburnmoor/internal/jsonsplit"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 )
 
@@ -51,27 +54,60 @@
 }
 
 // decodeRecord decodes a record; no content stands for an empty one. Where the time of day jumped back
-// since it was written, the ages are those when it was written.
+// since it was written, the ages are those when it was written. What can be read is returned beside an error.
 func decodeRecord(now time.Duration, day time.Time, raw []byte) (r record, err error) {
 	if len(raw) == 0 {
 		return r, nil
 	}
-	var in peerpb.CrashRecord
-	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(raw, &in); err != nil {
-		return r, errors.Wrap(err, "record of crashes")
+	in := &peerpb.CrashRecord{}
+	if err = unmarshalRecord.Unmarshal(raw, in); err != nil {
+		in = readableParts(raw)
 	}
-	at := now - max(0, day.Sub(time.UnixMilli(in.WrittenMs)))
-	if c := in.Crashes; c != nil {
+	at := now
+	if in.WrittenMs > 0 {
+		at -= max(0, day.Sub(time.UnixMilli(in.WrittenMs)))
+	}
+	if c := in.GetCrashes(); c != nil {
 		changes := decodeCrashes(at, c)
 		r.parts = blame.Durable{Crashes: changes.Crashes, Used: changes.Used}
 	}
-	if in.Requests == nil {
-		return r, nil
-	}
-	for _, p := range in.Requests.Requests {
+	for _, p := range in.GetRequests().GetRequests() {
 		if rec, ok := decode(at, p); ok {
 			r.requests = append(r.requests, rec)
 		}
 	}
-	return r, nil
+	return r, errors.Wrap(err, "record of crashes")
+}
+
+var unmarshalRecord = protojson.UnmarshalOptions{DiscardUnknown: true}
+
+// readableParts returns what can be read of a record of which a part cannot.
+func readableParts(raw []byte) *peerpb.CrashRecord {
+	// Parts that are not there, or of another form, are empty below.
+	members, _ := jsonsplit.Object(raw)
+	crashes, _ := jsonsplit.Object(members["crashes"])
+	requests, _ := jsonsplit.Object(members["requests"])
+	out := &peerpb.CrashRecord{
+		Crashes: &peerpb.CrashReport{
+			Crashes: readableElements(crashes["crashes"], func() *peerpb.Crash { return new(peerpb.Crash) }),
+			Used:    readableElements(crashes["used"], func() *peerpb.UsedTrial { return new(peerpb.UsedTrial) }),
+		},
+		Requests: &peerpb.SuspectRequests{Requests: readableElements(requests["requests"], func() *peerpb.SuspectRequest { return new(peerpb.SuspectRequest) })},
+	}
+	var written peerpb.CrashRecord
+	if unmarshalRecord.Unmarshal(fmt.Appendf(nil, `{"writtenMs":%s}`, members["writtenMs"]), &written) == nil {
+		out.WrittenMs = written.WrittenMs
+	}
+	return out
+}
+
+// readableElements decodes the elements of a list, without those that cannot be.
+func readableElements[M proto.Message](raw []byte, empty func() M) (out []M) {
+	elements, _ := jsonsplit.Array(raw)
+	for _, element := range elements {
+		if m := empty(); unmarshalRecord.Unmarshal(element, m) == nil {
+			out = append(out, m)
+		}
+	}
+	return out
 }
