--- a/lab/propagation/propagation_test.go
+++ b/lab/propagation/propagation_test.go
@@ -23,7 +23,7 @@
 //
 //	go test ./lab/propagation -run TestScenes -v -timeout 2h -args -scene drawn -instances 6,75 -seeds 1000
 var (
-	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn, one-source, evacuation, calm-servers, servers or wrong-servers")
+	sceneFlag     = flag.String("scene", "queued", "scene to play by hand: calm, queued, drawn, one-source, evacuation, calm-servers, servers, one-source-servers or wrong-servers")
 	instancesFlag = flag.String("instances", "6", "numbers of instances, separated by commas")
 	firstFlag     = flag.Uint64("first", 1, "first seed")
 	seedsFlag     = flag.Int("seeds", 2, "number of seeds")
--- a/lab/propagation/scene.go
+++ b/lab/propagation/scene.go
@@ -301,7 +301,7 @@
 	}
 	r.fleet.Store.Copy()
 	if s.OfSource != nil {
-		if s.Share < 1 && len(hit) == len(r.fleet.instances) {
+		if (s.Share < 1 || s.OfWatchers) && len(hit) == len(r.fleet.instances) {
 			// Nobody could know of a change otherwise.
 			delete(hit, r.fleet.instances[r.rand.IntN(len(r.fleet.instances))].name)
 		}
--- a/lab/propagation/servers.go
+++ b/lab/propagation/servers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
+	"github.com/auburnmoor/auburnmoor/decide/watch"
 	"github.com/auburnmoor/auburnmoor/lab/simstore"
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
@@ -44,6 +45,8 @@
 	returnWithin = 2 * time.Second
 	// fewServers and moreServers bound the number of servers of a drawn scene.
 	fewServers, moreServers = 10, 60
+	// mostInstances is the largest share of the instances whose calls for servers fail.
+	mostInstances = 0.9
 	// mendWithin bounds the time for which a list may be wrong.
 	mendWithin = 2 * time.Second
 	// usesInterval is how often the lists in use are compared with those of the store.
@@ -74,6 +77,17 @@
 	return s
 }
 
+// OneSourceServers is a scene in which the calls for one source fail, for that of the servers at most instances only.
+func OneSourceServers(site Site, seed uint64) ServerScene {
+	s := ServerScene{Scene: OneSource(site, seed), Servers: moreServers}
+	s.Changes, s.Outage = 1, min(s.Outage, serversFor)
+	if *s.OfSource == watch.Servers {
+		s.Share, s.OfWatchers = min(s.Share, mostInstances), false
+	}
+	s.Tail = serversTail(site)
+	return s
+}
+
 // serversTail is the time after the last event within which all lists must be those of the store.
 func serversTail(site Site) time.Duration { return 2*site.StableAfter + site.ApplyWithin }
 
--- a/lab/propagation/servers_test.go
+++ b/lab/propagation/servers_test.go
@@ -11,7 +11,7 @@
 )
 
 var serverScenes = map[string]func(propagation.Site, uint64) propagation.ServerScene{
-	"calm-servers": propagation.CalmServers, "servers": propagation.DrawnServers, "wrong-servers": propagation.WrongServers,
+	"calm-servers": propagation.CalmServers, "servers": propagation.DrawnServers, "one-source-servers": propagation.OneSourceServers, "wrong-servers": propagation.WrongServers,
 }
 
 // Required times from the acknowledgement that a server leaves to its last use in a calm fleet.
@@ -40,6 +40,17 @@
 		Entry("of 75 instances", testkit.LargeFleet, 75),
 	)
 
+	DescribeTable("is out of use in time while the calls for one source fail", func(instances, seeds int) {
+		sum := new(propagation.ServerReport)
+		for seed := range seeds {
+			sum.Add(playSpec(propagation.PlayServers, propagation.OneSourceServers(propagation.SiteOf(instances), uint64(seed+1))))
+		}
+		Expect(sum.Out.Max()).To(BeNumerically("<=", oneSourceMost))
+	},
+		Entry("at 6 instances", 6, 6),
+		Entry("at 22 instances", testkit.LargeFleet, 22, 2),
+	)
+
 	DescribeTable("is out of use in time whatever happens", func(instances, seeds int) {
 		for seed := range seeds {
 			playSpec(propagation.PlayServers, propagation.DrawnServers(propagation.SiteOf(instances), uint64(seed+1)))
--- a/lab/soak/source.go
+++ b/lab/soak/source.go
@@ -79,7 +79,7 @@
 		disturbed = new(disturbanceLog)
 	}
 	disturbed.begin()
-	end = s.addFault(storeserver.Faults{Kinds: map[string]storeserver.KindFaults{f.kind: f.faults}, Spoil: map[string]storeserver.Spoil{f.kind: f.spoil}})
+	endFault := s.addFault(storeserver.Faults{Kinds: map[string]storeserver.KindFaults{f.kind: f.faults}, Spoil: map[string]storeserver.Spoil{f.kind: f.spoil}})
 	if f.readable() {
 		if err := s.store.Put(f.kind, oddEntry, map[string]any{"service": "odd"}); err != nil {
 			panic(err)
@@ -89,7 +89,7 @@
 		if f.readable() {
 			s.store.Delete(f.kind, oddEntry)
 		}
-		end()
+		endFault()
 		disturbed.end()
 	}
 }
