Malformed answers are tested with fewer instances at once, beside no computation

Traced: alone, such an instance needs 0.15 s with the race detector and 0.012 s without; 60 at once need 2.0 s and 0.15 to 0.48 s: the test starved itself. 15 at once now, the same ways, bounds and instances; and the package, whose bounds are in real time, runs with the others of that kind.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 TEST_TIMEOUT := 15m
 
 # Packages whose tests have bounds in real time. They and e2e run after the others, whose computations would starve them.
-REAL_TIME := ./lab/soak ./lab/standin/workerserver ./peerlink ./platform
+REAL_TIME := ./control/follow ./lab/soak ./lab/standin/workerserver ./peerlink ./platform
 
 test-packages:
 	LARGE_FLEETS=skip KNOWN_RED=$(CURDIR)/KNOWN-RED.txt go test $(RACE) -timeout $(TEST_TIMEOUT) $(filter-out $(shell go list ./e2e $(REAL_TIME)),$(shell go list ./...))
--- a/control/follow/malformed_test.go
+++ b/control/follow/malformed_test.go
@@ -51,7 +51,7 @@
 	// watchTime is how long a watch at rest takes.
 	watchTime = 2100 * time.Millisecond
 	// spoiltAtOnce is the number of instances that run at the same time.
-	spoiltAtOnce = 60
+	spoiltAtOnce = 15
 	// spoiltStep takes one in so many of all ways to spoil, so that each part and each text is among them.
 	spoiltStep = 7
 )
