--- a/control/follow/evacuations.go
+++ b/control/follow/evacuations.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/position"
@@ -35,7 +34,7 @@
 		},
 		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
 			c, err := f.catalog.WatchEvacuations(ctx, after, wait)
-			if err == nil || errors.Is(err, catalog.ErrMalformed) && len(c.Changes) > 0 {
+			if applicable(err, len(c.Changes)) {
 				f.applyStoreEvacuations(f.withEvacuationChanges(c))
 			}
 			return c.At, err
--- a/control/follow/servers.go
+++ b/control/follow/servers.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor/decide/backends"
@@ -35,7 +34,7 @@
 		},
 		watch: func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error) {
 			l, err := f.catalog.WatchServers(ctx, after, wait)
-			if err == nil || errors.Is(err, catalog.ErrMalformed) && len(l.Changes) > 0 {
+			if applicable(err, len(l.Changes)) {
 				f.applyServerChanges(l)
 			}
 			return l.At, err
--- a/control/follow/watch.go
+++ b/control/follow/watch.go
@@ -51,6 +51,12 @@
 	watch func(ctx context.Context, after position.Position, wait time.Duration) (position.Position, error)
 }
 
+// applicable reports whether what a watch returned is to be applied: also changes beside an error, if they are those
+// of an answer that could be read in part. Without any, its position says nothing.
+func applicable(err error, changes int) bool {
+	return err == nil || errors.Is(err, catalog.ErrMalformed) && changes > 0
+}
+
 // watcher is the state of the loop that follows one source.
 type watcher struct {
 	source
