--- a/internal/testkit/knownfailures_test.go
+++ b/internal/testkit/knownfailures_test.go
@@ -22,6 +22,12 @@
 		Expect(known[0].Test).To(Equal("a fleet serves all"))
 	})
 
+	It("may have more lines than allowed if they are of crowds", func() {
+		known, err := testkit.ParseKnownFailures(strings.Repeat(valid, 6) + strings.Repeat("a crowd at "+valid, 3))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(known).To(HaveLen(9))
+	})
+
 	It("may be empty", func() {
 		Expect(testkit.ParseKnownFailures("\n")).To(BeEmpty())
 	})
