Bodies, heads and connections of all clients together are bounded

What callers saw: clients that do not behave ended a process, which ran out of memory, and all requests at it. 80 unfinished bodies of 4 MiB took 508 MiB of a machine with 160, 200 heads without an end 270 MiB, 700 silent connections all of 600 descriptors. The mend: decide/room shares a fifth of the memory among bodies and heads, counted from the first byte until the request has ended. A body has to come within the time limit of its request. decide/slots closes connections that are closing, idle or silent amid a request if there is no place for another one. What the kernel holds of a connection is bounded as well.

--- /dev/null
+++ b/decide/room/policy.go
@@ -0,0 +1,91 @@
+package room
+
+import (
+	"math"
+	"time"
+)
+
+// Policy chooses among holders that are still being received the one that loses its memory for another one, which
+// may be among them. It returns nil if the one that asks is to lose.
+type Policy func(r *Room, now time.Duration, asks *Holder, candidates []*Holder) *Holder
+
+// Largest takes from the holder of the most memory.
+func Largest(_ *Room, _ time.Duration, _ *Holder, candidates []*Holder) (l *Holder) {
+	for _, h := range candidates {
+		if l == nil || h.bytes > l.bytes {
+			l = h
+		}
+	}
+	return l
+}
+
+// patience is the age from which the progress of a holder counts.
+const patience = time.Second
+
+// Hopeless takes from the holder that is furthest from being complete in its time at the rate at which it comes. If
+// all others can be in time, the one that asks loses.
+func Hopeless(_ *Room, now time.Duration, asks *Holder, candidates []*Holder) (worst *Holder) {
+	most := 1.0
+	for _, h := range candidates {
+		if h == asks || now-h.began < patience {
+			continue
+		}
+		if lag := h.lag(now); lag > most {
+			worst, most = h, lag
+		}
+	}
+	return worst
+}
+
+// lag is the time that a holder needs to be complete at its present rate, in parts of the time that it has left. One
+// of unknown length is taken for half received.
+func (h *Holder) lag(now time.Duration) float64 {
+	if now-h.heard >= rateWindow {
+		return math.Inf(1)
+	}
+	h.turnWindow(now)
+	left := (h.Until - now).Seconds()
+	missing := float64(h.Length - h.received)
+	if h.Length == Unknown {
+		missing = float64(h.received)
+	}
+	if left <= 0 || h.rate == 0 {
+		return math.Inf(1)
+	}
+	return missing / h.rate / left
+}
+
+// HopelessThenShare is Hopeless, and if all others can be in time takes from the customer that has more memory than
+// any other one, that of the holder that asks included: its largest holder, of several the newest. Customers within their
+// equal share keep what they have.
+func HopelessThenShare(r *Room, now time.Duration, asks *Holder, candidates []*Holder) (loser *Holder) {
+	if h := Hopeless(r, now, asks, candidates); h != nil {
+		return h
+	}
+	most := max(r.heldBy(asks.Customer), r.equalShare())
+	for _, h := range candidates {
+		held := r.heldBy(h.Customer)
+		if held > most || held == most && loser != nil && h.bytes >= loser.bytes {
+			loser, most = h, held
+		}
+	}
+	return loser
+}
+
+// heldBy returns the memory of a customer, of that kind which is short.
+func (r *Room) heldBy(customer string) int64 {
+	a := r.customers[customer]
+	if r.lacksAll() {
+		return a.used
+	}
+	return a.large
+}
+
+// equalShare returns the part of that memory of each customer that has any.
+func (r *Room) equalShare() int64 {
+	bytes := r.cfg.Bytes
+	if !r.lacksAll() {
+		bytes = r.largeBytes()
+	}
+	return bytes / int64(len(r.customers))
+}
--- a/kernel.go
+++ b/kernel.go
@@ -25,6 +25,9 @@
 	// Capacity is the number of processor cores of the instance in thousandths, zero if
 	// unknown.
 	Capacity uint32
+	// MemoryBytes and Descriptors are what the process may use of either, zero if unknown.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Context gives a module access to the process it runs in.
--- a/process/process.go
+++ b/process/process.go
@@ -39,6 +39,7 @@
 		Self: auburnmoor.Identity{
 			Name: in.Name, Incarnation: uint64(time.Now().UnixMicro()), DataCentre: in.DataCentre, Region: in.Region,
 			PeerAddr: in.PeerAddr, CallerAddr: in.CallerAddr, AdminAddr: in.AdminAddr, Capacity: in.Capacity(),
+			MemoryBytes: in.MemoryBytes(), Descriptors: int(in.MaxDescriptors),
 		},
 		Log: log.With(zap.String("instance", in.Name)), Scope: scope, Reporter: reporter, Configure: f.Configure, Load: f.ModuleIDs(),
 	})
--- a/result/result.go
+++ b/result/result.go
@@ -45,6 +45,7 @@
 	Unconfirmed        Code = 2013
 	ServersLimited     Code = 2014
 	PartQuarantined    Code = 2015
+	NoRoom             Code = 2016
 	DeadlinePassed     Code = 3001
 	BackendFailed      Code = 3002
 	OutcomeUnknown     Code = 3003
@@ -94,6 +95,7 @@
 	{Unconfirmed, "unconfirmed", http.StatusServiceUnavailable, true, "The instance knows of no such route, key or limit, and cannot know whether its configuration is still in force."},
 	{ServersLimited, "servers_limited", http.StatusServiceUnavailable, true, "The servers of the service limit the requests that they take, and those let in fill them for the time of this one."},
 	{PartQuarantined, "part_quarantined", http.StatusServiceUnavailable, true, "Servers that began to answer prompts with one part of this prompt crashed; requests with it are not run for a while."},
+	{NoRoom, "no_room", http.StatusServiceUnavailable, true, "The bodies of other requests take all memory that there is for them."},
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, false, "The time limit passed while the request was at a backend server."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, false, "The backend server failed and no retry was possible in time."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it will not be run again under this key."},
--- /dev/null
+++ b/serve/intake/listener.go
@@ -0,0 +1,130 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/auburnmoor/auburnmoor/decide/slots"
+	"github.com/auburnmoor/auburnmoor/internal/tcpopt"
+)
+
+// Shares of an instance that connections of clients may take.
+const (
+	// connectionShare is the part of the memory for connections, connectionBytes what one takes: buffers, stacks
+	// and received bytes that were not read.
+	connectionShare = 0.3
+	connectionBytes = 48 << 10
+	// receiveBuffer bounds the received bytes of a connection that were not read. The kernel doubles it for its
+	// own use.
+	receiveBuffer = 16 << 10
+	// reservedDescriptors are for files, listeners, the store and other instances. Half of the rest is for
+	// connections to backend servers.
+	reservedDescriptors = 200
+	descriptorShare     = 0.5
+	// minConnections is the least number of connections that a listener takes.
+	minConnections = 16
+)
+
+// openFileLimit returns the number of descriptors that the process can have.
+func openFileLimit() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > 1<<20 {
+		return 1 << 20
+	}
+	return int(l.Cur)
+}
+
+// connections is the number of connections of clients that the instance can keep.
+func (i *Intake) connections() int {
+	if i.MaxConnections > 0 {
+		return i.MaxConnections
+	}
+	byMemory := int(connectionShare * float64(i.memory) / connectionBytes)
+	byDescriptors := int(descriptorShare * float64(i.descriptors-reservedDescriptors))
+	return max(minConnections, min(byMemory, byDescriptors))
+}
+
+// Door describes a listener.
+type Door struct {
+	// Name stands in metrics.
+	Name string
+	// Share is its part of the connections of the instance.
+	Share float64
+	// Limits returns the present limits of its clients.
+	Limits func() Limits
+}
+
+// Limits are limits of one client. Zero values set none.
+type Limits struct {
+	// HeadBytes is the size of the headers of a request.
+	HeadBytes int
+	// HeadTimeout bounds the time to receive a head, IdleTimeout that between two requests.
+	HeadTimeout, IdleTimeout time.Duration
+}
+
+// Listener accepts as many connections as there are places for, and bounds what each may send.
+type Listener struct {
+	net.Listener
+	intake *Intake
+	name   string
+	limits func() Limits
+
+	mu    sync.Mutex
+	slots *slots.Slots
+}
+
+// Listen opens a listener for clients.
+func (i *Intake) Listen(ctx context.Context, addr string, d Door) (*Listener, error) {
+	lc := net.ListenConfig{Control: tcpopt.ReceiveBuffer(receiveBuffer)}
+	lis, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for clients (%s)", d.Name)
+	}
+	if d.Limits == nil {
+		d.Limits = func() Limits { return Limits{} }
+	}
+	size := max(minConnections, int(d.Share*float64(i.connections())))
+	l := &Listener{Listener: lis, intake: i, name: d.Name, limits: d.Limits, slots: slots.New(size)}
+	i.mu.Lock()
+	i.doors = append(i.doors, l)
+	i.mu.Unlock()
+	return l, nil
+}
+
+func (l *Listener) states() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.slots.Count()
+}
+
+// Accept implements net.Listener. Connections for which there is no place are closed at once.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &Conn{Conn: c, door: l}
+		l.mu.Lock()
+		slot, loser, ok := l.slots.Add(l.intake.now(), conn)
+		conn.slot = slot
+		if loser != nil {
+			loser.Owner.(*Conn).displaced.Store(true)
+		}
+		l.mu.Unlock()
+		if loser != nil {
+			loser.Owner.(*Conn).giveUp(loser.State())
+		}
+		if ok {
+			return conn, nil
+		}
+		l.intake.count("connections")
+		// Nothing was read of it, so its client may connect elsewhere.
+		_ = c.Close()
+	}
+}
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -233,15 +233,32 @@
 // store answers.
 const retryAfterNoConfig = 500 * time.Millisecond
 
+// Terms are what a request may use before it is served.
+type Terms struct {
+	// Customer is its customer, empty on public routes.
+	Customer string
+	// TimeLimit counts from its arrival, zero for none.
+	TimeLimit time.Duration
+}
+
+// Check returns the terms of a request by its head, or why it is refused.
+func (r *Relay) Check(req *Request) (Terms, *result.Error) {
+	_, rt, customer, refusal := r.authorize(req)
+	if refusal != nil {
+		return Terms{}, refusal
+	}
+	t := Terms{TimeLimit: effectiveTimeLimit(rt, req)}
+	if customer != nil {
+		t.Customer = customer.Name
+	}
+	return t, nil
+}
+
 // newExchange checks a request against the configuration in force.
 func (r *Relay) newExchange(req *Request, sink Sink) (*exchange, *result.Error) {
-	if !r.catalog.Ready() {
-		return nil, result.New(result.NoConfiguration, "no configuration received yet").WithRetryAfter(retryAfterNoConfig)
-	}
-	table := r.catalog.Table()
-	rt, customer, refusal := authorize(table, req)
+	table, rt, customer, refusal := r.authorize(req)
 	if refusal != nil {
-		return nil, r.retryableIfStale(refusal)
+		return nil, refusal
 	}
 	name, rank := "", rt.Rank
 	if customer != nil {
@@ -260,6 +277,19 @@
 	}, nil
 }
 
+// authorize finds the route and the customer of a request by the configuration in force.
+func (r *Relay) authorize(req *Request) (*route.Table, *route.Route, *route.Customer, *result.Error) {
+	if !r.catalog.Ready() {
+		return nil, nil, nil, result.New(result.NoConfiguration, "no configuration received yet").WithRetryAfter(retryAfterNoConfig)
+	}
+	table := r.catalog.Table()
+	rt, customer, refusal := authorize(table, req)
+	if refusal != nil {
+		return nil, nil, nil, r.retryableIfStale(refusal)
+	}
+	return table, rt, customer, nil
+}
+
 // authorize finds the route and the customer of a request, or returns why the
 // configuration does not allow the request. Public routes need no customer.
 func authorize(table *route.Table, req *Request) (*route.Route, *route.Customer, *result.Error) {
@@ -274,7 +304,7 @@
 	if max := table.Limits.HeaderBytes; max > 0 && req.HeaderBytes > max {
 		return nil, nil, result.New(result.HeaderTooLarge, "headers exceed the limit of %d bytes", max)
 	}
-	if max := table.Limits.BodyBytes; max > 0 && len(req.Body) > max {
+	if max := table.Limits.BodyBytes; max > 0 && req.bodyBytes() > int64(max) {
 		return nil, nil, result.New(result.BodyTooLarge, "body exceeds the limit of %d bytes", max)
 	}
 	return rt, customer, nil
--- a/serve/relay/request.go
+++ b/serve/relay/request.go
@@ -22,6 +22,8 @@
 	// HeaderBytes is the size of all headers as received.
 	HeaderBytes int
 	Body        []byte
+	// Announced is the length that the body was announced with, negative if none was.
+	Announced int64
 	// Key is the bearer key, empty if none was sent.
 	Key string
 	// Deadline is how long the client waits; zero if it did not say.
@@ -37,6 +39,9 @@
 	ResumeAfter string
 }
 
+// bodyBytes is the length of the body as far as it is known.
+func (r *Request) bodyBytes() int64 { return max(int64(len(r.Body)), r.Announced) }
+
 // key returns the identity under which crashes of the request are counted.
 func (r *Request) key(customer string) poison.Key {
 	return poison.Identity{Customer: customer, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Key()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,9 @@
 	// MemoryMB is the memory limit of the process in megabytes, beyond which it is killed;
 	// zero if unknown.
 	MemoryMB float64 `toml:"memory_mb" validate:"min=0,max=1048576"`
+	// MaxDescriptors is the number of file descriptors that the process may have open, zero for the limit that
+	// the system sets.
+	MaxDescriptors float64 `toml:"max_descriptors" validate:"min=0,max=16777216"`
 	// LogFormat is json or console.
 	LogFormat string `toml:"log_format" validate:"omitempty,oneof=json console"`
 	// DrainTimeout bounds a graceful shutdown; zero waits for all streams to end.
@@ -54,13 +57,16 @@
 // buffers charged to the process, and allocation between two garbage collections.
 const heapShare = 0.7
 
-// HeapLimit returns the soft memory limit of the garbage collector in bytes, zero for
-// none.
-func (i Instance) HeapLimit() int64 {
+// MemoryBytes returns MemoryMB in bytes.
+func (i Instance) MemoryBytes() int64 {
 	const megabyte = 1 << 20
-	return int64(heapShare * i.MemoryMB * megabyte)
+	return int64(i.MemoryMB * megabyte)
 }
 
+// HeapLimit returns the soft memory limit of the garbage collector in bytes, zero for
+// none.
+func (i Instance) HeapLimit() int64 { return int64(heapShare * float64(i.MemoryBytes())) }
+
 // Duration is a time.Duration written as "1.5s" and similar.
 type Duration time.Duration
 
