Bodies and connections at the project's own interface share the bounds of the instance, and lists in a body are bounded

What callers saw: an instance of 160 MB ended by 40 unfinished bodies of 8 MiB (411 MiB) or 40 finished ones of 4 MiB (322 MiB), and by a single body: four bodies of 8 MiB that consist of tiny messages or tiny parts of a message took 451 and 295 MiB. 700 silent connections took all descriptors. A request without a known key and with an unfinished body got no answer at all, as net/http reads on first. Cause: each body was bounded, not their sum; parsing makes 40 bytes of a message of 3; no bound of connections. The mend: serve/intake as on the platform, the parsed copy counted as well; 16,384 messages, or parts of a message, at most, counted before they are parsed; the answer to a request whose body was not read closes its connection at once. The body share of the memory is a quarter, so that the largest body fits into 160 MB with its parsed copy, that of connections a fifth.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,8 @@
 fuzz:
 	go test -fuzz=FuzzParse -fuzztime=30s ./settings
 	go test -fuzz=FuzzParse -fuzztime=30s ./manifest
-	go test -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
+	go test -run=XXX -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
+	go test -run=XXX -fuzz=FuzzCountElements -fuzztime=30s ./serve/api
 	go test -run=XXX -fuzz=FuzzServerEntry -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzObjects -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzWatchEvents -fuzztime=30s ./platform
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -201,6 +201,15 @@
 	}
 }
 
+// jsonBody sends a complete body of about the given length that repeats a text.
+func jsonBody(path string, length int, before, repeated, after string) member {
+	body := before + strings.Repeat(repeated, (length-len(before)-len(after))/len(repeated)) + after
+	return func(w io.Writer) error {
+		_, err := io.WriteString(w, post(path, fmt.Sprintf("Content-Length: %d", len(body)))+body)
+		return err
+	}
+}
+
 // silent sends nothing.
 func silent(io.Writer) error { return nil }
 
@@ -391,15 +400,10 @@
 	},
 		Entry("to unfinished bodies with a length", 40, announced("/v1/completions", 8<<20, 64<<10, 0)),
 		Entry("to unfinished bodies in chunks", 40, chunked("/v1/completions", 8<<20, 256<<10)),
-		Entry("to finished bodies", 40, func(w io.Writer) error {
-			const length = 4 << 20
-			if _, err := io.WriteString(w, post("/v1/completions", fmt.Sprintf("Content-Length: %d", length))); err != nil {
-				return err
-			}
-			const before, after = `{"model":"tutor-feedback","max_tokens":4,"prompt":"`, `"}`
-			_, err := io.WriteString(w, before+strings.Repeat("x", length-len(before)-len(after))+after)
-			return err
-		}),
+		Entry("to finished bodies", 40, jsonBody("/v1/completions", 4<<20, `{"model":"tutor-feedback","max_tokens":4,"prompt":"`, "x", `"}`)),
+		Entry("to bodies of many tiny messages", 4, jsonBody("/v1/chat/completions", 8<<20, `{"model":"tutor-feedback","messages":[`, `{},`, `{}]}`)),
+		Entry("to bodies of many tiny parts of a message", 4,
+			jsonBody("/v1/chat/completions", 8<<20, `{"model":"tutor-feedback","messages":[{"role":"user","content":[`, `{},`, `{}]}]}`)),
 		Entry("to heads without end", 300, headers("/v1/models", 60<<10)),
 		Entry("to silent connections", crowdDescriptors+100, silent),
 	)
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -4,16 +4,12 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -29,6 +25,7 @@
 	"github.com/auburnmoor/auburnmoor/port/service"
 	"github.com/auburnmoor/auburnmoor/result"
 	"github.com/auburnmoor/auburnmoor/serve/dispatcher"
+	"github.com/auburnmoor/auburnmoor/serve/intake"
 	"github.com/auburnmoor/auburnmoor/settings"
 )
 
@@ -47,6 +44,7 @@
 	// leaving instance accepts new calls for that long.
 	KeepEntries settings.Duration `toml:"keep_entries"`
 
+	intake *intake.Intake
 	self   auburnmoor.Identity
 	log    *zap.Logger
 	scope  tally.Scope
@@ -70,7 +68,7 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*API) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{config.ID, members.ID, dispatcher.ID, claims.ID, peerlink.ID},
+		ID: ID, Requires: []auburnmoor.ModuleID{intake.ID, config.ID, members.ID, dispatcher.ID, claims.ID, peerlink.ID},
 		New: func() auburnmoor.Module { return new(API) },
 	}
 }
@@ -84,7 +82,9 @@
 	headerTimeout      = 5 * time.Second
 	idleTimeout        = 2 * time.Minute
 	maxHeaderBytes     = 64 << 10
-	dialTimeout        = time.Second
+	// connectionShare is the part of the connections of clients for this interface.
+	connectionShare = 0.9
+	dialTimeout     = time.Second
 )
 
 // Headers of the caller API.
@@ -99,6 +99,9 @@
 // Provision implements auburnmoor.Provisioner.
 func (a *API) Provision(c *auburnmoor.Context) error {
 	var err error
+	if a.intake, err = auburnmoor.Require[*intake.Intake](c, intake.ID); err != nil {
+		return err
+	}
 	if a.conf, err = auburnmoor.Require[*config.Config](c, config.ID); err != nil {
 		return err
 	}
@@ -125,6 +128,7 @@
 	a.conf.OnChange(a.setLimits)
 	a.server = &http.Server{
 		Handler: a.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: intake.ConnState, ConnContext: intake.ConnContext,
 	}
 	return nil
 }
@@ -145,7 +149,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = a.handleError
-	e.Use(a.withRequestID)
+	e.Use(a.withRequestID, endUnread)
 	e.GET("/v1/entries", a.entries)
 	e.GET("/v1/models", a.models)
 	e.POST("/v1/completions", func(c echo.Context) error { return a.completion(c, false) })
@@ -184,10 +188,10 @@
 func requestID(c echo.Context) string { return c.Get(headerRequestID).(string) }
 
 // Start implements auburnmoor.Starter.
-func (a *API) Start(context.Context) error {
-	lis, err := net.Listen("tcp", a.self.CallerAddr)
+func (a *API) Start(ctx context.Context) error {
+	lis, err := a.intake.Listen(ctx, a.self.CallerAddr, intake.Door{Name: "api", Share: connectionShare, Limits: clientLimits})
 	if err != nil {
-		return errors.Wrap(err, "caller address")
+		return err
 	}
 	go func() { _ = a.server.Serve(lis) }()
 	return nil
@@ -215,41 +219,6 @@
 	a.results[code]++
 }
 
-// readBody reads the whole body within the size and time limits. Without the
-// time limit a slow sender could hold memory indefinitely.
-func (a *API) readBody(c echo.Context) ([]byte, error) {
-	r := c.Request()
-	if r.ContentLength > a.MaxBody {
-		return nil, result.New(result.BodyTooLarge, "body exceeds %d bytes", a.MaxBody)
-	}
-	rc := http.NewResponseController(c.Response().Writer)
-	_ = rc.SetReadDeadline(time.Now().Add(a.BodyTimeout.Std()))
-	raw, err := io.ReadAll(http.MaxBytesReader(c.Response().Writer, r.Body, a.MaxBody))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	var timeout net.Error
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, result.New(result.BodyTooLarge, "body exceeds %d bytes", a.MaxBody)
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, result.New(result.BodyTooSlow, "body did not arrive within %s", a.BodyTimeout.Std())
-	case err != nil:
-		return nil, result.New(result.BadRequest, "body could not be read")
-	}
-	if strings.HasPrefix(r.Header.Get(headerKey), boundKeyMark) {
-		c.Set(bodyContextKey, raw)
-	}
-	return raw, nil
-}
-
-// bodyContextKey is the echo context key of a request body kept for forwarding.
-const bodyContextKey = "auburnmoor-body"
-
-func savedBody(c echo.Context) []byte {
-	raw, _ := c.Get(bodyContextKey).([]byte)
-	return raw
-}
-
 // Dump implements auburnmoor.Dumper.
 func (a *API) Dump() any {
 	a.mu.Lock()
--- a/serve/api/completion.go
+++ b/serve/api/completion.go
@@ -17,10 +17,13 @@
 	if err != nil {
 		return err
 	}
-	raw, err := a.readBody(c)
+	raw, err := a.readBody(c, who.customer.Name)
 	if err != nil {
 		return err
 	}
+	if err := a.takeParsed(c, raw); err != nil {
+		return err
+	}
 	req, prompt, err := parseCompletion(raw, chat)
 	if err != nil {
 		return err
--- a/serve/api/openai.go
+++ b/serve/api/openai.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/auburnmoor/auburnmoor/result"
 )
 
@@ -12,7 +14,7 @@
 type completionRequest struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            json.RawMessage `json:"messages"`
 	MaxTokens           *int64          `json:"max_tokens"`
 	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
 	N                   *int64          `json:"n"`
@@ -54,6 +56,7 @@
 	if err != nil {
 		return req, "", err
 	}
+	req.Prompt, req.Messages = nil, nil
 	if prompt == "" {
 		return req, "", result.New(result.BadRequest, "the prompt is empty")
 	}
@@ -72,13 +75,55 @@
 		return one, nil
 	}
 	var many []string
-	if json.Unmarshal(r.Prompt, &many) == nil && len(many) == 1 {
+	if unmarshalList(r.Prompt, 1, &many) == nil && len(many) == 1 {
 		return many[0], nil
 	}
 	return "", result.New(result.BadRequest, "prompt must be one string")
 }
 
-func chatText(messages []chatMessage) (string, error) {
+// maxElements is the number of messages, or of parts of a message: each takes more memory than it has bytes.
+const maxElements = 16 << 10
+
+var errTooManyElements = errors.New("too many elements")
+
+// unmarshalList parses a list of most elements at most.
+func unmarshalList(raw []byte, most int, out any) error {
+	if countElements(raw) > most {
+		return errTooManyElements
+	}
+	return json.Unmarshal(raw, out)
+}
+
+// countElements returns the number of elements of a valid JSON list, or of members of an object.
+func countElements(raw []byte) (n int) {
+	depth, inString := 0, false
+	for i := 0; i < len(raw); i++ {
+		switch b := raw[i]; {
+		case inString && b == '\\':
+			i++
+		case b == '"':
+			inString = !inString
+		case inString:
+		case b == '[' || b == '{':
+			depth++
+		case b == ']' || b == '}':
+			depth--
+		case b == ',' && depth == 1:
+			n++
+		}
+	}
+	return n + 1
+}
+
+func chatText(raw []byte) (string, error) {
+	var messages []chatMessage
+	if len(raw) > 0 {
+		if err := unmarshalList(raw, maxElements, &messages); errors.Is(err, errTooManyElements) {
+			return "", result.New(result.BadRequest, "more than %d messages", maxElements)
+		} else if err != nil {
+			return "", result.New(result.BadRequest, "messages are not valid: %v", err)
+		}
+	}
 	if len(messages) == 0 {
 		return "", result.New(result.BadRequest, "messages are missing")
 	}
@@ -102,7 +147,7 @@
 		return one, nil
 	}
 	var parts []contentPart
-	if err := json.Unmarshal(m.Content, &parts); err != nil {
+	if err := unmarshalList(m.Content, maxElements, &parts); err != nil {
 		return "", err
 	}
 	var b strings.Builder
--- a/serve/api/openai_test.go
+++ b/serve/api/openai_test.go
@@ -1,6 +1,8 @@
 package api
 
 import (
+	"encoding/json"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -31,6 +33,10 @@
 		Entry("fractional max_tokens", `{"model":"m","prompt":"x","max_tokens":1.5}`, false, "not a valid request"),
 		Entry("two answers", `{"model":"m","prompt":"x","n":2}`, false, "n must be 1"),
 		Entry("no messages", `{"model":"m"}`, true, "messages"),
+		// Guards against a short body that takes many times its size once it is parsed.
+		Entry("too many messages", `{"model":"m","messages":[`+strings.Repeat(`{},`, maxElements)+`{}]}`, true, "more than 16384 messages"),
+		Entry("too many parts of a message", `{"model":"m","messages":[{"role":"user","content":[`+strings.Repeat(`{},`, maxElements)+`{}]}]}`, true, "message 0"),
+		Entry("many prompts", `{"model":"m","prompt":["",""]}`, false, "one string"),
 		Entry("message without role", `{"model":"m","messages":[{"content":"x"}]}`, true, "message 0"),
 	)
 
@@ -59,6 +65,22 @@
 	})
 })
 
+// The elements of a list are counted as they are parsed: a list that seems shorter would pass the bound.
+func FuzzCountElements(f *testing.F) {
+	f.Add(`[{"a":[1,2]},"x,\"]",3]`)
+	f.Add(`["\\",[{}],{"b":",["}]`)
+	f.Add(`[1]`)
+	f.Fuzz(func(t *testing.T, raw string) {
+		var list []json.RawMessage
+		if json.Unmarshal([]byte(raw), &list) != nil || len(list) == 0 {
+			return
+		}
+		if n := countElements([]byte(raw)); n != len(list) {
+			t.Fatalf("%d elements counted, %d parsed", n, len(list))
+		}
+	})
+}
+
 func FuzzParseCompletion(f *testing.F) {
 	f.Add(`{"model":"m","prompt":"x","max_tokens":3}`, false)
 	f.Add(`{"model":"m","messages":[{"role":"user","content":"x"}]}`, true)
--- a/serve/api/plain.go
+++ b/serve/api/plain.go
@@ -27,7 +27,7 @@
 	if err := a.resolveKind(c, &who, svc); err != nil {
 		return err
 	}
-	raw, err := a.readBody(c)
+	raw, err := a.readBody(c, who.customer.Name)
 	if err != nil {
 		return err
 	}
@@ -35,6 +35,9 @@
 	if !who.kind.NeverTwice {
 		return a.callPlain(c, who, svc.Name, call, nil)
 	}
+	if err := a.takeParsed(c, raw); err != nil {
+		return err
+	}
 	fingerprint := append([]byte(call.Method+" "+svc.Name+call.Path+"?"+call.Query+"\n"), raw...)
 	return a.runOnce(c, who, fingerprint, claimHandlers{
 		run: func(r *claimedKey) error { return a.callPlain(c, who, svc.Name, call, r.storeAnswer) },
--- a/serve/intake/intake.go
+++ b/serve/intake/intake.go
@@ -24,13 +24,13 @@
 // Defaults of the settings.
 const (
 	// bodyShare is the part of the memory of an instance for bodies and heads.
-	bodyShare = 0.2
+	bodyShare = 0.25
 	// unknownMemory is assumed if the settings do not tell the memory, in bytes.
 	unknownMemory = 1 << 30
 	// smallBytes is the size up to which a body is small, largeShare the part of the memory that larger ones
 	// may take together.
 	smallBytes = 192 << 10
-	largeShare = 0.75
+	largeShare = 0.8
 )
 
 // Intake is the module "serve.intake".
--- a/serve/intake/listener.go
+++ b/serve/intake/listener.go
@@ -17,7 +17,7 @@
 const (
 	// connectionShare is the part of the memory for connections, connectionBytes what one takes: buffers, stacks
 	// and received bytes that were not read.
-	connectionShare = 0.3
+	connectionShare = 0.2
 	connectionBytes = 48 << 10
 	// receiveBuffer bounds the received bytes of a connection that were not read. The kernel doubles it for its
 	// own use.
