Large answers are counted until they are sent, and a client that does not read ends before others lose theirs

What callers saw: nothing yet. Cause: the room for large answers was left as soon as an answer was read; the kernel takes up to 4 MiB for a client that does not read. The mend: an answer keeps its part of the room until it is sent. If that is short, the largest goes first as before, be it amid its sending. What the kernel keeps is bounded for each connection.

--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -50,6 +50,8 @@
 // crowd are clients that connect to one address at once.
 type crowd struct {
 	addr string
+	// deaf clients do not read what they are sent.
+	deaf bool
 	done chan struct{}
 	sent sync.WaitGroup
 	open sync.WaitGroup
@@ -58,7 +60,10 @@
 // gather starts a crowd and returns once each client has sent all or given up; those that were not refused
 // stay connected until leave.
 func gather(addr string, n int, m member) *crowd {
-	c := &crowd{addr: addr, done: make(chan struct{})}
+	return gatherCrowd(&crowd{addr: addr, done: make(chan struct{})}, n, m)
+}
+
+func gatherCrowd(c *crowd, n int, m member) *crowd {
 	for range n {
 		c.sent.Add(1)
 		c.open.Add(1)
@@ -93,11 +98,15 @@
 	}
 	defer conn.Close()
 	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		_, _ = io.Copy(io.Discard, conn)
-		_ = conn.Close()
-	}()
+	if c.deaf {
+		_ = conn.(*net.TCPConn).SetReadBuffer(1)
+	} else {
+		go func() {
+			defer close(closed)
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}()
+	}
 	_ = conn.SetWriteDeadline(time.Now().Add(crowdPatience))
 	if m(conn) != nil {
 		return false
@@ -201,6 +210,17 @@
 	}
 }
 
+// oneByOne has one client after another send.
+func oneByOne(m member) member {
+	var turn sync.Mutex
+	return func(w io.Writer) error {
+		turn.Lock()
+		defer turn.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		return m(w)
+	}
+}
+
 // jsonBody sends a complete body of about the given length that repeats a text.
 func jsonBody(path string, length int, before, repeated, after string) member {
 	body := before + strings.Repeat(repeated, (length-len(before)-len(after))/len(repeated)) + after
@@ -243,7 +263,7 @@
 	return len(list)
 }
 
-// unreadBytes counts the bytes that connections to the given ports received and nobody has read.
+// unreadBytes counts the bytes that connections to the given ports received or sent and nobody has read.
 func unreadBytes(ports []int) (sum int) {
 	raw, _ := os.ReadFile("/proc/net/tcp")
 	for line := range strings.Lines(string(raw)) {
@@ -254,11 +274,12 @@
 		}
 		_, hexPort, _ := strings.Cut(f[1], ":")
 		port, _ := strconv.ParseInt(hexPort, 16, 32)
-		_, hexUnread, _ := strings.Cut(f[queues], ":")
+		hexSent, hexReceived, _ := strings.Cut(f[queues], ":")
 		for _, p := range ports {
 			if int(port) == p {
-				n, _ := strconv.ParseInt(hexUnread, 16, 64)
-				sum += int(n)
+				sent, _ := strconv.ParseInt(hexSent, 16, 64)
+				received, _ := strconv.ParseInt(hexReceived, 16, 64)
+				sum += int(sent + received)
 			}
 		}
 	}
@@ -317,10 +338,10 @@
 	directory := platformAddr(200)
 
 	// survives plays a crowd against the first instance.
-	survives := func(addr string, n int, m member) {
+	survivesCrowd := func(c *crowd, n int, m member) {
 		pid := s.procs["entry-0"].Process.Pid
 		used := watchUsage(pid, portOf(front), portOf(directory))
-		c := gather(addr, n, m)
+		gatherCrowd(c, n, m)
 		time.Sleep(crowdStay)
 		u := used()
 		c.leave()
@@ -337,6 +358,8 @@
 		}, "30s", "100ms").Should(Equal(workerserver.Body("ordinary")))
 	}
 
+	survives := func(addr string, n int, m member) { survivesCrowd(&crowd{addr: addr, done: make(chan struct{})}, n, m) }
+
 	DescribeTable("of unfinished bodies leaves memory", func(n int, m member) { survives(front, n, m) },
 		Entry("announced and sent at once", 80, announced("/look/1", crowdBody, 64<<10, 0)),
 		Entry("announced and sent piece by piece", 80, announced("/look/1", crowdBody, 64<<10, 60*time.Millisecond)),
@@ -357,6 +380,13 @@
 		survives(front, 80, whole("/look/1", crowdBody))
 	})
 
+	It("that reads no answers leaves memory", func() {
+		for _, w := range s.plain {
+			w.Inject(slices.Repeat([]workerserver.Fault{workerserver.Large}, 1000)...)
+		}
+		survivesCrowd(&crowd{addr: front, done: make(chan struct{}), deaf: true}, 80, oneByOne(whole("/look/1", 100)))
+	})
+
 	It("of requests sent ahead leaves memory", func() {
 		for _, w := range s.plain {
 			w.Inject(slices.Repeat([]workerserver.Fault{workerserver.Mute}, 1000)...)
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -21,13 +21,15 @@
 	}
 }
 
-// ReceiveBuffer returns a Control function for net.ListenConfig that sets SO_RCVBUF, in bytes, of the connections of a
-// listener. It bounds what the kernel takes from a peer while nobody reads.
-func ReceiveBuffer(bytes int) func(network, address string, raw syscall.RawConn) error {
+// Buffers returns a Control function for net.ListenConfig that sets SO_RCVBUF and SO_SNDBUF, in bytes, of the
+// connections of a listener. They bound what the kernel takes from a peer while nobody reads, and what it keeps for
+// one that does not read.
+func Buffers(bytes int) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			// An error leaves the buffer as it is.
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
 		})
 	}
 }
--- a/lab/standin/workerserver/workerserver.go
+++ b/lab/standin/workerserver/workerserver.go
@@ -57,12 +57,17 @@
 	Busy Fault = "busy"
 	// Mute runs the request and never answers.
 	Mute Fault = "mute"
+	// Large sends an answer of LargeBytes.
+	Large Fault = "large"
 	// Half sends half of the answer, framed as if it were complete.
 	Half Fault = "half"
 	// Denied runs the request and falsely answers that it did not run.
 	Denied Fault = "denied"
 )
 
+// LargeBytes is the length of a large answer.
+const LargeBytes = 3 << 20
+
 // Config describes one server.
 type Config struct {
 	ID, Addr string
@@ -284,6 +289,10 @@
 		s.writeUnframedStream(w, r, f)
 	case Mute:
 		<-r.Context().Done()
+	case Large:
+		s.setSeal(w, id)
+		w.Header().Set("Content-Length", strconv.Itoa(LargeBytes))
+		_, _ = w.Write(make([]byte, LargeBytes))
 	case SlowHead, PausedHead, EndlessHead, EndlessLine, EndlessInterim, EndlessTrailer, EndlessExtension, EndlessEvent, EndlessBody, EndlessChunks, EndlessAfter:
 		s.writeEndless(w, id, f)
 	default:
--- a/serve/intake/conn.go
+++ b/serve/intake/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,8 @@
 	idle atomic.Bool
 	// closed is set by the first Close, displaced once another connection has its place.
 	closed, displaced atomic.Bool
+	// mute is set by StopWriting.
+	mute atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -208,12 +211,23 @@
 	lease.Release()
 }
 
-// Write implements net.Conn. A client that reads nothing for writeTimeout gets no more.
+// Write implements net.Conn. A client that does not take p within writeTimeout gets no more.
 func (c *Conn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if c.mute.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	return c.Conn.Write(p)
 }
 
+// StopWriting makes a pending write return with an error, and all later ones.
+func (c *Conn) StopWriting() {
+	if c != nil {
+		c.mute.Store(true)
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
 // SetReadDeadline implements net.Conn. A deadline in the past, which cancels a read, is passed on unchanged.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	now := time.Now()
--- a/serve/intake/listener.go
+++ b/serve/intake/listener.go
@@ -16,12 +16,12 @@
 // Shares of an instance that connections of clients may take.
 const (
 	// connectionShare is the part of the memory for connections, connectionBytes what one takes: buffers, stacks
-	// and received bytes that were not read.
+	// and what the kernel holds.
 	connectionShare = 0.2
-	connectionBytes = 48 << 10
-	// receiveBuffer bounds the received bytes of a connection that were not read. The kernel doubles it for its
-	// own use.
-	receiveBuffer = 16 << 10
+	connectionBytes = 56 << 10
+	// socketBuffer bounds the bytes of a connection that were received and not read, and those that were sent and
+	// not taken. The kernel doubles it for its own use.
+	socketBuffer = 16 << 10
 	// reservedDescriptors are for files, listeners, the store and other instances. Half of the rest is for
 	// connections to backend servers.
 	reservedDescriptors = 200
@@ -80,7 +80,7 @@
 
 // Listen opens a listener for clients.
 func (i *Intake) Listen(ctx context.Context, addr string, d Door) (*Listener, error) {
-	lc := net.ListenConfig{Control: tcpopt.ReceiveBuffer(receiveBuffer)}
+	lc := net.ListenConfig{Control: tcpopt.Buffers(socketBuffer)}
 	lis, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for clients (%s)", d.Name)
--- a/serve/relay/answer.go
+++ b/serve/relay/answer.go
@@ -43,6 +43,10 @@
 	if !x.claim(t) {
 		return attempt.Silent, errors.Mark(errReplaced, backend.ErrBroken)
 	}
+	if !t.held.send(x.sink.GiveUp) {
+		x.relay.countExcess(errNoRoom)
+		return attempt.Broken, errors.Mark(errNoRoom, backend.ErrBroken)
+	}
 	x.firstLatency = x.relay.now() - x.started
 	x.reply.respond(h, body)
 	return 0, nil
@@ -53,7 +57,9 @@
 	if t.whole {
 		return t.begun, nil
 	}
-	return x.relay.answerRoom.readWhole(answerReader{x, t}, func() { t.cancel(errNoRoom) })
+	body, held, err := x.relay.answerRoom.readWhole(answerReader{x, t}, func() { t.cancel(errNoRoom) })
+	t.held = held
+	return body, err
 }
 
 // impliesNotRun reports whether clients take a status to mean that the request did
--- a/serve/relay/ending_test.go
+++ b/serve/relay/ending_test.go
@@ -29,6 +29,7 @@
 func (s *recordingSink) Write([]byte) error           { return nil }
 func (s *recordingSink) End()                         {}
 func (s *recordingSink) Abort()                       { s.aborted = true }
+func (s *recordingSink) GiveUp()                      {}
 
 // newTestExchange returns an exchange whose answer goes to the given sink.
 func newTestExchange(sink Sink) *exchange {
--- a/serve/relay/relay.go
+++ b/serve/relay/relay.go
@@ -83,7 +83,7 @@
 	client           backend.Client
 	guards           *backend.Guards
 	examiner         *examiner
-	answerRoom       room
+	answerRoom       *answerRoom
 	// admission are the checks of requests that would be held; FairShares adds one.
 	admission admission.Chain
 	// drained ends when the time to drain has passed.
@@ -177,6 +177,7 @@
 	r.examiner = &examiner{examine: r.client.Examine, crashes: r.scope.Counter("server_crashes_total")}
 	r.drained, r.endDrain = context.WithCancelCause(context.Background())
 	r.rand, r.pools = rand.New(rand.NewPCG(c.Seed, 3)), map[string]*pool{}
+	r.answerRoom = newAnswerRoom()
 	r.borrower = retry.NewBorrower(rand.New(rand.NewPCG(c.Seed, 7)))
 	r.link.HandleRetryLoans(r)
 	if r.FairShares {
--- a/serve/relay/request.go
+++ b/serve/relay/request.go
@@ -60,6 +60,8 @@
 	Write(events []byte) error
 	// End completes the stream.
 	End()
+	// GiveUp ends the sending of an answer that the client does not take; others may call it meanwhile.
+	GiveUp()
 	// Abort has the connection closed, so that the stream does not look complete.
 	Abort()
 }
--- a/serve/relay/room.go
+++ b/serve/relay/room.go
@@ -5,6 +5,9 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/decide/room"
+	"github.com/auburnmoor/auburnmoor/internal/pieces"
 )
 
 // Bounds of the answers that are read to their end before they are sent on. Those of the services have
@@ -13,9 +16,11 @@
 	// maxAnswerBytes is the size in bytes from which an answer is given up.
 	maxAnswerBytes = 4 << 20
 	// smallAnswerBytes is read of every answer. What an answer needs beyond it is taken from roomBytes,
-	// which all answers being read share.
+	// which all answers share until they are sent.
 	smallAnswerBytes = 8 << 10
 	roomBytes        = 6 << 20
+	// firstBufferBytes is the size of the first buffer of an answer.
+	firstBufferBytes = 2 << 10
 )
 
 // Bounds as metrics name them.
@@ -30,120 +35,119 @@
 	errNoRoom         = errors.New("answer is the largest of those that need more memory than there is")
 )
 
-// room is the memory for large answers. If it does not suffice, the largest answer is given up: one
-// that has no end becomes that sooner or later, and small ones go on. Its zero value is empty.
-type room struct {
-	mu      sync.Mutex
-	used    int
-	holders map[*roomHolder]struct{}
+// answerRoom is the memory for large answers. If it does not suffice, the largest answer is given up: one
+// that has no end becomes that sooner or later, and small ones go on.
+type answerRoom struct {
+	mu   sync.Mutex
+	room *room.Room
+	held map[*room.Holder]*heldAnswer
 }
 
-// roomHolder is an answer that takes memory of a room.
-type roomHolder struct {
-	room  *room
-	bytes int
-	// giveUp ends the reading of the answer.
+func newAnswerRoom() *answerRoom {
+	return &answerRoom{room: room.New(room.Config{Bytes: roomBytes, Policy: room.Largest}), held: map[*room.Holder]*heldAnswer{}}
+}
+
+// heldAnswer is an answer that takes memory of a room.
+type heldAnswer struct {
+	room   *answerRoom
+	holder *room.Holder
+	// giveUp ends the reading or the sending of the answer.
 	giveUp  func()
 	evicted bool
 }
 
+// enter adds an answer that takes no memory yet.
+func (r *answerRoom) enter(giveUp func()) *heldAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, _, _ := r.room.Enter(0, room.Entry{Length: room.Unknown}, 0)
+	a := &heldAnswer{room: r, holder: h, giveUp: giveUp}
+	r.held[h] = a
+	return a
+}
+
 // grow takes memory for an answer and reports whether the answer goes on.
-func (h *roomHolder) grow(n int) bool {
-	r := h.room
+func (a *heldAnswer) grow(n int) bool {
+	r := a.room
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if h.evicted {
-		return false
+	losers, ok := r.room.Grow(0, a.holder, int64(n))
+	if !ok {
+		losers = append(losers, a.holder)
 	}
-	if r.holders == nil {
-		r.holders = map[*roomHolder]struct{}{}
+	for _, h := range losers {
+		r.evict(h)
 	}
-	r.holders[h] = struct{}{}
-	h.bytes += n
-	r.used += n
-	for r.used > roomBytes {
-		r.largest().evict()
-	}
-	return !h.evicted
+	return ok
 }
 
-// largest returns the holder of the most memory; the room is not empty.
-func (r *room) largest() (l *roomHolder) {
-	for h := range r.holders {
-		if l == nil || h.bytes > l.bytes {
-			l = h
-		}
+// evict takes the memory of an answer away; r.mu must be held.
+func (r *answerRoom) evict(h *room.Holder) {
+	if a := r.held[h]; a != nil {
+		delete(r.held, h)
+		a.evicted = true
+		a.giveUp()
 	}
-	return l
-}
-
-// evict takes the memory of an answer away. The caller holds the room's lock.
-func (h *roomHolder) evict() {
-	h.evicted = true
-	h.leave()
-	h.giveUp()
 }
 
-func (h *roomHolder) leave() {
-	h.room.used -= h.bytes
-	h.bytes = 0
-	delete(h.room.holders, h)
-}
-
-// release returns the memory and reports whether the answer was given up.
-func (h *roomHolder) release() (evicted bool) {
-	h.room.mu.Lock()
-	defer h.room.mu.Unlock()
-	if !h.evicted {
-		h.leave()
+// send has giveUp end the sending of a whole answer from now on, and reports whether the answer still has its memory.
+// An answer without any is nil.
+func (a *heldAnswer) send(giveUp func()) bool {
+	if a == nil {
+		return true
 	}
-	return h.evicted
+	a.room.mu.Lock()
+	defer a.room.mu.Unlock()
+	a.giveUp = giveUp
+	return !a.evicted
 }
 
-// readWhole reads an answer to its end. It calls giveUp if the memory is needed for smaller ones.
-func (r *room) readWhole(answer io.Reader, giveUp func()) ([]byte, error) {
-	h := &roomHolder{room: r, giveUp: giveUp}
-	body, err := h.readAll(answer)
-	if h.release() {
-		return nil, errNoRoom
+// release returns the memory and reports whether the answer was given up.
+func (a *heldAnswer) release() (evicted bool) {
+	if a == nil {
+		return false
 	}
-	return body, err
+	r := a.room
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room.Leave(0, a.holder)
+	delete(r.held, a.holder)
+	return a.evicted
 }
 
-// Sizes of the buffers into which an answer is read, in bytes: the first one, and those beyond
-// smallAnswerBytes.
-const (
-	firstBufferBytes = 2 << 10
-	pieceBytes       = 16 << 10
-)
-
-// pieces are the buffers of large answers. They are used again, so that answers which are given up
-// leave no garbage behind.
-var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
-
-func (h *roomHolder) readAll(answer io.Reader) ([]byte, error) {
+// readWhole reads an answer to its end. It calls giveUp if the memory is needed for smaller ones. The memory is to be
+// released once the answer is sent.
+func (r *answerRoom) readWhole(answer io.Reader, giveUp func()) ([]byte, *heldAnswer, error) {
 	small, ended, err := readSmall(answer)
 	if ended || err != nil {
-		return small, err
+		return small, nil, err
 	}
-	var large []*[pieceBytes]byte
-	defer func() {
-		for _, p := range large {
-			pieces.Put(p)
-		}
-	}()
-	for len(small)+len(large)*pieceBytes < maxAnswerBytes {
-		if !h.grow(pieceBytes) {
+	held := r.enter(giveUp)
+	body, err := held.readRest(small, answer)
+	if err == nil && held.send(giveUp) {
+		return body, held, nil
+	}
+	if held.release() {
+		err = errNoRoom
+	}
+	return nil, nil, err
+}
+
+// readRest reads an answer of which the beginning is known.
+func (a *heldAnswer) readRest(small []byte, answer io.Reader) ([]byte, error) {
+	var large pieces.Buffer
+	defer large.Free()
+	for len(small)+large.Len() < maxAnswerBytes {
+		if !a.grow(pieces.Bytes) {
 			return nil, errNoRoom
 		}
-		p := pieces.Get().(*[pieceBytes]byte)
-		large = append(large, p)
-		n, ended, err := fill(answer, p[:])
+		n, ended, err := fill(answer, large.Space())
+		large.Advance(n)
 		if err != nil {
 			return nil, err
 		}
 		if ended {
-			return join(small, large, n), nil
+			return large.AppendTo(append(make([]byte, 0, len(small)+large.Len()), small...)), nil
 		}
 	}
 	return nil, errAnswerTooLarge
@@ -178,16 +182,6 @@
 	return n, false, nil
 }
 
-// join returns the bytes of all pieces, of which the last one holds n.
-func join(small []byte, large []*[pieceBytes]byte, n int) []byte {
-	out := make([]byte, 0, len(small)+(len(large)-1)*pieceBytes+n)
-	out = append(out, small...)
-	for _, p := range large[:len(large)-1] {
-		out = append(out, p[:]...)
-	}
-	return append(out, large[len(large)-1][:n]...)
-}
-
 // countExcess counts an error if a bound of an answer was exceeded.
 func (r *Relay) countExcess(err error) {
 	switch {
--- a/serve/relay/standby.go
+++ b/serve/relay/standby.go
@@ -172,7 +172,8 @@
 
 // readAnswer reads the whole answer of a standby.
 func (x *exchange) readAnswer(s *try) error {
-	body, err := x.relay.answerRoom.readWhole(s.answer, func() { s.cancel(errNoRoom) })
+	body, held, err := x.relay.answerRoom.readWhole(s.answer, func() { s.cancel(errNoRoom) })
+	s.held = held
 	if err != nil {
 		_, err = x.classifyError(s, err)
 		return err
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -31,6 +31,8 @@
 	answer backend.Answer
 	begun  []byte
 	whole  bool
+	// held is the memory of a whole answer, nil if it needs none.
+	held *heldAnswer
 	// unwatch ends the watch for refused parts of the prompt.
 	unwatch func()
 
@@ -111,6 +113,7 @@
 // finish ends an attempt and the tracking of its servers.
 func (x *exchange) finish(t *try, answered bool) {
 	t.close()
+	t.held.release()
 	x.endTracking(t, answered)
 }
 
