The queue of log lines is bounded in bytes

What callers saw: nothing yet. Cause: 4,096 lines may wait for a log that is not read, and requests and paths of clients of up to 16 KiB stand in them: 64 MiB. Evidence: 2,000 lines with such a path were all kept (test, failed before). Lines beyond 4 MiB are dropped and counted now.

--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -18,12 +18,18 @@
 // second (13 requests with 4 lines each).
 const maxPending = 4096
 
+// maxPendingBytes bounds the queued lines in bytes: requests and paths of clients stand in them.
+const maxPendingBytes = 4 << 20
+
 // Writer is a zapcore.WriteSyncer that never blocks.
 type Writer struct {
 	ring    *ring.Ring[[]byte]
 	idle    chan struct{}
 	pending atomic.Int64
-	// shed counts the info lines that were dropped early to keep room for failures.
+	// bytes is the size of the queued lines.
+	bytes atomic.Int64
+	// shed counts the info lines that were dropped early to keep room for failures, and all lines beyond
+	// maxPendingBytes.
 	shed atomic.Uint64
 }
 
@@ -41,6 +47,7 @@
 	for line := range w.ring.C() {
 		// A failure to write the log cannot be reported anywhere.
 		_, _ = to.Write(line)
+		w.bytes.Add(-int64(len(line)))
 		if w.pending.Add(-1) > 0 {
 			continue
 		}
@@ -53,9 +60,16 @@
 
 // Write implements io.Writer.
 func (w *Writer) Write(p []byte) (int, error) {
+	size := int64(len(p))
+	if w.bytes.Add(size) > maxPendingBytes {
+		w.bytes.Add(-size)
+		w.shed.Add(1)
+		return len(p), nil
+	}
 	w.pending.Add(1)
 	if !w.ring.Offer(append([]byte(nil), p...)) {
 		w.pending.Add(-1)
+		w.bytes.Add(-size)
 	}
 	return len(p), nil
 }
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -59,6 +59,22 @@
 		Expect(strings.Count(g.text(), "answered")).To(BeNumerically("<=", 2100))
 	})
 
+	// Guards against clients whose long paths fill the memory of a process whose log is not read.
+	It("queues a bounded number of bytes", func() {
+		g := &blockingWriter{open: make(chan struct{})}
+		w := eventlog.NewWriter(g)
+		log := eventlog.New(w)
+		for range 2000 {
+			log.Warn("refused", zap.String("path", strings.Repeat("x", 16<<10)))
+		}
+		close(g.open)
+		Expect(w.Sync()).To(Succeed())
+		Eventually(g.text, "5s", "10ms").Should(ContainSubstring("log lines dropped"))
+		Expect(len(g.text())).To(BeNumerically("<", 5<<20))
+		log.Warn("refused", zap.String("path", "/short"))
+		Eventually(g.text, "5s", "10ms").Should(ContainSubstring("/short"))
+	})
+
 	It("writes durations as milliseconds and errors as text", func() {
 		g := &blockingWriter{open: make(chan struct{})}
 		close(g.open)
@@ -70,7 +86,7 @@
 // sources are the packages whose log lines and metrics operators read on the
 // platform.
 var sources = []string{"../control/follow", "../control/members", "../control/limits", "../control/loads",
-	"../control/notices", "../control/quarantine", "../peerlink", "../serve/relay", "../serve/peerproxy", "../platform", "../cli", "../eventlog"}
+	"../control/notices", "../control/quarantine", "../serve/intake", "../peerlink", "../serve/relay", "../serve/peerproxy", "../platform", "../cli", "../eventlog"}
 
 var (
 	eventCalls  = regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|x\.(?:log|warn))\("([^"]+)"|\\"msg\\":\\"([^\\]+)\\"`)
