Connections and heads at the admin address are bounded

What callers saw: nothing yet. Evidence: 200 heads without an end took 266 MiB of an instance of 160 MB, 700 silent connections all descriptors (both crowds failed before; that at the readiness address passes since connections are bounded). Cause: the admin address had the defaults of net/http: heads of 1 MiB, no bound of connections, no idle timeout. It listens as the others now.

--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -336,6 +336,8 @@
 
 	front := platformAddr(100)
 	directory := platformAddr(200)
+	readiness := platformAddr(300)
+	admin := platformAddr(500)
 
 	// survives plays a crowd against the first instance.
 	survivesCrowd := func(c *crowd, n int, m member) {
@@ -398,6 +400,9 @@
 	It("of heads without end at the directory leaves memory", func() { survives(directory, 200, headers("/resolve", 1<<20)) })
 	It("of silent connections leaves descriptors", func() { survives(front, crowdDescriptors+100, silent) })
 	It("of silent connections at the directory leaves descriptors", func() { survives(directory, crowdDescriptors+100, silent) })
+	It("of heads without end at the admin address leaves memory", func() { survives(admin, 200, headers("/metrics", 1<<20)) })
+	It("of silent connections at the admin address leaves descriptors", func() { survives(admin, crowdDescriptors+100, silent) })
+	It("of silent connections at the readiness address leaves descriptors", func() { survives(readiness, crowdDescriptors+100, silent) })
 	It("of unfinished bodies on all descriptors leaves memory and descriptors", func() {
 		survives(front, crowdDescriptors+100, announced("/look/1", 256<<10, 64<<10, 0))
 	})
--- a/serve/admin/admin.go
+++ b/serve/admin/admin.go
@@ -4,17 +4,16 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/serve/intake"
 )
 
 // ID is the name of the module and of its settings table.
@@ -22,11 +21,19 @@
 
 func init() { auburnmoor.Register(new(Admin)) }
 
+// Limits of the callers of the admin address.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
 // Admin is the module "http.admin".
 type Admin struct {
 	// Profiles enables /debug/pprof.
 	Profiles bool `toml:"profiles"`
 
+	intake *intake.Intake
 	addr   string
 	dump   func() any
 	server *http.Server
@@ -34,11 +41,14 @@
 
 // ModuleInfo implements auburnmoor.Module.
 func (*Admin) ModuleInfo() auburnmoor.ModuleInfo {
-	return auburnmoor.ModuleInfo{ID: ID, New: func() auburnmoor.Module { return new(Admin) }}
+	return auburnmoor.ModuleInfo{ID: ID, Requires: []auburnmoor.ModuleID{intake.ID}, New: func() auburnmoor.Module { return new(Admin) }}
 }
 
 // Provision implements auburnmoor.Provisioner.
-func (a *Admin) Provision(c *auburnmoor.Context) error {
+func (a *Admin) Provision(c *auburnmoor.Context) (err error) {
+	if a.intake, err = auburnmoor.Require[*intake.Intake](c, intake.ID); err != nil {
+		return err
+	}
 	a.addr = c.Self.AdminAddr
 	a.dump = func() any { return c.DumpAll() }
 	e := echo.New()
@@ -55,7 +65,10 @@
 		e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 		e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	}
-	a.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	a.server = &http.Server{
+		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: intake.ConnState, ConnContext: intake.ConnContext,
+	}
 	return nil
 }
 
@@ -67,10 +80,13 @@
 }
 
 // Start implements auburnmoor.Starter.
-func (a *Admin) Start(context.Context) error {
-	lis, err := net.Listen("tcp", a.addr)
+func (a *Admin) Start(ctx context.Context) error {
+	limits := func() intake.Limits {
+		return intake.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	}
+	lis, err := a.intake.Listen(ctx, a.addr, intake.Door{Name: "admin", Limits: limits})
 	if err != nil {
-		return errors.Wrap(err, "admin address")
+		return err
 	}
 	go func() { _ = a.server.Serve(lis) }()
 	return nil
