Bodies of calls made for other instances are counted with those of clients

Cause: 16 MiB of them were allowed beside all other memory, in buffers that doubled, on the word of the instance that asks; and one that froze amid sending kept its part until its connection broke. Such a call takes its memory from the room of bodies, else the other instance is told that this one is busy, its buffer has the announced size, and it has 10 s to arrive. Read, not played under a crowd.

--- a/serve/intake/conn.go
+++ b/serve/intake/conn.go
@@ -99,7 +99,7 @@
 
 // giveUp ends a connection whose place is needed for another one. A request whose body is being received is refused.
 func (c *Conn) giveUp(state slots.State) {
-	c.door.intake.count("connection_" + state.String())
+	c.door.intake.refused("connection_" + state.String())
 	if state == slots.Body {
 		c.StopReading()
 		return
@@ -152,7 +152,7 @@
 	total, lease := c.headBytes, c.head
 	c.mu.Unlock()
 	if limit := c.door.limits().HeadBytes; limit > 0 && total > int64(limit)+headMargin {
-		c.door.intake.count("head")
+		c.door.intake.refused("head")
 		_, _ = c.Conn.Write([]byte(tooLarge))
 		return false
 	}
--- a/serve/intake/intake.go
+++ b/serve/intake/intake.go
@@ -133,7 +133,7 @@
 	i.mu.Lock()
 	after := i.room.FreeIn(i.now(), bytes)
 	i.mu.Unlock()
-	i.count("no_room")
+	i.refused("no_room")
 	return result.New(result.NoRoom, "the bodies being received leave no room for this one").WithRetryAfter(max(after, retryAfterFull))
 }
 
@@ -150,13 +150,13 @@
 
 func (i *Intake) evictAll(lost []*Lease) {
 	for _, l := range lost {
-		i.count("evicted")
+		i.refused("evicted")
 		l.evict()
 	}
 }
 
-// count counts a client that was refused or cut off, by cause.
-func (i *Intake) count(cause string) {
+// refused counts a client that was refused or cut off, by cause.
+func (i *Intake) refused(cause string) {
 	i.scope.Tagged(map[string]string{"cause": cause}).Counter("intake_refused_total").Inc(1)
 }
 
--- a/serve/intake/listener.go
+++ b/serve/intake/listener.go
@@ -123,7 +123,7 @@
 		if ok {
 			return conn, nil
 		}
-		l.intake.count("connections")
+		l.intake.refused("connections")
 		// Nothing was read of it, so its client may connect elsewhere.
 		_ = c.Close()
 	}
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -12,8 +12,10 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/auburnmoor/auburnmoor/decide/room"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/backend"
+	"github.com/auburnmoor/auburnmoor/serve/intake"
 )
 
 // Bounds of the calls that an instance makes for others, so that its own callers are served.
@@ -24,6 +26,8 @@
 	// carryConnectTimeout bounds an attempt to connect for another instance, which asks the
 	// next one after it.
 	carryConnectTimeout = 200 * time.Millisecond
+	// receiveTimeout bounds the receiving of a call whose opening was accepted.
+	receiveTimeout = 10 * time.Second
 	// readBufferBytes is the size of one read of an answer.
 	readBufferBytes = 16 << 10
 	// deadlineMargin is how long a call may outlive the time that its server was given: the
@@ -61,6 +65,11 @@
 	}
 	admitted := p.carried.admit(open.BodyBytes)
 	defer p.carried.end(open.BodyBytes)
+	var lease *intake.Lease
+	if admitted && !open.Test {
+		lease, admitted = p.takeCarried(open.BodyBytes)
+		defer lease.Release()
+	}
 	to := decodeEndpoint(open.Server)
 	refusal := peerpb.ProxyRefusal_PROXY_BUSY
 	if admitted {
@@ -71,13 +80,23 @@
 	if err := s.Send(opened); err != nil || open.Test || refusal != peerpb.ProxyRefusal_PROXY_ACCEPTED {
 		return err
 	}
-	call, err := receiveCall(s, to, open.BodyBytes)
+	call, err := receiveInTime(s, to, open.BodyBytes)
 	if err != nil {
 		return err
 	}
 	return p.carry(s, call)
 }
 
+// takeCarried takes the memory for the body of a call. It is not taken away for others: the instance that asks has the
+// body whole.
+func (p *PeerProxy) takeCarried(bytes int64) (*intake.Lease, bool) {
+	lease, refusal := p.intake.Enter(room.Entry{Length: bytes}, bytes, func() {})
+	if refusal != nil {
+		return nil, false
+	}
+	return lease, lease.Complete()
+}
+
 // checkReach reports why this instance cannot call a server for another one, if so. A
 // connection is ready once it can, with test one that was just opened.
 func (p *PeerProxy) checkReach(ctx context.Context, to backend.Endpoint, test bool) peerpb.ProxyRefusal {
@@ -116,6 +135,25 @@
 	return p.connect(ctx, to) == nil
 }
 
+// receiveInTime is receiveCall with receiveTimeout: an instance may freeze amid sending.
+func receiveInTime(s serverStream, to backend.Endpoint, size int64) (backend.Call, error) {
+	type received struct {
+		call backend.Call
+		err  error
+	}
+	done := make(chan received, 1)
+	go func() {
+		call, err := receiveCall(s, to, size)
+		done <- received{call, err}
+	}()
+	select {
+	case r := <-done:
+		return r.call, r.err
+	case <-time.After(receiveTimeout):
+		return backend.Call{}, status.Error(codes.DeadlineExceeded, "the call did not arrive in time")
+	}
+}
+
 // receiveCall receives a call and its body.
 func receiveCall(s serverStream, to backend.Endpoint, size int64) (backend.Call, error) {
 	part, err := s.Recv()
@@ -126,10 +164,14 @@
 		return backend.Call{}, status.Error(codes.InvalidArgument, "no call follows its opening")
 	}
 	call := decodeCall(part.GetCall(), to)
+	call.Body = make([]byte, 0, size)
 	for int64(len(call.Body)) < size {
 		if part, err = s.Recv(); err != nil {
 			return backend.Call{}, err
 		}
+		if int64(len(call.Body)+len(part.GetBody())) > size {
+			return backend.Call{}, status.Error(codes.InvalidArgument, "the body is longer than announced")
+		}
 		call.Body = append(call.Body, part.GetBody()...)
 	}
 	return call, nil
--- a/serve/peerproxy/peerproxy.go
+++ b/serve/peerproxy/peerproxy.go
@@ -21,6 +21,7 @@
 	"github.com/auburnmoor/auburnmoor/peerlink"
 	"github.com/auburnmoor/auburnmoor/peerpb"
 	"github.com/auburnmoor/auburnmoor/port/backend"
+	"github.com/auburnmoor/auburnmoor/serve/intake"
 )
 
 // ID is the name of the module and of its settings table.
@@ -35,6 +36,7 @@
 	scope   tally.Scope
 	link    *peerlink.Link
 	members *members.Members
+	intake  *intake.Intake
 	catalog *follow.Follower
 	// direct is the client that uses the connections of this instance.
 	direct backend.Client
@@ -58,13 +60,16 @@
 // ModuleInfo implements auburnmoor.Module.
 func (*PeerProxy) ModuleInfo() auburnmoor.ModuleInfo {
 	return auburnmoor.ModuleInfo{
-		ID: ID, Requires: []auburnmoor.ModuleID{peerlink.ID, members.ID, follow.ID, backend.Port}, OptIn: true,
+		ID: ID, Requires: []auburnmoor.ModuleID{intake.ID, peerlink.ID, members.ID, follow.ID, backend.Port}, OptIn: true,
 		New: func() auburnmoor.Module { return new(PeerProxy) },
 	}
 }
 
 // Provision implements auburnmoor.Provisioner.
 func (p *PeerProxy) Provision(c *auburnmoor.Context) (err error) {
+	if p.intake, err = auburnmoor.Require[*intake.Intake](c, intake.ID); err != nil {
+		return err
+	}
 	if p.link, err = auburnmoor.Require[*peerlink.Link](c, peerlink.ID); err != nil {
 		return err
 	}
