--- a/serve/intake/body.go
+++ b/serve/intake/body.go
@@ -77,7 +77,11 @@
 	return raw, err
 }
 
-// readUnknown reads a body to its end. Only one that is whole is brought into one buffer.
+// joinedCopies is how often a body of unknown length is in memory once it is whole: it is brought into one buffer then.
+const joinedCopies = 2
+
+// readUnknown reads a body to its end. The memory for all copies is taken as it comes: one that was sent whole is not
+// refused for them.
 func (l *Lease) readUnknown(b Body) ([]byte, error) {
 	first := make([]byte, firstBuffer)
 	n, err := l.fill(b.Reader, first)
@@ -90,7 +94,7 @@
 	var rest pieces.Buffer
 	defer rest.Free()
 	for {
-		if rest.Full() && !l.Grow(pieces.Bytes) {
+		if rest.Full() && !l.Grow(joinedCopies*pieces.Bytes) {
 			return nil, ErrEvicted
 		}
 		k, err := b.Reader.Read(rest.Space())
@@ -101,7 +105,7 @@
 		case int64(whole) > b.Limit:
 			return nil, ErrTooLarge
 		case errors.Is(err, io.EOF):
-			return l.join(first, &rest)
+			return l.join(first, &rest), nil
 		case err != nil:
 			return nil, err
 		}
@@ -115,15 +119,12 @@
 	return nil
 }
 
-// join brings a body into one buffer. While it copies the pieces are there as well.
-func (l *Lease) join(first []byte, rest *pieces.Buffer) ([]byte, error) {
+// join brings a body into one buffer.
+func (l *Lease) join(first []byte, rest *pieces.Buffer) []byte {
 	size := len(first) + rest.Len()
-	if !l.Grow(int64(size)) {
-		return nil, ErrEvicted
-	}
 	out := rest.AppendTo(append(make([]byte, 0, size), first...))
-	l.Shrink(int64(rest.Size() + firstBuffer))
-	return out, nil
+	l.Shrink(int64(firstBuffer + joinedCopies*rest.Size() - size))
+	return out
 }
 
 // fill reads until a buffer is full. The error is io.EOF if the body ended before.
--- a/serve/intake/intake.go
+++ b/serve/intake/intake.go
@@ -29,7 +29,7 @@
 	unknownMemory = 1 << 30
 	// smallBytes is the size up to which a body is small, largeShare the part of the memory that larger ones
 	// may take together.
-	smallBytes = 192 << 10
+	smallBytes = 320 << 10
 	largeShare = 0.8
 )
 
