load, soak: clients that do not behave, of eleven kinds

The soak draws crowds beside its other faults and checks the peak of the memory, against three quarters of the machine's, where it checked the memory at the end, against all of it; a mutant that keeps all that clients send shows that it notices. The crowds of e2e are the same code, moved.

--- a/cli/load.go
+++ b/cli/load.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/lab/crowd"
 	"github.com/auburnmoor/auburnmoor/lab/load"
 )
 
@@ -32,6 +36,11 @@
 	Direct      string        `help:"Engine that gets every second request straight, for comparison."`
 	DirectModel string        `default:"tutor@v1" help:"Loaded version to name there."`
 	Seed        uint64        `default:"1" help:"Seed of the requests."`
+	Crowd       []string      `help:"Kinds of clients that do not behave, beside the load: bodies, slow-bodies, chunks, tiny-chunks, finished, huge, endless, heads, idle, sent-ahead, unread."`
+	CrowdSize   int           `default:"100" help:"Clients of each kind at each instance, 5000 at most."`
+	CrowdBody   int           `default:"4194304" help:"Length of a body inside the limits in bytes."`
+	CrowdPath   string        `default:"/v1/completions" help:"Path that they ask for."`
+	CrowdHost   string        `default:"localhost" help:"Host that they name."`
 	JSON        bool          `help:"Print JSON."`
 	Plot        string        `help:"Write a PNG plot to this file."`
 }
@@ -52,13 +61,21 @@
 		return err
 	}
 	o.Entries = entries
+	endCrowds, err := c.startCrowds(e.ctx, entries)
+	if err != nil {
+		return err
+	}
 	report, err := load.Run(e.ctx, o)
+	crowds := endCrowds()
 	if err != nil {
 		return err
 	}
 	if err := c.show(e, report); err != nil {
 		return err
 	}
+	for _, line := range crowds {
+		fmt.Fprintln(e.out, line)
+	}
 	if report.Failed() {
 		return errors.New("some answers were wrong or duplicated")
 	}
@@ -108,3 +125,44 @@
 	}
 	return out, nil
 }
+
+// Bounds of the crowds.
+const (
+	maxCrowd = 5000
+	// crowdPause is the pause before a client that was refused comes back.
+	crowdPause = 100 * time.Millisecond
+)
+
+// startCrowds has clients that do not behave press the instances, for the time of the load at most. The returned function
+// ends them and says what became of them.
+func (c *loadCmd) startCrowds(ctx context.Context, entries []string) (end func() []string, err error) {
+	if c.CrowdSize < 1 || c.CrowdSize > maxCrowd || c.CrowdBody < 1 {
+		return nil, usageError(errors.Newf("crowd-size must be 1 to %d, crowd-body positive", maxCrowd))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration)
+	request := crowd.Request{Path: c.CrowdPath, Host: c.CrowdHost, Key: c.Key, IDPrefix: "crowd"}
+	crowds := map[string]*crowd.Crowd{}
+	var all sync.WaitGroup
+	for _, name := range c.Crowd {
+		kind, err := crowd.ParseKind(name)
+		if err != nil {
+			cancel()
+			return nil, usageError(err)
+		}
+		for _, addr := range entries {
+			one := &crowd.Crowd{Addr: addr, Deaf: kind == crowd.Unread, Pause: crowdPause}
+			crowds[name+" at "+addr] = one
+			all.Go(func() { one.Press(ctx, c.CrowdSize, kind.Member(request, c.CrowdBody)) })
+		}
+	}
+	return func() (lines []string) {
+		cancel()
+		all.Wait()
+		for name, one := range crowds {
+			taken, refused := one.Counts()
+			lines = append(lines, fmt.Sprintf("crowd %s: %d attempts sent all, %d were ended before", name, taken, refused))
+		}
+		slices.Sort(lines)
+		return lines
+	}, nil
+}
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,8 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnmoor/auburnmoor/internal/testkit"
+	"github.com/auburnmoor/auburnmoor/lab/crowd"
 	"github.com/auburnmoor/auburnmoor/lab/dev"
 	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
 	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
@@ -40,199 +38,13 @@
 	crowdAttempts = 3
 	// crowdStay is how long a crowd stays once all have sent.
 	crowdStay = time.Second
-	// crowdPatience bounds an attempt of a client of a crowd that is neither taken in nor refused.
-	crowdPatience = 20 * time.Second
 )
 
-// member is what one client of a crowd sends on a connection.
-type member func(w io.Writer) error
-
-// crowd are clients that connect to one address at once.
-type crowd struct {
-	addr string
-	// deaf clients do not read what they are sent.
-	deaf bool
-	done chan struct{}
-	sent sync.WaitGroup
-	open sync.WaitGroup
-}
-
-// gather starts a crowd and returns once each client has sent all or given up; those that were not refused
-// stay connected until leave.
-func gather(addr string, n int, m member) *crowd {
-	return gatherCrowd(&crowd{addr: addr, done: make(chan struct{})}, n, m)
-}
-
-func gatherCrowd(c *crowd, n int, m member) *crowd {
-	for range n {
-		c.sent.Add(1)
-		c.open.Add(1)
-		go c.join(m)
-	}
-	c.sent.Wait()
-	return c
-}
-
-func (c *crowd) leave() {
-	close(c.done)
-	c.open.Wait()
-}
-
-// join makes the attempts of one client.
-func (c *crowd) join(m member) {
-	defer c.open.Done()
-	said := sync.OnceFunc(c.sent.Done)
-	defer said()
-	for range crowdAttempts {
-		if c.attempt(m, said) {
-			return
-		}
-	}
-}
-
-// attempt reports whether the client sent all and stayed until the crowd left.
-func (c *crowd) attempt(m member, said func()) bool {
-	conn, err := net.DialTimeout("tcp", c.addr, crowdPatience)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	closed := make(chan struct{})
-	if c.deaf {
-		_ = conn.(*net.TCPConn).SetReadBuffer(1)
-	} else {
-		go func() {
-			defer close(closed)
-			_, _ = io.Copy(io.Discard, conn)
-			_ = conn.Close()
-		}()
-	}
-	_ = conn.SetWriteDeadline(time.Now().Add(crowdPatience))
-	if m(conn) != nil {
-		return false
-	}
-	said()
-	select {
-	case <-c.done:
-		return true
-	case <-closed:
-		return false
-	}
-}
-
-var crowdRequests atomic.Int64
-
-// post is the head of a request with a body.
-func post(path, framing string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: crowd-%d\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer k1\r\n%s\r\n\r\n",
-		path, crowdRequests.Add(1), framing)
-}
-
-// announced sends all but the last byte of a body with a length, in pieces with a pause between them.
-func announced(path string, length, piece int, pause time.Duration) member {
-	return func(w io.Writer) error {
-		if _, err := io.WriteString(w, post(path, fmt.Sprintf("Content-Length: %d", length))); err != nil {
-			return err
-		}
-		return pieces(w, length-1, piece, pause, "", "")
-	}
-}
-
-// chunked sends a body in chunks without the last one.
-func chunked(path string, length, chunk int) member {
-	return func(w io.Writer) error {
-		if _, err := io.WriteString(w, post(path, "Transfer-Encoding: chunked")); err != nil {
-			return err
-		}
-		b := bufio.NewWriterSize(w, 64<<10)
-		if err := pieces(b, length, chunk, 0, fmt.Sprintf("%x\r\n", chunk), "\r\n"); err != nil {
-			return err
-		}
-		return b.Flush()
-	}
-}
-
-// pieces writes a number of bytes in pieces, each of them between two strings.
-func pieces(w io.Writer, length, piece int, pause time.Duration, before, after string) error {
-	raw := []byte(before + strings.Repeat("x", piece) + after)
-	for sent := 0; sent < length; sent += piece {
-		if length-sent < piece {
-			raw = []byte(strings.Repeat("x", length-sent))
-		}
-		if _, err := w.Write(raw); err != nil {
-			return err
-		}
-		if pause > 0 {
-			time.Sleep(pause)
-		}
-	}
-	return nil
+// crowdRequest is a request of a crowd to a path.
+func crowdRequest(path string) crowd.Request {
+	return crowd.Request{Path: path, Host: "h.example", Key: "k1", IDPrefix: "crowd"}
 }
 
-// headers sends headers without an end.
-func headers(path string, length int) member {
-	return func(w io.Writer) error {
-		if _, err := io.WriteString(w, "GET "+path+" HTTP/1.1\r\nHost: h.example\r\n"); err != nil {
-			return err
-		}
-		const name = "X-Filler-%07d: "
-		for n := 0; n < length; n += 1 << 10 {
-			line := fmt.Sprintf(name, n)
-			if _, err := io.WriteString(w, line+strings.Repeat("y", 1<<10-len(line)-2)+"\r\n"); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-}
-
-// ahead sends a request and further ones behind it, without reading an answer.
-func ahead(path string, length int) member {
-	return func(w io.Writer) error {
-		request := post(path, "Content-Length: 1000") + strings.Repeat("x", 1000)
-		if _, err := io.WriteString(w, request); err != nil {
-			return err
-		}
-		// What does not fit anywhere is not taken: that is no error here.
-		go func() { _, _ = io.WriteString(w, strings.Repeat(request, length/len(request))) }()
-		time.Sleep(2 * time.Second)
-		return nil
-	}
-}
-
-// whole sends a complete body.
-func whole(path string, length int) member {
-	return func(w io.Writer) error {
-		if _, err := io.WriteString(w, post(path, fmt.Sprintf("Content-Length: %d", length))); err != nil {
-			return err
-		}
-		return pieces(w, length, 64<<10, 0, "", "")
-	}
-}
-
-// oneByOne has one client after another send.
-func oneByOne(m member) member {
-	var turn sync.Mutex
-	return func(w io.Writer) error {
-		turn.Lock()
-		defer turn.Unlock()
-		time.Sleep(50 * time.Millisecond)
-		return m(w)
-	}
-}
-
-// jsonBody sends a complete body of about the given length that repeats a text.
-func jsonBody(path string, length int, before, repeated, after string) member {
-	body := before + strings.Repeat(repeated, (length-len(before)-len(after))/len(repeated)) + after
-	return func(w io.Writer) error {
-		_, err := io.WriteString(w, post(path, fmt.Sprintf("Content-Length: %d", len(body)))+body)
-		return err
-	}
-}
-
-// silent sends nothing.
-func silent(io.Writer) error { return nil }
-
 // usage is the most that an instance has used.
 type usage struct{ unread, descriptors int }
 
@@ -340,13 +152,13 @@
 	admin := platformAddr(500)
 
 	// survives plays a crowd against the first instance.
-	survivesCrowd := func(c *crowd, n int, m member) {
+	survivesCrowd := func(c *crowd.Crowd, n int, m crowd.Member) {
 		pid := s.procs["entry-0"].Process.Pid
 		used := watchUsage(pid, portOf(front), portOf(directory))
-		gatherCrowd(c, n, m)
+		c.Gather(n, m)
 		time.Sleep(crowdStay)
 		u := used()
-		c.leave()
+		c.Leave()
 		for _, w := range append(s.engines, s.plain...) {
 			w.ClearFaults()
 		}
@@ -360,18 +172,20 @@
 		}, "30s", "100ms").Should(Equal(workerserver.Body("ordinary")))
 	}
 
-	survives := func(addr string, n int, m member) { survivesCrowd(&crowd{addr: addr, done: make(chan struct{})}, n, m) }
+	survives := func(addr string, n int, m crowd.Member) {
+		survivesCrowd(&crowd.Crowd{Addr: addr, Attempts: crowdAttempts}, n, m)
+	}
 
-	DescribeTable("of unfinished bodies leaves memory", func(n int, m member) { survives(front, n, m) },
-		Entry("announced and sent at once", 80, announced("/look/1", crowdBody, 64<<10, 0)),
-		Entry("announced and sent piece by piece", 80, announced("/look/1", crowdBody, 64<<10, 60*time.Millisecond)),
-		Entry("announced for a stream", 80, announced("/ask/1", crowdBody, 64<<10, 0)),
-		Entry("in large chunks", 80, chunked("/look/1", crowdBody-1, 256<<10)),
-		Entry("in chunks of one byte", 150, chunked("/look/1", 1<<20, 1)),
-		Entry("announced with 10 GiB", 150, announced("/look/1", 10<<30, 64<<10, 0)),
-		Entry("of 32 MiB in chunks", 150, chunked("/look/1", 32<<20, 256<<10)),
+	DescribeTable("of unfinished bodies leaves memory", func(n int, m crowd.Member) { survives(front, n, m) },
+		Entry("announced and sent at once", 80, crowdRequest("/look/1").Announced(crowdBody, 0)),
+		Entry("announced and sent piece by piece", 80, crowdRequest("/look/1").Announced(crowdBody, 60*time.Millisecond)),
+		Entry("announced for a stream", 80, crowdRequest("/ask/1").Announced(crowdBody, 0)),
+		Entry("in large chunks", 80, crowdRequest("/look/1").Chunked(crowdBody-1, 256<<10)),
+		Entry("in chunks of one byte", 150, crowdRequest("/look/1").Chunked(1<<20, 1)),
+		Entry("announced with 10 GiB", 150, crowdRequest("/look/1").Announced(10<<30, 0)),
+		Entry("of 32 MiB in chunks", 150, crowdRequest("/look/1").Chunked(32<<20, 256<<10)),
 		Entry("without a key that is known", 80, func(w io.Writer) error {
-			return announced("/look/1", crowdBody, 64<<10, 0)(replacer{w, "Bearer k1", "Bearer k2"})
+			return crowdRequest("/look/1").Announced(crowdBody, 0)(replacer{w, "Bearer k1", "Bearer k2"})
 		}),
 	)
 
@@ -379,32 +193,32 @@
 		for _, w := range s.plain {
 			w.Inject(slices.Repeat([]workerserver.Fault{workerserver.Mute}, 1000)...)
 		}
-		survives(front, 80, whole("/look/1", crowdBody))
+		survives(front, 80, crowdRequest("/look/1").Whole(crowdBody))
 	})
 
 	It("that reads no answers leaves memory", func() {
 		for _, w := range s.plain {
 			w.Inject(slices.Repeat([]workerserver.Fault{workerserver.Large}, 1000)...)
 		}
-		survivesCrowd(&crowd{addr: front, done: make(chan struct{}), deaf: true}, 80, oneByOne(whole("/look/1", 100)))
+		survivesCrowd(&crowd.Crowd{Addr: front, Attempts: crowdAttempts, Deaf: true}, 80, crowd.OneByOne(crowdRequest("/look/1").Whole(100)))
 	})
 
 	It("of requests sent ahead leaves memory", func() {
 		for _, w := range s.plain {
 			w.Inject(slices.Repeat([]workerserver.Fault{workerserver.Mute}, 1000)...)
 		}
-		survives(front, 550, ahead("/look/1", 8<<20))
+		survives(front, 550, crowdRequest("/look/1").Ahead(8<<20))
 	})
 
-	It("of heads without end leaves memory", func() { survives(front, 200, headers("/look/1", 1<<20)) })
-	It("of heads without end at the directory leaves memory", func() { survives(directory, 200, headers("/resolve", 1<<20)) })
-	It("of silent connections leaves descriptors", func() { survives(front, crowdDescriptors+100, silent) })
-	It("of silent connections at the directory leaves descriptors", func() { survives(directory, crowdDescriptors+100, silent) })
-	It("of heads without end at the admin address leaves memory", func() { survives(admin, 200, headers("/metrics", 1<<20)) })
-	It("of silent connections at the admin address leaves descriptors", func() { survives(admin, crowdDescriptors+100, silent) })
-	It("of silent connections at the readiness address leaves descriptors", func() { survives(readiness, crowdDescriptors+100, silent) })
+	It("of heads without end leaves memory", func() { survives(front, 200, crowdRequest("/look/1").Headers(1<<20)) })
+	It("of heads without end at the directory leaves memory", func() { survives(directory, 200, crowdRequest("/resolve").Headers(1<<20)) })
+	It("of silent connections leaves descriptors", func() { survives(front, crowdDescriptors+100, crowd.Silent) })
+	It("of silent connections at the directory leaves descriptors", func() { survives(directory, crowdDescriptors+100, crowd.Silent) })
+	It("of heads without end at the admin address leaves memory", func() { survives(admin, 200, crowdRequest("/metrics").Headers(1<<20)) })
+	It("of silent connections at the admin address leaves descriptors", func() { survives(admin, crowdDescriptors+100, crowd.Silent) })
+	It("of silent connections at the readiness address leaves descriptors", func() { survives(readiness, crowdDescriptors+100, crowd.Silent) })
 	It("of unfinished bodies on all descriptors leaves memory and descriptors", func() {
-		survives(front, crowdDescriptors+100, announced("/look/1", 256<<10, 64<<10, 0))
+		survives(front, crowdDescriptors+100, crowdRequest("/look/1").Announced(256<<10, 0))
 	})
 })
 
@@ -423,24 +237,24 @@
 		Eventually(func() int { return completion(addr(101), "ready?", 1).status }, "40s", "200ms").Should(Equal(200))
 	})
 
-	DescribeTable("leaves memory and descriptors", func(n int, m member) {
+	DescribeTable("leaves memory and descriptors", func(n int, m crowd.Member) {
 		pid := f.procs["entry-1"].Process.Pid
 		used := watchUsage(pid, portOf(addr(101)))
-		c := gather(addr(101), n, func(w io.Writer) error { return m(replacer{w, "Bearer k1", "Bearer " + dev.DemoKey}) })
+		c := (&crowd.Crowd{Addr: addr(101), Attempts: crowdAttempts}).Gather(n, func(w io.Writer) error { return m(replacer{w, "Bearer k1", "Bearer " + dev.DemoKey}) })
 		time.Sleep(crowdStay)
 		u := used()
-		c.leave()
+		c.Leave()
 		expectWithinBounds(pid, u)
 		Eventually(func() int { return completion(addr(101), "ordinary", 1).status }, "40s", "200ms").Should(Equal(200))
 	},
-		Entry("to unfinished bodies with a length", 40, announced("/v1/completions", 8<<20, 64<<10, 0)),
-		Entry("to unfinished bodies in chunks", 40, chunked("/v1/completions", 8<<20, 256<<10)),
-		Entry("to finished bodies", 40, jsonBody("/v1/completions", 4<<20, `{"model":"tutor-feedback","max_tokens":4,"prompt":"`, "x", `"}`)),
-		Entry("to bodies of many tiny messages", 4, jsonBody("/v1/chat/completions", 8<<20, `{"model":"tutor-feedback","messages":[`, `{},`, `{}]}`)),
+		Entry("to unfinished bodies with a length", 40, crowdRequest("/v1/completions").Announced(8<<20, 0)),
+		Entry("to unfinished bodies in chunks", 40, crowdRequest("/v1/completions").Chunked(8<<20, 256<<10)),
+		Entry("to finished bodies", 40, crowdRequest("/v1/completions").JSON(4<<20, `{"model":"tutor-feedback","max_tokens":4,"prompt":"`, "x", `"}`)),
+		Entry("to bodies of many tiny messages", 4, crowdRequest("/v1/chat/completions").JSON(8<<20, `{"model":"tutor-feedback","messages":[`, `{},`, `{}]}`)),
 		Entry("to bodies of many tiny parts of a message", 4,
-			jsonBody("/v1/chat/completions", 8<<20, `{"model":"tutor-feedback","messages":[{"role":"user","content":[`, `{},`, `{}]}]}`)),
-		Entry("to heads without end", 300, headers("/v1/models", 60<<10)),
-		Entry("to silent connections", crowdDescriptors+100, silent),
+			crowdRequest("/v1/chat/completions").JSON(8<<20, `{"model":"tutor-feedback","messages":[{"role":"user","content":[`, `{},`, `{}]}]}`)),
+		Entry("to heads without end", 300, crowdRequest("/v1/models").Headers(60<<10)),
+		Entry("to silent connections", crowdDescriptors+100, crowd.Silent),
 	)
 })
 
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -83,8 +83,8 @@
 	// releaseDeadline bounds the time until unused engine memory is released.
 	releaseDeadline     = 10 * time.Second
 	releasePollInterval = 50 * time.Millisecond
-	// Limits of the machine that an instance runs on.
-	maxMemoryKB, maxOpenFiles = 284 << 10, 4200
+	// What an instance may use of its machine: three quarters of the memory, all descriptors.
+	maxMemoryKB, maxOpenFiles = 284 << 10 / 4 * 3, 4200
 )
 
 // Violation is a broken promise.
@@ -428,10 +428,10 @@
 	c.addViolation(Released, c.end, "%d tokens are still reserved %s after the last request", reserved, releaseDeadline)
 }
 
-// checkBounded checks memory and descriptors of the running processes.
+// checkBounded checks the peak of the memory, and the descriptors, of the running processes.
 func (c *checker) checkBounded() error {
 	for _, in := range c.fleet.instances {
-		memory, err := residentKB(in.pid())
+		memory, err := peakKB(in.pid())
 		if err != nil {
 			return err
 		}
@@ -446,13 +446,13 @@
 	return nil
 }
 
-func residentKB(pid int) (int64, error) {
+func peakKB(pid int) (int64, error) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, errors.Wrap(err, "memory")
 	}
 	for line := range strings.Lines(string(raw)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
 			var kb int64
 			_, err := fmt.Sscan(rest, &kb)
 			return kb, err
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -152,9 +152,11 @@
 retry_ratio = 0.2
 retry_extra = 100
 retry_window = "10s"
+[serve.intake]
+%s
 [control.quarantine]
 off = %t
-`, in.name, in.dataCentre, in.callerAddr, in.peerAddr, in.adminAddr, in.storeProxy.addr(), strings.Join(peers, ","), in.directoryAddr, in.readyAddr, f.mutant == ForgetsCrashes), 0o600)
+`, in.name, in.dataCentre, in.callerAddr, in.peerAddr, in.adminAddr, in.storeProxy.addr(), strings.Join(peers, ","), in.directoryAddr, in.readyAddr, f.mutant.intakeSettings(), f.mutant == ForgetsCrashes), 0o600)
 }
 
 func (f *fleet) settingsPath(in *instance) string { return filepath.Join(f.dir, in.name+".toml") }
--- a/lab/soak/mutant.go
+++ b/lab/soak/mutant.go
@@ -40,7 +40,7 @@
 
 // Mutants lists all mutants.
 var Mutants = []Mutant{HalfAnswers, RunsDenied, LateConfig, DropsRoute, KeepsEntry, KillsForTerm, HangupEndsDrain,
-	LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, HidesWords, HidesCold, DropsEvacuation, StaysDown}
+	LateAnswers, KeepsMemory, ForgetsCrashes, HidesLimits, HidesWords, HidesCold, DropsEvacuation, TakesAll, StaysDown}
 
 // Valid reports whether m is one of Mutants.
 func (m Mutant) Valid() bool { return slices.Contains(Mutants, m) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -105,7 +105,7 @@
 // Each scene has one fault of backgroundKinds, overlapped by faults of overlappingKinds.
 var (
 	backgroundKinds  = []Kind{StoreDown, StoreSilent, StoreSlow, CutStore, CutServer, SlowServer, Freeze}
-	otherKinds       = []Kind{Limit, SayLeaving, AskRest, Cold, Evacuation, Vanish, FailSource}
+	otherKinds       = []Kind{Limit, SayLeaving, AskRest, Cold, Evacuation, Vanish, FailSource, Crowd}
 	plannedKinds     = []Kind{Signals, Silence, Reconfigure}
 	overlappingKinds = []Kind{Kill, Term, Reload, Freeze, StoreForgets, StoreOlder, ResetStore, ResetServer, ResetCallers, Misanswer, Deadly, Replace, Change, Changes}
 )
@@ -138,6 +138,7 @@
 	p.addCold(seed, span)
 	p.addVanish(seed, span)
 	p.addFailSource(seed, span)
+	p.addCrowd(seed, span)
 	p.addEvacuation(rand.New(rand.NewPCG(seed, evacuationStream)))
 	p.addPlanned(rand.New(rand.NewPCG(seed, plannedStream)))
 	return p, p.check()
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -243,6 +243,8 @@
 		r.sayLeaving(f)
 	case FailSource:
 		r.failSource(f)
+	case Crowd:
+		r.press(f)
 	case Vanish:
 		r.startVanishing(f)
 	case AskRest:
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -134,6 +134,26 @@
 		Expect(play(p, "").Violations).To(BeEmpty())
 	})
 
+	// Guards against clients that end an instance, beside kills, shutdowns and frozen instances.
+	It("detects instances that keep all that clients send", func() {
+		p := draw(3)
+		second := settings.Duration(time.Second)
+		p.Faults = nil
+		for pick := range uint64(8) {
+			// All instances have a crowd that stops short of the end of bodies, some each of the others.
+			share := 0.5
+			if pick == 0 {
+				share = 1
+			}
+			p.Faults = append(p.Faults, soak.Fault{Kind: soak.Crowd, At: 6 * second, For: 6 * second, Share: share, Pick: pick})
+		}
+		p.Faults = append(p.Faults,
+			soak.Fault{Kind: soak.Kill, At: 8 * second, Share: 0.25, Pick: 1}, soak.Fault{Kind: soak.Term, At: 8 * second, Share: 0.25, Pick: 2},
+			soak.Fault{Kind: soak.Freeze, At: 9 * second, For: second, Share: 0.25, Pick: 3})
+		Expect(play(p, soak.TakesAll).Violated(soak.Bounded)).To(BeTrue())
+		Expect(play(p, "").Violations).To(BeEmpty())
+	})
+
 	It("detects a configuration that takes effect too late", func() {
 		Expect(play(draw(3), soak.LateConfig).Violated(soak.InForce)).To(BeTrue())
 	})
