--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,7 @@
 	go test -fuzz=FuzzParse -fuzztime=30s ./manifest
 	go test -run=XXX -fuzz=FuzzParseCompletion -fuzztime=30s ./serve/api
 	go test -run=XXX -fuzz=FuzzCountElements -fuzztime=30s ./serve/api
+	go test -run=XXX -fuzz=FuzzFraming -fuzztime=30s ./serve/intake
 	go test -run=XXX -fuzz=FuzzServerEntry -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzObjects -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzWatchEvents -fuzztime=30s ./platform
