Large bodies are parsed one at a time, and the heap keeps further from the memory of the machine

Cause: each of the bodies that the room holds was parsed at once, with a third copy; and the collector lets garbage grow up to its soft limit. The heap has 0.55 of the memory now (0.6 before).

--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -59,6 +59,9 @@
 	server *http.Server
 	seq    atomic.Uint64
 
+	// parsing is held while a large body is parsed.
+	parsing sync.Mutex
+
 	mu      sync.Mutex
 	rand    *rand.Rand
 	pools   map[string]*balance.Pool
@@ -82,6 +85,8 @@
 	headerTimeout      = 5 * time.Second
 	idleTimeout        = 2 * time.Minute
 	maxHeaderBytes     = 64 << 10
+	// largeParse is the size in bytes from which bodies are parsed one at a time.
+	largeParse = 256 << 10
 	// connectionShare is the part of the connections of clients for this interface.
 	connectionShare = 0.9
 	dialTimeout     = time.Second
--- a/serve/api/completion.go
+++ b/serve/api/completion.go
@@ -24,7 +24,7 @@
 	if err := a.takeParsed(c, raw); err != nil {
 		return err
 	}
-	req, prompt, err := parseCompletion(raw, chat)
+	req, prompt, err := a.parse(raw, chat)
 	if err != nil {
 		return err
 	}
@@ -49,6 +49,15 @@
 	})
 }
 
+// parse is parseCompletion, of one large body at a time: parsing takes further memory, which is free again after it.
+func (a *API) parse(raw []byte, chat bool) (completionRequest, string, error) {
+	if len(raw) > largeParse {
+		a.parsing.Lock()
+		defer a.parsing.Unlock()
+	}
+	return parseCompletion(raw, chat)
+}
+
 // modelRequest is a validated model request.
 type modelRequest struct {
 	caller
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,7 +55,7 @@
 
 // heapShare is the share of the memory limit for the heap and the stacks. The rest is for the
 // program itself, kernel buffers charged to the process, and allocation between two garbage collections.
-const heapShare = 0.6
+const heapShare = 0.55
 
 // MemoryBytes returns MemoryMB in bytes.
 func (i Instance) MemoryBytes() int64 {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,7 +36,7 @@
 	})
 
 	It("limits the heap to a share of the memory limit, if there is one", func() {
-		Expect(settings.Instance{MemoryMB: 184}.HeapLimit()).To(BeNumerically("~", 110<<20, 1<<20))
+		Expect(settings.Instance{MemoryMB: 184}.HeapLimit()).To(BeNumerically("~", 101<<20, 1<<20))
 		Expect(settings.Instance{}.HeapLimit()).To(BeZero())
 	})
 
