Ordinary callers find a place and room beside clients that do not behave

Causes: net/http keeps the connection of a refused body for half a second before it is closed, with its place; idle connections of ordinary callers and heads not yet read lost their places to any newcomer; bodies that trickle took all places; bodies of middle size took the room of all small ones. The mend: a request whose body was not read is answered on the connection itself, which then closes. Places go from those that are closing, or else from the connection that has been silent for longest, unless received bytes wait to be read; bodies are received on three quarters of the places. The room keeps a tenth for bodies up to 8 KiB and a fifth for those up to 320 KiB. Buffers of bodies that did not come whole are used again.

--- a/decide/room/policy.go
+++ b/decide/room/policy.go
@@ -72,20 +72,8 @@
 	return loser
 }
 
-// heldBy returns the memory of a customer, of that kind which is short.
-func (r *Room) heldBy(customer string) int64 {
-	a := r.customers[customer]
-	if r.lacksAll() {
-		return a.used
-	}
-	return a.large
-}
+// heldBy returns the memory of a customer in the tier that is short.
+func (r *Room) heldBy(customer string) int64 { return r.customers[customer].in(r.short) }
 
-// equalShare returns the part of that memory of each customer that has any.
-func (r *Room) equalShare() int64 {
-	bytes := r.cfg.Bytes
-	if !r.lacksAll() {
-		bytes = r.largeBytes()
-	}
-	return bytes / int64(len(r.customers))
-}
+// equalShare returns the part of the memory of that tier that each customer would have that has any.
+func (r *Room) equalShare() int64 { return r.limit(r.short) / int64(len(r.customers)) }
--- a/decide/room/policy_test.go
+++ b/decide/room/policy_test.go
@@ -46,7 +46,7 @@
 	for _, s := range senders {
 		rnd[s.name] = rand.New(rand.NewPCG(seed, uint64(s.bytes)+uint64(s.takes)))
 	}
-	r := room.New(room.Config{Bytes: size, SmallBytes: 192 << 10, LargeShare: 0.75, Policy: p})
+	r := room.New(room.Config{Bytes: size, Tiers: []room.Tier{{Above: 192 << 10, Share: 0.75}}, Policy: p})
 	began, served := map[string]float64{}, map[string]float64{}
 	open, waiting := map[*room.Holder]*body{}, map[*room.Holder]time.Duration{}
 	lose := func(losers []*room.Holder) {
--- a/decide/room/room.go
+++ b/decide/room/room.go
@@ -18,19 +18,26 @@
 type Config struct {
 	// Bytes is its size.
 	Bytes int64
-	// SmallBytes is up to what size a holder is small, LargeShare the part of the room that all others may
-	// take together. Zero values reserve nothing for small ones.
-	SmallBytes int64
-	LargeShare float64
+	// Tiers keep parts of the room for small holders.
+	Tiers []Tier
 	// Policy chooses who loses its memory.
 	Policy Policy
 }
 
+// Tier bounds what holders of more than a size may take together.
+type Tier struct {
+	Above int64
+	// Share is a part of the room.
+	Share float64
+}
+
 // Room is memory of a fixed size. It is not safe for concurrent use.
 type Room struct {
 	cfg     Config
 	holders map[*Holder]struct{}
-	total   account
+	total   *account
+	// short is the tier that lacks memory while the policy is asked.
+	short int
 	// customers are the accounts of those that have any holder.
 	customers map[string]*account
 	typical   meanHold
@@ -38,17 +45,21 @@
 
 // account counts memory.
 type account struct {
-	// used are the bytes taken by holders, large those of large ones.
-	used, large int64
-	holders     int
+	// used are the bytes taken by holders, above those of the holders in each tier.
+	used    int64
+	above   []int64
+	holders int
 }
 
-func (a *account) add(bytes int64, large bool, holders int) {
-	a.used += bytes
-	a.holders += holders
-	if large {
-		a.large += bytes
+// all is the index of a tier that has all holders.
+const all = -1
+
+// in returns the bytes taken by the holders in a tier.
+func (a *account) in(tier int) int64 {
+	if tier == all {
+		return a.used
 	}
+	return a.above[tier]
 }
 
 // Entry is what asks for memory.
@@ -79,10 +90,24 @@
 
 // New returns an empty room.
 func New(cfg Config) *Room {
-	if cfg.LargeShare == 0 {
-		cfg.LargeShare = 1
+	r := &Room{cfg: cfg, holders: map[*Holder]struct{}{}, customers: map[string]*account{}}
+	r.total = r.newAccount()
+	return r
+}
+
+func (r *Room) newAccount() *account { return &account{above: make([]int64, len(r.cfg.Tiers))} }
+
+// limit returns what the holders in a tier may take.
+func (r *Room) limit(tier int) int64 {
+	if tier == all {
+		return r.cfg.Bytes
 	}
-	return &Room{cfg: cfg, holders: map[*Holder]struct{}{}, customers: map[string]*account{}}
+	return int64(float64(r.cfg.Bytes) * r.cfg.Tiers[tier].Share)
+}
+
+// has reports whether a holder is in a tier.
+func (r *Room) has(tier int, h *Holder) bool {
+	return tier == all || h.bytes > r.cfg.Tiers[tier].Above
 }
 
 // Used returns the bytes taken, Holders the number of those that have them.
@@ -106,7 +131,7 @@
 		return nil, false
 	}
 	r.take(h, bytes)
-	for r.excess(h) {
+	for r.lacks(h) {
 		loser := r.cfg.Policy(r, now, h, r.candidates(h))
 		if loser == nil {
 			loser = h
@@ -120,23 +145,22 @@
 	return losers, true
 }
 
-// excess reports whether the room does not suffice for what a holder has taken.
-func (r *Room) excess(h *Holder) bool {
-	return r.lacksAll() || r.isLarge(h.bytes) && r.total.large > r.largeBytes()
+// lacks reports whether there is not enough for what a holder has taken, and sets short.
+func (r *Room) lacks(h *Holder) bool {
+	for tier := all; tier < len(r.cfg.Tiers); tier++ {
+		if r.has(tier, h) && r.total.in(tier) > r.limit(tier) {
+			r.short = tier
+			return true
+		}
+	}
+	return false
 }
 
-// lacksAll reports whether there is not enough for all holders together, not only for the large ones.
-func (r *Room) lacksAll() bool { return r.total.used > r.cfg.Bytes }
-
-func (r *Room) largeBytes() int64 { return int64(float64(r.cfg.Bytes) * r.cfg.LargeShare) }
-
-func (r *Room) isLarge(bytes int64) bool { return bytes > r.cfg.SmallBytes }
-
 // candidates returns the holders whose memory may be taken away for another one, in an order that does not vary:
-// those that are still being received.
+// those that are still being received, in the tier that is short.
 func (r *Room) candidates(asks *Holder) (out []*Holder) {
 	for h := range r.holders {
-		if !h.complete && (h == asks || r.lacksAll() || r.isLarge(h.bytes)) {
+		if !h.complete && (h == asks || r.has(r.short, h)) {
 			out = append(out, h)
 		}
 	}
@@ -159,15 +183,22 @@
 
 // count adds the memory of a holder to the accounts, or takes it off with the factor -1.
 func (r *Room) count(h *Holder, factor int) {
-	a := r.customers[h.Customer]
-	if a == nil {
-		a = &account{}
-		r.customers[h.Customer] = a
+	customer := r.customers[h.Customer]
+	if customer == nil {
+		customer = r.newAccount()
+		r.customers[h.Customer] = customer
 	}
-	for _, a := range []*account{&r.total, a} {
-		a.add(int64(factor)*h.bytes, r.isLarge(h.bytes), factor)
+	bytes := int64(factor) * h.bytes
+	for _, a := range []*account{r.total, customer} {
+		a.used += bytes
+		a.holders += factor
+		for tier := range a.above {
+			if r.has(tier, h) {
+				a.above[tier] += bytes
+			}
+		}
 	}
-	if a.holders == 0 {
+	if customer.holders == 0 {
 		delete(r.customers, h.Customer)
 	}
 }
@@ -196,7 +227,7 @@
 	if h.gone {
 		return
 	}
-	if r.isLarge(h.bytes) {
+	if top := len(r.cfg.Tiers) - 1; r.has(top, h) {
 		r.typical.add(now - h.began)
 	}
 	r.remove(h)
@@ -216,7 +247,10 @@
 		ends = append(ends, h)
 	}
 	slices.SortFunc(ends, func(a, b *Holder) int { return int(a.Until - b.Until) })
-	missing := max(r.total.used+bytes-r.cfg.Bytes, r.total.large+bytes-r.largeBytes())
+	missing := int64(0)
+	for tier := all; tier < len(r.cfg.Tiers); tier++ {
+		missing = max(missing, r.total.in(tier)+bytes-r.limit(tier))
+	}
 	at := now
 	for _, h := range ends {
 		if missing <= 0 {
--- a/decide/room/room_test.go
+++ b/decide/room/room_test.go
@@ -23,7 +23,7 @@
 		return room.Entry{Customer: customer, Length: length, Until: until}
 	}
 	newRoom := func(p room.Policy) *room.Room {
-		return room.New(room.Config{Bytes: 100 * kib, SmallBytes: 10 * kib, LargeShare: 0.8, Policy: p})
+		return room.New(room.Config{Bytes: 100 * kib, Tiers: []room.Tier{{Above: 10 * kib, Share: 0.8}}, Policy: p})
 	}
 
 	// Guards against small bodies that find no room beside large ones.
@@ -100,7 +100,7 @@
 	policies := []room.Policy{room.Largest, room.Hopeless, room.HopelessThenShare}
 	rapid.Check(t, func(t *rapid.T) {
 		const size = 100 * kib
-		r := room.New(room.Config{Bytes: size, SmallBytes: 8 * kib, LargeShare: 0.75, Policy: rapid.SampledFrom(policies).Draw(t, "policy")})
+		r := room.New(room.Config{Bytes: size, Tiers: []room.Tier{{Above: 8 * kib, Share: 0.75}}, Policy: rapid.SampledFrom(policies).Draw(t, "policy")})
 		held, complete := map[*room.Holder]int64{}, map[*room.Holder]bool{}
 		var all []*room.Holder
 		now := time.Duration(0)
--- a/decide/slots/slots.go
+++ b/decide/slots/slots.go
@@ -29,8 +29,12 @@
 // String returns the name of the state in metrics.
 func (s State) String() string { return stateNames[s] }
 
-// patience is how long a connection that receives a request may be silent before another one may take its place.
-const patience = time.Second
+const (
+	// patience is how long a connection that receives a body may be silent before another one may take its place.
+	patience = time.Second
+	// newborn is the same for all others: a client sends the head of its request at once.
+	newborn = 20 * time.Millisecond
+)
 
 // Slot is the place of a connection.
 type Slot struct {
@@ -45,57 +49,74 @@
 type Slots struct {
 	size  int
 	slots map[*Slot]struct{}
+	// counts are the connections in each state.
+	counts [stateCount]int
 }
 
+// bodyShare is the part of the places that connections may take that receive bodies. The others are for clients whose
+// requests come at once.
+const bodyShare = 0.75
+
 // New returns a number of free places.
 func New(size int) *Slots { return &Slots{size: size, slots: map[*Slot]struct{}{}} }
 
 // Size returns the number of places.
 func (s *Slots) Size() int { return s.size }
 
+// maxWaits bounds the connections that are asked whether they wait, for one place.
+const maxWaits = 8
+
 // Add gives a place to a new connection and returns the slot that loses its own for it, nil for none. There is no
-// place if ok is false.
-func (s *Slots) Add(now time.Duration, owner any) (added, loser *Slot, ok bool) {
+// place if ok is false. A connection for which waits says that received bytes wait to be read is not silent.
+func (s *Slots) Add(now time.Duration, owner any, waits func(*Slot) bool) (added, loser *Slot, ok bool) {
 	if len(s.slots) >= s.size {
-		if loser = s.dispensable(now); loser == nil {
+		loser = s.dispensable(now)
+		for n := 0; n < maxWaits && loser != nil && loser.state != Closing && waits(loser); n++ {
+			loser.heard = now
+			loser = s.dispensable(now)
+		}
+		if loser == nil {
 			return nil, nil, false
 		}
-		delete(s.slots, loser)
+		s.Remove(loser)
 	}
 	added = &Slot{Owner: owner, state: Head, heard: now}
 	s.slots[added] = struct{}{}
+	s.counts[Head]++
 	return added, loser, true
 }
 
-// dispensable returns the connection that has been closing for the longest time, or else the one that has been idle
-// for the longest, or else the one that has been silent for the longest amid a request, beyond patience. A request
-// that is served keeps its connection.
+// dispensable returns the connection that has been closing for the longest time, or else the one that has been silent
+// for the longest among those that no request is served on.
 func (s *Slots) dispensable(now time.Duration) *Slot {
-	var longest [stateCount]*Slot
+	var closing, silent *Slot
 	for t := range s.slots {
-		if t.mayGo(now) && (longest[t.kind()] == nil || t.heard < longest[t.kind()].heard) {
-			longest[t.kind()] = t
+		switch {
+		case t.state == Closing:
+			closing = t.longer(closing)
+		case t.mayGo(now):
+			silent = t.longer(silent)
 		}
 	}
-	return cmp.Or(longest[Closing], longest[Idle], longest[Head])
+	return cmp.Or(closing, silent)
 }
 
-// kind is Head for all connections that receive a request, or else the state.
-func (t *Slot) kind() State {
-	if t.state == Body {
-		return Head
+// longer returns the slot that has been silent for longer.
+func (t *Slot) longer(o *Slot) *Slot {
+	if o == nil || t.heard < o.heard {
+		return t
 	}
-	return t.state
+	return o
 }
 
 func (t *Slot) mayGo(now time.Duration) bool {
-	switch t.kind() {
-	case Busy:
-		return false
-	case Head:
-		return now-t.heard >= patience
+	switch silent := now - t.heard; t.state {
+	case Idle, Head:
+		return silent >= newborn
+	case Body:
+		return silent >= patience
 	default:
-		return true
+		return false
 	}
 }
 
@@ -104,32 +125,53 @@
 	if _, ok := s.slots[t]; !ok {
 		return false
 	}
+	s.counts[t.state]--
+	s.counts[state]++
 	t.state, t.heard = state, now
 	return true
 }
 
+// SetBody changes the state of a connection to Body. It returns the connection that loses its place for it, which has been
+// silent amid its body for longest, nil for none. There is no place for a further body if ok is false.
+func (s *Slots) SetBody(now time.Duration, t *Slot) (loser *Slot, ok bool) {
+	if s.counts[Body] >= int(bodyShare*float64(s.size)) {
+		for o := range s.slots {
+			if o.state == Body && o.mayGo(now) {
+				loser = o.longer(loser)
+			}
+		}
+		if loser == nil {
+			return nil, false
+		}
+		s.Remove(loser)
+	}
+	return loser, s.Set(now, t, Body)
+}
+
 // Hear records that something was received on a connection. An idle one receives a head from then on.
 func (s *Slots) Hear(now time.Duration, t *Slot) {
-	t.heard = now
 	if t.state == Idle {
-		t.state = Head
+		s.Set(now, t, Head)
 	}
+	t.heard = now
 }
 
 // State returns the state of a connection.
 func (t *Slot) State() State { return t.state }
 
 // Remove frees the place of a connection.
-func (s *Slots) Remove(t *Slot) { delete(s.slots, t) }
+func (s *Slots) Remove(t *Slot) {
+	if _, ok := s.slots[t]; ok {
+		s.counts[t.state]--
+		delete(s.slots, t)
+	}
+}
 
 // Count returns the number of connections in each state.
 func (s *Slots) Count() map[string]int {
 	out := map[string]int{}
-	for _, name := range stateNames {
-		out[name] = 0
-	}
-	for t := range s.slots {
-		out[t.state.String()]++
+	for state, n := range s.counts {
+		out[State(state).String()] = n
 	}
 	return out
 }
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -42,7 +42,7 @@
 
 // crowdRequest is a request of a crowd to a path.
 func crowdRequest(path string) crowd.Request {
-	return crowd.Request{Path: path, Host: "h.example", Key: "k1", IDPrefix: "crowd"}
+	return crowd.Request{Path: path, Host: "h.example", Key: "k1", IDPrefix: "crowd", Header: "X-Deadline-Ms: 60000\r\n"}
 }
 
 // usage is the most that an instance has used.
--- a/lab/crowd/member.go
+++ b/lab/crowd/member.go
@@ -20,14 +20,16 @@
 	Path, Host, Key string
 	// IDPrefix begins the IDs of the requests.
 	IDPrefix string
+	// Header are further lines of the head, each with its end.
+	Header string
 }
 
 var requests atomic.Int64
 
 // Post returns the head of a request with a body.
 func (r Request) Post(framing string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s-%d\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n",
-		r.Path, r.Host, r.IDPrefix, requests.Add(1), r.Key, framing)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s-%d\r\n%sAuthorization: Bearer %s\r\n%s\r\n\r\n",
+		r.Path, r.Host, r.IDPrefix, requests.Add(1), r.Header, r.Key, framing)
 }
 
 // Sizes in bytes of what clients send.
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -154,7 +154,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = a.handleError
-	e.Use(a.withRequestID, endUnread)
+	e.Use(a.withRequestID, freeBody)
 	e.GET("/v1/entries", a.entries)
 	e.GET("/v1/models", a.models)
 	e.POST("/v1/completions", func(c echo.Context) error { return a.completion(c, false) })
--- a/serve/api/body.go
+++ b/serve/api/body.go
@@ -29,29 +29,30 @@
 	return intake.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
-// endUnread is middleware that closes the connection of a request whose body was not read, and frees the memory of one
-// that was.
-func endUnread(next echo.HandlerFunc) echo.HandlerFunc {
+// freeBody is middleware that frees the memory of the body of a request.
+func freeBody(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if c.Request().ContentLength == 0 {
-			return next(c)
+		if c.Request().ContentLength != 0 {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
 		}
-		c.Response().Header().Set(echo.HeaderConnection, "close")
-		err := next(c)
-		lease, _ := c.Get(leaseContextKey).(*intake.Lease)
-		if lease != nil {
+		defer func() {
+			lease, _ := c.Get(leaseContextKey).(*intake.Lease)
 			lease.Release()
-			return err
-		}
-		if err != nil {
-			c.Error(err)
+		}()
+		err := next(c)
+		if err == nil && unread(c) {
+			// net/http would read on before it closes the connection.
+			intake.ConnOf(c.Request().Context()).StopReading()
 		}
-		// net/http would read on before it closes the connection.
-		intake.ConnOf(c.Request().Context()).StopReading()
-		return nil
+		return err
 	}
 }
 
+// unread reports whether the body of a request was not read.
+func unread(c echo.Context) bool {
+	return c.Request().ContentLength != 0 && c.Get(leaseContextKey) == nil
+}
+
 // readBody reads the whole body of a customer's request within the limits of size, time and memory.
 func (a *API) readBody(c echo.Context, customer string) ([]byte, error) {
 	r := c.Request()
@@ -63,8 +64,11 @@
 	}
 	conn := intake.ConnOf(r.Context())
 	conn.SetBodyDeadline(time.Now().Add(a.BodyTimeout.Std()))
-	done := conn.Receiving()
+	done, ok := conn.Receiving(r.ContentLength)
 	defer done()
+	if !ok {
+		return nil, a.intake.Full(0)
+	}
 	b := intake.Body{
 		Entry:  room.Entry{Customer: customer, Length: r.ContentLength, Until: a.intake.Now() + a.BodyTimeout.Std()},
 		Reader: r.Body, Limit: a.MaxBody,
--- a/serve/api/errors.go
+++ b/serve/api/errors.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/auburnmoor/auburnmoor/result"
+	"github.com/auburnmoor/auburnmoor/serve/intake"
 )
 
 // errorBody is the JSON body of an error response.
@@ -37,7 +38,26 @@
 	if e.RetryAfter > 0 {
 		c.Response().Header().Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
 	}
-	return c.JSON(result.Lookup(e.Code).Status, newErrorBody(e))
+	status := result.Lookup(e.Code).Status
+	if unread(c) {
+		return refuseUnread(c, status, newErrorBody(e))
+	}
+	return c.JSON(status, newErrorBody(e))
+}
+
+// refuseUnread answers a request whose body was not read, and closes its connection.
+func refuseUnread(c echo.Context, status int, body errorBody) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().Committed = true
+	if intake.Refuse(c.Response().Writer, c.Request(), status, raw) != nil {
+		// The client has disconnected.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
 }
 
 // handleError writes errors of handlers and of the router as coded errors.
--- a/serve/intake/body.go
+++ b/serve/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -61,15 +62,29 @@
 	return nil, nil, nil, err
 }
 
+// unfinished are the buffers of large bodies that did not come whole. They are used again: clients that stop short of the
+// end would leave one after the other to the garbage collector.
+var unfinished sync.Pool
+
+// newLarge returns a buffer of a size with any content.
+func newLarge(size int) []byte {
+	if used, ok := unfinished.Get().(*[]byte); ok && cap(*used) >= size && cap(*used) <= 2*size {
+		return (*used)[:size]
+	}
+	return make([]byte, size)
+}
+
 // readAnnounced reads a body of known length.
 func (l *Lease) readAnnounced(b Body) ([]byte, error) {
 	raw := make([]byte, min(b.Length, probeBuffer))
 	n, err := l.fill(b.Reader, raw)
 	if err == nil && int64(n) < b.Length {
 		probe := raw
-		raw = make([]byte, b.Length)
+		raw = newLarge(int(b.Length))
 		copy(raw, probe)
-		_, err = l.fill(b.Reader, raw[n:])
+		if _, err = l.fill(b.Reader, raw[n:]); err != nil {
+			unfinished.Put(&raw)
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
--- a/serve/intake/conn.go
+++ b/serve/intake/conn.go
@@ -70,8 +70,8 @@
 const (
 	// freeHead needs no memory but the buffer that each connection has.
 	freeHead = 4 << 10
-	// headMargin is allowed beyond the headers: the request line, and bytes behind the head that are read with it.
-	headMargin = 12 << 10
+	// headMargin is allowed beyond the headers: the request line, and a short body or what else is read with the head.
+	headMargin = 24 << 10
 	// headCopies is how often a head is in memory at once.
 	headCopies = 3
 )
@@ -88,13 +88,35 @@
 // Displaced reports whether another connection has got the place of this one, which is closed without an answer.
 func (c *Conn) Displaced() bool { return c != nil && c.displaced.Load() }
 
-// Receiving marks that the body of a request is being received, until the returned function is called.
-func (c *Conn) Receiving() (done func()) {
+// shortBody is the length in bytes up to which a body is expected with its head.
+const shortBody = 8 << 10
+
+// Receiving marks that a body of a length, or of unknown length if that is negative, is being received, until done is
+// called. There is no place for it if ok is false.
+func (c *Conn) Receiving(length int64) (done func(), ok bool) {
 	if c == nil {
-		return func() {}
+		return func() {}, true
+	}
+	done = func() { c.set(slots.Busy) }
+	if length >= 0 && length <= shortBody {
+		c.set(slots.Head)
+		return done, true
+	}
+	return done, c.beginBody()
+}
+
+func (c *Conn) beginBody() bool {
+	l := c.door
+	l.mu.Lock()
+	loser, ok := l.slots.SetBody(l.intake.now(), c.slot)
+	if loser != nil {
+		loser.Owner.(*Conn).displaced.Store(true)
+	}
+	l.mu.Unlock()
+	if loser != nil {
+		loser.Owner.(*Conn).giveUp(slots.Body)
 	}
-	c.set(slots.Body)
-	return func() { c.set(slots.Busy) }
+	return ok
 }
 
 // giveUp ends a connection whose place is needed for another one. A request whose body is being received is refused.
--- a/serve/intake/framing_fuzz_test.go
+++ b/serve/intake/framing_fuzz_test.go
@@ -37,7 +37,7 @@
 		s.t.Errorf("a request in or behind a body that was not read: %s %s", r.Method, r.URL)
 	}
 	conn := ConnOf(r.Context())
-	done := conn.Receiving()
+	done, _ := conn.Receiving(r.ContentLength)
 	defer done()
 	raw, lease, refusal, err := s.intake.ReadBody(Body{
 		Entry: room.Entry{Length: r.ContentLength, Until: time.Minute}, Reader: r.Body, Limit: framingLimit,
--- a/serve/intake/intake.go
+++ b/serve/intake/intake.go
@@ -27,12 +27,11 @@
 	bodyShare = 0.25
 	// unknownMemory is assumed if the settings do not tell the memory, in bytes.
 	unknownMemory = 1 << 30
-	// smallBytes is the size up to which a body is small, largeShare the part of the memory that larger ones
-	// may take together.
-	smallBytes = 320 << 10
-	largeShare = 0.8
 )
 
+// tiers keep room for the bodies of plain calls, and for those of prompts, beside larger ones.
+var tiers = []room.Tier{{Above: 8 << 10, Share: 0.9}, {Above: 320 << 10, Share: 0.8}}
+
 // Intake is the module "serve.intake".
 type Intake struct {
 	// BodyMemoryMB is the memory for bodies and heads of all clients together in MiB, zero for a share of that of
@@ -70,7 +69,7 @@
 	if i.descriptors == 0 {
 		i.descriptors = openFileLimit()
 	}
-	i.room = room.New(room.Config{Bytes: i.bodyBytes(), SmallBytes: smallBytes, LargeShare: largeShare, Policy: room.HopelessThenShare})
+	i.room = room.New(room.Config{Bytes: i.bodyBytes(), Tiers: tiers, Policy: room.HopelessThenShare})
 	i.leases = map[*room.Holder]*Lease{}
 	return nil
 }
--- a/serve/intake/listener.go
+++ b/serve/intake/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -96,6 +97,22 @@
 	return l, nil
 }
 
+// waits reports whether a connection has received bytes that were not read yet.
+func waits(s *slots.Slot) bool {
+	sc, ok := s.Owner.(*Conn).Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { waiting, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && ioctlErr == nil && waiting > 0
+}
+
 func (l *Listener) states() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -111,7 +128,7 @@
 		}
 		conn := &Conn{Conn: c, door: l}
 		l.mu.Lock()
-		slot, loser, ok := l.slots.Add(l.intake.now(), conn)
+		slot, loser, ok := l.slots.Add(l.intake.now(), conn, waits)
 		conn.slot = slot
 		if loser != nil {
 			loser.Owner.(*Conn).displaced.Store(true)
