--- a/decide/room/policy.go
+++ b/decide/room/policy.go
@@ -19,15 +19,15 @@
 	return l
 }
 
-// patience is the age from which the progress of a holder counts.
-const patience = time.Second
+// minAge is the age from which the progress of a holder counts.
+const minAge = time.Second
 
-// Hopeless takes from the holder that is furthest from being complete in its time at the rate at which it comes. If
+// Slowest takes from the holder that is furthest from being complete in its time at the rate at which it comes. If
 // all others can be in time, the one that asks loses.
-func Hopeless(_ *Room, now time.Duration, asks *Holder, candidates []*Holder) (worst *Holder) {
+func Slowest(_ *Room, now time.Duration, asks *Holder, candidates []*Holder) (worst *Holder) {
 	most := 1.0
 	for _, h := range candidates {
-		if h == asks || now-h.began < patience {
+		if h == asks || now-h.began < minAge {
 			continue
 		}
 		if lag := h.lag(now); lag > most {
@@ -55,21 +55,21 @@
 	return missing / h.rate / left
 }
 
-// HopelessThenShare is Hopeless, and if all others can be in time takes from the customer that has more memory than
+// SlowestThenShare is Slowest, and if all others can be in time takes from the customer that has more memory than
 // any other one, that of the holder that asks included: its largest holder, of several the newest. Customers within their
 // equal share keep what they have.
-func HopelessThenShare(r *Room, now time.Duration, asks *Holder, candidates []*Holder) (loser *Holder) {
-	if h := Hopeless(r, now, asks, candidates); h != nil {
+func SlowestThenShare(r *Room, now time.Duration, asks *Holder, candidates []*Holder) (victim *Holder) {
+	if h := Slowest(r, now, asks, candidates); h != nil {
 		return h
 	}
 	most := max(r.heldBy(asks.Customer), r.equalShare())
 	for _, h := range candidates {
 		held := r.heldBy(h.Customer)
-		if held > most || held == most && loser != nil && h.bytes >= loser.bytes {
-			loser, most = h, held
+		if held > most || held == most && victim != nil && h.bytes >= victim.bytes {
+			victim, most = h, held
 		}
 	}
-	return loser
+	return victim
 }
 
 // heldBy returns the memory of a customer in the tier that is short.
--- a/decide/room/policy_test.go
+++ b/decide/room/policy_test.go
@@ -49,8 +49,8 @@
 	r := room.New(room.Config{Bytes: size, Tiers: []room.Tier{{Above: 192 << 10, Share: 0.75}}, Policy: p})
 	began, served := map[string]float64{}, map[string]float64{}
 	open, waiting := map[*room.Holder]*body{}, map[*room.Holder]time.Duration{}
-	lose := func(losers []*room.Holder) {
-		for _, l := range losers {
+	lose := func(victims []*room.Holder) {
+		for _, l := range victims {
 			delete(open, l)
 		}
 	}
@@ -68,8 +68,8 @@
 				if s.hides {
 					e.Length, first = room.Unknown, simPiece
 				}
-				h, losers, ok := r.Enter(now, e, first)
-				lose(losers)
+				h, victims, ok := r.Enter(now, e, first)
+				lose(victims)
 				if ok {
 					open[h] = &body{of: s, holder: h, began: now}
 				}
@@ -97,8 +97,8 @@
 			}
 			if b.of.hides {
 				if grown := (due/simPiece - b.sent/simPiece) * simPiece; grown > 0 {
-					losers, ok := r.Grow(now, b.holder, grown)
-					lose(losers)
+					victims, ok := r.Grow(now, b.holder, grown)
+					lose(victims)
 					if !ok {
 						delete(open, b.holder)
 						continue
@@ -149,7 +149,7 @@
 	policies := []struct {
 		name   string
 		policy room.Policy
-	}{{"largest", room.Largest}, {"hopeless", room.Hopeless}, {"hopeless, then share", room.HopelessThenShare}}
+	}{{"largest", room.Largest}, {"slowest", room.Slowest}, {"slowest, then share", room.SlowestThenShare}}
 
 	DescribeTable("beside a crowd", func(name string, s sender) {
 		own := s
@@ -163,7 +163,7 @@
 			}
 			if kind == "another customer" {
 				// As if half of the memory were there for them alone.
-				alone := play(room.HopelessThenShare, simRoom/2, 7, legal)
+				alone := play(room.SlowestThenShare, simRoom/2, 7, legal)
 				GinkgoWriter.Printf("alone in half of the room: large %.3f, slow %.3f\n", alone["large"], alone["slow"])
 				Expect(best["large"]).To(BeNumerically(">=", alone["large"]))
 				Expect(best["slow"]).To(BeNumerically(">=", alone["slow"]))
--- a/decide/room/room.go
+++ b/decide/room/room.go
@@ -116,33 +116,33 @@
 
 // Enter adds a holder that takes bytes at once. It returns those that lose their memory for it; the new one has
 // none if ok is false.
-func (r *Room) Enter(now time.Duration, e Entry, bytes int64) (h *Holder, losers []*Holder, ok bool) {
+func (r *Room) Enter(now time.Duration, e Entry, bytes int64) (h *Holder, victims []*Holder, ok bool) {
 	h = &Holder{Entry: e, began: now, heard: now, windowAt: now}
 	r.holders[h] = struct{}{}
 	r.count(h, 1)
-	losers, ok = r.Grow(now, h, bytes)
-	return h, losers, ok
+	victims, ok = r.Grow(now, h, bytes)
+	return h, victims, ok
 }
 
 // Grow takes more memory for a holder. It returns those that lose theirs for it; the holder has lost its own if
 // ok is false.
-func (r *Room) Grow(now time.Duration, h *Holder, bytes int64) (losers []*Holder, ok bool) {
+func (r *Room) Grow(now time.Duration, h *Holder, bytes int64) (victims []*Holder, ok bool) {
 	if h.gone {
 		return nil, false
 	}
 	r.take(h, bytes)
 	for r.lacks(h) {
-		loser := r.cfg.Policy(r, now, h, r.candidates(h))
-		if loser == nil {
-			loser = h
+		victim := r.cfg.Policy(r, now, h, r.candidates(h))
+		if victim == nil {
+			victim = h
 		}
-		r.remove(loser)
-		if loser == h {
-			return losers, false
+		r.remove(victim)
+		if victim == h {
+			return victims, false
 		}
-		losers = append(losers, loser)
+		victims = append(victims, victim)
 	}
-	return losers, true
+	return victims, true
 }
 
 // lacks reports whether there is not enough for what a holder has taken, and sets short.
--- a/decide/room/room_test.go
+++ b/decide/room/room_test.go
@@ -28,7 +28,7 @@
 
 	// Guards against small bodies that find no room beside large ones.
 	It("keeps a part for small ones", func() {
-		r := newRoom(room.Hopeless)
+		r := newRoom(room.Slowest)
 		for range 2 {
 			_, _, ok := r.Enter(0, entry("a", 40*kib, time.Minute), 40*kib)
 			Expect(ok).To(BeTrue())
@@ -41,19 +41,19 @@
 
 	// Guards against clients that stop just short of the end and keep their memory.
 	It("takes from one that comes no further, not from one that will be in time", func() {
-		r := newRoom(room.Hopeless)
+		r := newRoom(room.Slowest)
 		stopped, _, _ := r.Enter(0, entry("a", 40*kib, 10*time.Second), 40*kib)
 		slow, _, _ := r.Enter(0, entry("a", 40*kib, 10*time.Second), 40*kib)
 		r.Receive(0, stopped, 40*kib-1)
 		for s := time.Duration(0); s <= 3; s++ {
 			r.Receive(s*time.Second, slow, 5*kib)
 		}
-		_, losers, ok := r.Enter(3*time.Second, entry("a", 40*kib, 10*time.Second), 40*kib)
+		_, victims, ok := r.Enter(3*time.Second, entry("a", 40*kib, 10*time.Second), 40*kib)
 		Expect(ok).To(BeTrue())
-		Expect(losers).To(ConsistOf(stopped))
-		_, losers, ok = r.Enter(3500*time.Millisecond, entry("a", 40*kib, 10*time.Second), 40*kib)
+		Expect(victims).To(ConsistOf(stopped))
+		_, victims, ok = r.Enter(3500*time.Millisecond, entry("a", 40*kib, 10*time.Second), 40*kib)
 		Expect(ok).To(BeFalse())
-		Expect(losers).To(BeEmpty())
+		Expect(victims).To(BeEmpty())
 	})
 
 	// Guards against admitted requests that lose their body.
@@ -63,27 +63,27 @@
 			h, _, _ := r.Enter(0, entry("a", 40*kib, time.Minute), 40*kib)
 			r.Complete(h)
 		}
-		_, losers, ok := r.Enter(time.Hour, entry("b", 20*kib, 2*time.Hour), 20*kib)
+		_, victims, ok := r.Enter(time.Hour, entry("b", 20*kib, 2*time.Hour), 20*kib)
 		Expect(ok).To(BeFalse())
-		Expect(losers).To(BeEmpty())
+		Expect(victims).To(BeEmpty())
 	})
 
 	It("takes from the customer that has the most if all will be in time", func() {
-		r := newRoom(room.HopelessThenShare)
+		r := newRoom(room.SlowestThenShare)
 		for range 2 {
 			_, _, _ = r.Enter(0, entry("greedy", 40*kib, time.Minute), 40*kib)
 		}
-		_, losers, ok := r.Enter(0, entry("greedy", 40*kib, time.Minute), 40*kib)
+		_, victims, ok := r.Enter(0, entry("greedy", 40*kib, time.Minute), 40*kib)
 		Expect(ok).To(BeFalse())
-		Expect(losers).To(BeEmpty())
-		_, losers, ok = r.Enter(0, entry("modest", 40*kib, time.Minute), 40*kib)
+		Expect(victims).To(BeEmpty())
+		_, victims, ok = r.Enter(0, entry("modest", 40*kib, time.Minute), 40*kib)
 		Expect(ok).To(BeTrue())
-		Expect(losers).To(HaveLen(1))
-		Expect(losers[0].Customer).To(Equal("greedy"))
+		Expect(victims).To(HaveLen(1))
+		Expect(victims[0].Customer).To(Equal("greedy"))
 	})
 
 	It("says when there is room again", func() {
-		r := newRoom(room.Hopeless)
+		r := newRoom(room.Slowest)
 		h, _, _ := r.Enter(0, entry("a", 80*kib, 400*time.Millisecond), 80*kib)
 		Expect(r.FreeIn(0, 40*kib)).To(Equal(400 * time.Millisecond))
 		r.Complete(h)
@@ -97,15 +97,15 @@
 // Whatever comes in whatever order, the room is never exceeded, those that lose are told once, and what has come whole
 // keeps its memory.
 func TestRoomIsNeverExceeded(t *testing.T) {
-	policies := []room.Policy{room.Largest, room.Hopeless, room.HopelessThenShare}
+	policies := []room.Policy{room.Largest, room.Slowest, room.SlowestThenShare}
 	rapid.Check(t, func(t *rapid.T) {
 		const size = 100 * kib
 		r := room.New(room.Config{Bytes: size, Tiers: []room.Tier{{Above: 8 * kib, Share: 0.75}}, Policy: rapid.SampledFrom(policies).Draw(t, "policy")})
 		held, complete := map[*room.Holder]int64{}, map[*room.Holder]bool{}
 		var all []*room.Holder
 		now := time.Duration(0)
-		lose := func(losers []*room.Holder) {
-			for _, l := range losers {
+		lose := func(victims []*room.Holder) {
+			for _, l := range victims {
 				if _, has := held[l]; !has || complete[l] {
 					t.Fatalf("a holder that has nothing, or has come whole, loses")
 				}
@@ -117,8 +117,8 @@
 			bytes := int64(rapid.IntRange(1, 60).Draw(t, "kib")) * kib
 			if len(all) == 0 || rapid.Bool().Draw(t, "enters") {
 				e := room.Entry{Customer: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "customer"), Length: bytes, Until: now + 10*time.Second}
-				h, losers, ok := r.Enter(now, e, bytes)
-				lose(losers)
+				h, victims, ok := r.Enter(now, e, bytes)
+				lose(victims)
 				if ok {
 					held[h], all = bytes, append(all, h)
 				}
@@ -127,8 +127,8 @@
 				_, has := held[h]
 				switch rapid.IntRange(0, 4).Draw(t, "what") {
 				case 0:
-					losers, ok := r.Grow(now, h, bytes)
-					lose(losers)
+					victims, ok := r.Grow(now, h, bytes)
+					lose(victims)
 					if ok != has && !ok && complete[h] {
 						delete(complete, h)
 					}
--- a/decide/slots/slots.go
+++ b/decide/slots/slots.go
@@ -30,10 +30,10 @@
 func (s State) String() string { return stateNames[s] }
 
 const (
-	// patience is how long a connection that receives a body may be silent before another one may take its place.
-	patience = time.Second
-	// newborn is the same for all others: a client sends the head of its request at once.
-	newborn = 20 * time.Millisecond
+	// bodySilence is how long a connection that receives a body may be silent before another one may take its place.
+	bodySilence = time.Second
+	// minSilence is the same for all others: a client sends the head of its request at once.
+	minSilence = 20 * time.Millisecond
 )
 
 // Slot is the place of a connection.
@@ -68,27 +68,27 @@
 
 // Add gives a place to a new connection and returns the slot that loses its own for it, nil for none. There is no
 // place if ok is false. A connection for which waits says that received bytes wait to be read is not silent.
-func (s *Slots) Add(now time.Duration, owner any, waits func(*Slot) bool) (added, loser *Slot, ok bool) {
+func (s *Slots) Add(now time.Duration, owner any, waits func(*Slot) bool) (added, victim *Slot, ok bool) {
 	if len(s.slots) >= s.size {
-		loser = s.dispensable(now)
-		for n := 0; n < maxWaits && loser != nil && loser.state != Closing && waits(loser); n++ {
-			loser.heard = now
-			loser = s.dispensable(now)
+		victim = s.leastUsed(now)
+		for n := 0; n < maxWaits && victim != nil && victim.state != Closing && waits(victim); n++ {
+			victim.heard = now
+			victim = s.leastUsed(now)
 		}
-		if loser == nil {
+		if victim == nil {
 			return nil, nil, false
 		}
-		s.Remove(loser)
+		s.Remove(victim)
 	}
 	added = &Slot{Owner: owner, state: Head, heard: now}
 	s.slots[added] = struct{}{}
 	s.counts[Head]++
-	return added, loser, true
+	return added, victim, true
 }
 
-// dispensable returns the connection that has been closing for the longest time, or else the one that has been silent
+// leastUsed returns the connection that has been closing for the longest time, or else the one that has been silent
 // for the longest among those that no request is served on.
-func (s *Slots) dispensable(now time.Duration) *Slot {
+func (s *Slots) leastUsed(now time.Duration) *Slot {
 	var closing, silent *Slot
 	for t := range s.slots {
 		switch {
@@ -112,9 +112,9 @@
 func (t *Slot) mayGo(now time.Duration) bool {
 	switch silent := now - t.heard; t.state {
 	case Idle, Head:
-		return silent >= newborn
+		return silent >= minSilence
 	case Body:
-		return silent >= patience
+		return silent >= bodySilence
 	default:
 		return false
 	}
@@ -133,19 +133,19 @@
 
 // SetBody changes the state of a connection to Body. It returns the connection that loses its place for it, which has been
 // silent amid its body for longest, nil for none. There is no place for a further body if ok is false.
-func (s *Slots) SetBody(now time.Duration, t *Slot) (loser *Slot, ok bool) {
+func (s *Slots) SetBody(now time.Duration, t *Slot) (victim *Slot, ok bool) {
 	if s.counts[Body] >= int(bodyShare*float64(s.size)) {
 		for o := range s.slots {
 			if o.state == Body && o.mayGo(now) {
-				loser = o.longer(loser)
+				victim = o.longer(victim)
 			}
 		}
-		if loser == nil {
+		if victim == nil {
 			return nil, false
 		}
-		s.Remove(loser)
+		s.Remove(victim)
 	}
-	return loser, s.Set(now, t, Body)
+	return victim, s.Set(now, t, Body)
 }
 
 // Hear records that something was received on a connection. An idle one receives a head from then on.
--- a/decide/slots/slots_test.go
+++ b/decide/slots/slots_test.go
@@ -26,13 +26,13 @@
 		second, _, _ := s.Add(0, "second", never)
 		s.Set(0, first, state)
 		s.Set(0, second, slots.Busy)
-		_, loser, added := s.Add(after, "third", never)
+		_, victim, added := s.Add(after, "third", never)
 		Expect(added).To(Equal(ok))
 		if ok {
-			Expect(loser).To(BeIdenticalTo(first))
+			Expect(victim).To(BeIdenticalTo(first))
 			Expect(s.Set(after, first, slots.Busy)).To(BeFalse())
 		} else {
-			Expect(loser).To(BeNil())
+			Expect(victim).To(BeNil())
 		}
 	},
 		Entry("idle", slots.Idle, time.Second/50, true),
@@ -50,9 +50,9 @@
 		first, _, _ := s.Add(0, "first", never)
 		second, _, _ := s.Add(time.Second, "second", never)
 		s.Hear(2*time.Second, first)
-		_, loser, ok := s.Add(4*time.Second, "third", never)
+		_, victim, ok := s.Add(4*time.Second, "third", never)
 		Expect(ok).To(BeTrue())
-		Expect(loser).To(BeIdenticalTo(second))
+		Expect(victim).To(BeIdenticalTo(second))
 	})
 
 	// Guards against clients that take all places with bodies that trickle.
@@ -71,9 +71,9 @@
 		Expect(ok).To(BeFalse())
 		s.Hear(time.Second, bodies[0])
 		s.Hear(time.Second, bodies[2])
-		loser, ok := s.SetBody(time.Second, fourth)
+		victim, ok := s.SetBody(time.Second, fourth)
 		Expect(ok).To(BeTrue())
-		Expect(loser).To(BeIdenticalTo(bodies[1]))
+		Expect(victim).To(BeIdenticalTo(bodies[1]))
 	})
 
 	// Guards against clients whose requests an instance without processor time has not read yet.
@@ -81,9 +81,9 @@
 		s := slots.New(2)
 		first, _, _ := s.Add(0, "first", never)
 		second, _, _ := s.Add(0, "second", never)
-		_, loser, ok := s.Add(time.Second, "third", func(o *slots.Slot) bool { return o == first })
+		_, victim, ok := s.Add(time.Second, "third", func(o *slots.Slot) bool { return o == first })
 		Expect(ok).To(BeTrue())
-		Expect(loser).To(BeIdenticalTo(second))
+		Expect(victim).To(BeIdenticalTo(second))
 	})
 
 	It("are counted by state", func() {
@@ -114,12 +114,12 @@
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
 			switch what := rapid.IntRange(0, 3).Draw(t, "what"); {
 			case what == 0 || len(open) == 0:
-				added, loser, ok := s.Add(now, nil, never)
-				if loser != nil {
-					if loser.State() == slots.Busy || !open[loser] {
+				added, victim, ok := s.Add(now, nil, never)
+				if victim != nil {
+					if victim.State() == slots.Busy || !open[victim] {
 						t.Fatal("a connection that is served, or closed, loses its place")
 					}
-					delete(open, loser)
+					delete(open, victim)
 				}
 				if ok {
 					open[added] = true
--- a/serve/admin/admin.go
+++ b/serve/admin/admin.go
@@ -84,7 +84,7 @@
 	limits := func() intake.Limits {
 		return intake.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	}
-	lis, err := a.intake.Listen(ctx, a.addr, intake.Door{Name: "admin", Limits: limits})
+	lis, err := a.intake.Listen(ctx, a.addr, intake.ListenerConfig{Name: "admin", Limits: limits})
 	if err != nil {
 		return err
 	}
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -194,7 +194,7 @@
 
 // Start implements auburnmoor.Starter.
 func (a *API) Start(ctx context.Context) error {
-	lis, err := a.intake.Listen(ctx, a.self.CallerAddr, intake.Door{Name: "api", Share: connectionShare, Limits: clientLimits})
+	lis, err := a.intake.Listen(ctx, a.self.CallerAddr, intake.ListenerConfig{Name: "api", Share: connectionShare, Limits: clientLimits})
 	if err != nil {
 		return err
 	}
--- a/serve/intake/conn.go
+++ b/serve/intake/conn.go
@@ -48,16 +48,16 @@
 // orderly way.
 type Conn struct {
 	net.Conn
-	door *Listener
-	slot *slots.Slot
+	listener *Listener
+	slot     *slots.Slot
 
 	// idle marks that the next deadline set is the idle timeout between two requests; all other future deadlines
 	// bound the reading of heads.
 	idle atomic.Bool
 	// closed is set by the first Close, displaced once another connection has its place.
 	closed, displaced atomic.Bool
-	// mute is set by StopWriting.
-	mute atomic.Bool
+	// writeStopped is set by StopWriting.
+	writeStopped atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -80,9 +80,9 @@
 const writeTimeout = 30 * time.Second
 
 func (c *Conn) set(s slots.State) {
-	c.door.mu.Lock()
-	defer c.door.mu.Unlock()
-	c.door.slots.Set(c.door.intake.now(), c.slot, s)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.slots.Set(c.listener.intake.now(), c.slot, s)
 }
 
 // Displaced reports whether another connection has got the place of this one, which is closed without an answer.
@@ -106,22 +106,22 @@
 }
 
 func (c *Conn) beginBody() bool {
-	l := c.door
+	l := c.listener
 	l.mu.Lock()
-	loser, ok := l.slots.SetBody(l.intake.now(), c.slot)
-	if loser != nil {
-		loser.Owner.(*Conn).displaced.Store(true)
+	victim, ok := l.slots.SetBody(l.intake.now(), c.slot)
+	if victim != nil {
+		victim.Owner.(*Conn).displaced.Store(true)
 	}
 	l.mu.Unlock()
-	if loser != nil {
-		loser.Owner.(*Conn).giveUp(slots.Body)
+	if victim != nil {
+		victim.Owner.(*Conn).giveUp(slots.Body)
 	}
 	return ok
 }
 
 // giveUp ends a connection whose place is needed for another one. A request whose body is being received is refused.
 func (c *Conn) giveUp(state slots.State) {
-	c.door.intake.refused("connection_" + state.String())
+	c.listener.intake.refused("connection_" + state.String())
 	if state == slots.Body {
 		c.StopReading()
 		return
@@ -160,9 +160,9 @@
 
 // hear records that something was received and returns the state of the connection.
 func (c *Conn) hear() slots.State {
-	c.door.mu.Lock()
-	defer c.door.mu.Unlock()
-	c.door.slots.Hear(c.door.intake.now(), c.slot)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.slots.Hear(c.listener.intake.now(), c.slot)
 	return c.slot.State()
 }
 
@@ -173,8 +173,8 @@
 	c.headBytes += n
 	total, lease := c.headBytes, c.head
 	c.mu.Unlock()
-	if limit := c.door.limits().HeadBytes; limit > 0 && total > int64(limit)+headMargin {
-		c.door.intake.refused("head")
+	if limit := c.listener.limits().HeadBytes; limit > 0 && total > int64(limit)+headMargin {
+		c.listener.intake.refused("head")
 		_, _ = c.Conn.Write([]byte(tooLarge))
 		return false
 	}
@@ -190,8 +190,8 @@
 
 // enterHead takes the first memory for a head.
 func (c *Conn) enterHead(bytes int64) bool {
-	e := room.Entry{Length: room.Unknown, Until: c.door.intake.now() + c.headTimeout()}
-	lease, refusal := c.door.intake.Enter(e, bytes, func() { _ = c.Close() })
+	e := room.Entry{Length: room.Unknown, Until: c.listener.intake.now() + c.headTimeout()}
+	lease, refusal := c.listener.intake.Enter(e, bytes, func() { _ = c.Close() })
 	if refusal != nil {
 		return false
 	}
@@ -209,7 +209,7 @@
 const defaultHeadTimeout = 10 * time.Second
 
 func (c *Conn) headTimeout() time.Duration {
-	if d := c.door.limits().HeadTimeout; d > 0 {
+	if d := c.listener.limits().HeadTimeout; d > 0 {
 		return d
 	}
 	return defaultHeadTimeout
@@ -236,7 +236,7 @@
 // Write implements net.Conn. A client that does not take p within writeTimeout gets no more.
 func (c *Conn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if c.mute.Load() {
+	if c.writeStopped.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
 	return c.Conn.Write(p)
@@ -245,7 +245,7 @@
 // StopWriting makes a pending write return with an error, and all later ones.
 func (c *Conn) StopWriting() {
 	if c != nil {
-		c.mute.Store(true)
+		c.writeStopped.Store(true)
 		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 	}
 }
@@ -256,9 +256,9 @@
 	if !t.After(now) {
 		return c.Conn.SetReadDeadline(t)
 	}
-	limit := c.door.limits().HeadTimeout
+	limit := c.listener.limits().HeadTimeout
 	if c.idle.Swap(false) {
-		limit = c.door.limits().IdleTimeout
+		limit = c.listener.limits().IdleTimeout
 	}
 	if limit > 0 && now.Add(limit).Before(t) {
 		t = now.Add(limit)
--- a/serve/intake/conn_test.go
+++ b/serve/intake/conn_test.go
@@ -31,7 +31,7 @@
 // listen opens a listener whose clients have limits.
 func listen(l Limits) *Listener {
 	lis, err := newIntake(auburnmoor.Identity{}, &Intake{}).
-		Listen(context.Background(), "127.0.0.1:0", Door{Share: 1, Limits: func() Limits { return l }})
+		Listen(context.Background(), "127.0.0.1:0", ListenerConfig{Share: 1, Limits: func() Limits { return l }})
 	Expect(err).NotTo(HaveOccurred())
 	return lis
 }
--- a/serve/intake/intake.go
+++ b/serve/intake/intake.go
@@ -50,8 +50,8 @@
 	mu   sync.Mutex
 	room *room.Room
 	// leases are the leases of the holders of the room.
-	leases map[*room.Holder]*Lease
-	doors  []*Listener
+	leases    map[*room.Holder]*Lease
+	listeners []*Listener
 }
 
 // ModuleInfo implements auburnmoor.Module.
@@ -69,7 +69,7 @@
 	if i.descriptors == 0 {
 		i.descriptors = openFileLimit()
 	}
-	i.room = room.New(room.Config{Bytes: i.bodyBytes(), Tiers: tiers, Policy: room.HopelessThenShare})
+	i.room = room.New(room.Config{Bytes: i.bodyBytes(), Tiers: tiers, Policy: room.SlowestThenShare})
 	i.leases = map[*room.Holder]*Lease{}
 	return nil
 }
@@ -113,12 +113,12 @@
 func (i *Intake) Enter(e room.Entry, bytes int64, evict func()) (*Lease, *result.Error) {
 	now := i.now()
 	i.mu.Lock()
-	h, losers, ok := i.room.Enter(now, e, bytes)
+	h, victims, ok := i.room.Enter(now, e, bytes)
 	l := &Lease{intake: i, holder: h, evict: evict}
 	if ok {
 		i.leases[h] = l
 	}
-	lost := i.lose(losers)
+	lost := i.removeLeases(victims)
 	i.mu.Unlock()
 	i.evictAll(lost)
 	if !ok {
@@ -136,9 +136,9 @@
 	return result.New(result.NoRoom, "the bodies being received leave no room for this one").WithRetryAfter(max(after, retryAfterFull))
 }
 
-// lose removes the leases of holders that have lost their memory; i.mu must be held.
-func (i *Intake) lose(losers []*room.Holder) (lost []*Lease) {
-	for _, h := range losers {
+// removeLeases removes the leases of holders that have lost their memory; i.mu must be held.
+func (i *Intake) removeLeases(victims []*room.Holder) (lost []*Lease) {
+	for _, h := range victims {
 		l := i.leases[h]
 		delete(i.leases, h)
 		l.evicted = true
@@ -172,12 +172,12 @@
 func (l *Lease) Grow(bytes int64) bool {
 	i := l.intake
 	i.mu.Lock()
-	losers, ok := i.room.Grow(i.now(), l.holder, bytes)
+	victims, ok := i.room.Grow(i.now(), l.holder, bytes)
 	if !ok {
 		delete(i.leases, l.holder)
 		l.evicted = true
 	}
-	lost := i.lose(losers)
+	lost := i.removeLeases(victims)
 	i.mu.Unlock()
 	i.evictAll(lost)
 	return ok
@@ -242,10 +242,10 @@
 		BodyBytes: i.room.Used(), BodyLimit: i.bodyBytes(), Holders: i.room.Holders(),
 		Connections: map[string]map[string]int{}, MaxConnections: map[string]int{},
 	}
-	doors := i.doors
+	listeners := i.listeners
 	i.mu.Unlock()
-	for _, door := range doors {
-		d.Connections[door.name], d.MaxConnections[door.name] = door.states(), door.slots.Size()
+	for _, l := range listeners {
+		d.Connections[l.name], d.MaxConnections[l.name] = l.states(), l.slots.Size()
 	}
 	return d
 }
--- a/serve/intake/linger.go
+++ b/serve/intake/linger.go
@@ -48,7 +48,7 @@
 
 // leave frees the place of the connection.
 func (c *Conn) leave() {
-	c.door.mu.Lock()
-	defer c.door.mu.Unlock()
-	c.door.slots.Remove(c.slot)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.slots.Remove(c.slot)
 }
--- a/serve/intake/listener.go
+++ b/serve/intake/listener.go
@@ -50,8 +50,8 @@
 	return max(minConnections, min(byMemory, byDescriptors))
 }
 
-// Door describes a listener.
-type Door struct {
+// ListenerConfig describes a listener.
+type ListenerConfig struct {
 	// Name stands in metrics.
 	Name string
 	// Share is its part of the connections of the instance.
@@ -80,19 +80,19 @@
 }
 
 // Listen opens a listener for clients.
-func (i *Intake) Listen(ctx context.Context, addr string, d Door) (*Listener, error) {
+func (i *Intake) Listen(ctx context.Context, addr string, cfg ListenerConfig) (*Listener, error) {
 	lc := net.ListenConfig{Control: tcpopt.Buffers(socketBuffer)}
 	lis, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listening for clients (%s)", d.Name)
+		return nil, errors.Wrapf(err, "listening for clients (%s)", cfg.Name)
 	}
-	if d.Limits == nil {
-		d.Limits = func() Limits { return Limits{} }
+	if cfg.Limits == nil {
+		cfg.Limits = func() Limits { return Limits{} }
 	}
-	size := max(minConnections, int(d.Share*float64(i.connections())))
-	l := &Listener{Listener: lis, intake: i, name: d.Name, limits: d.Limits, slots: slots.New(size)}
+	size := max(minConnections, int(cfg.Share*float64(i.connections())))
+	l := &Listener{Listener: lis, intake: i, name: cfg.Name, limits: cfg.Limits, slots: slots.New(size)}
 	i.mu.Lock()
-	i.doors = append(i.doors, l)
+	i.listeners = append(i.listeners, l)
 	i.mu.Unlock()
 	return l, nil
 }
@@ -126,16 +126,16 @@
 		if err != nil {
 			return nil, err
 		}
-		conn := &Conn{Conn: c, door: l}
+		conn := &Conn{Conn: c, listener: l}
 		l.mu.Lock()
-		slot, loser, ok := l.slots.Add(l.intake.now(), conn, waits)
+		slot, victim, ok := l.slots.Add(l.intake.now(), conn, waits)
 		conn.slot = slot
-		if loser != nil {
-			loser.Owner.(*Conn).displaced.Store(true)
+		if victim != nil {
+			victim.Owner.(*Conn).displaced.Store(true)
 		}
 		l.mu.Unlock()
-		if loser != nil {
-			loser.Owner.(*Conn).giveUp(loser.State())
+		if victim != nil {
+			victim.Owner.(*Conn).giveUp(victim.State())
 		}
 		if ok {
 			return conn, nil
--- a/serve/relay/room.go
+++ b/serve/relay/room.go
@@ -71,11 +71,11 @@
 	r := a.room
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	losers, ok := r.room.Grow(0, a.holder, int64(n))
+	victims, ok := r.room.Grow(0, a.holder, int64(n))
 	if !ok {
-		losers = append(losers, a.holder)
+		victims = append(victims, a.holder)
 	}
-	for _, h := range losers {
+	for _, h := range victims {
 		r.evict(h)
 	}
 	return ok
