Crowds: a client that sends ahead keeps one request in memory, not all of them

Cause: each of 550 clients built the 8 MiB that it sends ahead as one text, three times if it was refused, and the race detector multiplies that. Also a test that an instance which takes no more requests does not wait for a body.

--- a/e2e/receive_test.go
+++ b/e2e/receive_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -181,4 +182,29 @@
 		Expect(resp.StatusCode).To(Equal(408))
 		Expect(runs(s.plain, "late")).To(BeZero())
 	})
+
+	// Guards against bodies that a leaving instance still waits for.
+	It("is not waited for by an instance that takes no more requests", func() {
+		for _, w := range s.plain {
+			w.Inject(workerserver.Mute, workerserver.Mute, workerserver.Mute)
+		}
+		active := dialEntry(2)
+		active.head("/print/1", "active", "k1", "Content-Length: 0")
+		open := make([]*rawClient, 40)
+		for n := range open {
+			open[n] = dialEntry(2)
+		}
+		s.signal("entry-2", syscall.SIGTERM)
+		// A connection is asked after another, until one tells that the requests are refused.
+		refused := false
+		for n := 0; n < len(open) && !refused; n++ {
+			time.Sleep(100 * time.Millisecond)
+			open[n].head("/look/1", fmt.Sprint("leaving-", n), "k1", "Content-Length: 1000000")
+			_ = open[n].SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			resp, err := http.ReadResponse(open[n].br, nil)
+			refused = err == nil && resp.StatusCode == http.StatusServiceUnavailable
+			Expect(runs(s.plain, fmt.Sprint("leaving-", n))).To(BeZero())
+		}
+		Expect(refused).To(BeTrue())
+	})
 })
--- a/lab/crowd/member.go
+++ b/lab/crowd/member.go
@@ -128,8 +128,14 @@
 		if _, err := io.WriteString(w, request); err != nil {
 			return err
 		}
-		// What does not fit anywhere is not taken: that is no error here.
-		go func() { _, _ = io.WriteString(w, strings.Repeat(request, length/len(request))) }()
+		go func() {
+			for range length / len(request) {
+				if _, err := io.WriteString(w, request); err != nil {
+					// What does not fit anywhere is not taken: that is no error here.
+					return
+				}
+			}
+		}()
 		time.Sleep(aheadFor)
 		return nil
 	}
