serve/intake: a logger that nothing used, a default that nothing met, an error that nobody outside sees

Read of the whole change. Behaviour is the same; lint of serve/, and the tests of serve/intake, serve/api and eventlog with the race detector passed.

--- a/serve/intake/body.go
+++ b/serve/intake/body.go
@@ -20,8 +20,8 @@
 )
 
 var (
-	// ErrEvicted is the error of a body whose memory was taken away for others.
-	ErrEvicted = errors.New("the memory of the body was needed for others")
+	// errEvicted is the error of a body whose memory was taken away for others.
+	errEvicted = errors.New("the memory of the body was needed for others")
 	// ErrTooLarge is the error of a body beyond its limit.
 	ErrTooLarge = errors.New("the body exceeds its limit")
 )
@@ -101,7 +101,10 @@
 	first := make([]byte, firstBuffer)
 	n, err := l.fill(b.Reader, first)
 	if errors.Is(err, io.EOF) {
-		return first[:n], l.checkLimit(n, b.Limit)
+		if int64(n) > b.Limit {
+			return nil, ErrTooLarge
+		}
+		return first[:n], nil
 	}
 	if err != nil {
 		return nil, err
@@ -110,7 +113,7 @@
 	defer rest.Free()
 	for {
 		if rest.Full() && !l.Grow(joinedCopies*pieces.Bytes) {
-			return nil, ErrEvicted
+			return nil, errEvicted
 		}
 		k, err := b.Reader.Read(rest.Space())
 		rest.Advance(k)
@@ -127,13 +130,6 @@
 	}
 }
 
-func (l *Lease) checkLimit(n int, limit int64) error {
-	if int64(n) > limit {
-		return ErrTooLarge
-	}
-	return nil
-}
-
 // join brings a body into one buffer.
 func (l *Lease) join(first []byte, rest *pieces.Buffer) []byte {
 	size := len(first) + rest.Len()
--- a/serve/intake/intake.go
+++ b/serve/intake/intake.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"go.uber.org/zap"
 
 	"github.com/auburnmoor/auburnmoor"
 	"github.com/auburnmoor/auburnmoor/decide/room"
@@ -40,7 +39,6 @@
 	// MaxConnections bounds the connections of clients, zero for what memory and descriptors of the instance allow.
 	MaxConnections int `toml:"max_connections" validate:"min=0,max=1000000"`
 
-	log   *zap.Logger
 	now   func() time.Duration
 	scope tally.Scope
 	// memory and descriptors are those of the instance.
@@ -61,7 +59,7 @@
 
 // Provision implements auburnmoor.Provisioner.
 func (i *Intake) Provision(c *auburnmoor.Context) error {
-	i.log, i.now, i.scope = c.Log, c.Now, c.Scope
+	i.now, i.scope = c.Now, c.Scope
 	i.memory, i.descriptors = c.Self.MemoryBytes, c.Self.Descriptors
 	if i.memory == 0 {
 		i.memory = unknownMemory
--- a/serve/intake/listener.go
+++ b/serve/intake/listener.go
@@ -86,9 +86,6 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for clients (%s)", cfg.Name)
 	}
-	if cfg.Limits == nil {
-		cfg.Limits = func() Limits { return Limits{} }
-	}
 	size := max(minConnections, int(cfg.Share*float64(i.connections())))
 	l := &Listener{Listener: lis, intake: i, name: cfg.Name, limits: cfg.Limits, slots: slots.New(size)}
 	i.mu.Lock()
