--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -13,7 +13,7 @@
 // caseFunc plays a case, with the disruption or without, and returns the breaches of the rule.
 type caseFunc func(s *site, rec *recorder, trouble bool) (breaches []string, err error)
 
-var cases = map[string]caseFunc{"foreign-address": foreignAddress}
+var cases = map[string]caseFunc{"foreign-address": foreignAddress, "foreign-page": foreignPage}
 
 const (
 	held    = 0
--- a/review/_kit2/site.go
+++ b/review/_kit2/site.go
@@ -51,6 +51,9 @@
 	plain    []*worker
 	machines []*machine
 	version  int
+	// storeAddr is where the machines reach the store, bin the program that they run.
+	storeAddr, bin string
+	pager          *pager
 }
 
 // Listeners get ports below those that outgoing connections are given.
@@ -92,6 +95,10 @@
 	if err := s.store.Start(); err != nil {
 		return nil, err
 	}
+	var err error
+	if s.pager, s.storeAddr, err = startPager(s.store.Addr()); err != nil {
+		return nil, err
+	}
 	for i := range engines {
 		w := &worker{id: fmt.Sprintf("i-%08x", 0x1a2b3c4d+i*0x0d0f1113), service: modelService, zone: zones[i%3], events: 8, pause: 10 * time.Millisecond}
 		if err := s.fleet.start(w); err != nil {
@@ -114,14 +121,18 @@
 	return s, s.configure()
 }
 
-// announce writes the entry of a worker under an id, with an address.
+// announce writes the entry of a ready worker under an id, with an address.
 func (s *site) announce(id string, w *worker, addr string) error {
+	return s.announceAs(id, w, addr, "ready")
+}
+
+func (s *site) announceAs(id string, w *worker, addr, state string) error {
 	slots := 16
 	if w.service == plainService {
 		slots = 6
 	}
 	return s.store.Put("servers", id, map[string]any{
-		"service": w.service, "address": addr, "zone": w.zone, "version": "v1", "slots": slots, "state": "ready",
+		"service": w.service, "address": addr, "zone": w.zone, "version": "v1", "slots": slots, "state": state,
 		"coldRemainingMs": 0, "sequence": 4,
 	})
 }
@@ -156,6 +167,7 @@
 
 // startMachines starts the machines of the deployment and waits until all are ready.
 func (s *site) startMachines(bin string) error {
+	s.bin = bin
 	for i := range machines {
 		m := &machine{name: fmt.Sprintf("front-%s-%d", zones[i%3], i/3+1), zone: zones[i%3], bootstrap: true}
 		for _, addr := range []*string{&m.front, &m.ready, &m.control, &m.directory, &m.admin} {
@@ -218,7 +230,7 @@
 retry_ratio = 0.2
 retry_extra = 106
 retry_window = "10s"
-`, m.name, m.zone, m.front, m.control, m.admin, s.store.Addr(), strings.Join(seeds, ","), m.directory, m.ready)
+`, m.name, m.zone, m.front, m.control, m.admin, s.storeAddr, strings.Join(seeds, ","), m.directory, m.ready)
 	if m.bootstrap {
 		text += "first_start = true\n"
 	}
@@ -288,5 +300,6 @@
 		}
 	}
 	s.fleet.close()
+	_ = s.pager.server.Close()
 	s.store.Close()
 }
