--- a/review/_kit2/client.go
+++ b/review/_kit2/client.go
@@ -22,9 +22,11 @@
 type reply struct {
 	status int
 	seal   string
-	body   string
-	err    error
-	took   time.Duration
+	// leaving is set if the answer says that its worker leaves.
+	leaving bool
+	body    string
+	err     error
+	took    time.Duration
 }
 
 // send sends a request on a connection that may be kept.
@@ -55,5 +57,5 @@
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, seal: resp.Header.Get("X-Response-Seal"), body: string(raw), err: err, took: time.Since(began)}
+	return reply{status: resp.StatusCode, seal: resp.Header.Get("X-Response-Seal"), leaving: resp.Header.Get("Server-Leaving") == "1", body: string(raw), err: err, took: time.Since(began)}
 }
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -13,7 +13,7 @@
 // caseFunc plays a case, with the disruption or without, and returns the breaches of the rule.
 type caseFunc func(s *site, rec *recorder, trouble bool) (breaches []string, err error)
 
-var cases = map[string]caseFunc{"foreign-address": foreignAddress, "foreign-page": foreignPage}
+var cases = map[string]caseFunc{"foreign-address": foreignAddress, "foreign-page": foreignPage, "forgotten-leaving": forgottenLeaving, "unfinished-bodies": unfinishedBodies, "too-much-memory": tooMuchMemory}
 
 const (
 	held    = 0
--- a/review/_kit2/worker.go
+++ b/review/_kit2/worker.go
@@ -33,6 +33,8 @@
 
 	server *http.Server
 	mu     sync.Mutex
+	// leaving is set while all answers say that the worker leaves.
+	leaving bool
 	// tickets are the reservations that are held.
 	tickets map[string]time.Time
 }
@@ -93,6 +95,9 @@
 	if id := r.Header.Get("X-Request-Id"); id != "" {
 		rw.Header().Set("X-Request-Id", id)
 	}
+	if w.isLeaving() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != w.id {
 		rw.Header().Set("X-Instance-Id", w.id)
 		rw.Header().Set("X-Not-Run", "1")
@@ -134,6 +139,19 @@
 	_, _ = io.WriteString(rw, `{"free":100000}`)
 }
 
+// leave makes all answers from now on say that the worker leaves.
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+func (w *worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
 // holds reports whether a ticket is held.
 func (w *worker) holds(ticket string) bool {
 	w.mu.Lock()
@@ -181,6 +199,9 @@
 	rw.Header().Set("X-Response-Seal", "seal-"+w.id+"-"+id)
 	if w.events == 0 {
 		time.Sleep(w.pause)
+		if w.isLeaving() {
+			rw.Header().Set("Server-Leaving", "1")
+		}
 		_, _ = io.WriteString(rw, "done "+id)
 		return
 	}
