review: build the stand-ins of the cases as a test binary

A test of the project confines names of the platform to its adapter and to test files; the stand-ins speak the platform's protocol.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main_test.go
@@ -1,12 +1,15 @@
-// Command stage plays one case of the review: it starts a small deployment on loopback addresses, with
+//go:build review
+
+// Package stage holds the program that plays one case of the review: it starts a small deployment on loopback addresses, with
 // stand-ins of the store, the workers and the clients, and checks one rule by what these see.
 //
 // It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
-package main
+package stage
 
 import (
 	"fmt"
 	"os"
+	"testing"
 	"time"
 )
 
@@ -22,7 +25,8 @@
 	maxTime = 110 * time.Second
 )
 
-func main() {
+// TestMain makes the test binary the program.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: stage CASE PROGRAM RECORD")
 		os.Exit(unfit)
--- a/review/_kit2/memory.go
+++ b/review/_kit2/memory_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review
+
+package stage
 
 import (
 	"fmt"
