--- a/port/backend/backend.go
+++ b/port/backend/backend.go
@@ -136,6 +136,10 @@
 	ErrBroken  = errors.New("connection to the backend server failed after the request was sent")
 )
 
+// ErrInvalidText marks errors of calls that hold a text, of a client or of another server's entry, which no request can
+// hold. It comes with ErrNotSent and says nothing about the backend server.
+var ErrInvalidText = errors.New("the call holds an invalid text")
+
 // ErrPathLost marks errors that say nothing about the backend server: this instance lost its
 // way to it.
 var ErrPathLost = errors.New("no path to the backend server")
--- a/serve/relay/try.go
+++ b/serve/relay/try.go
@@ -225,6 +225,12 @@
 	case errors.Is(err, backend.ErrHeldBack):
 		x.recordHeldBack(writer)
 		return attempt.NotSent, err
+	case errors.Is(err, backend.ErrInvalidText):
+		x.state.AddDialFailure(x.relay.now() - t.sentAt)
+		x.relay.count("calls_invalid_total", "route", x.route.Kind.String())
+		// Any server of the plan may be the one with the text.
+		x.addAvoided(serverIDs(t.plan)...)
+		return attempt.NotSent, err
 	case errors.Is(err, backend.ErrNotSent):
 		x.state.AddDialFailure(x.relay.now() - t.sentAt)
 		if errors.Is(err, backend.ErrPathLost) {
