A reset is not taken for the end of a body, whoever is told of it

Cause: the kernel reports a reset once. The goroutine that writes the upload got it; the next read saw a plain end, which ends a body without a length. The error of the write was asked for only when the connection went back to the pool, after the last byte had gone to the client.

A server that answers early without a length, closes its sending side and reads on is served as before; one that leaves the upload unread resets the connection, which cannot be told from a fault.

--- /dev/null
+++ b/e2e/broken_answers_test.go
@@ -0,0 +1,207 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnmoor/auburnmoor/lab/standin/rawserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/storeserver"
+	"github.com/auburnmoor/auburnmoor/lab/standin/workerserver"
+)
+
+const (
+	// uploadBytes is the largest body of a request, playsAtOnce the number of requests at once.
+	uploadBytes = 4 << 20
+	playsAtOnce = 8
+	// resetAfter is the time between what a server sends of an answer and the reset.
+	resetAfter = 20 * time.Millisecond
+)
+
+// plays is how often each answer is played, unless ANSWER_PLAYS says otherwise.
+func plays() int {
+	if n, err := strconv.Atoi(os.Getenv("ANSWER_PLAYS")); err == nil {
+		return n
+	}
+	return 24
+}
+
+// rawSite is a site with one instance, whose servers answer everything alike.
+type rawSite struct {
+	*platformSite
+	servers []*rawserver.Server
+	played  int
+}
+
+func newRawSite() *rawSite {
+	s := &rawSite{platformSite: &platformSite{fleet: buildFleet(), store: storeserver.New(platformAddr(1)), settings: firstStart, bodyBytes: uploadBytes}}
+	Expect(s.store.Start()).To(Succeed())
+	for _, service := range []string{"registry", "model"} {
+		for i := range 3 {
+			id := fmt.Sprint(service, i)
+			w := &rawserver.Server{IDHeader: "X-Request-Id", Seal: func(request string) string { return workerserver.Seal(id, request) }}
+			Expect(w.Start()).To(Succeed())
+			s.announce(id, service, w.Addr(), "ready")
+			s.servers = append(s.servers, w)
+		}
+	}
+	s.configure("k1")
+	s.startEntry(0)
+	Eventually(func() int { return call("GET", "http://"+platformAddr(300)+"/readiness", "").status }, "15s", "50ms").Should(Equal(200))
+	return s
+}
+
+func (s *rawSite) close() {
+	s.platformSite.close()
+	for _, w := range s.servers {
+		w.Close()
+	}
+}
+
+// requests counts the requests that reached the servers.
+func (s *rawSite) requests() (n int) {
+	for _, w := range s.servers {
+		n += w.Requests()
+	}
+	return n
+}
+
+// outcome is what the clients of one answer got.
+type outcome struct {
+	// successes are the answers with 2xx that came to their end, whole those of them with the body expected.
+	successes, whole int
+	statuses         map[int]int
+}
+
+// play has the servers answer by a script and sends requests with a body of the given size.
+func (s *rawSite) play(path string, script rawserver.Script, bodyBytes int, whole string) outcome {
+	s.played++
+	for _, w := range s.servers {
+		w.Play(script)
+	}
+	body := strings.Repeat("u", bodyBytes)
+	out := outcome{statuses: map[int]int{}}
+	var mu sync.Mutex
+	var next atomic.Int64
+	var all sync.WaitGroup
+	for range playsAtOnce {
+		all.Go(func() {
+			defer GinkgoRecover()
+			for n := next.Add(1); n <= int64(plays()); n = next.Add(1) {
+				a := attempt{path: path, id: fmt.Sprintf("raw-%d-%d", s.played, n), key: "k1", body: body}
+				if strings.HasPrefix(path, askPath) {
+					a.tokens = 900
+				}
+				status, got, err := a.exchange()
+				mu.Lock()
+				out.statuses[status]++
+				if status/100 == 2 && err == nil {
+					out.successes++
+					if got == strings.ReplaceAll(whole, "{id}", a.id) {
+						out.whole++
+					}
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	GinkgoWriter.Printf("%s: %+v\n", CurrentSpecReport().LeafNodeText, out)
+	return out
+}
+
+// exchange sends the request to the first instance and reads the answer as far as it comes.
+func (a attempt) exchange() (status int, body string, err error) {
+	resp, err := http.DefaultClient.Do(a.request(0))
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
+// signed begins the head of an answer to a request.
+const signed = "X-Request-Id: {id}\r\nX-Response-Seal: {seal}\r\n"
+
+// headed is an answer with further lines in its head.
+func headed(lines, body string) string { return "HTTP/1.1 200 OK\r\n" + signed + lines + "\r\n" + body }
+
+// eventsOf is the beginning of a stream.
+const eventsOf = "id: 1\ndata: {id} part 1\n\nid: 2\ndata: {id} part 2\n\n"
+
+const eventStream = "Content-Type: text/event-stream\r\n"
+
+// Guards against parts of answers, and answers that are none, which clients get as complete successes.
+var _ = Describe("an answer of a server in trouble", Ordered, ContinueOnFailure, func() {
+	var s *rawSite
+	BeforeAll(func() {
+		s = newRawSite()
+		time.Sleep(loanSettle)
+	})
+	AfterAll(func() { s.close() })
+
+	const length, chunks = "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"
+
+	DescribeTable("is passed on if it is whole", func(path string, script rawserver.Script, bodyBytes int, body string) {
+		Expect(s.play(path, script, bodyBytes, body).whole).To(Equal(plays()))
+	},
+		Entry("with a length", "/look/1", rawserver.Script{Answer: headed(length, "whole")}, 10, "whole"),
+		Entry("in chunks with a trailer", "/look/1", rawserver.Script{Answer: headed(chunks, "5\r\nwhole\r\n0\r\nA: b\r\n\r\n")}, 10, "whole"),
+		Entry("without a length", "/look/1", rawserver.Script{Answer: headed("", "whole"), End: rawserver.Close}, 10, "whole"),
+		Entry("after an interim answer", "/look/1", rawserver.Script{Answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + headed(length, "whole")}, 10, "whole"),
+		Entry("with a length under an upload", "/print/1", rawserver.Script{Answer: headed(length, "whole"), Early: true}, uploadBytes, "whole"),
+		Entry("in chunks under an upload", "/print/1", rawserver.Script{Answer: headed(chunks, "5\r\nwhole\r\n0\r\n\r\n"), Early: true}, uploadBytes, "whole"),
+		Entry("without a length under an upload that is read on", "/print/1",
+			rawserver.Script{Answer: headed("", "whole"), Early: true, End: rawserver.CloseWrite}, uploadBytes, "whole"),
+		Entry("without a length once the upload was read", "/print/1",
+			rawserver.Script{Answer: headed("", "whole"), Early: true, End: rawserver.Close}, uploadBytes, "whole"),
+		Entry("without a length behind an upload", "/print/1", rawserver.Script{Answer: headed("", "whole"), End: rawserver.Close}, uploadBytes, "whole"),
+		Entry("of HTTP/1.0", "/look/1", rawserver.Script{Answer: "HTTP/1.0 200 OK\r\n" + signed + "\r\nwhole", End: rawserver.Close}, 10, "whole"),
+		Entry("as a stream without a length", "/ask/1", rawserver.Script{Answer: headed(eventStream, eventsOf), End: rawserver.Close}, 10, eventsOf),
+		Entry("as a stream without a length under an upload", "/ask/1",
+			rawserver.Script{Answer: headed(eventStream, eventsOf), Early: true, End: rawserver.CloseWrite}, uploadBytes, eventsOf),
+	)
+
+	// A reset may overtake what was sent before it (RFC 9112, 9.6).
+	It("is whole or none if its connection is reset under an upload", func() {
+		out := s.play("/print/1", rawserver.Script{Answer: headed(length, "whole"), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes, "whole")
+		Expect(out.whole).To(And(BeNumerically(">", 0), Equal(out.successes)))
+	})
+
+	DescribeTable("is no success", func(path string, script rawserver.Script, bodyBytes int) {
+		before := s.requests()
+		out := s.play(path, script, bodyBytes, "")
+		Expect(s.requests()).To(BeNumerically(">", before))
+		Expect(out.successes).To(BeZero(), "%v", out.statuses)
+	},
+		Entry("part of a body, reset under an upload", "/print/1",
+			rawserver.Script{Answer: headed("", "part"), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+		Entry("part of a body, reset at once under an upload", "/print/1", rawserver.Script{Answer: headed("", "part"), Early: true, End: rawserver.Reset}, uploadBytes),
+		Entry("part of a body, left with the upload unread", "/print/1", rawserver.Script{Answer: headed("", "part"), Early: true, End: rawserver.Abandon}, uploadBytes),
+		Entry("no body, reset under an upload", "/print/1", rawserver.Script{Answer: headed("", ""), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+		Entry("part of a body of a request that may be repeated, reset under an upload", "/look/1",
+			rawserver.Script{Answer: headed("", "part"), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+		Entry("part of a body of HTTP/1.0, reset under an upload", "/print/1",
+			rawserver.Script{Answer: "HTTP/1.0 200 OK\r\n" + signed + "\r\npart", Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+		Entry("part of a stream, reset under an upload", "/ask/1",
+			rawserver.Script{Answer: headed(eventStream, eventsOf), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+		Entry("part of a stream, left with the upload unread", "/ask/1",
+			rawserver.Script{Answer: headed(eventStream, eventsOf), Early: true, End: rawserver.Abandon}, uploadBytes),
+		Entry("part of a body, reset without an upload", "/print/1", rawserver.Script{Answer: headed("", "part"), End: rawserver.Reset, Pause: resetAfter}, 10),
+		Entry("chunks cut off under an upload", "/print/1",
+			rawserver.Script{Answer: headed(chunks, "9\r\npart"), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+		Entry("chunks without the last line", "/print/1", rawserver.Script{Answer: headed(chunks, "4\r\npart\r\n0\r\n"), End: rawserver.Close}, 10),
+		Entry("a length cut off under an upload", "/print/1",
+			rawserver.Script{Answer: headed(length, "part"), Early: true, End: rawserver.Reset, Pause: resetAfter}, uploadBytes),
+	)
+})
