Calls made by other instances take every byte that a head may hold, and end whole only at a whole end

What callers saw: a request with a byte in a header, target or ID that is no UTF-8 (Latin-1, as HTTP allows) got 502 at an instance without a path to the servers, once-only ones without having run; an answer with such a byte was lost the same way.

Cause: a text that others wrote enters a frame of another format without a check: strings of protocol buffers are UTF-8, and the message was not sent, which counts as a call that broke. They are bytes now, which is the same on the wire; texts of errors are made valid.

By reading, on the same path: an error that wraps io.EOF ended a call as whole at the other instance. No error of a broken call wraps it at present. It is whole only if it is not marked as broken. That what the server sent is no answer is told too (a new field), so that the code is the same there.

Failed before: e2e "serves requests with any byte in a header through other instances", the specs of serve/peerproxy for texts and for an end that is broken.

--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -232,6 +232,18 @@
 		s.expectServed(0, "refused")
 	})
 
+	// Guards against requests that fail because a byte of their head is no UTF-8, which messages between instances were.
+	It("serves requests with any byte in a header through other instances", func() {
+		cutOff("entry-0", cutSilent, allServers)
+		req := attempt{path: "/print/1", id: "any-byte", key: "k1", body: "label"}.request(0)
+		req.Header.Set("X-Note", "caf\xe9")
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(readBody(resp)).To(Equal(workerserver.Body("any-byte")))
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(runs(s.plain, "any-byte")).To(Equal(1))
+	})
+
 	DescribeTable("serves its callers if it is cut off from", func(prefix string, severs func(string) bool) {
 		cutOff("entry-1", cutSilent, severs)
 		s.expectServed(1, prefix)
--- a/serve/peerproxy/call.go
+++ b/serve/peerproxy/call.go
@@ -278,6 +278,9 @@
 	if end.HeldBack {
 		err = errors.Mark(err, backend.ErrHeldBack)
 	}
+	if end.InvalidAnswer {
+		err = errors.Mark(err, backend.ErrInvalidAnswer)
+	}
 	if end.Outcome == peerpb.ProxyOutcome_PROXY_NOT_SENT {
 		return errors.Mark(err, backend.ErrNotSent)
 	}
--- a/serve/peerproxy/carry.go
+++ b/serve/peerproxy/carry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -207,14 +206,7 @@
 
 // sendEnd sends how a call ended.
 func sendEnd(s serverStream, err error) error {
-	end := &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_BROKEN, Error: err.Error(), PathLost: errors.Is(err, backend.ErrPathLost), HeldBack: errors.Is(err, backend.ErrHeldBack)}
-	switch {
-	case errors.Is(err, io.EOF):
-		end = &peerpb.ProxyEnd{Outcome: peerpb.ProxyOutcome_PROXY_COMPLETE}
-	case errors.Is(err, backend.ErrNotSent):
-		end.Outcome = peerpb.ProxyOutcome_PROXY_NOT_SENT
-	}
-	return s.Send(&peerpb.ProxyReply{Part: &peerpb.ProxyReply_End{End: end}})
+	return s.Send(&peerpb.ProxyReply{Part: &peerpb.ProxyReply_End{End: encodeEnd(err)}})
 }
 
 // ProxyOrder implements peerlink.Proxier.
