--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -449,6 +449,22 @@
 		}
 	})
 
+	// Guards against clients that name helpers of their choice: the ID of their request stands in the list of helpers.
+	It("names the engines that it chose, whatever the ID of the request", func() {
+		id := "odd,127.0.0.1:1/x y"
+		resp, body := attempt{path: "/ask/1", id: id, key: "k1", tokens: 150_000}.send(0)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(completeStream(id)))
+		for _, w := range s.engines {
+			for _, v := range w.Seen() {
+				if v.ID == id {
+					Expect(strings.Split(v.Helpers, ",")).To(HaveEach(MatchRegexp(`^127\.0\.0\.1:\d{4,5}(/[^/,\s]+)?$`)))
+				}
+			}
+			Eventually(w.Reserved, "5s", "20ms").Should(BeZero())
+		}
+	})
+
 	// Guards against leaked reservations, which let an engine serve fewer and fewer long prompts:
 	// a reserve order that got no reply is executed after its request has ended, or the release
 	// order is lost.
