Answers of the outside systems that are none, or parts, are not taken by the clients of net/http either

These clients are net/http's, which takes any number for a status, keeps a name with a blank as another field, and reads a plain end after the error of a reset went to the writer.

internal/strictclient makes such a client strict: connections of internal/connend, for which the whole request is one writing, and a check of what the parsed answer shows, interim ones included. What net/http does not show (folded lines, a length beside chunks) is not checked there: docs/FINDINGS.md.

--- a/port/engine/engine.go
+++ b/port/engine/engine.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/internal/strictclient"
 	"github.com/auburnmoor/auburnmoor/port/netfault"
 )
 
@@ -124,12 +125,11 @@
 
 // NewClient returns a client whose connection attempts time out after dialTimeout.
 func NewClient(dialTimeout time.Duration) *Client {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	t := strictclient.New(&http.Transport{
 		MaxIdleConnsPerHost: 1024,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}
+	}, &net.Dialer{Timeout: dialTimeout})
 	return &Client{http: &http.Client{Transport: t}}
 }
 
--- a/port/instances/instances.go
+++ b/port/instances/instances.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnmoor/auburnmoor"
+	"github.com/auburnmoor/auburnmoor/internal/strictclient"
 )
 
 // Role is what an instance runs.
@@ -73,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := strictclient.Default.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "instance list")
 	}
@@ -104,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := strictclient.Default.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "instance list")
 	}
--- a/port/objectapi/objectapi.go
+++ b/port/objectapi/objectapi.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburnmoor/auburnmoor/internal/strictclient"
 )
 
 // MaxValue is the largest value in bytes that the platform stores.
@@ -107,7 +109,7 @@
 
 // NewClient returns a client of the object API at addr (host:port).
 func NewClient(addr string) *Client {
-	return &Client{base: "http://" + addr + "/objects", http: &http.Client{}, Count: func(string) {}}
+	return &Client{base: "http://" + addr + "/objects", http: strictclient.Default, Count: func(string) {}}
 }
 
 var _ Store = (*Client)(nil)
--- a/port/service/service.go
+++ b/port/service/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnmoor/auburnmoor/internal/strictclient"
 	"github.com/auburnmoor/auburnmoor/port/netfault"
 )
 
@@ -47,12 +48,11 @@
 // NewClient returns a client whose connection attempts time out after dialTimeout.
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Transport: strictclient.New(&http.Transport{
 			MaxIdleConnsPerHost: 256,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		},
+		}, &net.Dialer{Timeout: dialTimeout}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
