A call that was not sent for its texts, or for what its server said, says nothing of the path

By reading: a call that holds an invalid text counted as a failed connection of its server, and so did one that was held back because the server leaves or rests; enough of them and the instance has others make its calls. Only a missing connection counts now. Failed before: the two specs of serve/peerproxy (the decision has a name now; before, each error with ErrNotSent counted).

--- a/serve/peerproxy/direct.go
+++ b/serve/peerproxy/direct.go
@@ -25,7 +25,7 @@
 	answer, err := p.direct.Do(callCtx, c)
 	if err != nil {
 		w.stop()
-		if errors.Is(err, backend.ErrNotSent) && callCtx.Err() == nil {
+		if isConnectFailure(err) && callCtx.Err() == nil {
 			p.recordConnect(c.Server, err)
 		}
 		err = markLost(callCtx, err)
@@ -36,6 +36,12 @@
 	return &directAnswer{Answer: answer, watch: w, ctx: callCtx, cancel: cancel}, nil
 }
 
+// isConnectFailure reports whether a call was not sent because there was no connection, rather than for what the call
+// holds or what the server said.
+func isConnectFailure(err error) bool {
+	return errors.Is(err, backend.ErrNotSent) && !errors.Is(err, backend.ErrInvalidText) && !errors.Is(err, backend.ErrHeldBack)
+}
+
 // markLost marks the error of a call that was ended because its path is lost.
 func markLost(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), backend.ErrPathLost) {
--- a/serve/peerproxy/wire_test.go
+++ b/serve/peerproxy/wire_test.go
@@ -63,3 +63,13 @@
 		Entry("before it was sent", errors.Mark(errors.New("x"), backend.ErrNotSent), false, true, false),
 	)
 })
+
+// Guards against servers that count as out of reach because of what a call holds, or of what they say of themselves.
+var _ = DescribeTable("a call that was not sent", func(err error, failedToConnect bool) {
+	Expect(isConnectFailure(err)).To(Equal(failedToConnect))
+},
+	Entry("for want of a connection", errors.Mark(errors.New("refused"), backend.ErrNotSent), true),
+	Entry("for a text in it", errors.Mark(errors.Mark(errors.New("text"), backend.ErrInvalidText), backend.ErrNotSent), false),
+	Entry("because the server leaves", errors.Mark(errors.Mark(errors.New("leaving"), backend.ErrHeldBack), backend.ErrNotSent), false),
+	Entry("after all", errors.Mark(errors.New("broken"), backend.ErrBroken), false),
+)
