--- a/Makefile
+++ b/Makefile
@@ -70,5 +70,6 @@
 	go test -run=XXX -fuzz=FuzzWatchEvents -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzConfig -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzHead -fuzztime=30s ./platform
+	go test -run=XXX -fuzz=FuzzRequestHead -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzChunks -fuzztime=30s ./platform
 	go test -run=XXX -fuzz=FuzzEvents -fuzztime=30s ./serve/relay
