--- a/internal/connend/connend_test.go
+++ b/internal/connend/connend_test.go
@@ -100,6 +100,8 @@
 				go func() {
 					tcp := peer.(*net.TCPConn)
 					_ = tcp.SetReadBuffer(64 << 10)
+					// A reset before that could end the connecting.
+					_, _ = peer.Read(make([]byte, 1))
 					_, _ = peer.Write([]byte("part"))
 					time.Sleep(5 * time.Millisecond)
 					_ = tcp.SetLinger(0)
