The soak's links pass a reset on as one, not as an end in order

Trace: each was begun without a length and reset by its server; the link between instance and server closed its other side in order, which ends such an answer as whole, and no client can tell.

--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -83,34 +84,44 @@
 	p.mu.Lock()
 	p.conns[client] = target
 	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	go func() {
-		p.copy(target, client, p.forward)
-		done <- struct{}{}
-	}()
-	go func() {
-		p.copy(client, target, p.forwardOrHold)
-		done <- struct{}{}
-	}()
-	<-done
+	done := make(chan error, 2)
+	go func() { done <- p.copy(target, client, p.forward) }()
+	go func() { done <- p.copy(client, target, p.forwardOrHold) }()
+	if err := <-done; err != nil {
+		// A reset of one side must not look like an end in order on the other.
+		_ = dropOnClose(client)
+		_ = dropOnClose(target)
+	}
 	p.mu.Lock()
 	delete(p.conns, client)
 	p.mu.Unlock()
 }
 
-// copy forwards data by the given function until either side closes.
-func (p *proxy) copy(to, from net.Conn, forward func(to net.Conn, chunk []byte) error) {
+// dropOnClose has a connection reset when it is closed.
+func dropOnClose(c net.Conn) error {
+	tcp, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.Newf("%T cannot be reset", c)
+	}
+	return tcp.SetLinger(0)
+}
+
+// copy forwards data by the given function until the sender ends its side. The error is that of either side.
+func (p *proxy) copy(to, from net.Conn, forward func(to net.Conn, chunk []byte) error) error {
 	buf := make([]byte, maxChunk)
 	for {
 		n, err := from.Read(buf)
 		p.waitToForward()
 		if n > 0 {
 			if werr := forward(to, buf[:n]); werr != nil {
-				return
+				return werr
 			}
 		}
-		if err != nil {
-			return
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
 		}
 	}
 }
@@ -158,9 +169,7 @@
 	defer p.mu.Unlock()
 	for client, target := range p.conns {
 		for _, c := range []net.Conn{client, target} {
-			if t, ok := c.(*net.TCPConn); ok {
-				_ = t.SetLinger(0)
-			}
+			_ = dropOnClose(c)
 			_ = c.Close()
 		}
 	}
