--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -63,12 +61,6 @@
 			return bodies
 		}
 	}
-	logOf := func() string {
-		raw, err := os.ReadFile(filepath.Join(s.dir, name+".log"))
-		Expect(err).NotTo(HaveOccurred())
-		return string(raw)
-	}
-
 	DescribeTable("drains to its end whatever signals follow", func(signals ...syscall.Signal) {
 		prefix := ""
 		for _, sig := range signals {
@@ -90,7 +82,7 @@
 		delete(s.procs, name)
 		go func() { exited <- cmd.Wait() }()
 		Eventually(exited, maxDrain).Should(Receive(BeNil()))
-		log := logOf()
+		log := s.logOf(name)
 		Expect(log).To(ContainSubstring(`"stopped"`))
 		if slices.Contains(signals[slices.Index(signals, syscall.SIGTERM):], syscall.SIGHUP) {
 			Expect(log).To(ContainSubstring(`"SIGHUP ignored while draining"`))
